Contracts, host and configuration document

The shapes that cross process borders, the abstract classes of the outside world, the configuration document in memory, and the tool set-up. Nothing runs as a process yet.

--- /dev/null
+++ b/src/allowances/types.ts
@@ -0,0 +1,27 @@
+/**
+ * What an entry needs of the allowances: to charge before a request runs, and to settle after it.
+ */
+import * as failures from '../contracts/failure.js'
+
+/** A charge of tokens to a workspace. The identifier makes repeated sends harmless. */
+export interface Charge {
+  readonly id: string
+  readonly workspace: string
+  readonly tokens: number
+}
+
+/** A granted charge, to be settled exactly once. */
+export interface Grant {
+  readonly charge: Charge
+  /** Gives back what was not used; charges what was used above the bound. */
+  settle (usedTokens: number): void
+}
+
+/** Charges requests to the allowances of their workspaces, wherever those are kept. */
+export abstract class Allowances {
+  /**
+   * Takes the tokens from the workspace's allowance. Fails with `allowance_exhausted` and the time to come
+   * back when the allowance does not hold them, and with `keeper_unavailable` when nobody can decide.
+   */
+  abstract charge (charge: Charge): Promise<failures.Result<Grant>>
+}
--- /dev/null
+++ b/src/configuration/document.ts
@@ -0,0 +1,244 @@
+/**
+ * The configuration document in memory: sections by name, with the indexes that requests need.
+ * A document only moves forward; an older change never replaces a newer one.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as verdicts from '../contracts/verdict.js'
+
+/** A caller's key together with the workspace it belongs to. */
+export interface KeyOwner {
+  readonly workspace: string
+  readonly key: configuration.Key
+}
+
+/** A route of a plain service that matches a request. */
+export interface RouteMatch {
+  readonly service: string
+  readonly route: configuration.ServiceRoute
+  readonly timeoutMs: number
+}
+
+/** Reads of the current configuration. */
+export abstract class ConfigurationView {
+  abstract readonly version: number
+  abstract readonly policy: configuration.Policy
+  abstract getSection (name: string): configuration.Section | undefined
+  abstract listSections (): readonly configuration.Section[]
+  abstract getWorkspace (name: string): configuration.Workspace | undefined
+  abstract listWorkspaces (): ReadonlyMap<string, configuration.Workspace>
+  abstract findKey (hash: string): KeyOwner | undefined
+  abstract getModel (name: string): configuration.Model | undefined
+  abstract listModels (): ReadonlyMap<string, configuration.Model>
+  abstract getServer (name: string): configuration.Server | undefined
+  abstract listServers (): ReadonlyMap<string, configuration.Server>
+  /** Returns the service whose route has the longest matching prefix; its methods may still exclude the call. */
+  abstract matchRoute (path: string): RouteMatch | undefined
+}
+
+export class Document extends ConfigurationView {
+  private documentVersion = 0
+  private readonly sections = new Map<string, configuration.Section>()
+  private readonly workspaces = new Map<string, configuration.Workspace>()
+  private readonly keyRings = new Map<string, configuration.KeyRing>()
+  private readonly keys = new Map<string, KeyOwner>()
+  private readonly models = new Map<string, configuration.Model>()
+  private readonly servers = new Map<string, configuration.Server>()
+  private readonly services = new Map<string, configuration.Service>()
+  private currentPolicy = configuration.Policy.parse({})
+
+  override get version (): number {
+    return this.documentVersion
+  }
+
+  override get policy (): configuration.Policy {
+    return this.currentPolicy
+  }
+
+  override getSection (name: string): configuration.Section | undefined {
+    return this.sections.get(name)
+  }
+
+  override listSections (): readonly configuration.Section[] {
+    return [...this.sections.values()]
+  }
+
+  override getWorkspace (name: string): configuration.Workspace | undefined {
+    return this.workspaces.get(name)
+  }
+
+  override listWorkspaces (): ReadonlyMap<string, configuration.Workspace> {
+    return this.workspaces
+  }
+
+  override findKey (hash: string): KeyOwner | undefined {
+    return this.keys.get(hash)
+  }
+
+  override getModel (name: string): configuration.Model | undefined {
+    return this.models.get(name)
+  }
+
+  override listModels (): ReadonlyMap<string, configuration.Model> {
+    return this.models
+  }
+
+  override getServer (name: string): configuration.Server | undefined {
+    return this.servers.get(name)
+  }
+
+  override listServers (): ReadonlyMap<string, configuration.Server> {
+    return this.servers
+  }
+
+  override matchRoute (path: string): RouteMatch | undefined {
+    let best: RouteMatch | undefined
+    for (const [name, service] of this.services) {
+      for (const route of service.routes) {
+        if (!isBelow(path, route.prefix)) {
+          continue
+        }
+        if (best === undefined || route.prefix.length > best.route.prefix.length) {
+          best = { service: name, route, timeoutMs: service.timeoutMs }
+        }
+      }
+    }
+    return best
+  }
+
+  /** Applies the next change. Returns false, changing nothing, unless its version is exactly one higher. */
+  applyChange (change: configuration.Change): boolean {
+    if (change.version !== this.documentVersion + 1) {
+      return false
+    }
+    for (const section of change.sections) {
+      this.putSection(section)
+    }
+    this.documentVersion = change.version
+    return true
+  }
+
+  /** Takes over a snapshot. Returns false, changing nothing, unless it is newer. */
+  applySnapshot (snapshot: configuration.Snapshot): boolean {
+    if (snapshot.version <= this.documentVersion) {
+      return false
+    }
+    const kept = new Set(snapshot.sections.map(section => section.name))
+    for (const name of [...this.sections.keys()]) {
+      if (!kept.has(name)) {
+        this.removeSection(name)
+      }
+    }
+    for (const section of snapshot.sections) {
+      this.putSection(section)
+    }
+    this.documentVersion = snapshot.version
+    return true
+  }
+
+  /** Returns the whole document; for agents without the secret sections. */
+  createSnapshot (audience: 'entry' | 'agent'): configuration.Snapshot {
+    const sections: configuration.Section[] = []
+    for (const section of this.sections.values()) {
+      if (audience === 'agent' && configuration.isSecretSection(section.name)) {
+        continue
+      }
+      sections.push(section)
+    }
+    return { version: this.documentVersion, sections }
+  }
+
+  private putSection (section: configuration.Section): void {
+    const kind = configuration.getSectionKind(section.name)
+    if (kind === undefined) {
+      return
+    }
+    this.removeSection(section.name)
+    this.sections.set(section.name, section)
+    if (section.body === undefined) {
+      return
+    }
+    this.putBody(kind, section)
+  }
+
+  private putBody (kind: configuration.SectionKind, section: configuration.Section): void {
+    const name = getLocalName(section.name)
+    switch (kind) {
+      case 'workspaces':
+        this.workspaces.set(name, configuration.Workspace.parse(section.body))
+        return
+      case 'keys':
+        this.putKeyRing(name, configuration.KeyRing.parse(section.body))
+        return
+      case 'models':
+        this.models.set(name, configuration.Model.parse(section.body))
+        return
+      case 'servers':
+        this.servers.set(name, configuration.Server.parse(section.body))
+        return
+      case 'services':
+        this.services.set(name, configuration.Service.parse(section.body))
+        return
+      case 'policy':
+        this.currentPolicy = configuration.Policy.parse(section.body)
+        return
+      case 'teams':
+        return
+      default:
+        verdicts.assertNever(kind)
+    }
+  }
+
+  private putKeyRing (workspace: string, ring: configuration.KeyRing): void {
+    this.keyRings.set(workspace, ring)
+    for (const key of ring.keys) {
+      this.keys.set(key.hash, { workspace, key })
+    }
+  }
+
+  private removeSection (sectionName: string): void {
+    const name = getLocalName(sectionName)
+    this.sections.delete(sectionName)
+    switch (configuration.getSectionKind(sectionName)) {
+      case 'workspaces':
+        this.workspaces.delete(name)
+        return
+      case 'keys':
+        this.removeKeyRing(name)
+        return
+      case 'models':
+        this.models.delete(name)
+        return
+      case 'servers':
+        this.servers.delete(name)
+        return
+      case 'services':
+        this.services.delete(name)
+        return
+      case 'policy':
+        this.currentPolicy = configuration.Policy.parse({})
+    }
+  }
+
+  private removeKeyRing (workspace: string): void {
+    const ring = this.keyRings.get(workspace)
+    this.keyRings.delete(workspace)
+    for (const key of ring?.keys ?? []) {
+      if (this.keys.get(key.hash)?.workspace === workspace) {
+        this.keys.delete(key.hash)
+      }
+    }
+  }
+}
+
+/** Returns the part of a section's name after its kind. */
+export function getLocalName (sectionName: string): string {
+  const slash = sectionName.indexOf('/')
+  return slash < 0 ? '' : sectionName.slice(slash + 1)
+}
+
+function isBelow (path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) {
+    return false
+  }
+  return path.length === prefix.length || prefix.endsWith('/') || path[prefix.length] === '/'
+}
--- /dev/null
+++ b/src/contracts/identity.ts
@@ -0,0 +1,30 @@
+/**
+ * Identities: which process is meant, and in which of its lives.
+ */
+import * as z from 'zod'
+
+export const Role = z.enum(['entry', 'agent'])
+export type Role = z.infer<typeof Role>
+
+/** A process of the system. The boot changes with every start, so that state of an earlier life is void. */
+export const Identity = z.object({
+  /** Name of the VM, unique within the deployment. */
+  node: z.string().min(1).max(128),
+  boot: z.string().min(1).max(64),
+  role: Role,
+  zone: z.string().min(1).max(64),
+  region: z.string().min(1).max(64)
+})
+export type Identity = z.infer<typeof Identity>
+
+/** Where a process listens. */
+export const Address = z.object({
+  /** IP address. */
+  host: z.string().min(1).max(64),
+  port: z.number().int().min(1).max(65535)
+})
+export type Address = z.infer<typeof Address>
+
+export function formatAddress (address: Address): string {
+  return `${address.host}:${address.port}`
+}
--- /dev/null
+++ b/src/host/types.ts
@@ -0,0 +1,164 @@
+/**
+ * The outside world as the decisions see it. Every process receives one `System`;
+ * tests and benches pass their own.
+ */
+import * as failures from '../contracts/failure.js'
+
+/** Stops something that was scheduled or subscribed. Calling it twice is harmless. */
+export type Stop = () => void
+
+/** Time and timers. */
+export abstract class Clock {
+  /** Milliseconds since an arbitrary start; never goes back. */
+  abstract monotonicMs (): number
+  /** Milliseconds since the Unix epoch; may jump. */
+  abstract wallMs (): number
+  /** Runs the action once after the delay in milliseconds. */
+  abstract after (delayMs: number, action: () => void): Stop
+
+  /** Runs the action every `periodMs` milliseconds until stopped. */
+  every (periodMs: number, action: () => void): Stop {
+    const run = (): void => {
+      stop = this.after(periodMs, run)
+      action()
+    }
+    let stop = this.after(periodMs, run)
+    return () => stop()
+  }
+
+  /** Resolves after the delay in milliseconds. */
+  sleep (delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.after(delayMs, resolve)
+    })
+  }
+}
+
+/** Random numbers. */
+export abstract class Random {
+  /** Returns a number in [0, 1). */
+  abstract nextUnit (): number
+  /** Returns a unique identifier of 22 or more URL-safe characters. */
+  abstract nextId (): string
+
+  /** Returns an integer in [0, bound). */
+  nextInteger (bound: number): number {
+    return Math.floor(this.nextUnit() * bound)
+  }
+}
+
+/** Details of a log line. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** Log lines; written for changes of state only. */
+export abstract class Log {
+  abstract info (message: string, fields?: LogFields): void
+  abstract warn (message: string, fields?: LogFields): void
+  abstract error (message: string, fields?: LogFields): void
+}
+
+/** One key of the platform's store. Revisions count the store's commits. */
+export interface StoreEntry {
+  readonly key: string
+  readonly value: string
+  readonly createRevision: number
+  readonly modRevision: number
+}
+
+/** A condition of a transaction; a revision of 0 means that the key does not exist. */
+export interface StoreComparison {
+  readonly key: string
+  readonly target: 'mod' | 'create'
+  readonly revision: number
+}
+
+export type StoreOperation =
+  | { readonly kind: 'put', readonly key: string, readonly value: string, readonly lease?: string }
+  | { readonly kind: 'delete', readonly key: string }
+  | { readonly kind: 'get', readonly key: string }
+
+export interface StoreTransaction {
+  readonly compare: readonly StoreComparison[]
+  readonly success: readonly StoreOperation[]
+  readonly failure: readonly StoreOperation[]
+}
+
+export interface StoreCommit {
+  /** Whether every comparison held, so that `success` was run. */
+  readonly succeeded: boolean
+  readonly revision: number
+  /** What the `get` operations found, in their order; `undefined` for a missing key. */
+  readonly reads: readonly (StoreEntry | undefined)[]
+}
+
+export interface StorePage {
+  readonly entries: readonly StoreEntry[]
+  /** The store's revision at the time of the read. */
+  readonly revision: number
+  /** Whether more keys follow within the range. */
+  readonly more: boolean
+}
+
+export interface StoreRange {
+  readonly prefix: string
+  /** Only keys that sort after this one. */
+  readonly after?: string
+  readonly limit?: number
+}
+
+export type StoreEvent =
+  | { readonly kind: 'put', readonly entry: StoreEntry }
+  | { readonly kind: 'delete', readonly key: string, readonly modRevision: number }
+
+export interface StoreLease {
+  readonly id: string
+  /** Time to live in milliseconds, counted from the moment when the request was sent. */
+  readonly ttlMs: number
+}
+
+/**
+ * The platform's key-value service. A failed write whose verdict is `may_have_run` may have taken
+ * effect; the caller settles it by reading back.
+ */
+export abstract class Store {
+  abstract read (key: string): Promise<failures.Result<StoreEntry | undefined>>
+  abstract readRange (range: StoreRange): Promise<failures.Result<StorePage>>
+  abstract commit (transaction: StoreTransaction): Promise<failures.Result<StoreCommit>>
+  abstract grantLease (ttlMs: number): Promise<failures.Result<StoreLease>>
+  abstract renewLease (id: string): Promise<failures.Result<StoreLease>>
+  abstract revokeLease (id: string): Promise<failures.Result<void>>
+  /**
+   * Reports changes below the prefix from the revision on, in order. `ended` is called once when the watch
+   * breaks; the caller reads again and watches anew.
+   */
+  abstract watch (
+    prefix: string,
+    fromRevision: number,
+    changed: (events: readonly StoreEvent[]) => void,
+    ended: (failure: failures.Failure) => void
+  ): Stop
+}
+
+/** One VM as the platform lists it. The list lags behind reality. */
+export interface Machine {
+  readonly id: string
+  /** IP address. */
+  readonly host: string
+  readonly zone: string
+  readonly state: 'live' | 'leaving'
+  readonly role: 'entry' | 'server'
+  /** Port of the control listener of the process on the VM. */
+  readonly controlPort: number
+}
+
+/** The platform's list of live and leaving VMs. */
+export abstract class MachineList {
+  abstract read (): Promise<failures.Result<readonly Machine[]>>
+}
+
+/** What a process is given at its start. */
+export abstract class System {
+  abstract readonly clock: Clock
+  abstract readonly random: Random
+  abstract readonly log: Log
+}
