Links: sessions over WebSocket with JSON-RPC, heartbeats and proofs

A session outlives its connections: a lost or silent connection is replaced while work is under way, and the listener keeps the session for its lease. Each side proves the deployment's credential over a fresh challenge. A call whose connection is lost has the verdict may_have_run; one that never left is not_run. Tests ran on loopback, among them a connection that goes silent without a reset.

--- a/src/contracts/protocol.ts
+++ b/src/contracts/protocol.ts
@@ -118,6 +118,8 @@
 
 /** Notifications: sent once, not answered. */
 export const notifications = {
+  /** The listener's first message on a connection: the text that the client's proof must cover. */
+  'session.challenge': z.object({ challenge: z.string().min(16).max(128) }),
   /** Frames of an attempt, to the session that started it or resumed it last. */
   'work.frames': work.Frames,
   /** The frames up to an offset have arrived; the agent may forget a finished attempt. */
--- /dev/null
+++ b/src/host/node_system.ts
@@ -0,0 +1,76 @@
+/**
+ * The outside world of a real process: Node's clock and random numbers, and pino for log lines.
+ */
+import * as crypto from 'node:crypto'
+import * as pino from 'pino'
+import * as host from './types.js'
+
+class NodeClock extends host.Clock {
+  override monotonicMs (): number {
+    return performance.now()
+  }
+
+  override wallMs (): number {
+    return Date.now()
+  }
+
+  override after (delayMs: number, action: () => void): host.Stop {
+    const timer = setTimeout(action, delayMs)
+    return () => clearTimeout(timer)
+  }
+}
+
+class NodeRandom extends host.Random {
+  override nextUnit (): number {
+    return Math.random()
+  }
+
+  override nextId (): string {
+    return crypto.randomBytes(18).toString('base64url')
+  }
+}
+
+class PinoLog extends host.Log {
+  constructor (private readonly logger: pino.Logger) {
+    super()
+  }
+
+  override info (message: string, fields?: host.LogFields): void {
+    this.logger.info(fields ?? {}, message)
+  }
+
+  override warn (message: string, fields?: host.LogFields): void {
+    this.logger.warn(fields ?? {}, message)
+  }
+
+  override error (message: string, fields?: host.LogFields): void {
+    this.logger.error(fields ?? {}, message)
+  }
+}
+
+/** A log that writes nothing. */
+export class SilentLog extends host.Log {
+  override info (): void {}
+  override warn (): void {}
+  override error (): void {}
+}
+
+class NodeSystem extends host.System {
+  override readonly clock = new NodeClock()
+  override readonly random = new NodeRandom()
+
+  constructor (override readonly log: host.Log) {
+    super()
+  }
+}
+
+/** Creates the system of a process; its log lines go to standard error as JSON. */
+export function createNodeSystem (node: string, level: string): host.System {
+  const logger = pino.pino({ level, base: { node } }, pino.destination({ fd: 2, sync: true }))
+  return new NodeSystem(new PinoLog(logger))
+}
+
+/** Creates a system without log lines. */
+export function createSilentSystem (): host.System {
+  return new NodeSystem(new SilentLog())
+}
--- /dev/null
+++ b/src/links/client_link.ts
@@ -0,0 +1,300 @@
+/**
+ * The client's end of a session: opens a connection when there is something to say, replaces one that was
+ * lost or has gone silent, and closes one that is idle.
+ */
+import * as ws from 'ws'
+import * as connections from './connection.js'
+import * as credentials from './credential.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as identities from '../contracts/identity.js'
+import * as protocol from '../contracts/protocol.js'
+import * as types from './types.js'
+
+/** What the links of a process share. */
+export interface LinkContext {
+  readonly system: host.System
+  readonly identity: identities.Identity
+  readonly credential: string
+  readonly timing: types.LinkTiming
+  readonly piggyback: types.Piggyback
+  readonly security: types.Security | undefined
+}
+
+type Opening = Promise<failures.Result<connections.Connection>>
+
+export class ClientLink extends types.Link {
+  private readonly session: string
+  private connection: connections.Connection | undefined
+  private opening: Opening | undefined
+  private remoteIdentity: identities.Identity | undefined
+  private holds = 0
+  private busySinceMs = 0
+  private stopped = false
+  private stopBeat: host.Stop | undefined
+
+  constructor (
+    override readonly address: identities.Address,
+    private readonly context: LinkContext,
+    private readonly observer: types.LinkObserver
+  ) {
+    super()
+    this.session = context.system.random.nextId()
+  }
+
+  override get remote (): identities.Identity | undefined {
+    return this.remoteIdentity
+  }
+
+  override get isOpen (): boolean {
+    return this.connection?.isOpen ?? false
+  }
+
+  override async call<Method extends protocol.MethodName> (
+    method: Method,
+    params: protocol.Params<Method>,
+    timeoutMs: number
+  ): Promise<failures.Result<protocol.Answer<Method>>> {
+    const release = this.hold()
+    try {
+      const opened = await this.open()
+      if (opened.isLeft()) {
+        return opened
+      }
+      return await opened.unsafeCoerce().call(method, params, timeoutMs)
+    } finally {
+      release()
+    }
+  }
+
+  override notify<Name extends protocol.NotificationName> (name: Name, notice: protocol.Notice<Name>): void {
+    this.connection?.notify(name, notice)
+  }
+
+  override hold (): host.Stop {
+    if (this.holds === 0) {
+      this.busySinceMs = this.context.system.clock.monotonicMs()
+    }
+    this.holds += 1
+    this.startBeat()
+    let released = false
+    return () => {
+      if (released) {
+        return
+      }
+      released = true
+      this.holds -= 1
+    }
+  }
+
+  override close (): void {
+    this.stopped = true
+    this.endBeat()
+    this.connection?.close()
+    this.connection = undefined
+  }
+
+  private open (): Opening {
+    if (this.stopped) {
+      return Promise.resolve(failures.fail(this.createLoss()))
+    }
+    if (this.connection?.isOpen === true) {
+      return Promise.resolve(failures.succeed(this.connection))
+    }
+    this.connection?.terminate()
+    this.opening ??= this.connect().finally(() => {
+      this.opening = undefined
+    })
+    return this.opening
+  }
+
+  private async connect (): Opening {
+    const attempt = new ConnectionAttempt(this.address, this.context, this.session, {
+      requested: () => {},
+      noticed: (name, notice) => this.observer.noticed(this, name, notice as never),
+      stamped: stamp => this.context.piggyback.accept(stamp, this.remoteIdentity),
+      closed: () => this.lose()
+    })
+    const result = await attempt.open()
+    if (result.isLeft()) {
+      return failures.fail(result.extract() as failures.Failure)
+    }
+    const opened = result.unsafeCoerce()
+    if (this.stopped || !opened.connection.isOpen) {
+      opened.connection.close()
+      return failures.fail(this.createLoss())
+    }
+    this.connection = opened.connection
+    this.remoteIdentity = opened.identity
+    this.startBeat()
+    this.observer.opened(this, opened.resumed)
+    return failures.succeed(opened.connection)
+  }
+
+  private lose (): void {
+    if (this.connection === undefined) {
+      return
+    }
+    this.connection = undefined
+    this.observer.lost(this)
+    if (this.holds > 0) {
+      this.context.system.clock.after(this.context.timing.reconnectMs, () => this.open())
+    }
+  }
+
+  private startBeat (): void {
+    if (this.stopped) {
+      return
+    }
+    this.stopBeat ??= this.context.system.clock.every(this.context.timing.heartbeatMs, () => this.beat())
+  }
+
+  private endBeat (): void {
+    this.stopBeat?.()
+    this.stopBeat = undefined
+  }
+
+  private beat (): void {
+    const connection = this.connection
+    if (connection === undefined || !connection.isOpen) {
+      this.beatWithoutConnection()
+      return
+    }
+    const now = this.context.system.clock.monotonicMs()
+    if (this.holds === 0) {
+      this.closeIfIdle(connection, now)
+      return
+    }
+    const silentSinceMs = Math.max(connection.lastHeardMs, this.busySinceMs)
+    if (now - silentSinceMs > this.context.timing.silenceMs) {
+      connection.terminate()
+      return
+    }
+    connection.call('session.heartbeat', { session: this.session }, this.context.timing.silenceMs)
+      .then(result => result.ifRight(answer => this.observer.measured(this, answer.load)))
+  }
+
+  private beatWithoutConnection (): void {
+    if (this.holds === 0) {
+      this.endBeat()
+      return
+    }
+    this.open()
+  }
+
+  private closeIfIdle (connection: connections.Connection, nowMs: number): void {
+    if (nowMs - connection.lastUsedMs < this.context.timing.idleMs) {
+      return
+    }
+    this.endBeat()
+    this.connection = undefined
+    connection.close()
+  }
+
+  private createLoss (): failures.Failure {
+    return failures.createFailure('not_run', 'link_lost', [identities.formatAddress(this.address)])
+  }
+}
+
+interface Opened {
+  readonly connection: connections.Connection
+  readonly identity: identities.Identity
+  readonly resumed: boolean
+}
+
+/** One try to connect and to open the session. */
+class ConnectionAttempt {
+  private readonly peer: string
+
+  constructor (
+    address: identities.Address,
+    private readonly context: LinkContext,
+    private readonly session: string,
+    private readonly events: connections.ConnectionEvents
+  ) {
+    this.peer = identities.formatAddress(address)
+  }
+
+  open (): Promise<failures.Result<Opened>> {
+    return new Promise(resolve => {
+      const stopTimer = this.context.system.clock.after(this.context.timing.connectTimeoutMs, () => {
+        connection.terminate()
+      })
+      const settle = (result: failures.Result<Opened>): void => {
+        stopTimer()
+        resolve(result)
+      }
+      const socket = this.createSocket()
+      let isOpened = false
+      const connection = new connections.Connection(
+        socket, this.context.system.clock, this.context.piggyback, this.peer, {
+          ...this.events,
+          noticed: (name, notice) => {
+            if (name !== 'session.challenge') {
+              this.events.noticed(name, notice)
+              return
+            }
+            const { challenge } = notice as protocol.Notice<'session.challenge'>
+            this.introduce(connection, challenge).then(result => {
+              settle(result)
+              isOpened = result.isRight()
+              if (!isOpened) {
+                connection.terminate()
+              }
+            })
+          },
+          closed: () => {
+            settle(failures.fail(this.createLoss()))
+            if (isOpened) {
+              this.events.closed()
+            }
+          }
+        })
+    })
+  }
+
+  private createSocket (): ws.WebSocket {
+    const { security } = this.context
+    const scheme = security === undefined ? 'ws' : 'wss'
+    const options: ws.ClientOptions = {
+      perMessageDeflate: false,
+      maxPayload: connections.maximumMessageBytes,
+      handshakeTimeout: this.context.timing.connectTimeoutMs
+    }
+    if (security !== undefined) {
+      Object.assign(options, { ca: security.authority, cert: security.certificate, key: security.key })
+      // Certificates are issued to the deployment, not to host names: VMs are replaced and have IP addresses only.
+      options.checkServerIdentity = (() => undefined) as unknown as ws.ClientOptions['checkServerIdentity']
+    }
+    return new ws.WebSocket(`${scheme}://${this.peer}/`, options)
+  }
+
+  private async introduce (
+    connection: connections.Connection, challenge: string
+  ): Promise<failures.Result<Opened>> {
+    const { identity, credential, system, timing } = this.context
+    const ownChallenge = system.random.nextId()
+    const proof = credentials.createProof(credential, { side: 'client', challenge, session: this.session, identity })
+    const params = { session: this.session, identity, challenge: ownChallenge, proof }
+    const result = await connection.call('session.open', params, timing.connectTimeoutMs)
+    return result
+      .chain(answer => this.check(connection, answer, ownChallenge))
+      .mapLeft(failure => failures.withVerdict(failure, 'not_run'))
+  }
+
+  private check (
+    connection: connections.Connection, answer: protocol.Answer<'session.open'>, challenge: string
+  ): failures.Result<Opened> {
+    const claim: credentials.Claim = {
+      side: 'listener', challenge, session: this.session, identity: answer.identity
+    }
+    if (!credentials.isValidProof(this.context.credential, claim, answer.proof)) {
+      return failures.fail(failures.createFailure('not_run', 'credential_invalid', [this.peer]))
+    }
+    return failures.succeed({ connection, identity: answer.identity, resumed: answer.resumed })
+  }
+
+  private createLoss (): failures.Failure {
+    return failures.createFailure('not_run', 'link_lost', [this.peer])
+  }
+}
--- /dev/null
+++ b/src/links/connection.ts
@@ -0,0 +1,204 @@
+/**
+ * One WebSocket connection that carries JSON-RPC messages with a stamp on each.
+ */
+import * as jsonrpc from 'json-rpc-2.0'
+import * as ws from 'ws'
+import * as z from 'zod'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as protocol from '../contracts/protocol.js'
+import * as types from './types.js'
+
+/** Largest message in bytes. */
+export const maximumMessageBytes = 16 * 1024 * 1024
+
+/** Code of JSON-RPC errors that carry a failure in their data. */
+export const failureErrorCode = -32000
+
+const Stamp = z.object({ tick: z.number().int().nonnegative(), version: z.number().int().nonnegative() })
+
+/** What the owner of a connection does with what arrives. */
+export interface ConnectionEvents {
+  readonly requested: (request: jsonrpc.JSONRPCRequest) => void
+  readonly noticed: (name: protocol.NotificationName, notice: unknown) => void
+  readonly stamped: (stamp: types.Stamp) => void
+  readonly closed: () => void
+}
+
+export class Connection {
+  private readonly rpc: jsonrpc.JSONRPCClient
+  private readonly losses = new Set<() => void>()
+  private heardAtMs: number
+  private sentAtMs: number
+  private closed = false
+
+  constructor (
+    private readonly socket: ws.WebSocket,
+    private readonly clock: host.Clock,
+    private readonly piggyback: types.Piggyback,
+    private readonly peer: string,
+    private readonly events: ConnectionEvents
+  ) {
+    this.heardAtMs = clock.monotonicMs()
+    this.sentAtMs = this.heardAtMs
+    this.rpc = new jsonrpc.JSONRPCClient(payload => this.send(payload))
+    socket.on('message', data => this.receive(String(data)))
+    socket.on('close', () => this.finish())
+    socket.on('error', () => this.terminate())
+  }
+
+  get isOpen (): boolean {
+    return !this.closed && this.socket.readyState === ws.WebSocket.OPEN
+  }
+
+  /** When something last arrived, on the monotonic clock in milliseconds. */
+  get lastHeardMs (): number {
+    return this.heardAtMs
+  }
+
+  /** When something was last sent or received, on the monotonic clock in milliseconds. */
+  get lastUsedMs (): number {
+    return Math.max(this.heardAtMs, this.sentAtMs)
+  }
+
+  get bufferedBytes (): number {
+    return this.socket.bufferedAmount
+  }
+
+  /** Sends a message; drops it when the connection is not open. */
+  send (message: object): void {
+    if (!this.isOpen) {
+      return
+    }
+    this.sentAtMs = this.clock.monotonicMs()
+    this.socket.send(JSON.stringify({ ...message, stamp: this.piggyback.stamp() }))
+  }
+
+  notify (name: protocol.NotificationName, notice: unknown): void {
+    this.send({ jsonrpc: '2.0', method: name, params: notice })
+  }
+
+  /** Calls the other end; after a loss or a timeout the verdict is `may_have_run`. */
+  call<Method extends protocol.MethodName> (
+    method: Method,
+    params: protocol.Params<Method>,
+    timeoutMs: number
+  ): Promise<failures.Result<protocol.Answer<Method>>> {
+    if (!this.isOpen) {
+      return Promise.resolve(failures.fail(failures.createFailure('not_run', 'link_lost', [this.peer])))
+    }
+    return new Promise(resolve => {
+      const settle = (result: failures.Result<protocol.Answer<Method>>): void => {
+        stopTimer()
+        this.losses.delete(lose)
+        resolve(result)
+      }
+      const lose = (): void => {
+        settle(failures.fail(failures.createFailure('may_have_run', 'link_lost', [this.peer])))
+      }
+      const stopTimer = this.clock.after(timeoutMs, () => {
+        settle(failures.fail(failures.createFailure('may_have_run', 'link_timeout', [this.peer, timeoutMs])))
+      })
+      this.losses.add(lose)
+      this.rpc.request(method, params).then(
+        answer => settle(parseAnswer(method, answer)),
+        (error: unknown) => settle(failures.fail(parseError(error)))
+      )
+    })
+  }
+
+  /** Drops the connection without a closing handshake. */
+  terminate (): void {
+    this.socket.terminate()
+    this.finish()
+  }
+
+  close (): void {
+    this.socket.close()
+    this.finish()
+  }
+
+  private finish (): void {
+    if (this.closed) {
+      return
+    }
+    this.closed = true
+    for (const lose of [...this.losses]) {
+      lose()
+    }
+    this.events.closed()
+  }
+
+  private receive (text: string): void {
+    if (this.closed) {
+      return
+    }
+    this.heardAtMs = this.clock.monotonicMs()
+    const message = tryParse(text)
+    if (message === undefined) {
+      this.terminate()
+      return
+    }
+    const stamp = Stamp.safeParse(message['stamp'])
+    if (stamp.success) {
+      this.events.stamped(stamp.data)
+    }
+    this.dispatch(message)
+  }
+
+  private dispatch (message: object): void {
+    if (jsonrpc.isJSONRPCResponse(message)) {
+      this.rpc.receive(message)
+      return
+    }
+    if (!jsonrpc.isJSONRPCRequest(message)) {
+      this.terminate()
+      return
+    }
+    if (message.id !== undefined) {
+      this.events.requested(message)
+      return
+    }
+    this.dispatchNotice(message.method, message.params)
+  }
+
+  private dispatchNotice (name: string, params: unknown): void {
+    if (!Object.hasOwn(protocol.notifications, name)) {
+      return
+    }
+    const known = name as protocol.NotificationName
+    const notice = protocol.notifications[known].safeParse(params)
+    if (notice.success) {
+      this.events.noticed(known, notice.data)
+    }
+  }
+}
+
+function tryParse (text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text)
+    return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function parseAnswer<Method extends protocol.MethodName> (
+  method: Method, answer: unknown
+): failures.Result<protocol.Answer<Method>> {
+  const parsed = protocol.methods[method].result.safeParse(answer)
+  if (!parsed.success) {
+    return failures.fail(failures.createFailure('may_have_run', 'message_invalid', [method, parsed.error.message]))
+  }
+  return failures.succeed(parsed.data as protocol.Answer<Method>)
+}
+
+function parseError (error: unknown): failures.Failure {
+  if (error instanceof jsonrpc.JSONRPCErrorException) {
+    const failure = failures.Failure.safeParse(error.data)
+    if (failure.success) {
+      return failure.data
+    }
+  }
+  return failures.createFailure('may_have_run', 'internal', [String(error)])
+}
--- /dev/null
+++ b/src/links/link_pool.ts
@@ -0,0 +1,85 @@
+/**
+ * The links of a process by address.
+ */
+import * as clientLinks from './client_link.js'
+import * as host from '../host/types.js'
+import * as identities from '../contracts/identity.js'
+import * as protocol from '../contracts/protocol.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+/** Passes what happens on the links on to every observer. */
+class ObserverList extends types.LinkObserver {
+  private readonly observers = new Set<types.LinkObserver>()
+
+  add (observer: types.LinkObserver): host.Stop {
+    this.observers.add(observer)
+    return () => this.observers.delete(observer)
+  }
+
+  override opened (link: types.Link, resumed: boolean): void {
+    for (const observer of [...this.observers]) {
+      observer.opened(link, resumed)
+    }
+  }
+
+  override lost (link: types.Link): void {
+    for (const observer of [...this.observers]) {
+      observer.lost(link)
+    }
+  }
+
+  override noticed<Name extends protocol.NotificationName> (
+    link: types.Link, name: Name, notice: protocol.Notice<Name>
+  ): void {
+    for (const observer of [...this.observers]) {
+      observer.noticed(link, name, notice)
+    }
+  }
+
+  override measured (link: types.Link, load: work.Load | undefined): void {
+    for (const observer of [...this.observers]) {
+      observer.measured(link, load)
+    }
+  }
+}
+
+class ProcessLinkPool extends types.LinkPool {
+  private readonly links = new Map<string, types.Link>()
+  private readonly observers = new ObserverList()
+
+  constructor (private readonly context: clientLinks.LinkContext) {
+    super()
+  }
+
+  override get (address: identities.Address): types.Link {
+    const name = identities.formatAddress(address)
+    const known = this.links.get(name)
+    if (known !== undefined) {
+      return known
+    }
+    const link = new clientLinks.ClientLink(address, this.context, this.observers)
+    this.links.set(name, link)
+    return link
+  }
+
+  override list (): readonly types.Link[] {
+    return [...this.links.values()]
+  }
+
+  override observe (observer: types.LinkObserver): host.Stop {
+    return this.observers.add(observer)
+  }
+
+  override close (): void {
+    for (const link of this.links.values()) {
+      link.close()
+    }
+    this.links.clear()
+  }
+}
+
+/** Creates the links of a process; nothing is opened before the first use. */
+export function createLinkPool (context: clientLinks.LinkContext): types.LinkPool {
+  return new ProcessLinkPool(context)
+}
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -8,6 +8,7 @@
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
 import * as protocol from '../contracts/protocol.js'
+import * as work from '../contracts/work.js'
 
 /** The client's end of a session. Reconnects by itself until closed. */
 export abstract class Link {
@@ -45,6 +46,9 @@
   noticed<Name extends protocol.NotificationName> (
     _link: Link, _name: Name, _notice: protocol.Notice<Name>
   ): void {}
+
+  /** A heartbeat was answered; agents tell the load of their server with it. */
+  measured (_link: Link, _load: work.Load | undefined): void {}
 }
 
 /** The links of a process, opened on first use and closed when idle. */
@@ -104,6 +108,13 @@
   abstract accept (stamp: Stamp, from: identities.Identity | undefined): void
 }
 
+/** Certificates in PEM for mutual TLS between processes. */
+export interface Security {
+  readonly authority: string
+  readonly certificate: string
+  readonly key: string
+}
+
 export interface Stamp {
   readonly tick: number
   readonly version: number
--- /dev/null
+++ b/tests/links/links.test.ts
@@ -0,0 +1,268 @@
+import * as assert from 'node:assert/strict'
+import * as net from 'node:net'
+import * as test from 'node:test'
+import * as clientLinks from '../../src/links/client_link.js'
+import * as failures from '../../src/contracts/failure.js'
+import * as identities from '../../src/contracts/identity.js'
+import * as linkPools from '../../src/links/link_pool.js'
+import * as listeners from '../../src/links/listener.js'
+import * as nodeSystem from '../../src/host/node_system.js'
+import * as protocol from '../../src/contracts/protocol.js'
+import * as types from '../../src/links/types.js'
+
+const timing: types.LinkTiming = {
+  connectTimeoutMs: 500, heartbeatMs: 20, silenceMs: 100, sessionLeaseMs: 300, idleMs: 60_000, reconnectMs: 10
+}
+
+class FixedPiggyback extends types.Piggyback {
+  readonly accepted: types.Stamp[] = []
+
+  constructor (private readonly version: number) {
+    super()
+  }
+
+  override stamp (): types.Stamp {
+    return { tick: 1, version: this.version }
+  }
+
+  override accept (stamp: types.Stamp): void {
+    this.accepted.push(stamp)
+  }
+}
+
+function createContext (node: string, credential = 'a shared credential', version = 0): clientLinks.LinkContext {
+  return {
+    system: nodeSystem.createSilentSystem(),
+    identity: { node, boot: `${node}-boot`, role: 'entry', zone: 'z', region: 'r' },
+    credential,
+    timing,
+    piggyback: new FixedPiggyback(version),
+    security: undefined
+  }
+}
+
+/** Waits for calls of an observer. */
+class SessionWatch extends types.SessionObserver {
+  readonly sessions: types.Session[] = []
+  private expiredOnce: () => void = () => {}
+  readonly expiry = new Promise<void>(resolve => {
+    this.expiredOnce = resolve
+  })
+
+  override opened (session: types.Session): void {
+    this.sessions.push(session)
+  }
+
+  override expired (): void {
+    this.expiredOnce()
+  }
+}
+
+class LinkWatch extends types.LinkObserver {
+  readonly openings: boolean[] = []
+  losses = 0
+  private waiting: (() => void)[] = []
+
+  override opened (_: types.Link, resumed: boolean): void {
+    this.openings.push(resumed)
+    this.wake()
+  }
+
+  override lost (): void {
+    this.losses += 1
+    this.wake()
+  }
+
+  async until (isDone: () => boolean): Promise<void> {
+    while (!isDone()) {
+      await new Promise<void>(resolve => this.waiting.push(resolve))
+    }
+  }
+
+  private wake (): void {
+    for (const resolve of this.waiting.splice(0)) {
+      resolve()
+    }
+  }
+}
+
+/** Forwards connections on loopback; can swallow what passes without closing anything. */
+class Forwarder {
+  isSilent = false
+  private readonly sockets = new Set<net.Socket>()
+  private readonly server: net.Server
+
+  constructor (target: identities.Address) {
+    this.server = net.createServer(inner => {
+      const outer = net.connect(target.port, target.host)
+      this.pass(inner, outer)
+      this.pass(outer, inner)
+    })
+  }
+
+  async listen (): Promise<identities.Address> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+    return { host: '127.0.0.1', port: (this.server.address() as net.AddressInfo).port }
+  }
+
+  /** Silences the connections that are open; new ones work. */
+  silence (): void {
+    for (const socket of this.sockets) {
+      socket.removeAllListeners('data')
+      socket.resume()
+    }
+  }
+
+  cut (): void {
+    for (const socket of this.sockets) {
+      socket.destroy()
+    }
+  }
+
+  close (): void {
+    this.cut()
+    this.server.close()
+  }
+
+  private pass (from: net.Socket, to: net.Socket): void {
+    this.sockets.add(from)
+    from.on('data', data => to.write(data))
+    from.on('close', () => {
+      this.sockets.delete(from)
+      to.destroy()
+    })
+    from.on('error', () => from.destroy())
+  }
+}
+
+const statusAnswer: protocol.Answer<'status.read'> = {
+  identity: { node: 'server', boot: 'b', role: 'agent', zone: 'z', region: 'r' },
+  configurationVersion: 7,
+  state: 'ready',
+  uptimeMs: 1,
+  figures: {}
+}
+
+const handlers: types.Handlers = {
+  'status.read': async () => failures.succeed(statusAnswer),
+  'work.release': async () => failures.fail(failures.createFailure('not_run', 'no_server', ['m'], 250)),
+  'timeline.read': () => new Promise(() => {})
+}
+
+interface Ends {
+  readonly link: types.Link
+  readonly linkWatch: LinkWatch
+  readonly sessionWatch: SessionWatch
+  readonly forwarder: Forwarder
+  readonly close: () => void
+}
+
+async function connect (client = createContext('client'), server = createContext('server')): Promise<Ends> {
+  const sessionWatch = new SessionWatch()
+  const listener = new listeners.Listener(server, handlers, sessionWatch)
+  const forwarder = new Forwarder(await listener.listen({ host: '127.0.0.1', port: 0 }))
+  const pool = linkPools.createLinkPool(client)
+  const linkWatch = new LinkWatch()
+  pool.observe(linkWatch)
+  const close = (): void => {
+    pool.close()
+    forwarder.close()
+    listener.close()
+  }
+  return { link: pool.get(await forwarder.listen()), linkWatch, sessionWatch, forwarder, close }
+}
+
+test.describe('Link', () => {
+  test.describe('call', () => {
+    test.it('returns the answer of the other end', async () => {
+      const ends = await connect()
+      const result = await ends.link.call('status.read', {}, 1000)
+      ends.close()
+      assert.deepEqual(result.extract(), statusAnswer)
+      assert.equal(ends.link.remote?.node, 'server')
+    })
+
+    test.it('returns a refusal with its verdict and the time to come back', async () => {
+      const ends = await connect()
+      const result = await ends.link.call('work.release', { reservation: 'r' }, 1000)
+      ends.close()
+      const failure = result.extract() as failures.Failure
+      assert.deepEqual([failure.code, failure.verdict, failure.retryAfterMs], ['no_server', 'not_run', 250])
+    })
+
+    test.it('is not_run when nobody listens', async () => {
+      const pool = linkPools.createLinkPool(createContext('client'))
+      const result = await pool.get({ host: '127.0.0.1', port: 1 }).call('status.read', {}, 1000)
+      pool.close()
+      assert.equal((result.extract() as failures.Failure).verdict, 'not_run')
+    })
+
+    test.it('is may_have_run when the connection is cut before the answer', async () => {
+      const ends = await connect()
+      await ends.link.call('status.read', {}, 1000)
+      const pending = ends.link.call('timeline.read', { limit: 1 }, 60_000)
+      await ends.link.call('status.read', {}, 1000)
+      ends.forwarder.cut()
+      const failure = (await pending).extract() as failures.Failure
+      ends.close()
+      assert.deepEqual([failure.code, failure.verdict], ['link_lost', 'may_have_run'])
+    })
+  })
+
+  test.describe('a wrong credential', () => {
+    test.it('is refused by the listener', async () => {
+      const ends = await connect(createContext('client', 'another credential'))
+      const result = await ends.link.call('status.read', {}, 1000)
+      ends.close()
+      assert.equal((result.extract() as failures.Failure).code, 'credential_invalid')
+      assert.deepEqual(ends.sessionWatch.sessions, [])
+    })
+  })
+
+  test.describe('a cut connection', () => {
+    test.it('is replaced while work is under way, and the session goes on', async () => {
+      const ends = await connect()
+      ends.link.hold()
+      await ends.link.call('status.read', {}, 1000)
+      ends.forwarder.cut()
+      await ends.linkWatch.until(() => ends.linkWatch.openings.length === 2)
+      ends.close()
+      assert.deepEqual(ends.linkWatch.openings, [false, true])
+      assert.equal(ends.sessionWatch.sessions.length, 1)
+    })
+  })
+
+  test.describe('a silent connection', () => {
+    test.it('is replaced while work is under way, and the session goes on', async () => {
+      const ends = await connect()
+      ends.link.hold()
+      await ends.link.call('status.read', {}, 1000)
+      ends.forwarder.silence()
+      await ends.linkWatch.until(() => ends.linkWatch.openings.length === 2)
+      ends.close()
+      assert.deepEqual(ends.linkWatch.openings, [false, true])
+    })
+  })
+
+  test.describe('a client that is gone', () => {
+    test.it('expires after the session lease', async () => {
+      const ends = await connect()
+      await ends.link.call('status.read', {}, 1000)
+      ends.link.close()
+      await ends.sessionWatch.expiry
+      ends.close()
+    })
+  })
+
+  test.describe('stamps', () => {
+    test.it('carry the configuration version both ways', async () => {
+      const client = createContext('client', 'a shared credential', 3)
+      const server = createContext('server', 'a shared credential', 5)
+      const ends = await connect(client, server)
+      await ends.link.call('status.read', {}, 1000)
+      ends.close()
+      assert.equal((client.piggyback as FixedPiggyback).accepted.at(-1)?.version, 5)
+      assert.equal((server.piggyback as FixedPiggyback).accepted.at(-1)?.version, 3)
+    })
+  })
+})
