--- /dev/null
+++ b/src/metrics/prometheus_meter.ts
@@ -0,0 +1,149 @@
+/**
+ * Counters, gauges and HDR histograms of a process, as Prometheus text.
+ */
+import * as hdr from 'hdr-histogram-js'
+import * as prometheus from 'prom-client'
+import * as catalog from './catalog.js'
+import * as types from './types.js'
+
+/** Label sets of one metric; further ones are counted under the label value `other`. */
+const labelSetLimit = 256
+
+const otherValue = 'other'
+const quantiles = [0.5, 0.9, 0.95, 0.99, 1]
+const prefix = 'mulberryflow_'
+
+/** Histograms count in thousandths of their unit. */
+const histogramScale = 1000
+
+interface Series {
+  readonly labels: types.Labels
+  readonly histogram: hdr.Histogram
+}
+
+export class PrometheusMeter extends types.Meter {
+  private readonly registry = new prometheus.Registry()
+  private readonly counters = new Map<string, prometheus.Counter>()
+  private readonly gauges = new Map<string, prometheus.Gauge>()
+  private readonly histograms = new Map<string, Map<string, Series>>()
+  private readonly labelSets = new Map<string, Set<string>>()
+
+  constructor () {
+    super()
+    prometheus.collectDefaultMetrics({ register: this.registry })
+  }
+
+  override count (name: string, labels: types.Labels = {}, by = 1): void {
+    this.getCounter(name, labels).inc(this.bound(name, labels), by)
+  }
+
+  override gauge (name: string, labels: types.Labels, value: number): void {
+    this.getGauge(name, labels).set(this.bound(name, labels), value)
+  }
+
+  override observe (name: string, labels: types.Labels, value: number): void {
+    const bounded = this.bound(name, labels)
+    const key = JSON.stringify(bounded)
+    const series = this.getHistograms(name, labels)
+    let found = series.get(key)
+    if (found === undefined) {
+      found = { labels: bounded, histogram: createHistogram() }
+      series.set(key, found)
+    }
+    found.histogram.recordValue(Math.max(0, Math.round(value * histogramScale)))
+  }
+
+  /** Returns the value of a quantile in [0, 1], in the histogram's unit, over all label sets. */
+  getQuantile (name: string, quantile: number): number {
+    const merged = createHistogram()
+    for (const { histogram } of this.histograms.get(name)?.values() ?? []) {
+      merged.add(histogram)
+    }
+    return merged.getValueAtPercentile(quantile * 100) / histogramScale
+  }
+
+  /** Returns everything as Prometheus text. */
+  render (): Promise<string> {
+    return this.registry.metrics()
+  }
+
+  private getCounter (name: string, labels: types.Labels): prometheus.Counter {
+    let counter = this.counters.get(name)
+    if (counter === undefined) {
+      counter = new prometheus.Counter({ ...describe(name), labelNames: Object.keys(labels), registers: [this.registry] })
+      this.counters.set(name, counter)
+    }
+    return counter
+  }
+
+  private getGauge (name: string, labels: types.Labels): prometheus.Gauge {
+    let gauge = this.gauges.get(name)
+    if (gauge === undefined) {
+      gauge = new prometheus.Gauge({ ...describe(name), labelNames: Object.keys(labels), registers: [this.registry] })
+      this.gauges.set(name, gauge)
+    }
+    return gauge
+  }
+
+  private getHistograms (name: string, labels: types.Labels): Map<string, Series> {
+    let series = this.histograms.get(name)
+    if (series === undefined) {
+      series = new Map()
+      this.histograms.set(name, series)
+      this.register(name, Object.keys(labels), series)
+    }
+    return series
+  }
+
+  /** Registers gauges that read the histograms when they are collected. */
+  private register (name: string, labelNames: readonly string[], series: ReadonlyMap<string, Series>): void {
+    const described = describe(name)
+    const registers = [this.registry]
+    const counts = new prometheus.Gauge({
+      name: `${described.name}_count`, help: `${described.help} Number of values.`, labelNames, registers
+    })
+    const values = new prometheus.Gauge({
+      ...described,
+      labelNames: [...labelNames, 'quantile'],
+      registers,
+      collect: () => {
+        for (const { labels, histogram } of series.values()) {
+          counts.set(labels, histogram.totalCount)
+          setQuantiles(values, labels, histogram)
+        }
+      }
+    })
+  }
+
+  private bound (name: string, labels: types.Labels): types.Labels {
+    let known = this.labelSets.get(name)
+    if (known === undefined) {
+      known = new Set()
+      this.labelSets.set(name, known)
+    }
+    const key = Object.values(labels).join('\n')
+    if (known.has(key)) {
+      return labels
+    }
+    if (known.size >= labelSetLimit) {
+      return Object.fromEntries(Object.keys(labels).map(label => [label, otherValue]))
+    }
+    known.add(key)
+    return labels
+  }
+}
+
+function setQuantiles (values: prometheus.Gauge, labels: types.Labels, histogram: hdr.Histogram): void {
+  for (const quantile of quantiles) {
+    const value = histogram.getValueAtPercentile(quantile * 100) / histogramScale
+    values.set({ ...labels, quantile: String(quantile) }, value)
+  }
+}
+
+function createHistogram (): hdr.Histogram {
+  return hdr.build({ bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2 })
+}
+
+function describe (name: string): { name: string, help: string } {
+  return { name: `${prefix}${name}`, help: catalog.getHelp(name) }
+}
