Store stand-in over HTTP

Cause: processes and tests need the platform's key-value service at its published interface. Seen to fail first: a watch ended at once because the HTTP framework ends the response of a handler that returns; the listener now waits for the connection to close.

--- a/standins/store_core.ts
+++ b/standins/store_core.ts
@@ -3,10 +3,25 @@
  */
 import * as host from '../src/host/types.js'
 
-interface Row extends host.StoreEntry {
+/** A key with what the store keeps beside it. */
+export interface Row extends host.StoreEntry {
+  /** Counts the writes of the key since it was created, from 1. */
+  readonly version: number
   readonly lease: string | undefined
 }
 
+/** Keys from `from` on and before `to`; without `to`, all keys from `from` on. */
+export interface Span {
+  readonly from: string
+  readonly to: string | undefined
+}
+
+/** The rows at one moment. */
+export interface Copy {
+  readonly rows: readonly Row[]
+  readonly revision: number
+}
+
 interface Lease {
   readonly id: string
   readonly ttlMs: number
@@ -14,7 +29,7 @@
 }
 
 interface Watcher {
-  readonly prefix: string
+  readonly covers: (key: string) => boolean
   readonly changed: (events: readonly host.StoreEvent[]) => void
 }
 
@@ -28,6 +43,7 @@
 
 export class StoreCore {
   private readonly rows = new Map<string, Row>()
+  private sortedKeys: readonly string[] | undefined
   private readonly leases = new Map<string, Lease>()
   private readonly watchers = new Set<Watcher>()
   private readonly history: Recorded[] = []
@@ -49,7 +65,7 @@
     this.expireLeases()
     const limit = range.limit ?? Number.POSITIVE_INFINITY
     const entries: host.StoreEntry[] = []
-    for (const key of [...this.rows.keys()].sort()) {
+    for (const key of this.getSortedKeys()) {
       if (!key.startsWith(range.prefix) || (range.after !== undefined && key <= range.after)) {
         continue
       }
@@ -61,6 +77,36 @@
     return { entries, revision: this.currentRevision, more: false }
   }
 
+  /** Returns the rows of a span in the order of their keys. */
+  readSpan (span: Span): readonly Row[] {
+    this.expireLeases()
+    const rows: Row[] = []
+    for (const key of this.getSortedKeys()) {
+      if (span.to !== undefined && key >= span.to) {
+        break
+      }
+      if (key >= span.from) {
+        rows.push(this.rows.get(key) as Row)
+      }
+    }
+    return rows
+  }
+
+  readRow (key: string): Row | undefined {
+    this.expireLeases()
+    return this.rows.get(key)
+  }
+
+  /** Returns all rows as they are now, unaffected by later commits. */
+  copy (): Copy {
+    return { rows: this.readSpan({ from: '', to: undefined }), revision: this.currentRevision }
+  }
+
+  hasLease (id: string): boolean {
+    this.expireLeases()
+    return this.leases.has(id)
+  }
+
   commit (transaction: host.StoreTransaction): host.StoreCommit {
     this.expireLeases()
     const succeeded = transaction.compare.every(comparison => this.holds(comparison))
@@ -94,7 +140,15 @@
 
   /** Reports events from the revision on, past ones at once. */
   watch (prefix: string, fromRevision: number, changed: Watcher['changed']): host.Stop {
-    const watcher = { prefix, changed }
+    return this.addWatcher({ covers: key => key.startsWith(prefix), changed }, fromRevision)
+  }
+
+  /** Reports events of a span of keys from the revision on, past ones at once. */
+  watchSpan (span: Span, fromRevision: number, changed: Watcher['changed']): host.Stop {
+    return this.addWatcher({ covers: key => isWithin(span, key), changed }, fromRevision)
+  }
+
+  private addWatcher (watcher: Watcher, fromRevision: number): host.Stop {
     for (const recorded of this.history) {
       if (recorded.revision >= fromRevision) {
         report(watcher, recorded.events)
@@ -141,9 +195,13 @@
   }
 
   private put (key: string, value: string, lease: string | undefined, revision: number): host.StoreEvent {
-    const createRevision = this.rows.get(key)?.createRevision ?? revision
+    const earlier = this.rows.get(key)
+    if (earlier === undefined) {
+      this.sortedKeys = undefined
+    }
+    const createRevision = earlier?.createRevision ?? revision
     const entry = { key, value, createRevision, modRevision: revision }
-    this.rows.set(key, { ...entry, lease })
+    this.rows.set(key, { ...entry, version: (earlier?.version ?? 0) + 1, lease })
     return { kind: 'put', entry }
   }
 
@@ -151,9 +209,15 @@
     if (!this.rows.delete(key)) {
       return undefined
     }
+    this.sortedKeys = undefined
     return { kind: 'delete', key, modRevision: revision }
   }
 
+  private getSortedKeys (): readonly string[] {
+    this.sortedKeys ??= [...this.rows.keys()].sort()
+    return this.sortedKeys
+  }
+
   private deleteRowsOf (lease: string): void {
     const operations: host.StoreOperation[] = []
     for (const row of this.rows.values()) {
@@ -179,8 +243,13 @@
   }
 }
 
+/** Tells whether a key lies within a span. */
+export function isWithin (span: Span, key: string): boolean {
+  return key >= span.from && (span.to === undefined || key < span.to)
+}
+
 function report (watcher: Watcher, events: readonly host.StoreEvent[]): void {
-  const matching = events.filter(event => getKey(event).startsWith(watcher.prefix))
+  const matching = events.filter(event => watcher.covers(getKey(event)))
   if (matching.length > 0) {
     watcher.changed(matching)
   }
--- /dev/null
+++ b/standins/store_watch.ts
@@ -0,0 +1,60 @@
+/**
+ * Watches of the store stand-in: one line of JSON for each message, on a response that stays open.
+ */
+import * as storeCore from './store_core.js'
+import * as storeGateway from './store_gateway.js'
+import * as storeMessages from './store_messages.js'
+import * as webHosts from './web_host.js'
+import * as host from '../src/host/types.js'
+
+export class StoreWatches {
+  private readonly open = new Set<webHosts.Exchange>()
+  private isSilent = false
+
+  constructor (private readonly core: storeCore.StoreCore) {}
+
+  get count (): number {
+    return this.open.size
+  }
+
+  /** Opens a watch on the exchange, with events from the wanted revision on. */
+  start (exchange: webHosts.Exchange, request: storeMessages.WatchRequest['create_request']): void {
+    exchange.response.writeHead(200, { 'content-type': 'application/json' })
+    this.send(exchange, { header: storeMessages.createHeader(this.core.revision), created: true })
+    const fromRevision = request.start_revision > 0 ? request.start_revision : this.core.revision + 1
+    const stop = this.core.watchSpan(storeGateway.toSpan(request), fromRevision, events => {
+      this.send(exchange, { header: storeMessages.createHeader(this.core.revision), events: events.map(toEvent) })
+    })
+    this.open.add(exchange)
+    exchange.response.once('close', () => {
+      this.open.delete(exchange)
+      stop()
+    })
+  }
+
+  /** Closes the connections of all watches. */
+  closeAll (): void {
+    for (const exchange of [...this.open]) {
+      exchange.drop()
+    }
+  }
+
+  /** Stops or resumes reporting without closing the watches; what happens in between is lost. */
+  setSilent (isSilent: boolean): void {
+    this.isSilent = isSilent
+  }
+
+  private send (exchange: webHosts.Exchange, result: object): void {
+    if (!this.isSilent) {
+      exchange.response.write(`${JSON.stringify({ result })}\n`)
+    }
+  }
+}
+
+function toEvent (event: host.StoreEvent): object {
+  if (event.kind === 'delete') {
+    const kv = { key: storeMessages.encodeText(event.key), mod_revision: String(event.modRevision) }
+    return { type: 'DELETE', kv }
+  }
+  return { kv: storeMessages.createKeyValue({ ...event.entry, version: 1, lease: undefined }) }
+}
