--- a/src/contracts/configuration.ts
+++ b/src/contracts/configuration.ts
@@ -144,7 +144,8 @@
   operation: z.string().min(1).max(128),
   team: z.string().min(1).max(64),
   atMs: z.number().int().nonnegative(),
-  sections: z.array(Section).min(1)
+  /** Empty when an agent receives a change of secret sections only. */
+  sections: z.array(Section)
 })
 export type Change = z.infer<typeof Change>
 
--- a/src/contracts/identity.ts
+++ b/src/contracts/identity.ts
@@ -6,6 +6,14 @@
 export const Role = z.enum(['entry', 'agent'])
 export type Role = z.infer<typeof Role>
 
+/** Where a process listens. */
+export const Address = z.object({
+  /** IP address. */
+  host: z.string().min(1).max(64),
+  port: z.number().int().min(1).max(65535)
+})
+export type Address = z.infer<typeof Address>
+
 /** A process of the system. The boot changes with every start, so that state of an earlier life is void. */
 export const Identity = z.object({
   /** Name of the VM, unique within the deployment. */
@@ -13,18 +21,12 @@
   boot: z.string().min(1).max(64),
   role: Role,
   zone: z.string().min(1).max(64),
-  region: z.string().min(1).max(64)
+  region: z.string().min(1).max(64),
+  /** Listener for other processes of the system, where the process can be asked back. */
+  control: Address.optional()
 })
 export type Identity = z.infer<typeof Identity>
 
-/** Where a process listens. */
-export const Address = z.object({
-  /** IP address. */
-  host: z.string().min(1).max(64),
-  port: z.number().int().min(1).max(65535)
-})
-export type Address = z.infer<typeof Address>
-
 export function formatAddress (address: Address): string {
   return `${address.host}:${address.port}`
 }
