--- /dev/null
+++ b/src/host/etcd_transport.ts
@@ -0,0 +1,204 @@
+/**
+ * HTTP calls to the store: several addresses, one time limit, and the verdict on what failed.
+ */
+import * as undici from 'undici'
+import * as z from 'zod'
+import * as failures from '../contracts/failure.js'
+import * as host from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+
+/** Largest answer of the store that is read, in bytes. */
+const maximumAnswerBytes = 16_777_216
+
+/** Errors after which the request is known not to have left this process. */
+const connectErrors = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+const tooManyRequests = 429
+
+/** Statuses of the 4xx range after which the outcome is unknown: request timeout, cancelled. */
+const unknownOutcomes = new Set([408, 499])
+
+/** Whether a call changes the store. A failed read has the verdict `not_run` whatever its cause. */
+export type CallEffect = 'read' | 'write'
+
+interface Attempt {
+  readonly url: string
+  readonly path: string
+  readonly body: string
+  readonly limitMs: number
+}
+
+export class EtcdTransport {
+  private agent: undici.Agent
+  private preferred = 0
+
+  /** `timeoutMs` is the longest wait for one call, all addresses included. */
+  constructor (
+    private readonly urls: readonly string[],
+    private readonly timeoutMs: number,
+    private readonly clock: host.Clock
+  ) {
+    this.agent = this.createAgent()
+  }
+
+  /** Posts a message and checks the answer by the schema. */
+  async call<Schema extends z.ZodType> (
+    path: string, message: unknown, schema: Schema, effect: CallEffect
+  ): Promise<failures.Result<z.output<Schema>>> {
+    const body = JSON.stringify(message)
+    const endMs = this.clock.monotonicMs() + this.timeoutMs
+    let failure = failures.createFailure('not_run', 'store_unavailable', ['no address'])
+    for (let tried = 0; tried < this.urls.length; tried += 1) {
+      const remainingMs = endMs - this.clock.monotonicMs()
+      if (remainingMs <= 0) {
+        break
+      }
+      const limitMs = effect === 'read' ? Math.min(remainingMs, this.timeoutMs / this.urls.length) : remainingMs
+      const result = await this.try({ url: this.getPreferredUrl(), path, body, limitMs }, schema, effect)
+      if (result.isRight()) {
+        return result
+      }
+      failure = result.swap().orDefault(failure)
+      if (failure.code === 'store_conflict') {
+        break
+      }
+      this.preferred += 1
+      if (!verdicts.isSafeToRepeat(failure.verdict)) {
+        break
+      }
+    }
+    return failures.fail(failure)
+  }
+
+  /**
+   * Opens a stream of answers. Fails with `store_unavailable` if it cannot be opened in time.
+   * The signal ends the stream.
+   */
+  async open (path: string, message: unknown, signal: AbortSignal): Promise<failures.Result<AsyncIterable<Buffer>>> {
+    const opening = new AbortController()
+    const stopTimer = this.clock.after(this.timeoutMs, () => opening.abort())
+    try {
+      const answer = await undici.request(this.getPreferredUrl() + path, {
+        ...this.getRequestOptions(JSON.stringify(message)),
+        bodyTimeout: 0,
+        signal: AbortSignal.any([signal, opening.signal])
+      })
+      stopTimer()
+      if (answer.statusCode === 200) {
+        return failures.succeed(answer.body)
+      }
+      answer.body.on('error', () => {}).destroy()
+      this.preferred += 1
+      return failures.fail(failures.createFailure('not_run', 'store_unavailable', [`status ${answer.statusCode}`]))
+    } catch (error) {
+      stopTimer()
+      this.preferred += 1
+      return failures.fail(failures.createFailure('not_run', 'store_unavailable', [describeError(error)]))
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async try<Schema extends z.ZodType> (
+    attempt: Attempt, schema: Schema, effect: CallEffect
+  ): Promise<failures.Result<z.output<Schema>>> {
+    const controller = new AbortController()
+    const stopTimer = this.clock.after(attempt.limitMs, () => controller.abort())
+    try {
+      const answer = await undici.request(attempt.url + attempt.path, {
+        ...this.getRequestOptions(attempt.body),
+        signal: controller.signal
+      })
+      const text = await answer.body.text()
+      return readAnswer(answer.statusCode, text, schema, effect)
+    } catch (error) {
+      if (controller.signal.aborted) {
+        this.replaceConnections()
+      }
+      return failures.fail(createFailure(error, effect))
+    } finally {
+      stopTimer()
+    }
+  }
+
+  private getPreferredUrl (): string {
+    return (this.urls[this.preferred % this.urls.length] ?? '').replace(/\/$/, '')
+  }
+
+  private getRequestOptions (body: string): { method: 'POST', headers: Record<string, string>, body: string, dispatcher: undici.Agent } {
+    return { method: 'POST', headers: { 'content-type': 'application/json' }, body, dispatcher: this.agent }
+  }
+
+  /** After a timeout every pooled connection may be silent: new calls take new ones. */
+  private replaceConnections (): void {
+    const old = this.agent
+    this.agent = this.createAgent()
+    old.close().catch(() => {})
+  }
+
+  private createAgent (): undici.Agent {
+    return new undici.Agent({
+      connect: { timeout: this.timeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxResponseSize: maximumAnswerBytes
+    })
+  }
+}
+
+function readAnswer<Schema extends z.ZodType> (
+  status: number, text: string, schema: Schema, effect: CallEffect
+): failures.Result<z.output<Schema>> {
+  if (status === tooManyRequests) {
+    return failures.fail(failures.createFailure('not_run', 'store_unavailable', [`status ${status}`]))
+  }
+  if (status >= 400 && status < 500 && !unknownOutcomes.has(status)) {
+    return failures.fail(failures.createFailure('not_run', 'store_conflict', [`status ${status}: ${text.slice(0, 200)}`]))
+  }
+  if (status !== 200) {
+    return failures.fail(createUnknown(`status ${status}`, effect))
+  }
+  const parsed = schema.safeParse(parseJson(text))
+  return parsed.success
+    ? failures.succeed(parsed.data)
+    : failures.fail(createUnknown('the answer does not match its schema', effect))
+}
+
+function createFailure (error: unknown, effect: CallEffect): failures.Failure {
+  const text = describeError(error)
+  if (connectErrors.has(getErrorCode(error))) {
+    return failures.createFailure('not_run', 'store_unavailable', [text])
+  }
+  return createUnknown(text, effect)
+}
+
+/** The request may have reached the store. */
+function createUnknown (reason: string, effect: CallEffect): failures.Failure {
+  return effect === 'read'
+    ? failures.createFailure('not_run', 'store_unavailable', [reason])
+    : failures.createFailure('may_have_run', 'store_answer_lost', [reason])
+}
+
+/** Returns `undefined` for text that is not JSON. */
+export function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function getErrorCode (error: unknown): string {
+  if (typeof error !== 'object' || error === null || !('code' in error)) {
+    return ''
+  }
+  return String(error.code)
+}
+
+function describeError (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/src/host/etcd_watch.ts
@@ -0,0 +1,127 @@
+/**
+ * A watch over the etcd v3 JSON gateway: newline-delimited JSON on a stream that is opened anew at
+ * intervals, so that a connection gone silent is found out.
+ */
+import * as codecs from './etcd_codec.js'
+import * as failures from '../contracts/failure.js'
+import * as host from './types.js'
+import * as transports from './etcd_transport.js'
+
+/** Longest line of a watch stream, in characters. */
+const maximumLineLength = 16_777_216
+
+export interface WatchObserver {
+  changed (events: readonly host.StoreEvent[]): void
+  ended (failure: failures.Failure): void
+}
+
+export class EtcdWatch {
+  private stopped = false
+  private controller = new AbortController()
+
+  constructor (
+    private readonly transport: transports.EtcdTransport,
+    private readonly keys: codecs.KeySpace,
+    private readonly prefix: string,
+    private nextRevision: number,
+    private readonly renewMs: number,
+    private readonly clock: host.Clock,
+    private readonly observer: WatchObserver
+  ) {}
+
+  /** Watches until stopped or broken. */
+  async run (): Promise<void> {
+    while (!this.stopped) {
+      const failure = await this.runOnce()
+      if (failure !== undefined) {
+        this.end(failure)
+        return
+      }
+    }
+  }
+
+  stop (): void {
+    this.stopped = true
+    this.controller.abort()
+  }
+
+  /** Reads one stream until it is due to be renewed; returns why it broke otherwise. */
+  private async runOnce (): Promise<failures.Failure | undefined> {
+    this.controller = new AbortController()
+    const signal = this.controller.signal
+    const request = { ...this.keys.encodeRange(this.prefix, undefined), start_revision: String(this.nextRevision) }
+    const opened = await this.transport.open('/v3/watch', { create_request: request }, signal)
+    if (opened.isLeft()) {
+      return opened.swap().orDefault(createEnd('not opened'))
+    }
+    const stopTimer = this.clock.after(this.renewMs, () => this.controller.abort())
+    try {
+      return await this.readLines(opened.unsafeCoerce())
+    } catch {
+      return signal.aborted ? undefined : createEnd('the connection was lost')
+    } finally {
+      stopTimer()
+    }
+  }
+
+  private async readLines (stream: AsyncIterable<Buffer>): Promise<failures.Failure | undefined> {
+    const decoder = new TextDecoder()
+    let pending = ''
+    for await (const chunk of stream) {
+      pending += decoder.decode(chunk, { stream: true })
+      const lines = pending.split('\n')
+      pending = lines.pop() ?? ''
+      for (const line of lines) {
+        const failure = this.readLine(line)
+        if (failure !== undefined) {
+          this.controller.abort()
+          return failure
+        }
+      }
+      if (pending.length > maximumLineLength) {
+        this.controller.abort()
+        return createEnd('a line is too long')
+      }
+    }
+    return createEnd('the stream ended')
+  }
+
+  private readLine (line: string): failures.Failure | undefined {
+    if (line.trim() === '' || this.stopped) {
+      return undefined
+    }
+    const parsed = codecs.WatchAnswer.safeParse(transports.parseJson(line))
+    if (!parsed.success || parsed.data.result === undefined) {
+      return createEnd('a message does not match its schema')
+    }
+    if (parsed.data.result.canceled) {
+      return createEnd(`cancelled by the store: ${parsed.data.result.cancel_reason}`)
+    }
+    const events = this.keys.decodeEvents(parsed.data)
+    if (events.length > 0) {
+      this.nextRevision = Math.max(this.nextRevision, getLastRevision(events) + 1)
+      this.observer.changed(events)
+    }
+    return undefined
+  }
+
+  private end (failure: failures.Failure): void {
+    if (this.stopped) {
+      return
+    }
+    this.stopped = true
+    this.observer.ended(failure)
+  }
+}
+
+function getLastRevision (events: readonly host.StoreEvent[]): number {
+  let last = 0
+  for (const event of events) {
+    last = Math.max(last, event.kind === 'put' ? event.entry.modRevision : event.modRevision)
+  }
+  return last
+}
+
+function createEnd (reason: string): failures.Failure {
+  return failures.createFailure('not_run', 'store_unavailable', [`watch: ${reason}`])
+}
