--- a/src/contracts/diagnostics.ts
+++ b/src/contracts/diagnostics.ts
@@ -39,6 +39,8 @@
   idempotency_key_reused: row('caller', 422, 'The Idempotency-Key was used before with another request.'),
   idempotency_in_progress: row('caller', 409, 'The first request with this Idempotency-Key is still running.'),
   idempotency_unknown: row('failure', 409, 'The first request with this Idempotency-Key may have run; its answer is lost.'),
+  caller_stalled: row('caller', 499, 'The caller did not take what was sent within {0} ms.'),
+  request_timeout: row('load', 504, 'The request was not finished within {0} ms.'),
   caller_gone: row('caller', 499, 'The caller closed the connection.'),
 
   // Load.
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -8,6 +8,7 @@
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
 import * as protocol from '../contracts/protocol.js'
+import * as work from '../contracts/work.js'
 
 /** The client's end of a session. Reconnects by itself until closed. */
 export abstract class Link {
@@ -42,6 +43,8 @@
   opened (_link: Link, _resumed: boolean): void {}
   /** The connection was lost or has gone silent; the link connects again. */
   lost (_link: Link): void {}
+  /** A heartbeat's answer carried the load of the other end's server. */
+  loadReported (_link: Link, _load: work.Load): void {}
   noticed<Name extends protocol.NotificationName> (
     _link: Link, _name: Name, _notice: protocol.Notice<Name>
   ): void {}
