Token bucket with exact refunds, and the keeper's state of a shard

A refund that only raises the level lets a window pass rate + burst once the bucket has refilled in between. The bucket now keeps its deficit by window start; a refund repays the segment of its charge and older ones only. Segments are bounded by the charges not yet settled.

Protocol fields added (all optional): reason, burst and keeper of a grant; sequence, base and release of a promise request.

--- /dev/null
+++ b/src/allowances/bucket.ts
@@ -0,0 +1,170 @@
+/**
+ * Token bucket with refunds: over every window of time, the tokens used by the charges made in it stay within
+ * rate x window + burst. A token counts at the time of its charge.
+ *
+ * A refund that merely raised the level would break that bound: once the bucket has refilled and been emptied
+ * again, giving back an older charge would allow the burst twice within one window. The bucket therefore keeps
+ * its deficit in segments, one for each window start that still limits the level. A refund repays the segment
+ * of its charge and older ones, never newer ones.
+ */
+import * as configuration from '../contracts/configuration.js'
+
+/** Smallest difference between two amounts of tokens that matters. */
+const toleranceTokens = 1e-6
+
+interface Segment {
+  /** Number of the earliest charge that belongs to the segment. */
+  first: number
+  /** Tokens charged since the segment's start less the refill since then. */
+  deficit: number
+  /** Charges not yet settled. */
+  open: number
+}
+
+export class Bucket {
+  private readonly segments: Segment[] = []
+  private charges = 0
+
+  /** Starts at `level` tokens, at most the burst. */
+  constructor (private current: configuration.Allowance, private updatedMs: number, level: number) {
+    const deficit = current.burstTokens - level
+    if (deficit > 0) {
+      this.segments.push({ first: 0, deficit, open: 0 })
+    }
+  }
+
+  get allowance (): configuration.Allowance {
+    return this.current
+  }
+
+  /** Segments kept; at most one more than the charges not yet settled. */
+  get size (): number {
+    return this.segments.length
+  }
+
+  /** Returns the tokens that may be charged; negative while the workspace is in debt. */
+  getLevel (nowMs: number): number {
+    this.refill(nowMs)
+    let level = this.current.burstTokens
+    for (const segment of this.segments) {
+      level -= segment.deficit
+    }
+    return level
+  }
+
+  /**
+   * Takes the tokens if that leaves at least `reserve` tokens. Returns the number of the charge, to settle it
+   * by, or `undefined` if the level is too low.
+   */
+  tryCharge (tokens: number, nowMs: number, reserve = 0): number | undefined {
+    if (this.getLevel(nowMs) - tokens < reserve - toleranceTokens) {
+      return undefined
+    }
+    this.charges += 1
+    const newest = this.segments.at(-1)
+    if (newest?.open === 0) {
+      newest.first = this.charges
+      newest.deficit += tokens
+      newest.open = 1
+    } else {
+      this.segments.push({ first: this.charges, deficit: tokens, open: 1 })
+    }
+    return this.charges
+  }
+
+  /** Returns the milliseconds until the refill alone raises the level to `tokens`. */
+  getWaitMs (tokens: number, nowMs: number): number {
+    const missing = tokens - this.getLevel(nowMs)
+    return missing <= 0 ? 0 : missing / this.current.tokensPerSecond * 1000
+  }
+
+  /** Settles a charge once: gives back `charged - used` tokens, or charges what was used above. */
+  settle (charge: number, charged: number, used: number, nowMs: number): void {
+    this.refill(nowMs)
+    const index = this.findSegment(charge)
+    const segment = this.segments[index]
+    if (segment !== undefined) {
+      segment.open -= 1
+    }
+    if (used > charged) {
+      this.addDebt(used - charged)
+    } else {
+      this.repay(index, charged - used)
+    }
+    this.mergeSettled(charge)
+  }
+
+  /** Takes on another allowance from now on; the tokens already charged keep counting. */
+  change (allowance: configuration.Allowance, nowMs: number): void {
+    this.refill(nowMs)
+    this.current = allowance
+  }
+
+  private refill (nowMs: number): void {
+    const elapsedMs = nowMs - this.updatedMs
+    if (elapsedMs <= 0) {
+      return
+    }
+    this.updatedMs = nowMs
+    this.repay(this.segments.length - 1, elapsedMs * this.current.tokensPerSecond / 1000)
+  }
+
+  /** Repays deficits from the segment at `index` back to the oldest; what is left over is lost. */
+  private repay (index: number, tokens: number): void {
+    let left = tokens
+    for (let i = index; i >= 0 && left > 0; i -= 1) {
+      const segment = this.segments[i] as Segment
+      if (left < segment.deficit) {
+        segment.deficit -= left
+        return
+      }
+      left -= segment.deficit
+      this.removeSegment(i)
+    }
+  }
+
+  /** Removes a segment without deficit; its charges then belong to the one before. */
+  private removeSegment (index: number): void {
+    const [removed] = this.segments.splice(index, 1)
+    const before = this.segments[index - 1]
+    if (before !== undefined && removed !== undefined) {
+      before.open += removed.open
+    }
+  }
+
+  /** A segment whose charges are all settled need not be told apart from the next newer one. */
+  private mergeSettled (charge: number): void {
+    const index = this.findSegment(charge)
+    const segment = this.segments[index]
+    const newer = this.segments[index + 1]
+    if (segment === undefined || newer === undefined || segment.open > 0) {
+      return
+    }
+    newer.deficit += segment.deficit
+    this.segments.splice(index, 1)
+  }
+
+  private addDebt (tokens: number): void {
+    const newest = this.segments.at(-1)
+    if (newest === undefined) {
+      this.segments.push({ first: this.charges + 1, deficit: tokens, open: 0 })
+      return
+    }
+    newest.deficit += tokens
+  }
+
+  /** Returns the index of the segment that a charge belongs to, or -1 once refunds of it are worth nothing. */
+  private findSegment (charge: number): number {
+    let low = 0
+    let high = this.segments.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if ((this.segments[middle] as Segment).first <= charge) {
+        low = middle + 1
+      } else {
+        high = middle
+      }
+    }
+    return low - 1
+  }
+}
--- /dev/null
+++ b/src/allowances/keeper.ts
@@ -0,0 +1,165 @@
+/**
+ * The state of one shard of allowances while this process is its keeper: a bucket for each workspace and the
+ * charges that are not yet settled.
+ */
+import * as buckets from './bucket.js'
+import * as configuration from '../contracts/configuration.js'
+import * as timings from './timing.js'
+import * as types from './types.js'
+
+/** What the keeper knows of a shard when its term begins. */
+export interface Inheritance {
+  /** Levels below which the buckets were not when the earlier keeper's right ended. */
+  readonly floors: ReadonlyMap<string, number>
+  /** Whether a workspace without a floor has certainly never been charged. */
+  readonly isComplete: boolean
+}
+
+export const emptyInheritance: Inheritance = { floors: new Map(), isComplete: false }
+export const firstInheritance: Inheritance = { floors: new Map(), isComplete: true }
+
+/** Tells how low the level of a workspace's bucket may go now. */
+export type ReserveOf = (workspace: string) => number
+
+export type Decision =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'exhausted', readonly retryAfterMs: number }
+  | { readonly kind: 'exceeds_burst', readonly burstTokens: number }
+  /** The level would do, but the successors must first learn of a lower floor. */
+  | { readonly kind: 'floor_reached' }
+  /** The charge was settled before it arrived. */
+  | { readonly kind: 'settled' }
+  | { readonly kind: 'unknown_workspace' }
+
+interface OpenCharge {
+  readonly workspace: string
+  readonly tokens: number
+  readonly number: number
+  readonly atMs: number
+}
+
+export class Keeper {
+  private readonly buckets = new Map<string, buckets.Bucket>()
+  /** Charges by identifier, oldest first. */
+  private readonly open = new Map<string, OpenCharge>()
+  /** When each settled charge was settled, oldest first. */
+  private readonly tombstones = new Map<string, number>()
+
+  /** The term's buckets count refill from `startedMs` on. */
+  constructor (
+    private readonly startedMs: number,
+    private readonly inheritance: Inheritance,
+    private readonly timing: timings.KeeperTiming
+  ) {}
+
+  get openCharges (): number {
+    return this.open.size
+  }
+
+  listWorkspaces (): Iterable<string> {
+    return this.buckets.keys()
+  }
+
+  /** Returns the inherited floors of workspaces that this process has no allowance for yet. */
+  listUnclaimedFloors (): ReadonlyMap<string, number> {
+    const unclaimed = new Map<string, number>()
+    for (const [workspace, floor] of this.inheritance.floors) {
+      if (!this.buckets.has(workspace)) {
+        unclaimed.set(workspace, floor)
+      }
+    }
+    return unclaimed
+  }
+
+  getBucket (workspace: string): buckets.Bucket | undefined {
+    return this.buckets.get(workspace)
+  }
+
+  /** Takes on the allowance of a workspace of the shard; one not seen before gets its bucket. */
+  setAllowance (workspace: string, allowance: configuration.Allowance, nowMs: number): void {
+    const bucket = this.buckets.get(workspace)
+    if (bucket === undefined) {
+      this.buckets.set(workspace, this.createBucket(workspace, allowance))
+      return
+    }
+    if (!isSameAllowance(bucket.allowance, allowance)) {
+      bucket.change(allowance, nowMs)
+    }
+  }
+
+  /** Decides a charge. One that was granted before is granted again and counts once. */
+  charge (charge: types.Charge, nowMs: number, reserveOf: ReserveOf): Decision {
+    this.expire(nowMs)
+    if (this.open.has(charge.id)) {
+      return { kind: 'granted' }
+    }
+    if (this.tombstones.has(charge.id)) {
+      return { kind: 'settled' }
+    }
+    const bucket = this.buckets.get(charge.workspace)
+    if (bucket === undefined) {
+      return { kind: 'unknown_workspace' }
+    }
+    return this.chargeBucket(bucket, charge, nowMs, reserveOf(charge.workspace))
+  }
+
+  /** Settles a charge. One that is unknown leaves a tombstone, so that it is not granted when it arrives late. */
+  settle (id: string, usedTokens: number, nowMs: number): void {
+    this.expire(nowMs)
+    if (!this.tombstones.has(id)) {
+      this.close(id, usedTokens, nowMs)
+    }
+  }
+
+  private close (id: string, usedTokens: number, nowMs: number): void {
+    this.tombstones.set(id, nowMs)
+    const charge = this.open.get(id)
+    if (charge === undefined) {
+      return
+    }
+    this.open.delete(id)
+    this.buckets.get(charge.workspace)?.settle(charge.number, charge.tokens, usedTokens, nowMs)
+  }
+
+  private chargeBucket (bucket: buckets.Bucket, charge: types.Charge, nowMs: number, reserve: number): Decision {
+    const burstTokens = bucket.allowance.burstTokens
+    if (charge.tokens > burstTokens) {
+      return { kind: 'exceeds_burst', burstTokens }
+    }
+    const retryAfterMs = bucket.getWaitMs(charge.tokens, nowMs)
+    const number = bucket.tryCharge(charge.tokens, nowMs, Math.max(0, reserve))
+    if (number !== undefined) {
+      this.open.set(charge.id, { workspace: charge.workspace, tokens: charge.tokens, number, atMs: nowMs })
+      return { kind: 'granted' }
+    }
+    return retryAfterMs > 0 ? { kind: 'exhausted', retryAfterMs } : { kind: 'floor_reached' }
+  }
+
+  private createBucket (workspace: string, allowance: configuration.Allowance): buckets.Bucket {
+    const floor = this.inheritance.floors.get(workspace)
+    if (floor !== undefined) {
+      return new buckets.Bucket(allowance, this.startedMs, Math.min(floor, allowance.burstTokens))
+    }
+    const level = this.inheritance.isComplete ? allowance.burstTokens : 0
+    return new buckets.Bucket(allowance, this.startedMs, level)
+  }
+
+  private expire (nowMs: number): void {
+    for (const [id, charge] of this.open) {
+      if (nowMs - charge.atMs < this.timing.chargeKeptMs) {
+        break
+      }
+      this.close(id, charge.tokens, nowMs)
+    }
+    for (const [id, atMs] of this.tombstones) {
+      if (nowMs - atMs < this.timing.tombstoneMs) {
+        break
+      }
+      this.tombstones.delete(id)
+    }
+  }
+}
+
+function isSameAllowance (one: configuration.Allowance, other: configuration.Allowance): boolean {
+  return one.tokensPerSecond === other.tokensPerSecond && one.burstTokens === other.burstTokens
+}
--- /dev/null
+++ b/src/allowances/placement.ts
@@ -0,0 +1,45 @@
+/**
+ * Which shard a workspace belongs to, and which entries are preferred for a shard.
+ */
+import * as crypto from 'node:crypto'
+import * as types from './types.js'
+
+/** Returns the shard of a workspace among `shards`. */
+export function getShard (workspace: string, shards: number): number {
+  return hash(workspace) % shards
+}
+
+/** Returns the entries in the order in which they are preferred for a shard; the same in every process. */
+export function rankEntries (shard: number, entries: readonly types.EntryVm[]): readonly types.EntryVm[] {
+  const weighted = entries.map(entry => ({ entry, weight: hash(`${shard} ${entry.node}`) }))
+  weighted.sort((one, other) => other.weight - one.weight || compareText(one.entry.node, other.entry.node))
+  return weighted.map(one => one.entry)
+}
+
+/** Chooses up to `count` successors: live entries, those of other zones than the holder's and each other's first. */
+export function chooseSuccessors (
+  shard: number, holder: types.EntryVm, entries: readonly types.EntryVm[], count: number
+): readonly types.EntryVm[] {
+  const others = entries.filter(entry => entry.node !== holder.node && entry.state === 'live')
+  const ranked = rankEntries(shard, others)
+  const zones = new Set([holder.zone])
+  const first: types.EntryVm[] = []
+  const rest: types.EntryVm[] = []
+  for (const entry of ranked) {
+    const list = zones.has(entry.zone) ? rest : first
+    zones.add(entry.zone)
+    list.push(entry)
+  }
+  return [...first, ...rest].slice(0, count)
+}
+
+function hash (text: string): number {
+  return crypto.createHash('sha256').update(text).digest().readUInt32BE(0)
+}
+
+function compareText (one: string, other: string): number {
+  if (one === other) {
+    return 0
+  }
+  return one < other ? -1 : 1
+}
--- a/src/allowances/types.ts
+++ b/src/allowances/types.ts
@@ -2,6 +2,7 @@
  * What an entry needs of the allowances: to charge before a request runs, and to settle after it.
  */
 import * as failures from '../contracts/failure.js'
+import * as identities from '../contracts/identity.js'
 
 /** A charge of tokens to a workspace. The identifier makes repeated sends harmless. */
 export interface Charge {
@@ -25,3 +26,20 @@
    */
   abstract charge (charge: Charge): Promise<failures.Result<Grant>>
 }
+
+/** An entry VM as this process knows it. */
+export interface EntryVm {
+  readonly node: string
+  readonly zone: string
+  /** Where its process listens for other processes. */
+  readonly address: identities.Address
+  readonly state: 'live' | 'leaving'
+}
+
+/** The entry VMs of the deployment. */
+export abstract class Entries {
+  /** The VM of this process. */
+  abstract readonly self: EntryVm
+  /** All entry VMs known, this one included; the list may lag. */
+  abstract list (): readonly EntryVm[]
+}
--- a/src/contracts/protocol.ts
+++ b/src/contracts/protocol.ts
@@ -35,7 +35,13 @@
   /** Term of the keeper that decided. */
   term: z.number().int().nonnegative(),
   /** When the charge would be granted, in milliseconds; 0 when it was. */
-  retryAfterMs: z.number().nonnegative()
+  retryAfterMs: z.number().nonnegative(),
+  /** Why the charge was not granted. */
+  reason: z.enum(['exhausted', 'exceeds_burst', 'settled', 'not_keeper', 'not_yet']).optional(),
+  /** With `exceeds_burst`: the burst that was exceeded. */
+  burstTokens: z.number().optional(),
+  /** With `not_keeper`: the keeper that the answering process knows of. */
+  keeper: z.object({ node: z.string(), address: identities.Address }).optional()
 })
 
 /** Tells how many tokens of a charge were used; the rest is given back. */
@@ -60,13 +66,21 @@
   holderBoot: z.string(),
   /** How long the successor must wait from the receipt, in milliseconds. */
   forMs: z.number().positive(),
-  floors: z.array(AllowanceFloor)
+  floors: z.array(AllowanceFloor),
+  /** Number of this announcement of floors within the term, from 1. */
+  sequence: z.number().int().nonnegative().default(0),
+  /** The floors left out are as in this announcement; 0 when the list is complete. */
+  base: z.number().int().nonnegative().default(0),
+  /** Whether the holder has stopped: its right has ended and earlier promises to it are void. */
+  released: z.boolean().default(false)
 })
 
 export const KeeperPromise = z.object({
   promised: z.boolean(),
   /** Highest term that the successor knows of. */
-  term: z.number().int().nonnegative()
+  term: z.number().int().nonnegative(),
+  /** Announcement of floors that the successor holds for the holder's term; 0 for none. */
+  sequence: z.number().int().nonnegative().default(0)
 })
 
 /** Asks for the configuration after a version. */
