--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -171,7 +171,13 @@
       return
     }
     connection.call('session.heartbeat', { session: this.session }, this.context.timing.silenceMs)
-      .then(result => result.ifRight(answer => this.observer.measured(this, answer.load)))
+      .then(result => result.ifRight(answer => this.reportLoad(answer)))
+  }
+
+  private reportLoad (answer: protocol.Answer<'session.heartbeat'>): void {
+    if (answer.load !== undefined) {
+      this.observer.loadReported(this, answer.load)
+    }
   }
 
   private beatWithoutConnection (): void {
--- a/src/links/link_pool.ts
+++ b/src/links/link_pool.ts
@@ -37,9 +37,9 @@
     }
   }
 
-  override measured (link: types.Link, load: work.Load | undefined): void {
+  override loadReported (link: types.Link, load: work.Load): void {
     for (const observer of [...this.observers]) {
-      observer.measured(link, load)
+      observer.loadReported(link, load)
     }
   }
 }
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -48,9 +48,6 @@
   noticed<Name extends protocol.NotificationName> (
     _link: Link, _name: Name, _notice: protocol.Notice<Name>
   ): void {}
-
-  /** A heartbeat was answered; agents tell the load of their server with it. */
-  measured (_link: Link, _load: work.Load | undefined): void {}
 }
 
 /** The links of a process, opened on first use and closed when idle. */
