--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -53,6 +53,11 @@
   region: z.string().min(1).default('local').describe('Region of this VM'),
   control: identities.Address.describe('Listener for other processes of the system'),
   credential: z.string().min(16).describe('Secret shared by the processes of the deployment, or "env:NAME"'),
+  security: z.strictObject({
+    authority: z.string().min(1).describe('File with the certificates (PEM) of the issuer'),
+    certificate: z.string().min(1).describe('File with this process\'s certificate (PEM)'),
+    key: z.string().min(1).describe('File with the certificate\'s private key (PEM)')
+  }).optional().describe('Mutual TLS between the processes of the system'),
   log: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info').describe('Lowest level of log lines'),
   limits: Limits.prefault({}),
   timing: Timing.prefault({})
--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -9,6 +9,7 @@
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
 import * as protocol from '../contracts/protocol.js'
+import * as traffics from './traffic.js'
 import * as types from './types.js'
 
 /** What the links of a process share. */
@@ -18,6 +19,7 @@
   readonly credential: string
   readonly timing: types.LinkTiming
   readonly piggyback: types.Piggyback
+  readonly traffic: traffics.Traffic
   readonly security: types.Security | undefined
 }
 
@@ -233,7 +235,7 @@
       const socket = this.createSocket()
       let isOpened = false
       const connection = new connections.Connection(
-        socket, this.context.system.clock, this.context.piggyback, this.peer, {
+        socket, createConnectionContext(this.context), this.peer, {
           ...this.events,
           noticed: (name, notice) => {
             if (name !== 'session.challenge') {
@@ -304,3 +306,8 @@
     return failures.createFailure('not_run', 'link_lost', [this.peer])
   }
 }
+
+/** Returns the part of a link context that connections need. */
+export function createConnectionContext (context: LinkContext): connections.ConnectionContext {
+  return { clock: context.system.clock, piggyback: context.piggyback, traffic: context.traffic }
+}
--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -7,6 +7,7 @@
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as protocol from '../contracts/protocol.js'
+import * as traffics from './traffic.js'
 import * as types from './types.js'
 
 /** Largest message in bytes. */
@@ -17,6 +18,13 @@
 
 const Stamp = z.object({ tick: z.number().int().nonnegative(), version: z.number().int().nonnegative() })
 
+/** What the connections of a process share. */
+export interface ConnectionContext {
+  readonly clock: host.Clock
+  readonly piggyback: types.Piggyback
+  readonly traffic: traffics.Traffic
+}
+
 /** What the owner of a connection does with what arrives. */
 export interface ConnectionEvents {
   readonly requested: (request: jsonrpc.JSONRPCRequest) => void
@@ -34,15 +42,14 @@
 
   constructor (
     private readonly socket: ws.WebSocket,
-    private readonly clock: host.Clock,
-    private readonly piggyback: types.Piggyback,
+    private readonly context: ConnectionContext,
     private readonly peer: string,
     private readonly events: ConnectionEvents
   ) {
-    this.heardAtMs = clock.monotonicMs()
+    this.heardAtMs = context.clock.monotonicMs()
     this.sentAtMs = this.heardAtMs
     this.rpc = new jsonrpc.JSONRPCClient(payload => this.send(payload))
-    socket.on('message', data => this.receive(String(data)))
+    socket.on('message', data => this.receive(data as Buffer))
     socket.on('close', () => this.finish())
     socket.on('error', () => this.terminate())
   }
@@ -66,12 +73,14 @@
   }
 
   /** Sends a message; drops it when the connection is not open. */
-  send (message: object): void {
+  send (message: { readonly method?: string }): void {
     if (!this.isOpen) {
       return
     }
-    this.sentAtMs = this.clock.monotonicMs()
-    this.socket.send(JSON.stringify({ ...message, stamp: this.piggyback.stamp() }))
+    this.sentAtMs = this.context.clock.monotonicMs()
+    const text = JSON.stringify({ ...message, stamp: this.context.piggyback.stamp() })
+    this.context.traffic.add('sent', message.method, text.length)
+    this.socket.send(text)
   }
 
   notify (name: protocol.NotificationName, notice: unknown): void {
@@ -96,7 +105,7 @@
       const lose = (): void => {
         settle(failures.fail(failures.createFailure('may_have_run', 'link_lost', [this.peer])))
       }
-      const stopTimer = this.clock.after(timeoutMs, () => {
+      const stopTimer = this.context.clock.after(timeoutMs, () => {
         settle(failures.fail(failures.createFailure('may_have_run', 'link_timeout', [this.peer, timeoutMs])))
       })
       this.losses.add(lose)
@@ -129,17 +138,18 @@
     this.events.closed()
   }
 
-  private receive (text: string): void {
+  private receive (data: Buffer): void {
     if (this.closed) {
       return
     }
-    this.heardAtMs = this.clock.monotonicMs()
-    const message = tryParse(text)
+    this.heardAtMs = this.context.clock.monotonicMs()
+    const message = tryParse(data)
     if (message === undefined) {
       this.terminate()
       return
     }
-    const stamp = Stamp.safeParse(message['stamp'])
+    this.context.traffic.add('received', message.method, data.length)
+    const stamp = Stamp.safeParse(message.stamp)
     if (stamp.success) {
       this.events.stamped(stamp.data)
     }
@@ -174,10 +184,16 @@
   }
 }
 
-function tryParse (text: string): Record<string, unknown> | undefined {
+/** Envelope of a message before its content is checked. */
+interface Envelope {
+  readonly method?: string
+  readonly stamp?: unknown
+}
+
+function tryParse (data: Buffer): Envelope | undefined {
   try {
-    const value: unknown = JSON.parse(text)
-    return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined
+    const value: unknown = JSON.parse(String(data))
+    return typeof value === 'object' && value !== null ? value : undefined
   } catch {
     return undefined
   }
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -142,7 +142,8 @@
     const { system, piggyback, timing } = this.context
     const challenge = system.random.nextId()
     let session: ListenerSession | undefined
-    const connection: connections.Connection = new connections.Connection(socket, system.clock, piggyback, 'peer', {
+    const context = clientLinks.createConnectionContext(this.context)
+    const connection: connections.Connection = new connections.Connection(socket, context, 'peer', {
       requested: request => {
         if (request.method === 'session.open') {
           session = this.open(connection, request, challenge)
--- /dev/null
+++ b/src/links/traffic.ts
@@ -0,0 +1,38 @@
+/**
+ * Bytes and messages that pass over the links of a process, apart for control and for the work itself.
+ */
+
+/** Methods whose messages carry callers' work. */
+const workMethods: ReadonlySet<string> = new Set(['work.start', 'work.frames', 'work.resume'])
+
+export type Direction = 'sent' | 'received'
+export type Purpose = 'control' | 'work'
+
+/** Totals since the start of the process. */
+export interface Totals {
+  bytes: number
+  messages: number
+}
+
+export class Traffic {
+  private readonly totals: Readonly<Record<Purpose, Readonly<Record<Direction, Totals>>>> = {
+    control: { sent: createTotals(), received: createTotals() },
+    work: { sent: createTotals(), received: createTotals() }
+  }
+
+  /** Counts a message; one without a method is the answer to a call and counts as control. */
+  add (direction: Direction, method: string | undefined, bytes: number): void {
+    const purpose: Purpose = method !== undefined && workMethods.has(method) ? 'work' : 'control'
+    const totals = this.totals[purpose][direction]
+    totals.bytes += bytes
+    totals.messages += 1
+  }
+
+  get (purpose: Purpose, direction: Direction): Readonly<Totals> {
+    return this.totals[purpose][direction]
+  }
+}
+
+function createTotals (): Totals {
+  return { bytes: 0, messages: 0 }
+}
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -8,6 +8,7 @@
 import * as listeners from '../../src/links/listener.js'
 import * as nodeSystem from '../../src/host/node_system.js'
 import * as protocol from '../../src/contracts/protocol.js'
+import * as traffics from '../../src/links/traffic.js'
 import * as types from '../../src/links/types.js'
 
 const timing: types.LinkTiming = {
@@ -37,6 +38,7 @@
     credential,
     timing,
     piggyback: new FixedPiggyback(version),
+    traffic: new traffics.Traffic(),
     security: undefined
   }
 }
