--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -73,13 +73,13 @@
   }
 
   /** Sends a message; drops it when the connection is not open. */
-  send (message: { readonly method?: string }): void {
+  send (message: jsonrpc.JSONRPCRequest | jsonrpc.JSONRPCResponse): void {
     if (!this.isOpen) {
       return
     }
     this.sentAtMs = this.context.clock.monotonicMs()
     const text = JSON.stringify({ ...message, stamp: this.context.piggyback.stamp() })
-    this.context.traffic.add('sent', message.method, text.length)
+    this.context.traffic.add('sent', 'method' in message ? message.method : undefined, text.length)
     this.socket.send(text)
   }
 
