Heartbeats are WebSocket pings, sent only when a link is otherwise quiet

At the target size an entry has work on some 170 links at once. A call with an answer of about 400 bytes every 500 ms on each would be 136 KB/s by arithmetic, six times the budget for control. Now a ping goes out only when nothing was heard for a heartbeat period, or nothing was sent for a quarter of the session lease, and loads are asked for in turn over all busy links at a bounded rate.

--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -39,6 +39,7 @@
   sessionLeaseMs: milliseconds(4_000, 'How long an agent keeps the work of an entry it does not hear'),
   idleMs: milliseconds(60_000, 'Idle time after which a connection is closed'),
   reconnectMs: milliseconds(100, 'Pause before connecting again'),
+  loadReportsPerSecond: count(20, 'Loads asked for, over all links with work under way (1/s)'),
   callTimeoutMs: milliseconds(2_000, 'Longest wait for an answer of another process'),
   balancerLagMs: milliseconds(1_000, 'How long an entry stays up after it reports not ready'),
   drainTimeoutMs: milliseconds(300_000, 'Longest graceful shutdown'),
--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -23,6 +23,9 @@
   readonly security: types.Security | undefined
 }
 
+/** Heartbeats sent during a session lease on a connection on which the other end talks. */
+const beatsPerLease = 4
+
 type Opening = Promise<failures.Result<connections.Connection>>
 
 export class ClientLink extends types.Link {
@@ -52,6 +55,21 @@
     return this.connection?.isOpen ?? false
   }
 
+  /** Whether work of an agent is under way over an open connection. */
+  get isBusy (): boolean {
+    return this.holds > 0 && this.isOpen && this.remoteIdentity?.role === 'agent'
+  }
+
+  /** Asks the other end for the load of its server and reports it to the observers. */
+  async askLoad (): Promise<void> {
+    const result = await this.connection?.call(
+      'session.heartbeat', { session: this.session }, this.context.timing.silenceMs)
+    const load = result?.toMaybe().extract()?.load
+    if (load !== undefined) {
+      this.observer.loadReported(this, load)
+    }
+  }
+
   override async call<Method extends protocol.MethodName> (
     method: Method,
     params: protocol.Params<Method>,
@@ -113,6 +131,7 @@
   private async connect (): Opening {
     const attempt = new ConnectionAttempt(this.address, this.context, this.session, {
       requested: () => {},
+      heard: () => {},
       noticed: (name, notice) => this.observer.noticed(this, name, notice as never),
       stamped: stamp => this.context.piggyback.accept(stamp, this.remoteIdentity),
       closed: () => this.lose()
@@ -172,13 +191,9 @@
       connection.terminate()
       return
     }
-    connection.call('session.heartbeat', { session: this.session }, this.context.timing.silenceMs)
-      .then(result => result.ifRight(answer => this.reportLoad(answer)))
-  }
-
-  private reportLoad (answer: protocol.Answer<'session.heartbeat'>): void {
-    if (answer.load !== undefined) {
-      this.observer.loadReported(this, answer.load)
+    const isOverdue = now - connection.lastSentMs >= this.context.timing.sessionLeaseMs / beatsPerLease
+    if (isOverdue || now - connection.lastHeardMs >= this.context.timing.heartbeatMs) {
+      connection.ping()
     }
   }
 
--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -13,6 +13,9 @@
 /** Largest message in bytes. */
 export const maximumMessageBytes = 16 * 1024 * 1024
 
+/** Size of a WebSocket ping from a client. */
+const pingBytes = 6
+
 /** Code of JSON-RPC errors that carry a failure in their data. */
 export const failureErrorCode = -32000
 
@@ -29,6 +32,8 @@
 export interface ConnectionEvents {
   readonly requested: (request: jsonrpc.JSONRPCRequest) => void
   readonly noticed: (name: protocol.NotificationName, notice: unknown) => void
+  /** Something arrived, if only a heartbeat. */
+  readonly heard: () => void
   readonly stamped: (stamp: types.Stamp) => void
   readonly closed: () => void
 }
@@ -50,6 +55,8 @@
     this.sentAtMs = this.heardAtMs
     this.rpc = new jsonrpc.JSONRPCClient(payload => this.send(payload))
     socket.on('message', data => this.receive(data as Buffer))
+    socket.on('ping', () => this.hear())
+    socket.on('pong', () => this.hear())
     socket.on('close', () => this.finish())
     socket.on('error', () => this.terminate())
   }
@@ -68,6 +75,11 @@
     return Math.max(this.heardAtMs, this.sentAtMs)
   }
 
+  /** When something was last sent, on the monotonic clock in milliseconds. */
+  get lastSentMs (): number {
+    return this.sentAtMs
+  }
+
   get bufferedBytes (): number {
     return this.socket.bufferedAmount
   }
@@ -116,6 +128,16 @@
     })
   }
 
+  /** Sends a heartbeat, which the other end's library answers. */
+  ping (): void {
+    if (!this.isOpen) {
+      return
+    }
+    this.sentAtMs = this.context.clock.monotonicMs()
+    this.context.traffic.add('sent', undefined, pingBytes)
+    this.socket.ping()
+  }
+
   /** Drops the connection without a closing handshake. */
   terminate (): void {
     this.socket.terminate()
@@ -138,11 +160,16 @@
     this.events.closed()
   }
 
+  private hear (): void {
+    this.heardAtMs = this.context.clock.monotonicMs()
+    this.events.heard()
+  }
+
   private receive (data: Buffer): void {
     if (this.closed) {
       return
     }
-    this.heardAtMs = this.context.clock.monotonicMs()
+    this.hear()
     const message = tryParse(data)
     if (message === undefined) {
       this.terminate()
--- a/src/links/link_pool.ts
+++ b/src/links/link_pool.ts
@@ -8,6 +8,8 @@
 import * as types from './types.js'
 import * as work from '../contracts/work.js'
 
+const millisecondsPerSecond = 1000
+
 /** Passes what happens on the links on to every observer. */
 class ObserverList extends types.LinkObserver {
   private readonly observers = new Set<types.LinkObserver>()
@@ -45,11 +47,15 @@
 }
 
 class ProcessLinkPool extends types.LinkPool {
-  private readonly links = new Map<string, types.Link>()
+  private readonly links = new Map<string, clientLinks.ClientLink>()
   private readonly observers = new ObserverList()
+  private readonly stopAsking: host.Stop
+  private asked = 0
 
   constructor (private readonly context: clientLinks.LinkContext) {
     super()
+    const periodMs = millisecondsPerSecond / context.timing.loadReportsPerSecond
+    this.stopAsking = context.system.clock.every(periodMs, () => this.askNextLoad())
   }
 
   override get (address: identities.Address): types.Link {
@@ -72,11 +78,20 @@
   }
 
   override close (): void {
+    this.stopAsking()
     for (const link of this.links.values()) {
       link.close()
     }
     this.links.clear()
   }
+
+  /** Asks the busy links in turn, so that the traffic does not grow with their number. */
+  private askNextLoad (): void {
+    const busy = [...this.links.values()].filter(link => link.isBusy)
+    const next = busy[this.asked % Math.max(1, busy.length)]
+    this.asked += 1
+    next?.askLoad()
+  }
 }
 
 /** Creates the links of a process; nothing is opened before the first use. */
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -151,9 +151,13 @@
         }
         this.answer(connection, request, session)
       },
-      noticed: (name, notice) => {
+      heard: () => {
         if (session !== undefined) {
           this.revive(session)
+        }
+      },
+      noticed: (name, notice) => {
+        if (session !== undefined) {
           this.observer.noticed(session, name, notice as never)
         }
       },
@@ -227,7 +231,6 @@
       this.refuse(connection, request, failures.createFailure('not_run', 'session_unknown'))
       return
     }
-    this.revive(session)
     this.rpc.receive(request, session).then(response => {
       if (response !== null) {
         connection.send(response)
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -97,6 +97,8 @@
   /** A connection without work is closed after this long. */
   readonly idleMs: number
   readonly reconnectMs: number
+  /** How often this process asks for loads, over all links with work under way. */
+  readonly loadReportsPerSecond: number
 }
 
 /** What every message carries besides its JSON-RPC content. */
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -10,9 +10,10 @@
 import * as protocol from '../../src/contracts/protocol.js'
 import * as traffics from '../../src/links/traffic.js'
 import * as types from '../../src/links/types.js'
+import * as work from '../../src/contracts/work.js'
 
 const timing: types.LinkTiming = {
-  connectTimeoutMs: 500, heartbeatMs: 20, silenceMs: 100, sessionLeaseMs: 300, idleMs: 60_000, reconnectMs: 10
+  connectTimeoutMs: 500, heartbeatMs: 20, silenceMs: 100, sessionLeaseMs: 300, idleMs: 60_000, reconnectMs: 10, loadReportsPerSecond: 100
 }
 
 class FixedPiggyback extends types.Piggyback {
@@ -34,7 +35,7 @@
 function createContext (node: string, credential = 'a shared credential', version = 0): clientLinks.LinkContext {
   return {
     system: nodeSystem.createSilentSystem(),
-    identity: { node, boot: `${node}-boot`, role: 'entry', zone: 'z', region: 'r' },
+    identity: { node, boot: `${node}-boot`, role: node === 'server' ? 'agent' : 'entry', zone: 'z', region: 'r' },
     credential,
     timing,
     piggyback: new FixedPiggyback(version),
@@ -62,6 +63,7 @@
 
 class LinkWatch extends types.LinkObserver {
   readonly openings: boolean[] = []
+  readonly loads: work.Load[] = []
   losses = 0
   private waiting: (() => void)[] = []
 
@@ -75,6 +77,11 @@
     this.wake()
   }
 
+  override loadReported (_: types.Link, load: work.Load): void {
+    this.loads.push(load)
+    this.wake()
+  }
+
   async until (isDone: () => boolean): Promise<void> {
     while (!isDone()) {
       await new Promise<void>(resolve => this.waiting.push(resolve))
@@ -145,7 +152,12 @@
   figures: {}
 }
 
+const load: work.Load = {
+  running: 1, queued: 0, pendingPromptTokens: 0, freePieces: 2, totalPieces: 3, promisedPieces: 0, slots: 4, draining: false
+}
+
 const handlers: types.Handlers = {
+  'session.heartbeat': async () => failures.succeed({ load }),
   'status.read': async () => failures.succeed(statusAnswer),
   'work.release': async () => failures.fail(failures.createFailure('not_run', 'no_server', ['m'], 250)),
   'timeline.read': () => new Promise(() => {})
@@ -256,6 +268,17 @@
     })
   })
 
+  test.describe('loads', () => {
+    test.it('are asked for on links with work under way', async () => {
+      const ends = await connect()
+      ends.link.hold()
+      await ends.link.call('status.read', {}, 1000)
+      await ends.linkWatch.until(() => ends.linkWatch.loads.length > 0)
+      ends.close()
+      assert.deepEqual(ends.linkWatch.loads[0], load)
+    })
+  })
+
   test.describe('stamps', () => {
     test.it('carry the configuration version both ways', async () => {
       const client = createContext('client', 'a shared credential', 3)
