--- a/standins/main.ts
+++ b/standins/main.ts
@@ -2,6 +2,8 @@
  * Runs one stand-in as a process: prints one line of JSON with its address once it listens, and ends on SIGTERM.
  */
 import * as commander from 'commander'
+import * as machineLists from './machine_list.js'
+import * as services from './service.js'
 import * as stores from './store.js'
 
 /** What every stand-in offers to its process. */
@@ -13,7 +15,9 @@
 type Factory = (options: object) => Standin
 
 const factories: Readonly<Record<string, Factory>> = {
-  store: options => new stores.Store(options)
+  store: options => new stores.Store(options),
+  service: options => new services.Service(options),
+  machines: options => new machineLists.MachineList(options)
 }
 
 interface Flags {
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod'
 import * as knobs from './knobs.js'
+import * as outages from './outages.js'
 import * as realClocks from './real_clock.js'
 import * as storeCore from './store_core.js'
 import * as storeFaults from './store_faults.js'
@@ -67,18 +68,9 @@
     if (delayMs > 0) {
       await this.clock.sleep(delayMs)
     }
-    switch (outage) {
-      case 'none':
-        return true
-      case 'refuse':
-        sendAnswer(exchange, { refused: 'unavailable', message: 'etcdserver: no leader' })
-        return false
-      case 'close':
-        exchange.drop()
-        return false
-      case 'hang':
-        return false
-    }
+    return outages.passOutage(exchange, outage, () => {
+      sendAnswer(exchange, { refused: 'unavailable', message: 'etcdserver: no leader' })
+    })
   }
 
   private addKeyRoutes (): void {
--- a/standins/store_faults.ts
+++ b/standins/store_faults.ts
@@ -2,11 +2,12 @@
  * Fault knobs of the store stand-in, and its call budget.
  */
 import * as z from 'zod'
+import * as outages from './outages.js'
 import * as host from '../src/host/types.js'
 
 export const StoreFaults = z.strictObject({
-  /** `refuse` answers 503, `hang` never answers, `close` closes the connection; each ends or silences watches. */
-  outage: z.enum(['none', 'refuse', 'hang', 'close']).default('none'),
+  /** `refuse` and `close` also end the open watches; `hang` silences them. */
+  outage: outages.Outage.default('none'),
   /** Added to every answer, in milliseconds. */
   delayMs: z.number().nonnegative().default(0),
   /** Number of following writes that take effect and whose answers are lost. */
--- a/standins/web_host.ts
+++ b/standins/web_host.ts
@@ -102,7 +102,11 @@
     handler: Handler
   ): Promise<void> {
     const closed = new Promise<void>(resolve => response.once('close', resolve))
-    const exchange = new Exchange(request, response, params, await readBody(request))
+    const body = await readBody(request)
+    if (body === undefined) {
+      return
+    }
+    const exchange = new Exchange(request, response, params, body)
     if (exchange.isControl || await this.gate(exchange)) {
       await handler(exchange)
     }
@@ -111,10 +115,13 @@
   }
 }
 
-async function readBody (request: http.IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  for await (const chunk of request) {
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks)
+/** Returns the whole body; `undefined` if the caller went away before its end. */
+function readBody (request: http.IncomingMessage): Promise<Buffer | undefined> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    request.on('data', chunk => chunks.push(chunk as Buffer))
+    request.once('end', () => resolve(Buffer.concat(chunks)))
+    request.once('close', () => resolve(undefined))
+    request.once('error', () => resolve(undefined))
+  })
 }
