Model engine stand-in

Cause: the route from prefill to decode needs engines that behave like the real ones under load and faults. Seen to fail first: the test process stayed up for 50 s on the timers of KV caches that nobody took; timers of the stand-ins no longer keep a process alive.

--- a/standins/main.ts
+++ b/standins/main.ts
@@ -2,6 +2,7 @@
  * Runs one stand-in as a process: prints one line of JSON with its address once it listens, and ends on SIGTERM.
  */
 import * as commander from 'commander'
+import * as engines from './engine.js'
 import * as machineLists from './machine_list.js'
 import * as services from './service.js'
 import * as stores from './store.js'
@@ -14,7 +15,11 @@
 
 type Factory = (options: object) => Standin
 
+/** Exit code of a crash that a fault asked for. */
+const crashExitCode = 70
+
 const factories: Readonly<Record<string, Factory>> = {
+  engine: options => new engines.Engine(options, () => process.exit(crashExitCode)),
   store: options => new stores.Store(options),
   service: options => new services.Service(options),
   machines: options => new machineLists.MachineList(options)
--- a/standins/real_clock.ts
+++ b/standins/real_clock.ts
@@ -1,5 +1,6 @@
 /**
  * Clock of a stand-in process, with an optional scale: at scale 10, simulated time passes ten times as fast.
+ * Its timers do not keep the process alive; the listener does.
  */
 import * as host from '../src/host/types.js'
 
@@ -19,6 +20,7 @@
 
   override after (delayMs: number, action: () => void): host.Stop {
     const timer = setTimeout(action, delayMs / this.scale)
+    timer.unref()
     return () => clearTimeout(timer)
   }
 }
