--- /dev/null
+++ b/tools/cut.ts
@@ -0,0 +1,117 @@
+/**
+ * TCP forwarder between two processes on loopback that can reset connections or make them silent.
+ */
+import * as net from 'node:net'
+import * as identities from '../src/contracts/identity.js'
+
+/** What happens to new connections: forwarded, closed by a reset, or accepted without a byte passing. */
+export type CutMode = 'forward' | 'reset' | 'silent'
+
+interface Pair {
+  readonly near: net.Socket
+  readonly far: net.Socket
+  isSilent: boolean
+}
+
+export class Cut {
+  private readonly pairs = new Set<Pair>()
+  private readonly server = net.createServer(socket => this.accept(socket))
+  private mode: CutMode = 'forward'
+
+  constructor (private readonly target: identities.Address) {}
+
+  /** Connections that are open on both sides. */
+  get openCount (): number {
+    return this.pairs.size
+  }
+
+  /** Starts to listen and returns the port; port 0 takes a free one. */
+  listen (host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, () => resolve((this.server.address() as net.AddressInfo).port))
+    })
+  }
+
+  /** Resets the open connections. New ones go on as before. */
+  resetOpen (): void {
+    for (const pair of [...this.pairs]) {
+      this.reset(pair)
+    }
+  }
+
+  /** Makes the open connections silent for good: what either side sends is swallowed, and nothing is closed. */
+  silenceOpen (): void {
+    for (const pair of this.pairs) {
+      pair.isSilent = true
+    }
+  }
+
+  /** Resets the open connections and all new ones until `restore`. */
+  cut (): void {
+    this.mode = 'reset'
+    this.resetOpen()
+  }
+
+  /** Makes the open connections and all new ones silent until `restore`; these stay silent after it. */
+  silence (): void {
+    this.mode = 'silent'
+    this.silenceOpen()
+  }
+
+  /** Forwards new connections again. */
+  restore (): void {
+    this.mode = 'forward'
+  }
+
+  close (): Promise<void> {
+    this.resetOpen()
+    return new Promise(resolve => this.server.close(() => resolve()))
+  }
+
+  private accept (near: net.Socket): void {
+    near.setNoDelay(true)
+    if (this.mode === 'reset') {
+      near.on('error', () => {})
+      near.resetAndDestroy()
+      return
+    }
+    const far = net.connect({ host: this.target.host, port: this.target.port, noDelay: true, allowHalfOpen: true })
+    const pair = { near, far, isSilent: this.mode === 'silent' }
+    this.pairs.add(pair)
+    this.forward(pair, near, far)
+    this.forward(pair, far, near)
+  }
+
+  private forward (pair: Pair, from: net.Socket, to: net.Socket): void {
+    from.on('data', chunk => {
+      if (!pair.isSilent && !to.write(chunk)) {
+        from.pause()
+        to.once('drain', () => from.resume())
+      }
+    })
+    from.on('end', () => {
+      if (!pair.isSilent) {
+        to.end()
+      }
+    })
+    from.on('error', () => {})
+    from.on('close', () => this.noteClosed(pair, from, to))
+  }
+
+  private noteClosed (pair: Pair, closed: net.Socket, other: net.Socket): void {
+    if (other.destroyed) {
+      this.pairs.delete(pair)
+    } else if (!pair.isSilent && closed.errored !== null) {
+      other.resetAndDestroy()
+    } else if (!pair.isSilent) {
+      other.end()
+    }
+  }
+
+  private reset (pair: Pair): void {
+    this.pairs.delete(pair)
+    pair.near.resetAndDestroy()
+    pair.far.resetAndDestroy()
+  }
+}
--- /dev/null
+++ b/tools/wait.ts
@@ -0,0 +1,57 @@
+/**
+ * Waiting for other processes.
+ */
+import * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as undici from 'undici'
+
+/** Pause between two looks, in milliseconds. */
+const pollMs = 25
+/** Longest wait for one answer, in milliseconds. */
+const answerTimeoutMs = 1_000
+
+/** Asks the URL until it answers 200. `check` throws when waiting has become pointless. */
+export async function waitForUrl (url: string, deadlineMs: number, check: () => void): Promise<void> {
+  while (!await answersWell(url)) {
+    check()
+    if (performance.now() > deadlineMs) {
+      throw new Error(`${url} did not answer 200 in time`)
+    }
+    await timers.setTimeout(pollMs)
+  }
+}
+
+/** Returns a port that is free now on the address. */
+export function findFreePort (host: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = net.createServer()
+    server.once('error', reject)
+    server.listen(0, host, () => {
+      const { port } = server.address() as net.AddressInfo
+      server.close(() => resolve(port))
+    })
+  })
+}
+
+/** Runs the action for each item, at most `width` at a time. */
+export async function runBounded<Item> (
+  items: readonly Item[], width: number, action: (item: Item) => Promise<void>
+): Promise<void> {
+  const rest = [...items]
+  const work = async (): Promise<void> => {
+    for (let item = rest.shift(); item !== undefined; item = rest.shift()) {
+      await action(item)
+    }
+  }
+  await Promise.all(Array.from({ length: width }, work))
+}
+
+async function answersWell (url: string): Promise<boolean> {
+  try {
+    const response = await undici.request(url, { signal: AbortSignal.timeout(answerTimeoutMs) })
+    await response.body.dump()
+    return response.statusCode === 200
+  } catch {
+    return false
+  }
+}
