Stand-ins: compacted watches, exact call counts, prefills broken off

Cause: a watch from a revision no longer kept missed events without a word; the busiest second counted each call twice; tokens of a prefill that was broken off were missing from the waste.

--- a/standins/engine_counts.ts
+++ b/standins/engine_counts.ts
@@ -16,7 +16,7 @@
 const maximumRequests = 200_000
 
 export class EngineCounts {
-  /** Prompt tokens computed by prefills. */
+  /** Prompt tokens computed by prefills, those broken off included. */
   prefilledTokens = 0
   /** Prompt tokens found in the prefix cache. */
   cachedTokens = 0
--- a/standins/engine_prefill.ts
+++ b/standins/engine_prefill.ts
@@ -9,6 +9,8 @@
 
 export class PrefillUnit {
   private current: engineRequests.EngineRequest | undefined
+  private startedAtMs = 0
+  private tokens = 0
   private stopTimer: host.Stop = () => {}
 
   constructor (private readonly clock: host.Clock, private readonly options: engineOptions.EngineOptions) {}
@@ -21,6 +23,8 @@
   start (request: engineRequests.EngineRequest, tokens: number, done: () => void): void {
     const { prefillTokensPerSecond, prefillOverheadMs } = this.options
     this.current = request
+    this.tokens = tokens
+    this.startedAtMs = this.clock.monotonicMs()
     const durationMs = prefillOverheadMs + tokens / prefillTokensPerSecond * secondMs
     this.stopTimer = this.clock.after(durationMs, () => {
       this.current = undefined
@@ -28,11 +32,14 @@
     })
   }
 
-  /** Breaks the prefill of a request off, if it is under way. */
-  stop (request: engineRequests.EngineRequest): void {
-    if (this.current === request) {
-      this.stopTimer()
-      this.current = undefined
+  /** Breaks the prefill of a request off and returns the tokens computed in vain; 0 if it is not under way. */
+  stop (request: engineRequests.EngineRequest): number {
+    if (this.current !== request) {
+      return 0
     }
+    this.stopTimer()
+    this.current = undefined
+    const elapsedMs = this.clock.monotonicMs() - this.startedAtMs
+    return Math.min(this.tokens, Math.floor(elapsedMs / secondMs * this.options.prefillTokensPerSecond))
   }
 }
--- a/standins/engine_scheduler.ts
+++ b/standins/engine_scheduler.ts
@@ -239,7 +239,7 @@
     }
     this.imports.get(request)?.()
     this.imports.delete(request)
-    this.prefill.stop(request)
+    this.parts.counts.prefilledTokens += this.prefill.stop(request)
     this.batch.remove(request)
     this.releaseMemory(request)
     request.phase = phase
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -19,9 +19,9 @@
 
 export class Store {
   private readonly clock = new realClocks.RealClock()
-  private readonly core = new storeCore.StoreCore(this.clock)
-  private readonly gateway = new storeGateway.StoreGateway(this.core)
-  private readonly watches = new storeWatch.StoreWatches(this.core)
+  private readonly core: storeCore.StoreCore
+  private readonly gateway: storeGateway.StoreGateway
+  private readonly watches: storeWatch.StoreWatches
   private readonly counts = new storeFaults.CallCounts(this.clock)
   private readonly budgets = {
     read: new storeFaults.CallBudget(this.clock),
@@ -32,7 +32,11 @@
   private readonly web = new webHosts.WebHost(exchange => this.admit(exchange))
   private readonly stopLeaseCheck = this.clock.every(leaseCheckMs, () => this.core.expireLeases())
 
-  constructor (faults: z.input<typeof storeFaults.StoreFaults> = {}) {
+  /** `historyLength` is the number of commits whose events are kept for watches. */
+  constructor (faults: z.input<typeof storeFaults.StoreFaults> = {}, historyLength?: number) {
+    this.core = new storeCore.StoreCore(this.clock, historyLength)
+    this.gateway = new storeGateway.StoreGateway(this.core)
+    this.watches = new storeWatch.StoreWatches(this.core)
     this.faults = new knobs.Knobs(storeFaults.StoreFaults, faults)
     this.faults.addRoutes(this.web, () => this.applyFaults())
     this.web.route('GET', '/_state', exchange => exchange.sendJson(200, this.describe()))
@@ -132,8 +136,7 @@
       return undefined
     }
     const kind = getKind(parsed.data)
-    this.counts.add(kind)
-    this.counts.add(exchange.url.pathname)
+    this.counts.addCall(kind, exchange.url.pathname)
     const { readsPerSecond, writesPerSecond } = this.faults.current
     if (!this.budgets[kind].tryTake(kind === 'read' ? readsPerSecond : writesPerSecond)) {
       this.counts.add('refused')
--- a/standins/store_core.ts
+++ b/standins/store_core.ts
@@ -38,8 +38,7 @@
   readonly events: readonly host.StoreEvent[]
 }
 
-/** Commits kept for watches that start at an earlier revision. */
-const historyLength = 10_000
+const standardHistoryLength = 10_000
 
 export class StoreCore {
   private readonly rows = new Map<string, Row>()
@@ -49,13 +48,20 @@
   private readonly history: Recorded[] = []
   private nextLease = 1
   private currentRevision = 1
+  private lastForgotten = 0
 
-  constructor (private readonly clock: host.Clock) {}
+  /** Events of the last `historyLength` commits are kept for watches that start at an earlier revision. */
+  constructor (private readonly clock: host.Clock, private readonly historyLength = standardHistoryLength) {}
 
   get revision (): number {
     return this.currentRevision
   }
 
+  /** Highest revision whose events are no longer kept; 0 while all are. */
+  get compactedRevision (): number {
+    return this.lastForgotten
+  }
+
   read (key: string): host.StoreEntry | undefined {
     this.expireLeases()
     return this.rows.get(key)
@@ -234,8 +240,8 @@
     }
     this.currentRevision = revision
     this.history.push({ revision, events })
-    if (this.history.length > historyLength) {
-      this.history.shift()
+    if (this.history.length > this.historyLength) {
+      this.lastForgotten = this.history.shift()?.revision ?? this.lastForgotten
     }
     for (const watcher of [...this.watchers]) {
       report(watcher, events)
--- a/standins/store_faults.ts
+++ b/standins/store_faults.ts
@@ -58,14 +58,21 @@
 
   constructor (private readonly clock: host.Clock) {}
 
-  add (kind: string): void {
-    this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1)
+  /** Counts a call under its kind and its path. */
+  addCall (kind: string, path: string): void {
+    this.add(kind)
+    this.add(path)
     const second = Math.floor(this.clock.monotonicMs() / secondMs)
     this.inSecond = second === this.second ? this.inSecond + 1 : 1
     this.second = second
     this.peak = Math.max(this.peak, this.inSecond)
   }
 
+  /** Counts something that became of a call. */
+  add (outcome: string): void {
+    this.counts.set(outcome, (this.counts.get(outcome) ?? 0) + 1)
+  }
+
   describe (): Readonly<Record<string, number>> {
     return { ...Object.fromEntries(this.counts), peakPerSecond: this.peak }
   }
--- a/standins/store_watch.ts
+++ b/standins/store_watch.ts
@@ -21,6 +21,10 @@
   start (exchange: webHosts.Exchange, request: storeMessages.WatchRequest['create_request']): void {
     exchange.response.writeHead(200, { 'content-type': 'application/json' })
     this.send(exchange, { header: storeMessages.createHeader(this.core.revision), created: true })
+    if (request.start_revision > 0 && request.start_revision <= this.core.compactedRevision) {
+      this.cancelCompacted(exchange)
+      return
+    }
     const fromRevision = request.start_revision > 0 ? request.start_revision : this.core.revision + 1
     const stop = this.core.watchSpan(storeGateway.toSpan(request), fromRevision, events => {
       this.send(exchange, { header: storeMessages.createHeader(this.core.revision), events: events.map(toEvent) })
@@ -44,6 +48,14 @@
     this.isSilent = isSilent
   }
 
+  /** Events that the caller asked for are gone, so that it has to read anew. */
+  private cancelCompacted (exchange: webHosts.Exchange): void {
+    const header = storeMessages.createHeader(this.core.revision)
+    const compactRevision = String(this.core.compactedRevision + 1)
+    this.send(exchange, { header, canceled: true, compact_revision: compactRevision })
+    exchange.response.end()
+  }
+
   private send (exchange: webHosts.Exchange, result: object): void {
     if (!this.isSilent) {
       exchange.response.write(`${JSON.stringify({ result })}\n`)
--- a/tests/standins/engine_core.test.ts
+++ b/tests/standins/engine_core.test.ts
@@ -139,6 +139,14 @@
       assert.deepEqual([done, getState().memory.used], [['a', 'b'], 0])
     })
 
+    test.it('count as prefilled as far as they came when they are broken off', async () => {
+      create()
+      const request = submit('a', exporting)
+      await clock.advance(3)
+      core.cancel(request)
+      assert.deepEqual([getState().counts.prefilledTokens, getState().memory.used], [3, 0])
+    })
+
     test.it('are given to the right prompt only, and back to eviction when a transfer breaks off', async () => {
       create({}, { exportTtlMs: 50, linkBytesPerSecond: 1 })
       const request = submit('a', exporting)
--- a/tests/standins/store.test.ts
+++ b/tests/standins/store.test.ts
@@ -1,7 +1,9 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
 import * as undici from 'undici'
+import * as storeFaults from '../../standins/store_faults.js'
 import * as stores from '../../standins/store.js'
+import * as manualClocks from '../support/manual_clock.js'
 import * as clients from '../support/standin_client.js'
 
 function encode (text: string): string {
@@ -12,12 +14,15 @@
   return { request_put: { key: encode(key), value: encode(value), lease } }
 }
 
+/** Commits whose events the stand-in keeps. */
+const historyLength = 3
+
 test.describe('Store stand-in', () => {
   let store: stores.Store
   let url: string
 
   test.beforeEach(async () => {
-    store = new stores.Store()
+    store = new stores.Store({}, historyLength)
     url = `http://127.0.0.1:${await store.listen('127.0.0.1', 0)}`
   })
 
@@ -89,6 +94,16 @@
       assert.deepEqual((await next()).events[0], { type: 'DELETE', kv: { key: encode('w/1'), mod_revision: '4' } })
     })
 
+    test.it('are cancelled when the events they ask for are no longer kept', async () => {
+      for (let count = 0; count <= historyLength; count += 1) {
+        await call('kv/put', { key: encode('w'), value: encode(String(count)) })
+      }
+      const results = openWatch({ key: encode('w'), start_revision: '2' })
+      await results.next()
+      const { canceled, compact_revision: compactRevision } = (await results.next()).value
+      assert.deepEqual([canceled, compactRevision], [true, '3'])
+    })
+
     test.it('close with an outage that closes connections', async () => {
       const results = openWatch({ key: encode('w') })
       await results.next()
@@ -139,4 +154,25 @@
       assert.equal((await call('kv/range', { key: encode('a') })).status, 200)
     })
   })
+  test.describe('CallBudget', () => {
+    test.it('refuses above the rate and earns calls back with time', async () => {
+      const clock = new manualClocks.ManualClock()
+      const budget = new storeFaults.CallBudget(clock)
+      assert.deepEqual([budget.tryTake(2), budget.tryTake(2), budget.tryTake(2)], [true, true, false])
+      await clock.advance(500)
+      assert.deepEqual([budget.tryTake(2), budget.tryTake(2)], [true, false])
+    })
+  })
+
+  test.describe('CallCounts', () => {
+    test.it('remembers the busiest second', async () => {
+      const clock = new manualClocks.ManualClock()
+      const counts = new storeFaults.CallCounts(clock)
+      counts.addCall('read', '/a')
+      counts.addCall('write', '/b')
+      await clock.advance(1000)
+      counts.addCall('read', '/a')
+      assert.deepEqual(counts.describe(), { read: 2, write: 1, '/a': 2, '/b': 1, peakPerSecond: 2 })
+    })
+  })
 })
--- a/tests/tools/fleet.test.ts
+++ b/tests/tools/fleet.test.ts
@@ -7,6 +7,7 @@
 import * as url from 'node:url'
 import * as childRegistry from '../../tools/child_registry.js'
 import * as clients from '../support/standin_client.js'
+import * as configuration from '../../src/contracts/configuration.js'
 import * as fleets from '../../tools/fleet.js'
 import * as fleetPlans from '../../tools/fleet_plan.js'
 
@@ -56,9 +57,13 @@
       assert.notEqual(decode.agentAddress.port, decode.addresses.control.port)
     })
 
-    test.it('describes the servers for the configuration', () => {
-      const section = fleet.listServerSections().get('decode-b-1')
-      assert.deepEqual([section?.role, section?.zone, section?.slots], ['decode', 'b', 3])
+    test.it('describes itself for the configuration', () => {
+      const sections = fleet.listSections()
+      assert.deepEqual([...sections.keys()], [
+        'models/model', 'services/bookings', 'servers/prefill-a-1', 'servers/service-a-1', 'servers/decode-b-1'
+      ])
+      const { role, zone, slots } = sections.get('servers/decode-b-1') as configuration.Server
+      assert.deepEqual([role, zone, slots], ['decode', 'b', 3])
     })
 
     test.it('reads and sets the state of stand-ins, also after a restart', async () => {
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -6,11 +6,11 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as childRegistry from './child_registry.js'
-import * as configuration from '../src/contracts/configuration.js'
 import * as fleetBuilders from './fleet_builder.js'
 import * as fleetNodes from './fleet_nodes.js'
 import * as fleetPlans from './fleet_plan.js'
 import * as fleetProcesses from './fleet_process.js'
+import * as fleetSections from './fleet_sections.js'
 import * as fleetSettings from './fleet_settings.js'
 import * as host from '../src/host/types.js'
 import * as identities from '../src/contracts/identity.js'
@@ -74,9 +74,9 @@
     return getOrThrow(this.servers.find(server => server.vm.name === name), name)
   }
 
-  /** Bodies of the sections `servers/<name>` by name, as they are to be seeded. */
-  listServerSections (): ReadonlyMap<string, configuration.Server> {
-    return new Map(this.servers.map(server => [server.vm.name, server.section]))
+  /** Bodies of the sections for models, services and servers by their names, as they are to be seeded. */
+  listSections (): ReadonlyMap<string, object> {
+    return fleetSections.createSections(this.builder.plan, this.servers)
   }
 
   /** Kills a process and starts it again with the same settings; waits until it listens. */
--- a/tools/fleet_builder.ts
+++ b/tools/fleet_builder.ts
@@ -25,7 +25,7 @@
   private readonly cuts: cuts.Cut[] = []
 
   /** Settings and logs go to the folder. */
-  constructor (private readonly plan: fleetPlans.FleetPlan, private readonly folder: string) {}
+  constructor (readonly plan: fleetPlans.FleetPlan, private readonly folder: string) {}
 
   /** Starts a stand-in and waits until it listens. */
   async startStandin (id: string, kind: StandinKind, host: string, options: object): Promise<fleetNodes.StandinNode> {
