Tests that see link sharing, frozen answers and changed keys

Cause: a trial of seeded mistakes passed the tests in three places: transfers that do not share the link, answers written while frozen, and sorted keys that are not renewed. Change: those tests now look at overlapping transfers, at the answer while frozen and at reads after changes.

--- a/tests/standins/engine.test.ts
+++ b/tests/standins/engine.test.ts
@@ -194,9 +194,14 @@
 
     test.it('freeze answers until they are lifted', async () => {
       const url = await open({}, { freezeAnswers: true })
-      const pending = complete(url, 'f')
+      let isAnswered = false
+      const pending = complete(url, 'f').finally(() => {
+        isAnswered = true
+      })
       const finished = async (): Promise<boolean> => (await getState(url)).requests.f?.finished === 1
       while (!await finished());
+      await getState(url)
+      assert.equal(isAnswered, false)
       await setFaults(url, { freezeAnswers: false })
       assert.equal((await pending).json.choices[0].text, getText('hello world', 5))
     })
--- a/tests/standins/engine_core.test.ts
+++ b/tests/standins/engine_core.test.ts
@@ -126,16 +126,24 @@
 
     test.it('share the link, and are held until the last byte has gone', async () => {
       create({ kvBytesPerToken: 1 }, { exportTtlMs: 1000, linkBytesPerSecond: 1000 })
-      const requests = [submit('a', exporting), submit('b', { ...exporting, prompt: [9, 9, 9, 9] })]
+      const first = submit('a', exporting)
+      const second = submit('b', { ...exporting, prompt: [9, 9, 9, 9] })
       await clock.advance(8)
       const done: string[] = []
-      for (const request of requests) {
+      const take = (request: engineRequests.EngineRequest): void => {
         const block = (request.transferParams as any).remote_block_ids[0]
         core.exports.take(block, request.digest, () => done.push(request.completion.id))
       }
-      await clock.advance(7)
+      take(first)
+      await clock.advance(2)
+      take(second)
+      await clock.advance(3)
       assert.deepEqual([done, getState().memory.used], [[], 2])
       await clock.advance(1)
+      assert.deepEqual([done, getState().memory.used], [['a'], 1])
+      await clock.advance(1)
+      assert.deepEqual([done, getState().memory.used], [['a'], 1])
+      await clock.advance(1)
       assert.deepEqual([done, getState().memory.used], [['a', 'b'], 0])
     })
 
--- a/tests/standins/store.test.ts
+++ b/tests/standins/store.test.ts
@@ -56,6 +56,10 @@
       assert.deepEqual([page.kvs.length, page.more, page.count], [2, true, '3'])
       const rest = (await call('kv/range', { key: encode('p/2\0'), range_end: encode('p0') })).json
       assert.deepEqual([rest.kvs.length, rest.more], [1, undefined])
+      await call('kv/put', { key: encode('p/0'), value: encode('late') })
+      await call('kv/deleterange', { key: encode('p/3') })
+      const changed = (await call('kv/range', { key: encode('p/'), range_end: encode('p0'), keys_only: true })).json
+      assert.deepEqual(changed.kvs.map((kv: { key: string }) => kv.key), ['p/0', 'p/1', 'p/2'].map(encode))
     })
   })
 
