--- /dev/null
+++ b/src/agent/control.ts
@@ -0,0 +1,121 @@
+/**
+ * Controls attempts after their start: cancel, resume, acknowledgement, and the end of a session.
+ */
+import * as attempts from './attempt.js'
+import * as intakes from './intake.js'
+import * as parts from './parts.js'
+import * as runners from './runner.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+export interface ControlParts extends parts.Parts {
+  readonly runner: runners.Runner
+  readonly intake: intakes.Intake
+}
+
+export class Control {
+  constructor (private readonly parts: ControlParts) {}
+
+  cancel (event: types.CallOf<'work.cancel'>): void {
+    const { outbox, table } = this.parts
+    const { call, nowMs, params } = event
+    const key = attempts.createKey(params)
+    const live = table.getLive(key)
+    if (live !== undefined) {
+      outbox.succeed(call, this.cancelLive(live, params.mode, nowMs))
+      return
+    }
+    const ended = table.getEnded(key)
+    if (ended === undefined) {
+      outbox.succeed(call, this.cancelUnknown(params, key, nowMs))
+      return
+    }
+    if (params.mode === 'always') {
+      this.dropTransfer(key, nowMs)
+    }
+    outbox.succeed(call, { verdict: ended.verdict, state: ended.state })
+  }
+
+  /** Answers with the frames from an offset on, and sends the later ones over the session that asks. */
+  resume (event: types.CallOf<'work.resume'>): void {
+    const { outbox, table } = this.parts
+    const { params, session, call } = event
+    const key = attempts.createKey(params)
+    const ended = table.getEnded(key)
+    const attempt = table.getLive(key) ?? ended?.attempt
+    if (attempt === undefined) {
+      outbox.succeed(call, { state: ended?.state ?? 'unknown', frames: [] })
+      return
+    }
+    table.move(attempt, session)
+    outbox.succeed(call, { state: attempt.state, frames: [...attempt.frames.readFrom(params.offset)] })
+  }
+
+  /** Drops the frames of an ended attempt once the last one has arrived. */
+  acknowledge (id: work.AttemptKey, offset: number): void {
+    const { table } = this.parts
+    const ended = table.getEnded(attempts.createKey(id))
+    if (ended?.attempt?.frames.isComplete(offset) === true) {
+      table.settle(ended)
+    }
+  }
+
+  /** Cancels everything that belongs to a session that has gone. */
+  endSession (session: string, nowMs: number): void {
+    const { table, runner } = this.parts
+    for (const attempt of runner.listHolders(session)) {
+      this.cancelLive(attempt, 'always', nowMs)
+    }
+    for (const attempt of table.listSession(session)) {
+      this.cancelLive(attempt, 'always', nowMs)
+      const ended = table.getEnded(attempt.key)
+      if (ended !== undefined) {
+        table.settle(ended)
+      }
+    }
+  }
+
+  private cancelLive (attempt: attempts.Attempt, mode: work.Cancel['mode'], nowMs: number): work.CancelAnswer {
+    const { intake } = this.parts
+    if (attempt.state === 'queued') {
+      intake.withdraw(attempt, intakes.createCancelled(attempt), nowMs)
+      return { verdict: 'not_run', state: 'cancelled' }
+    }
+    if (mode === 'unless_started') {
+      return { verdict: attempt.verdict, state: attempt.state }
+    }
+    if (attempt.state === 'running') {
+      this.stop(attempt, nowMs)
+    }
+    this.dropTransfer(attempt.key, nowMs)
+    return { verdict: attempt.verdict, state: attempt.state }
+  }
+
+  /** Ends a running attempt towards the entry; its slot and memory stay taken until the server confirms. */
+  private stop (attempt: attempts.Attempt, nowMs: number): void {
+    const { table, outbox } = this.parts
+    attempt.state = 'cancelled'
+    outbox.send(attempt, attempt.frames.appendFailed(intakes.createCancelled(attempt)))
+    table.end(attempt, nowMs)
+  }
+
+  /** Orders the server to let go of what it holds of an attempt. */
+  private dropTransfer (key: string, nowMs: number): void {
+    const { runner } = this.parts
+    const holder = runner.getHolder(key)
+    if (holder !== undefined && !holder.isAborting) {
+      runner.abort(holder, nowMs)
+    }
+  }
+
+  private cancelUnknown (params: work.Cancel, key: string, nowMs: number): work.CancelAnswer {
+    const { table, outbox } = this.parts
+    if (!table.hasRoom(nowMs)) {
+      return { verdict: 'may_have_run', state: 'unknown' }
+    }
+    table.bury(key, 'unknown', nowMs)
+    const { request, attempt } = params
+    outbox.add({ kind: 'record', draft: { kind: 'cancel.tombstone', request, attempt } })
+    return { verdict: 'not_run', state: 'unknown' }
+  }
+}
--- /dev/null
+++ b/src/agent/forecast.ts
@@ -0,0 +1,91 @@
+/**
+ * Predicted waits and service times of a server, in milliseconds.
+ */
+import * as attempts from './attempt.js'
+import * as fairQueues from './fair_queue.js'
+import * as outputEstimates from './output_estimate.js'
+import * as paces from './pace.js'
+import * as types from './types.js'
+
+/** Room that comes free when a running attempt ends. */
+export interface Departure {
+  readonly inMs: number
+  readonly pieces: number
+}
+
+/** Room of the server at this moment. */
+export interface Room {
+  readonly slots: number
+  readonly pieces: number
+}
+
+/** Expected time of a call before any was observed. */
+const firstCallMs = 50
+/** Weight of the newest call in the running mean. */
+const newestWeight = 0.05
+
+export class Forecast {
+  private callMs = firstCallMs
+
+  constructor (
+    private readonly estimate: outputEstimates.OutputEstimate,
+    private readonly pace: paces.Pace
+  ) {}
+
+  observeCall (durationMs: number): void {
+    this.callMs += newestWeight * (durationMs - this.callMs)
+  }
+
+  /** Returns the expected time from start to result; `running` counts the attempts working then. */
+  getServiceMs (demand: attempts.Demand, capacity: types.Capacity, running: number, nowMs: number): number {
+    const prefillMs = demand.prefillTokens * 1000 / capacity.prefillTokensPerSecond
+    switch (demand.kind) {
+      case 'prefill':
+        return prefillMs
+      case 'decode':
+        return prefillMs + this.estimate.getMean(demand.model, demand.maximumTokens) * this.pace.getStepMs(running, nowMs)
+      case 'call':
+        return this.callMs
+    }
+  }
+
+  /** Returns the time that a running attempt still needs. With `cautious`, it is rarely exceeded. */
+  getRemainingMs (attempt: attempts.Attempt, capacity: types.Capacity, running: number, nowMs: number, cautious: boolean): number {
+    const { demand } = attempt
+    if (demand.kind !== 'decode') {
+      return Math.max(0, this.getServiceMs(demand, capacity, running, nowMs) - (nowMs - attempt.startedAtMs))
+    }
+    const expected = cautious
+      ? this.estimate.getCautious(demand.model, demand.maximumTokens)
+      : this.estimate.getMean(demand.model, demand.maximumTokens)
+    const bound = attempt.outputTokens < expected ? expected : demand.maximumTokens
+    return Math.max(0, bound - attempt.outputTokens) * this.pace.getStepMs(running, nowMs)
+  }
+}
+
+/**
+ * Predicts when a new task starts if `ahead` is served before it. The departures free room in the order of
+ * their times; what is beyond them follows at the mean service time of a slot.
+ */
+export function predictWaitMs (
+  room: Room, departures: Departure[], ahead: Readonly<fairQueues.Backlog>, pieces: number, meanServiceMs: number, slots: number
+): number {
+  const slotsNeeded = Math.floor(ahead.count) + 1
+  const piecesNeeded = ahead.pieces + pieces
+  let { slots: freeSlots, pieces: freePieces } = room
+  if (freeSlots >= slotsNeeded && freePieces >= piecesNeeded) {
+    return 0
+  }
+  let lastMs = 0
+  departures.sort((one, other) => one.inMs - other.inMs)
+  for (const departure of departures) {
+    freeSlots += 1
+    freePieces += departure.pieces
+    lastMs = departure.inMs
+    if (freeSlots >= slotsNeeded && freePieces >= piecesNeeded) {
+      return lastMs
+    }
+  }
+  const rounds = Math.max(slotsNeeded - freeSlots, pieces === 0 ? 0 : (piecesNeeded - freePieces) / pieces)
+  return lastMs + Math.max(0, rounds) * meanServiceMs / slots
+}
--- /dev/null
+++ b/src/agent/gate.ts
@@ -0,0 +1,280 @@
+/**
+ * The only gate of one backend server: takes typed events and the time, returns typed actions.
+ */
+import * as attempts from './attempt.js'
+import * as controls from './control.js'
+import * as deadlines from './deadlines.js'
+import * as failures from '../contracts/failure.js'
+import * as intakes from './intake.js'
+import * as outboxes from './outbox.js'
+import * as parts from './parts.js'
+import * as prefixIndexes from './prefix_index.js'
+import * as promises from './promises.js'
+import * as runners from './runner.js'
+import * as schedulers from './scheduler.js'
+import * as tables from './attempt_table.js'
+import * as types from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+import * as work from '../contracts/work.js'
+
+/** Pause before an attempt that waits for promised room or for the target pace is looked at again. */
+const recheckMs = 20
+/** When to come back to an agent that can't remember more attempts. */
+const fullRetryMs = 1_000
+
+export class Gate {
+  private readonly outbox = new outboxes.Outbox()
+  private readonly due = new deadlines.Deadlines<parts.Due>()
+  private readonly prefixes = new prefixIndexes.PrefixIndex()
+  private readonly table: tables.AttemptTable
+  private readonly scheduler: schedulers.Scheduler
+  private readonly runner: runners.Runner
+  private readonly intake: intakes.Intake
+  private readonly promises: promises.Promises
+  private readonly control: controls.Control
+  private readonly sessions = new Set<string>()
+  private isDraining = false
+  private isIdleReported = false
+  private recheckAtMs: number | undefined
+
+  constructor (private readonly options: types.GateOptions) {
+    this.table = new tables.AttemptTable(options.retention)
+    this.scheduler = new schedulers.Scheduler(options.capacity)
+    const { outbox, table, due, scheduler, prefixes } = this
+    const shared: parts.Parts = { options, outbox, table, due, scheduler, prefixes }
+    this.runner = new runners.Runner(shared)
+    this.intake = new intakes.Intake(shared)
+    this.promises = new promises.Promises(shared)
+    this.control = new controls.Control({ ...shared, runner: this.runner, intake: this.intake })
+  }
+
+  /** When the next `tick` is useful, in milliseconds; `undefined` if time alone changes nothing. */
+  get nextTickMs (): number | undefined {
+    let next = Number.POSITIVE_INFINITY
+    for (const atMs of [this.due.nextMs, this.table.nextPruneMs, this.recheckAtMs]) {
+      next = Math.min(next, atMs ?? Number.POSITIVE_INFINITY)
+    }
+    return Number.isFinite(next) ? next : undefined
+  }
+
+  /** The server's load at this moment. */
+  get load (): work.Load {
+    return this.scheduler.getLoad(this.isDraining)
+  }
+
+  /** Figures for tests and display. */
+  get figures (): types.GateFigures {
+    return {
+      ...this.scheduler.getLedger(),
+      holders: this.runner.holderCount,
+      reservations: this.promises.count,
+      live: this.table.liveCount,
+      remembered: this.table.endedCount,
+      unsettled: this.table.unsettledCount
+    }
+  }
+
+  /** Returns the tokens served to a workspace, divided by its weight. */
+  getServed (workspace: string): number | undefined {
+    return this.scheduler.getCounter(workspace)
+  }
+
+  /** Decides on one event. */
+  decide (event: types.GateEvent): readonly types.GateAction[] {
+    this.runDue(event.nowMs)
+    this.dispatch(event)
+    if (event.kind !== 'backend.progress' && event.kind !== 'work.acknowledge') {
+      this.runner.startNext(event.nowMs)
+      this.planRecheck(event.nowMs)
+    }
+    this.intake.answerAdmission(event.nowMs)
+    this.reportIdle()
+    return this.outbox.take()
+  }
+
+  private dispatch (event: types.GateEvent): void {
+    switch (event.kind) {
+      case 'work.offer':
+      case 'work.release':
+      case 'work.start':
+      case 'work.cancel':
+      case 'work.resume':
+        return this.takeCall(event)
+      case 'work.acknowledge':
+        return this.control.acknowledge(event.notice, event.notice.offset)
+      case 'backend.progress':
+      case 'backend.finished':
+      case 'backend.failed':
+      case 'backend.released':
+        return this.runner.handle(event)
+      case 'session.opened':
+        this.sessions.add(event.session)
+        return
+      case 'session.expired':
+        return this.endSession(event.session, event.nowMs)
+      case 'cache.changed':
+        return this.prefixes.apply(event.change)
+      case 'configure':
+        return this.scheduler.configure(event.capacity)
+      case 'drain':
+        return this.drain()
+      case 'tick':
+        return
+      default:
+        verdicts.assertNever(event)
+    }
+  }
+
+  private takeCall (event: types.GateCall): void {
+    const obstacle = this.findObstacle(event)
+    if (obstacle !== undefined) {
+      this.refuse(event, obstacle)
+      return
+    }
+    switch (event.kind) {
+      case 'work.offer':
+        return this.offer(event)
+      case 'work.release':
+        this.promises.end(event.params.reservation, 'reservation.lapsed')
+        return this.outbox.succeed(event.call, {})
+      case 'work.start':
+        return this.start(event)
+      case 'work.cancel':
+        return this.control.cancel(event)
+      case 'work.resume':
+        return this.control.resume(event)
+      default:
+        verdicts.assertNever(event)
+    }
+  }
+
+  /** Returns why a call can't be taken at all. */
+  private findObstacle (event: types.GateCall): failures.Failure | undefined {
+    const { boot, server } = this.options
+    if ('boot' in event.params && event.params.boot !== boot) {
+      return failures.createFailure('not_run', 'server_boot_changed', [server])
+    }
+    return this.sessions.has(event.session) ? undefined : failures.createFailure('not_run', 'session_unknown')
+  }
+
+  private refuse (event: types.GateCall, failure: failures.Failure): void {
+    if (event.kind === 'work.start' && failure.code === 'session_unknown' && !this.table.has(attempts.createKey(event.params))) {
+      this.intake.refuse(event, failure)
+      return
+    }
+    this.outbox.fail(event.call, failure)
+  }
+
+  private offer (event: types.CallOf<'work.offer'>): void {
+    if (this.isDraining) {
+      this.outbox.fail(event.call, this.createLeaving())
+      return
+    }
+    const reservation = this.promises.offer(event)
+    if (reservation !== undefined) {
+      this.due.add(reservation.lapsesAtMs, { kind: 'lapse', reservation: reservation.id })
+    }
+  }
+
+  private start (event: types.CallOf<'work.start'>): void {
+    const { params, nowMs, call } = event
+    const repeated = this.findRepeated(params)
+    if (repeated !== undefined) {
+      this.outbox.fail(call, repeated)
+      return
+    }
+    const isPromised = this.promises.use(params)
+    if (this.isDraining && !isPromised) {
+      this.intake.refuse(event, this.createLeaving())
+      return
+    }
+    if (!this.table.hasRoom(nowMs)) {
+      this.intake.refuse(event, failures.createFailure('not_run', 'queue_full', [this.options.server], fullRetryMs))
+      return
+    }
+    this.intake.admit(event, isPromised)
+  }
+
+  /** Returns the refusal of an attempt that was seen or cancelled before, with what is known of it. */
+  private findRepeated (id: work.AttemptKey): failures.Failure | undefined {
+    const key = attempts.createKey(id)
+    if (this.table.getLive(key) !== undefined) {
+      return failures.createFailure('may_have_run', 'attempt_repeated', [id.attempt])
+    }
+    const ended = this.table.getEnded(key)
+    if (ended === undefined) {
+      return undefined
+    }
+    return ended.state === 'unknown'
+      ? failures.createFailure('not_run', 'attempt_cancelled')
+      : failures.createFailure(ended.verdict, 'attempt_repeated', [id.attempt])
+  }
+
+  private endSession (session: string, nowMs: number): void {
+    this.sessions.delete(session)
+    this.promises.releaseSession(session)
+    this.control.endSession(session, nowMs)
+  }
+
+  private drain (): void {
+    if (this.isDraining) {
+      return
+    }
+    this.isDraining = true
+    this.outbox.add({ kind: 'leaving', load: this.load })
+    this.outbox.add({ kind: 'record', draft: { kind: 'process.draining' } })
+  }
+
+  private runDue (nowMs: number): void {
+    for (;;) {
+      const due = this.due.takeDue(nowMs)
+      if (due === undefined) {
+        break
+      }
+      this.run(due, nowMs)
+    }
+    if ((this.table.nextPruneMs ?? Number.POSITIVE_INFINITY) <= nowMs) {
+      this.table.prune(nowMs)
+      this.scheduler.prune()
+    }
+  }
+
+  private run (due: parts.Due, nowMs: number): void {
+    switch (due.kind) {
+      case 'wait':
+        if (due.attempt.state === 'queued') {
+          this.intake.expire(due.attempt, nowMs)
+        }
+        return
+      case 'abort':
+        return this.runner.repeatAbort(due.attempt, nowMs)
+      case 'evict':
+        return this.runner.release(due.attempt)
+      case 'lapse':
+        return this.promises.end(due.reservation, 'reservation.lapsed')
+      default:
+        verdicts.assertNever(due)
+    }
+  }
+
+  /** Plans a second look at an attempt that waits although a slot is free. */
+  private planRecheck (nowMs: number): void {
+    this.recheckAtMs = this.scheduler.isHolding ? nowMs + recheckMs : undefined
+  }
+
+  private reportIdle (): void {
+    if (!this.isDraining || this.isIdleReported || this.hasWork()) {
+      return
+    }
+    this.isIdleReported = true
+    this.outbox.add({ kind: 'idle' })
+  }
+
+  private hasWork (): boolean {
+    return this.table.unsettledCount > 0 || this.runner.holderCount > 0 || this.promises.count > 0
+  }
+
+  private createLeaving (): failures.Failure {
+    return failures.createFailure('not_run', 'server_leaving', [this.options.server])
+  }
+}
--- /dev/null
+++ b/src/agent/outbox.ts
@@ -0,0 +1,43 @@
+/**
+ * Collects the actions of one decision. Answers go first, so that no frame overtakes the answer to its start.
+ */
+import * as attempts from './attempt.js'
+import * as events from '../contracts/events.js'
+import * as failures from '../contracts/failure.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+export class Outbox {
+  private answers: types.GateAction[] = []
+  private others: types.GateAction[] = []
+
+  succeed (call: number, answer: types.CallAnswer): void {
+    this.answers.push({ kind: 'answer', call, result: failures.succeed(answer) })
+  }
+
+  fail (call: number, failure: failures.Failure): void {
+    this.answers.push({ kind: 'answer', call, result: failures.fail(failure) })
+  }
+
+  send (attempt: attempts.Attempt, frame: work.Frame): void {
+    this.others.push({ kind: 'send', session: attempt.session, id: attempt.id, frame })
+  }
+
+  add (action: types.GateAction): void {
+    this.others.push(action)
+  }
+
+  /** Records an event of an attempt for the time line. */
+  record (kind: events.EventKind, attempt: attempts.Attempt, details?: events.EventDraft['details']): void {
+    const { request, attempt: name } = attempt.id
+    this.others.push({ kind: 'record', draft: { kind, request, attempt: name, workspace: attempt.workspace, details } })
+  }
+
+  /** Returns the actions and starts anew. */
+  take (): readonly types.GateAction[] {
+    const actions = this.answers.length === 0 ? this.others : this.answers.concat(this.others)
+    this.answers = []
+    this.others = []
+    return actions
+  }
+}
--- /dev/null
+++ b/src/agent/parts.ts
@@ -0,0 +1,27 @@
+/**
+ * What the modules of a gate share.
+ */
+import * as attempts from './attempt.js'
+import * as deadlines from './deadlines.js'
+import * as outboxes from './outbox.js'
+import * as prefixIndexes from './prefix_index.js'
+import * as schedulers from './scheduler.js'
+import * as tables from './attempt_table.js'
+import * as types from './types.js'
+
+/**
+ * Something that is due at a time: the end of an attempt's wait, the next sending of an abort, the eviction
+ * of a finished prefill, or the end of a reservation.
+ */
+export type Due =
+  | { readonly kind: 'wait' | 'abort' | 'evict', readonly attempt: attempts.Attempt }
+  | { readonly kind: 'lapse', readonly reservation: string }
+
+export interface Parts {
+  readonly options: types.GateOptions
+  readonly outbox: outboxes.Outbox
+  readonly due: deadlines.Deadlines<Due>
+  readonly prefixes: prefixIndexes.PrefixIndex
+  readonly table: tables.AttemptTable
+  readonly scheduler: schedulers.Scheduler
+}
--- /dev/null
+++ b/src/agent/promises.ts
@@ -0,0 +1,105 @@
+/**
+ * Answers offers: predicts waits, and keeps room for tasks that are about to arrive.
+ */
+import * as attempts from './attempt.js'
+import * as events from '../contracts/events.js'
+import * as failures from '../contracts/failure.js'
+import * as parts from './parts.js'
+import * as reservations from './reservations.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+type OfferCall = types.CallOf<'work.offer'>
+
+export class Promises {
+  private lastReservation = 0
+
+  constructor (private readonly parts: parts.Parts) {}
+
+  get count (): number {
+    return this.parts.scheduler.reservations.size
+  }
+
+  /** Answers an offer, and keeps room if it asks for that and the room is expected to be there in time. */
+  offer (event: OfferCall): reservations.Reservation | undefined {
+    const { scheduler, outbox, options, prefixes } = this.parts
+    const { params, nowMs } = event
+    this.releaseRequest(params.request)
+    prefixes.remember(params.request, params.prefixes)
+    const cachedTokens = prefixes.match(params.prefixes) * options.capacity.pieceTokens
+    const demand = attempts.createOfferedDemand(params, cachedTokens)
+    if (!scheduler.couldFit(demand)) {
+      outbox.fail(event.call, failures.createFailure('not_run', 'memory_exhausted', [options.server]))
+      return undefined
+    }
+    const waitNowMs = scheduler.predictWaitMs(demand, params.workspace, 1, nowMs)
+    const waitMs = Math.max(0, waitNowMs - params.expectedInMs)
+    const reservation = this.tryReserve(event, demand, waitMs)
+    outbox.succeed(event.call, {
+      boot: options.boot,
+      waitMs,
+      serviceMs: scheduler.getServiceMs(demand, nowMs),
+      cachedTokens: Math.min(cachedTokens, params.promptTokens),
+      reservation: reservation?.id,
+      load: scheduler.getLoad(false)
+    })
+    return reservation
+  }
+
+  /** Uses the reservation that a start names; returns false if it is not there. */
+  use (start: work.Start): boolean {
+    const { reservations } = this.parts.scheduler
+    if (start.reservation === undefined || reservations.get(start.reservation)?.request !== start.request) {
+      return false
+    }
+    this.end(start.reservation, 'reservation.used')
+    return true
+  }
+
+  /** Gives a reservation up; harmless if it is gone. */
+  end (id: string, kind: 'reservation.used' | 'reservation.lapsed'): void {
+    const reservation = this.parts.scheduler.reservations.remove(id)
+    if (reservation !== undefined) {
+      this.record(kind, reservation)
+    }
+  }
+
+  releaseSession (session: string): void {
+    for (const reservation of this.parts.scheduler.reservations.removeSession(session)) {
+      this.record('reservation.lapsed', reservation)
+    }
+  }
+
+  private tryReserve (event: OfferCall, demand: attempts.Demand, waitMs: number): reservations.Reservation | undefined {
+    const { params, nowMs, session } = event
+    if (params.holdMs === undefined || waitMs > params.holdMs) {
+      return undefined
+    }
+    this.lastReservation += 1
+    const expectedAtMs = nowMs + params.expectedInMs
+    const reservation = {
+      id: `${this.parts.options.boot}.${this.lastReservation}`,
+      request: params.request,
+      workspace: params.workspace,
+      session,
+      pieces: this.parts.scheduler.countPieces(demand),
+      expectedAtMs,
+      lapsesAtMs: expectedAtMs + params.holdMs
+    }
+    this.parts.scheduler.reservations.add(reservation)
+    this.record('reservation.made', reservation)
+    return reservation
+  }
+
+  /** A repeated offer replaces the earlier one, whose answer may have been lost. */
+  private releaseRequest (request: string): void {
+    for (const reservation of this.parts.scheduler.reservations.listRequest(request)) {
+      this.end(reservation.id, 'reservation.lapsed')
+    }
+  }
+
+  private record (kind: events.EventKind, reservation: reservations.Reservation): void {
+    const { request, workspace, id } = reservation
+    this.parts.outbox.add({ kind: 'record', draft: { kind, request, workspace, details: { reservation: id } } })
+  }
+}
--- /dev/null
+++ b/src/agent/runner.ts
@@ -0,0 +1,169 @@
+/**
+ * Runs attempts on the backend server: gives the orders, takes the server's reports, and repeats aborts
+ * until the server has confirmed that it holds nothing any more.
+ */
+import * as attempts from './attempt.js'
+import * as failures from '../contracts/failure.js'
+import * as parts from './parts.js'
+import * as types from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+
+export class Runner {
+  /** Attempts of which the server holds something, by order. */
+  private readonly holders = new Map<number, attempts.Attempt>()
+  private readonly holdersByKey = new Map<string, attempts.Attempt>()
+  private lastOrder = 0
+
+  constructor (private readonly parts: parts.Parts) {}
+
+  get holderCount (): number {
+    return this.holders.size
+  }
+
+  /** Returns the attempt if the server still holds something of it. */
+  getHolder (key: string): attempts.Attempt | undefined {
+    return this.holdersByKey.get(key)
+  }
+
+  /** Returns the attempts of a session of which the server holds something. */
+  listHolders (session: string): readonly attempts.Attempt[] {
+    return [...this.holders.values()].filter(attempt => attempt.session === session)
+  }
+
+  /** Starts as many attempts as the server has room for. */
+  startNext (nowMs: number): void {
+    for (;;) {
+      const attempt = this.parts.scheduler.takeNext(nowMs)
+      if (attempt === undefined) {
+        return
+      }
+      this.launch(attempt, nowMs)
+    }
+  }
+
+  handle (event: types.BackendEvent): void {
+    const attempt = this.holders.get(event.order)
+    if (attempt === undefined) {
+      return
+    }
+    switch (event.kind) {
+      case 'backend.progress':
+        return this.progress(attempt, event.text, event.tokens, event.nowMs)
+      case 'backend.finished':
+        return this.finish(attempt, event.completion, event.nowMs)
+      case 'backend.failed':
+        return this.fail(attempt, event.failure, event.released, event.nowMs)
+      case 'backend.released':
+        return this.confirm(attempt)
+      default:
+        verdicts.assertNever(event)
+    }
+  }
+
+  /** Orders the server to give up an attempt; repeated until it has confirmed. */
+  abort (attempt: attempts.Attempt, nowMs: number): void {
+    const { options, outbox, due } = this.parts
+    attempt.isAborting = true
+    outbox.add({ kind: 'abort', order: attempt.order, fence: options.fence, id: attempt.id })
+    due.add(nowMs + options.abortRetryMs, { kind: 'abort', attempt })
+  }
+
+  /** Sends an abort again unless it has been confirmed. */
+  repeatAbort (attempt: attempts.Attempt, nowMs: number): void {
+    if (this.holders.has(attempt.order)) {
+      this.abort(attempt, nowMs)
+    }
+  }
+
+  /** Frees what an attempt holds, for the server has let it go. */
+  release (attempt: attempts.Attempt): void {
+    if (!this.holders.delete(attempt.order)) {
+      return
+    }
+    this.holdersByKey.delete(attempt.key)
+    this.parts.scheduler.release(attempt)
+  }
+
+  private launch (attempt: attempts.Attempt, nowMs: number): void {
+    const { options, outbox } = this.parts
+    this.lastOrder += 1
+    attempt.order = this.lastOrder
+    attempt.state = 'running'
+    attempt.verdict = 'may_have_run'
+    this.holders.set(attempt.order, attempt)
+    this.holdersByKey.set(attempt.key, attempt)
+    const task = attempt.task as NonNullable<typeof attempt.task>
+    attempt.task = undefined
+    const order = { order: attempt.order, fence: options.fence, id: attempt.id, workspace: attempt.workspace, task }
+    outbox.add({ kind: 'launch', order })
+    outbox.send(attempt, attempt.frames.appendStarted())
+    outbox.record('attempt.started', attempt, { waitedMs: nowMs - attempt.queuedAtMs })
+  }
+
+  private progress (attempt: attempts.Attempt, text: string, tokens: number, nowMs: number): void {
+    this.parts.scheduler.progress(attempt, tokens, nowMs)
+    if (attempt.state !== 'running') {
+      return
+    }
+    attempt.verdict = 'ran'
+    this.parts.outbox.send(attempt, attempt.frames.appendText(text, tokens))
+  }
+
+  private finish (attempt: attempts.Attempt, completion: types.Completion, nowMs: number): void {
+    const { scheduler, options, due, outbox, table, prefixes } = this.parts
+    if (attempt.isServerDone) {
+      return
+    }
+    attempt.isServerDone = true
+    scheduler.releaseSlot(attempt)
+    if (completion.transfer === undefined) {
+      this.release(attempt)
+    } else {
+      due.add(nowMs + options.capacity.transferKeptMs, { kind: 'evict', attempt })
+    }
+    if (attempt.state !== 'running') {
+      return
+    }
+    scheduler.observeEnd(attempt, nowMs)
+    if (attempt.demand.kind === 'prefill') {
+      prefixes.storeRequest(attempt.id.request)
+    }
+    attempt.state = 'finished'
+    attempt.verdict = 'ran'
+    outbox.send(attempt, attempt.frames.appendFinished(completion))
+    outbox.record('attempt.finished', attempt, { reason: completion.reason, outputTokens: attempt.outputTokens })
+    table.end(attempt, nowMs)
+  }
+
+  private fail (attempt: attempts.Attempt, failure: failures.Failure, released: boolean, nowMs: number): void {
+    if (attempt.isServerDone) {
+      return
+    }
+    this.endFailed(attempt, failure, nowMs)
+    if (released) {
+      this.release(attempt)
+      return
+    }
+    if (!attempt.isAborting) {
+      this.abort(attempt, nowMs)
+    }
+  }
+
+  private endFailed (attempt: attempts.Attempt, failure: failures.Failure, nowMs: number): void {
+    const { outbox, table } = this.parts
+    if (attempt.state !== 'running') {
+      return
+    }
+    const verdict = attempt.verdict === 'ran' ? 'ran' : failure.verdict
+    attempt.state = 'finished'
+    attempt.verdict = verdict
+    outbox.send(attempt, attempt.frames.appendFailed(failures.withVerdict(failure, verdict)))
+    outbox.record('attempt.failed', attempt, { code: failure.code, verdict })
+    table.end(attempt, nowMs)
+  }
+
+  private confirm (attempt: attempts.Attempt): void {
+    this.release(attempt)
+    this.parts.outbox.record('cancel.confirmed', attempt)
+  }
+}
--- /dev/null
+++ b/src/agent/types.ts
@@ -0,0 +1,138 @@
+/**
+ * The events that the gate takes and the actions that it returns.
+ */
+import * as events from '../contracts/events.js'
+import * as failures from '../contracts/failure.js'
+import * as protocol from '../contracts/protocol.js'
+import * as work from '../contracts/work.js'
+
+/** What the backend server can carry. */
+export interface Capacity {
+  readonly role: 'prefill' | 'decode' | 'service'
+  /** Requests that the server works on at once. */
+  readonly slots: number
+  /** Pieces of engine memory; 0 for a plain service. */
+  readonly memoryPieces: number
+  readonly pieceTokens: number
+  readonly prefillTokensPerSecond: number
+  /** Time of one decode step before any was observed. */
+  readonly stepMs: number
+  /** Longest acceptable mean time between tokens. */
+  readonly betweenTokensTargetMs: number
+  /** Longest queue, in attempts. */
+  readonly queueLimit: number
+  /** How long the engine keeps the KV cache of a finished prefill. */
+  readonly transferKeptMs: number
+}
+
+/** How long ended attempts are remembered. */
+export interface Retention {
+  /** Ended attempts remembered at most. */
+  readonly attemptsKept: number
+  readonly attemptsKeptMs: number
+  /** Longest delay of a message within its session; ended attempts are always remembered for this long. */
+  readonly lateArrivalMs: number
+}
+
+export interface GateOptions {
+  /** Name of the backend server, for messages. */
+  readonly server: string
+  readonly boot: string
+  /** Fencing number of this boot; sent with every order. */
+  readonly fence: number
+  readonly capacity: Capacity
+  readonly retention: Retention
+  /** Pause before an abort is sent again. */
+  readonly abortRetryMs: number
+}
+
+/** Methods that the gate answers. */
+export type GateMethod = 'work.offer' | 'work.release' | 'work.start' | 'work.cancel' | 'work.resume'
+
+/** A call over a session; `call` comes back in the answer. */
+export type GateCall = {
+  readonly [Method in GateMethod]: {
+    readonly kind: Method
+    readonly nowMs: number
+    readonly call: number
+    readonly session: string
+    readonly params: protocol.Params<Method>
+  }
+}[GateMethod]
+
+export type CallOf<Method extends GateMethod> = Extract<GateCall, { readonly kind: Method }>
+
+/** How an order ended well. */
+export interface Completion {
+  readonly reason: 'stop' | 'length' | 'prefilled' | 'answered'
+  readonly usage?: work.Usage
+  readonly transfer?: work.TransferHandle
+  readonly answer?: work.ServiceAnswer
+}
+
+/** What the backend server reported about an order. */
+export type BackendEvent =
+  | { readonly kind: 'backend.progress', readonly nowMs: number, readonly order: number, readonly text: string, readonly tokens: number }
+  | { readonly kind: 'backend.finished', readonly nowMs: number, readonly order: number, readonly completion: Completion }
+  /** `released` tells whether the server is known to hold nothing of the order any more. */
+  | { readonly kind: 'backend.failed', readonly nowMs: number, readonly order: number, readonly failure: failures.Failure, readonly released: boolean }
+  /** The server confirmed an abort. */
+  | { readonly kind: 'backend.released', readonly nowMs: number, readonly order: number }
+
+export type GateEvent =
+  | GateCall
+  | BackendEvent
+  | { readonly kind: 'work.acknowledge', readonly nowMs: number, readonly notice: protocol.Notice<'work.acknowledge'> }
+  | { readonly kind: 'session.opened', readonly nowMs: number, readonly session: string }
+  | { readonly kind: 'session.expired', readonly nowMs: number, readonly session: string }
+  | { readonly kind: 'cache.changed', readonly nowMs: number, readonly change: CacheChange }
+  | { readonly kind: 'configure', readonly nowMs: number, readonly capacity: Capacity }
+  | { readonly kind: 'drain', readonly nowMs: number }
+  | { readonly kind: 'tick', readonly nowMs: number }
+
+/** Prefixes that entered or left the engine's cache. */
+export interface CacheChange {
+  /** Whether events before these were missed, so that what was known is void. */
+  readonly gap: boolean
+  readonly stored: readonly string[]
+  readonly evicted: readonly string[]
+}
+
+/** An order to the backend server. */
+export interface Order {
+  /** Number of the order within this boot. */
+  readonly order: number
+  readonly fence: number
+  readonly id: work.AttemptKey
+  readonly workspace: string
+  readonly task: work.Task
+}
+
+export type CallAnswer = protocol.Answer<GateMethod>
+
+export type GateAction =
+  | { readonly kind: 'answer', readonly call: number, readonly result: failures.Result<CallAnswer> }
+  | { readonly kind: 'launch', readonly order: Order }
+  | { readonly kind: 'abort', readonly order: number, readonly fence: number, readonly id: work.AttemptKey }
+  | { readonly kind: 'send', readonly session: string, readonly id: work.AttemptKey, readonly frame: work.Frame }
+  | { readonly kind: 'leaving', readonly load: work.Load }
+  /** Nothing runs or waits any more after a drain. */
+  | { readonly kind: 'idle' }
+  | { readonly kind: 'record', readonly draft: events.EventDraft }
+
+/** State of the gate in figures. */
+export interface GateFigures {
+  /** Pieces of memory held, expected to be held, and in all. */
+  readonly held: number
+  readonly expected: number
+  readonly total: number
+  /** Attempts of which the server holds something. */
+  readonly holders: number
+  readonly reservations: number
+  /** Attempts queued and running. */
+  readonly live: number
+  /** Ended attempts and tombstones that are remembered. */
+  readonly remembered: number
+  /** Attempts that are live or whose end was not acknowledged. */
+  readonly unsettled: number
+}
