Add the agent around the gate, with adapters to engines and plain services

Cause: the gate decides, but nothing carried its decisions out.

Change: src/agent/agent.ts binds the links' handlers and observer to the gate and runs its actions; frames of an attempt that are ready in the same turn of the loop go out as one notification, and are held back while a connection is full.

--- /dev/null
+++ b/src/agent/agent.ts
@@ -0,0 +1,262 @@
+/**
+ * The agent beside one backend server: binds the links and the backend to the gate, and runs its actions.
+ */
+import * as agentOptions from './agent_options.js'
+import * as backends from './backend.js'
+import * as documents from '../configuration/document.js'
+import * as engineWatches from './engine_watch.js'
+import * as failures from '../contracts/failure.js'
+import * as frameSenders from './frame_sender.js'
+import * as gates from './gate.js'
+import * as host from '../host/types.js'
+import * as links from '../links/types.js'
+import * as meters from '../metrics/types.js'
+import * as protocol from '../contracts/protocol.js'
+import * as reports from './report.js'
+import * as settings from '../contracts/settings.js'
+import * as timelines from '../timeline/types.js'
+import * as types from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+import * as work from '../contracts/work.js'
+
+export interface AgentContext {
+  readonly system: host.System
+  readonly settings: settings.AgentSettings
+  /** Boot of this process, as in its identity. */
+  readonly boot: string
+  readonly meter: meters.Meter
+  readonly recorder: timelines.Recorder
+  /** The server beside this agent; made from the settings if left out. */
+  readonly backend?: backends.Backend
+}
+
+type Settle = (result: failures.Result<never>) => void
+
+export class Agent extends links.SessionObserver {
+  /** Answers the calls of entries. */
+  readonly handlers: links.Handlers = {
+    'work.offer': (params, session) => this.call('work.offer', params, session),
+    'work.release': (params, session) => this.call('work.release', params, session),
+    'work.start': (params, session) => this.call('work.start', params, session),
+    'work.cancel': (params, session) => this.call('work.cancel', params, session),
+    'work.resume': (params, session) => this.call('work.resume', params, session),
+    'session.heartbeat': async () => failures.succeed({ load: this.gate.load })
+  }
+
+  private readonly gate: gates.Gate
+  private readonly backend: backends.Backend
+  private readonly sender: frameSenders.FrameSender
+  private readonly report: reports.Report
+  private readonly watch: engineWatches.EngineWatch | undefined
+  private readonly fence: number
+  private readonly observer: backends.BackendObserver
+  private readonly sessions = new Map<string, links.Session>()
+  private readonly calls = new Map<number, Settle>()
+  private readonly idleWaiters: (() => void)[] = []
+  private lastCall = 0
+  private stopTick: host.Stop = () => {}
+  private tickAtMs = Number.POSITIVE_INFINITY
+  private isIdle = false
+
+  constructor (private readonly context: AgentContext) {
+    super()
+    const { system, boot, settings: agent } = context
+    const options = agentOptions.createGateOptions(agent, boot, system.clock.wallMs())
+    this.fence = options.fence
+    this.gate = new gates.Gate(options)
+    this.backend = context.backend ?? agentOptions.createBackend(agent, system.clock)
+    this.sender = new frameSenders.FrameSender(system.clock, id => this.sessions.get(id), agent.limits.stalledCallerBytes)
+    this.report = new reports.Report(context.meter, context.recorder)
+    this.observer = new Observer(event => this.decide(event), () => this.nowMs)
+    this.watch = this.createWatch()
+  }
+
+  get load (): work.Load {
+    return this.gate.load
+  }
+
+  /** Figures for the status and for tests. */
+  get figures (): types.GateFigures {
+    return this.gate.figures
+  }
+
+  /** Takes the server over for this boot and begins to follow its reports. */
+  async start (): Promise<void> {
+    await this.watch?.start()
+  }
+
+  /** Takes note of a new version of the configuration. */
+  configure (view: documents.ConfigurationView): void {
+    const { settings: agent } = this.context
+    this.decide({ kind: 'configure', nowMs: this.nowMs, capacity: agentOptions.createCapacity(agent, view) })
+    if (view.getServer(agent.server)?.state === 'leaving') {
+      this.beginDrain()
+    }
+  }
+
+  /** Refuses new work from now on; resolves when the work under way has ended and its frames have arrived. */
+  async drain (): Promise<void> {
+    this.beginDrain()
+    if (this.isIdle) {
+      return
+    }
+    await new Promise<void>(resolve => this.idleWaiters.push(resolve))
+  }
+
+  async close (): Promise<void> {
+    this.stopTick()
+    this.watch?.stop()
+    await this.backend.close()
+  }
+
+  override opened (session: links.Session): void {
+    this.sessions.set(session.id, session)
+    this.decide({ kind: 'session.opened', nowMs: this.nowMs, session: session.id })
+  }
+
+  override expired (session: links.Session): void {
+    this.decide({ kind: 'session.expired', nowMs: this.nowMs, session: session.id })
+    this.sender.flush()
+    this.sessions.delete(session.id)
+  }
+
+  override noticed<Name extends protocol.NotificationName> (
+    _session: links.Session, name: Name, notice: protocol.Notice<Name>
+  ): void {
+    if (name === 'work.acknowledge') {
+      const acknowledgement = notice as protocol.Notice<'work.acknowledge'>
+      this.decide({ kind: 'work.acknowledge', nowMs: this.nowMs, notice: acknowledgement })
+    }
+  }
+
+  private get nowMs (): number {
+    return this.context.system.clock.monotonicMs()
+  }
+
+  private call<Method extends types.GateMethod> (
+    kind: Method, params: protocol.Params<Method>, session: links.Session
+  ): Promise<failures.Result<protocol.Answer<Method>>> {
+    this.lastCall += 1
+    const call = this.lastCall
+    const event = { kind, nowMs: this.nowMs, call, session: session.id, params } as types.GateCall
+    return new Promise(resolve => {
+      this.calls.set(call, resolve)
+      this.decide(event)
+    })
+  }
+
+  private decide (event: types.GateEvent): void {
+    for (const action of this.gate.decide(event)) {
+      this.run(action)
+    }
+    this.planTick()
+  }
+
+  private run (action: types.GateAction): void {
+    switch (action.kind) {
+      case 'answer':
+        return this.answer(action.call, action.result)
+      case 'launch':
+        return this.backend.launch(action.order, this.observer)
+      case 'abort':
+        return this.abort(action)
+      case 'send':
+        return this.sender.add(action.session, action.id, action.frame)
+      case 'leaving':
+        return this.announceLeaving(action.load)
+      case 'idle':
+        return this.reportIdle()
+      case 'record':
+        return this.report.record(action.draft)
+      default:
+        verdicts.assertNever(action)
+    }
+  }
+
+  private answer (call: number, result: failures.Result<types.CallAnswer>): void {
+    const settle = this.calls.get(call)
+    this.calls.delete(call)
+    settle?.(result as failures.Result<never>)
+  }
+
+  private abort (abort: backends.Abort): void {
+    this.backend.abort(abort).then(isReleased => {
+      if (isReleased) {
+        this.decide({ kind: 'backend.released', nowMs: this.nowMs, order: abort.order })
+      }
+    })
+  }
+
+  private beginDrain (): void {
+    this.decide({ kind: 'drain', nowMs: this.nowMs })
+  }
+
+  private announceLeaving (load: work.Load): void {
+    for (const session of this.sessions.values()) {
+      session.notify('server.leaving', { load })
+    }
+  }
+
+  private reportIdle (): void {
+    this.isIdle = true
+    for (const resolve of this.idleWaiters.splice(0)) {
+      resolve()
+    }
+  }
+
+  /** Keeps one timer for the time at which the gate wants to be asked again. */
+  private planTick (): void {
+    const next = this.gate.nextTickMs ?? Number.POSITIVE_INFINITY
+    if (next >= this.tickAtMs || !Number.isFinite(next)) {
+      return
+    }
+    this.stopTick()
+    this.tickAtMs = next
+    this.stopTick = this.context.system.clock.after(Math.max(0, next - this.nowMs), () => {
+      this.tickAtMs = Number.POSITIVE_INFINITY
+      this.decide({ kind: 'tick', nowMs: this.nowMs })
+    })
+  }
+
+  private createWatch (): engineWatches.EngineWatch | undefined {
+    const { backend } = this
+    if (!(backend instanceof backends.Engine)) {
+      return undefined
+    }
+    return new engineWatches.EngineWatch({
+      engine: backend,
+      fence: this.fence,
+      server: this.context.settings.backend,
+      system: this.context.system,
+      meter: this.context.meter,
+      getLoad: () => this.gate.load,
+      cacheChanged: change => this.decide({ kind: 'cache.changed', nowMs: this.nowMs, change })
+    })
+  }
+}
+
+/** Turns the reports of the backend into events of the gate. */
+class Observer extends backends.BackendObserver {
+  constructor (
+    private readonly decide: (event: types.GateEvent) => void,
+    private readonly getNowMs: () => number
+  ) {
+    super()
+  }
+
+  override progress (order: number, text: string, tokens: number): void {
+    this.decide({ kind: 'backend.progress', nowMs: this.getNowMs(), order, text, tokens })
+  }
+
+  override finished (order: number, completion: types.Completion): void {
+    this.decide({ kind: 'backend.finished', nowMs: this.getNowMs(), order, completion })
+  }
+
+  override failed (order: number, failure: failures.Failure, released: boolean): void {
+    this.decide({ kind: 'backend.failed', nowMs: this.getNowMs(), order, failure, released })
+  }
+}
+
+export function createAgent (context: AgentContext): Agent {
+  return new Agent(context)
+}
--- /dev/null
+++ b/src/agent/agent_options.ts
@@ -0,0 +1,73 @@
+/**
+ * Derives the options of a gate and of its backend from the settings and the configuration.
+ */
+import * as backends from './backend.js'
+import * as configuration from '../contracts/configuration.js'
+import * as documents from '../configuration/document.js'
+import * as host from '../host/types.js'
+import * as httpEngines from './http_engine.js'
+import * as httpServices from './http_service.js'
+import * as settings from '../contracts/settings.js'
+import * as types from './types.js'
+
+/** How long an engine keeps the KV cache of a finished prefill, with a margin for its clock. */
+const transferKeptMs = 1_000
+/** Pause before an abort is sent to the backend server again. */
+const abortRetryMs = 250
+/** Silence after which a stream of an engine is given up and resumed. */
+const engineSilenceMs = 5_000
+
+const standardModel = configuration.Model.parse({})
+const standardPolicy = configuration.Policy.parse({})
+
+/** Returns the capacity of a server; without a configuration, with the standard targets and limits. */
+export function createCapacity (agent: settings.AgentSettings, view?: documents.ConfigurationView): types.Capacity {
+  const { backend } = agent
+  return {
+    role: backend.role,
+    slots: backend.slots,
+    memoryPieces: backend.kind === 'engine' ? backend.memoryPieces : 0,
+    pieceTokens: backend.pieceTokens,
+    prefillTokensPerSecond: backend.prefillTokensPerSecond,
+    stepMs: backend.stepMs,
+    betweenTokensTargetMs: getBetweenTokensTarget(backend.models, view),
+    queueLimit: (view?.policy ?? standardPolicy).queueLimit,
+    transferKeptMs
+  }
+}
+
+/** Returns the options of the gate of one boot, which starts at `wallMs` on the wall clock. */
+export function createGateOptions (agent: settings.AgentSettings, boot: string, wallMs: number): types.GateOptions {
+  const { limits, timing } = agent
+  return {
+    server: agent.server,
+    boot,
+    fence: Math.floor(wallMs),
+    capacity: createCapacity(agent),
+    retention: {
+      attemptsKept: limits.attemptsKept,
+      attemptsKeptMs: limits.attemptsKeptMs,
+      lateArrivalMs: timing.sessionLeaseMs + timing.silenceMs + timing.callTimeoutMs
+    },
+    abortRetryMs
+  }
+}
+
+export function createBackend (agent: settings.AgentSettings, clock: host.Clock): backends.Backend {
+  const { backend, timing, limits, server } = agent
+  const common = { server, url: backend.url, connectTimeoutMs: timing.connectTimeoutMs }
+  if (backend.kind === 'service') {
+    return new httpServices.HttpService({ ...common, answerBytes: limits.bodyBytes }, clock)
+  }
+  const options = { ...common, silenceMs: engineSilenceMs, answerTimeoutMs: timing.callTimeoutMs }
+  return new httpEngines.HttpEngine(options, clock)
+}
+
+/** The tightest target of the models that the server serves. */
+function getBetweenTokensTarget (models: readonly string[], view: documents.ConfigurationView | undefined): number {
+  let targetMs = Number.POSITIVE_INFINITY
+  for (const name of models) {
+    targetMs = Math.min(targetMs, view?.getModel(name)?.betweenTokensTargetMs ?? Number.POSITIVE_INFINITY)
+  }
+  return Number.isFinite(targetMs) ? targetMs : standardModel.betweenTokensTargetMs
+}
--- /dev/null
+++ b/src/agent/completion_reader.ts
@@ -0,0 +1,85 @@
+/**
+ * Reads the answer to a completion request, whole or as server-sent events, and joins what arrives together.
+ */
+import * as sse from 'eventsource-parser'
+import * as messages from './completion_messages.js'
+import * as work from '../contracts/work.js'
+
+/** What the engine said in place of an answer. */
+export interface EngineError {
+  readonly code: string
+  readonly message: string
+}
+
+export class CompletionReader {
+  /** Tokens read so far, over all connections. */
+  tokens = 0
+  reason: string | undefined
+  usage: work.Usage | undefined
+  transfer: work.TransferHandle | undefined
+  error: EngineError | undefined
+  /** Whether the answer is complete. */
+  isDone = false
+  private text = ''
+  private newTokens = 0
+  private parser = this.createParser()
+
+  /** `output` receives the text and the number of tokens of each part of the stream that arrived together. */
+  constructor (private readonly output: (text: string, tokens: number) => void) {}
+
+  /** Prepares for a new connection, which goes on where the last one broke. */
+  reset (): void {
+    this.parser = this.createParser()
+  }
+
+  /** Reads a part of a stream of events. */
+  readPart (part: string): void {
+    this.parser.feed(part)
+    if (this.newTokens === 0 && this.text === '') {
+      return
+    }
+    const { text, newTokens } = this
+    this.text = ''
+    this.newTokens = 0
+    this.output(text, newTokens)
+  }
+
+  /** Reads an answer that came as one body. */
+  readWhole (body: string): void {
+    this.readMessage(body)
+    this.isDone = this.error === undefined
+  }
+
+  private createParser (): sse.EventSourceParser {
+    return sse.createParser({ onEvent: event => this.readMessage(event.data) })
+  }
+
+  private readMessage (data: string): void {
+    if (data === '[DONE]') {
+      this.isDone = true
+      return
+    }
+    const parsed = messages.Chunk.safeParse(messages.parseJson(data))
+    if (!parsed.success) {
+      this.error = { code: 'message_invalid', message: 'the answer does not match its schema' }
+      return
+    }
+    this.take(parsed.data)
+  }
+
+  private take (chunk: messages.Chunk): void {
+    if (chunk.error !== undefined) {
+      this.error = { code: String(chunk.error.code ?? ''), message: chunk.error.message }
+      return
+    }
+    const choice = chunk.choices[0]
+    if (choice !== undefined && choice.text !== '') {
+      this.text += choice.text
+      this.newTokens += 1
+      this.tokens += 1
+    }
+    this.reason = choice?.finish_reason ?? this.reason
+    this.usage = messages.readUsage(chunk) ?? this.usage
+    this.transfer = chunk.kv_transfer_params ?? this.transfer
+  }
+}
--- /dev/null
+++ b/src/agent/completion_run.ts
@@ -0,0 +1,184 @@
+/**
+ * One completion on an engine: the request, its stream, and the resumption of a stream that broke.
+ */
+import * as undici from 'undici'
+import * as backends from './backend.js'
+import * as errors from './http_errors.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as messages from './completion_messages.js'
+import * as readers from './completion_reader.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+/** Resumptions in a row without any output. */
+const maximumResumptions = 5
+/** Pause before the first resumption, in milliseconds; doubled for each further one. */
+const firstPauseMs = 50
+/** Characters of an error's body that are read at most. */
+const maximumErrorLength = 65_536
+
+export type CompletionTask = Exclude<work.Task, { readonly kind: 'call' }>
+
+export interface CompletionContext {
+  readonly dispatcher: undici.Dispatcher
+  readonly origin: string
+  readonly server: string
+  readonly clock: host.Clock
+}
+
+type Outcome =
+  | { readonly kind: 'done' }
+  /** The connection broke; `left` tells whether the request may have left this process. */
+  | { readonly kind: 'broken', readonly reason: string, readonly left: boolean }
+  | { readonly kind: 'refused', readonly status: number, readonly error: readers.EngineError }
+
+export class CompletionRun {
+  private readonly reader: readers.CompletionReader
+  private readonly controller = new AbortController()
+  private readonly path: string
+  private isOver = false
+  private isResumed = false
+
+  constructor (
+    private readonly context: CompletionContext,
+    private readonly order: types.Order,
+    private readonly task: CompletionTask,
+    private readonly observer: backends.BackendObserver
+  ) {
+    this.path = `/v1/completions/${messages.createRequestId(order.id)}`
+    this.reader = new readers.CompletionReader((text, tokens) => this.report(text, tokens))
+  }
+
+  /** Whether no request of this run is under way any more. */
+  get hasEnded (): boolean {
+    return this.isOver
+  }
+
+  async run (): Promise<void> {
+    let outcome = await this.open('POST')
+    let failures = 0
+    while (outcome.kind === 'broken' && outcome.left && failures < maximumResumptions && !this.controller.signal.aborted) {
+      await this.context.clock.sleep(firstPauseMs * 2 ** failures)
+      const tokensBefore = this.reader.tokens
+      this.isResumed = true
+      outcome = await this.open('GET')
+      failures = this.reader.tokens > tokensBefore ? 0 : failures + 1
+    }
+    this.isOver = true
+    this.conclude(outcome)
+  }
+
+  /** Gives up the connection. */
+  stop (): void {
+    this.controller.abort()
+  }
+
+  private report (text: string, tokens: number): void {
+    if (this.task.kind === 'decode') {
+      this.observer.progress(this.order.order, text, tokens)
+    }
+  }
+
+  private async open (method: 'POST' | 'GET'): Promise<Outcome> {
+    this.reader.reset()
+    try {
+      const response = await this.context.dispatcher.request(this.createRequest(method))
+      response.body.setEncoding('utf8')
+      if (response.statusCode !== 200) {
+        return { kind: 'refused', status: response.statusCode, error: await readError(response.body) }
+      }
+      const isStream = String(response.headers['content-type']).startsWith('text/event-stream')
+      return await this.read(response.body, isStream)
+    } catch (error) {
+      const left = method === 'GET' || !errors.isConnectError(error)
+      return { kind: 'broken', reason: errors.describeError(error), left }
+    }
+  }
+
+  private createRequest (method: 'POST' | 'GET'): undici.Dispatcher.RequestOptions {
+    const { origin } = this.context
+    const { signal } = this.controller
+    if (method === 'GET') {
+      return { origin, method, path: `${this.path}?offset=${this.reader.tokens}`, signal }
+    }
+    const headers = {
+      'content-type': 'application/json',
+      'x-request-id': messages.createRequestId(this.order.id),
+      'x-fencing-number': String(this.order.fence)
+    }
+    return { origin, method, path: '/v1/completions', headers, body: JSON.stringify(messages.createBody(this.task)), signal }
+  }
+
+  private async read (body: AsyncIterable<string>, isStream: boolean): Promise<Outcome> {
+    let whole = ''
+    for await (const part of body) {
+      if (isStream) {
+        this.reader.readPart(part)
+      } else {
+        whole += part
+      }
+    }
+    if (!isStream) {
+      this.reader.readWhole(whole)
+    }
+    const { error, isDone } = this.reader
+    if (error !== undefined) {
+      return { kind: 'refused', status: 200, error }
+    }
+    return isDone ? { kind: 'done' } : { kind: 'broken', reason: 'the stream ended early', left: true }
+  }
+
+  private conclude (outcome: Outcome): void {
+    const { order } = this.order
+    switch (outcome.kind) {
+      case 'done':
+        return this.observer.finished(order, this.createCompletion())
+      case 'broken':
+        return this.observer.failed(order, this.createBroken(outcome.reason, outcome.left), !outcome.left)
+      case 'refused':
+        return this.observer.failed(order, this.createRefused(outcome.status, outcome.error), isReleasing(outcome.status))
+    }
+  }
+
+  private createCompletion (): types.Completion {
+    const { reason, usage, transfer } = this.reader
+    if (this.task.kind === 'prefill') {
+      return { reason: 'prefilled', usage, transfer }
+    }
+    return { reason: messages.readReason(reason ?? ''), usage }
+  }
+
+  private createBroken (reason: string, left: boolean): failures.Failure {
+    const verdict = this.reader.tokens > 0 ? 'ran' : left ? 'may_have_run' : 'not_run'
+    return failures.createFailure(verdict, 'server_failed', [this.context.server, reason])
+  }
+
+  /** A request that the engine refused at once did not run; one that it lost may have. */
+  private createRefused (status: number, error: readers.EngineError): failures.Failure {
+    const isDecided = !this.isResumed && status >= 400 && status < 500
+    const verdict = this.reader.tokens > 0 ? 'ran' : isDecided ? 'not_run' : 'may_have_run'
+    if (error.code === 'kv_cache_missing') {
+      return failures.createFailure(verdict, 'transfer_failed', [error.message])
+    }
+    return failures.createFailure(verdict, 'server_failed', [this.context.server, error.message])
+  }
+}
+
+/** After a server error, the engine may still hold something of the request. */
+function isReleasing (status: number): boolean {
+  return status < 500
+}
+
+async function readError (body: AsyncIterable<string>): Promise<readers.EngineError> {
+  let text = ''
+  for await (const part of body) {
+    text += part
+    if (text.length > maximumErrorLength) {
+      break
+    }
+  }
+  const reader = new readers.CompletionReader(() => {})
+  reader.readWhole(text)
+  return reader.error ?? { code: '', message: 'the engine gave no reason' }
+}
--- /dev/null
+++ b/src/agent/engine_watch.ts
@@ -0,0 +1,99 @@
+/**
+ * Follows an engine: takes it over for this boot, and reads its load and the changes of its prefix cache.
+ */
+import * as backends from './backend.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as meters from '../metrics/types.js'
+import * as settings from '../contracts/settings.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+/** Period of reading load and cache changes, in milliseconds. */
+const readPeriodMs = 500
+
+export interface EngineWatchContext {
+  readonly engine: backends.Engine
+  /** Fencing number of this boot. */
+  readonly fence: number
+  readonly server: settings.AgentSettings['backend']
+  readonly system: host.System
+  readonly meter: meters.Meter
+  readonly getLoad: () => work.Load
+  readonly cacheChanged: (change: types.CacheChange) => void
+}
+
+export class EngineWatch {
+  private lastChange = 0
+  private isReachable = true
+  private isReading = false
+  private stopReading: host.Stop = () => {}
+
+  constructor (private readonly context: EngineWatchContext) {}
+
+  /** Orders the engine into its role under this boot's fencing number, and begins to read. */
+  async start (): Promise<void> {
+    const { engine, fence, server, system } = this.context
+    if (server.role !== 'service') {
+      const result = await engine.direct({ kind: 'change_role', role: server.role }, fence)
+      result.ifLeft(failure => system.log.warn('the engine did not take an order', { reason: failure.message }))
+    }
+    this.stopReading = system.clock.every(readPeriodMs, () => {
+      this.read()
+    })
+  }
+
+  stop (): void {
+    this.stopReading()
+  }
+
+  private async read (): Promise<void> {
+    if (this.isReading) {
+      return
+    }
+    this.isReading = true
+    const { engine } = this.context
+    const [load, changes] = await Promise.all([engine.readLoad(), engine.readCache(this.lastChange)])
+    this.isReading = false
+    load.ifRight(reported => this.reportLoad(reported))
+    changes.ifRight(report => this.applyChanges(report))
+    this.noteReachable(load)
+  }
+
+  private reportLoad (reported: backends.EngineLoad): void {
+    const { meter, getLoad } = this.context
+    const load = getLoad()
+    meter.gauge('engine_running', {}, reported.running)
+    meter.gauge('engine_waiting', {}, reported.waiting)
+    meter.gauge('engine_memory_ratio', {}, reported.memoryUsage)
+    meter.gauge('agent_running', {}, load.running)
+    meter.gauge('agent_queued', {}, load.queued)
+    meter.gauge('agent_free_pieces', {}, load.freePieces)
+    meter.gauge('agent_promised_pieces', {}, load.promisedPieces)
+  }
+
+  private applyChanges (report: backends.CacheReport): void {
+    if (report.last === this.lastChange) {
+      return
+    }
+    this.lastChange = report.last
+    if (report.hasGap) {
+      this.context.meter.count('engine_cache_gaps_total')
+    }
+    this.context.cacheChanged(report)
+  }
+
+  /** Logs when the engine stops answering, and when it answers again. */
+  private noteReachable (load: failures.Result<backends.EngineLoad>): void {
+    const { log } = this.context.system
+    if (load.isRight() === this.isReachable) {
+      return
+    }
+    this.isReachable = load.isRight()
+    if (this.isReachable) {
+      log.info('the engine answers again')
+      return
+    }
+    load.ifLeft(failure => log.warn('the engine does not answer', { reason: failure.message }))
+  }
+}
--- /dev/null
+++ b/src/agent/frame_sender.ts
@@ -0,0 +1,91 @@
+/**
+ * Sends frames: those of one attempt that become ready in the same turn of the loop go out together.
+ */
+import * as attempts from './attempt.js'
+import * as host from '../host/types.js'
+import * as links from '../links/types.js'
+import * as work from '../contracts/work.js'
+
+/** Pause before a session whose connection is full is tried again, in milliseconds. */
+const retryMs = 20
+
+export class FrameSender {
+  private readonly pending = new Map<string, Map<string, work.Frames>>()
+  private isPlanned = false
+  private isRetryPlanned = false
+
+  /** `bufferLimit` is the number of bytes waiting on a connection above which frames are held back. */
+  constructor (
+    private readonly clock: host.Clock,
+    private readonly findSession: (id: string) => links.Session | undefined,
+    private readonly bufferLimit: number
+  ) {}
+
+  add (session: string, id: work.AttemptKey, frame: work.Frame): void {
+    const batches = this.getBatches(session)
+    const key = attempts.createKey(id)
+    const batch = batches.get(key)
+    if (batch === undefined) {
+      batches.set(key, { ...id, frames: [frame] })
+    } else {
+      batch.frames.push(frame)
+    }
+    this.plan()
+  }
+
+  private getBatches (session: string): Map<string, work.Frames> {
+    let batches = this.pending.get(session)
+    if (batches === undefined) {
+      batches = new Map()
+      this.pending.set(session, batches)
+    }
+    return batches
+  }
+
+  private plan (): void {
+    if (this.isPlanned) {
+      return
+    }
+    this.isPlanned = true
+    setImmediate(() => this.flush())
+  }
+
+  /** Sends what is pending now. */
+  flush (): void {
+    this.isPlanned = false
+    let isHeldBack = false
+    for (const [id, batches] of this.pending) {
+      const session = this.findSession(id)
+      if (session !== undefined && session.bufferedBytes > this.bufferLimit) {
+        isHeldBack = true
+        continue
+      }
+      this.pending.delete(id)
+      this.send(session, batches)
+    }
+    if (isHeldBack) {
+      this.planRetry()
+    }
+  }
+
+  private planRetry (): void {
+    if (this.isRetryPlanned) {
+      return
+    }
+    this.isRetryPlanned = true
+    this.clock.after(retryMs, () => {
+      this.isRetryPlanned = false
+      this.flush()
+    })
+  }
+
+  /** Frames to a session that has gone are dropped; the gate keeps them for a resumption. */
+  private send (session: links.Session | undefined, batches: ReadonlyMap<string, work.Frames>): void {
+    if (session === undefined) {
+      return
+    }
+    for (const batch of batches.values()) {
+      session.notify('work.frames', batch)
+    }
+  }
+}
--- a/src/agent/prefix_index.ts
+++ b/src/agent/prefix_index.ts
@@ -1,6 +1,6 @@
 /**
- * The prompt prefixes that the engine's cache is believed to hold: what the engine reported, corrected by
- * what it was given since.
+ * The prompt prefixes that the engine's cache is believed to hold: what the engine reported, late and with
+ * gaps, corrected by what it was given since.
  */
 import * as types from './types.js'
 
@@ -15,9 +15,6 @@
 
   /** Applies what the engine reported. */
   apply (change: types.CacheChange): void {
-    if (change.gap) {
-      this.stored.clear()
-    }
     for (const prefix of change.evicted) {
       this.stored.delete(prefix)
     }
--- a/src/agent/types.ts
+++ b/src/agent/types.ts
@@ -92,8 +92,6 @@
 
 /** Prefixes that entered or left the engine's cache. */
 export interface CacheChange {
-  /** Whether events before these were missed, so that what was known is void. */
-  readonly gap: boolean
   readonly stored: readonly string[]
   readonly evicted: readonly string[]
 }
