--- /dev/null
+++ b/src/entry/attempts.ts
@@ -0,0 +1,62 @@
+/**
+ * The attempts under way, by identifier: passes frames and changes of links on to them.
+ */
+import * as links from '../links/types.js'
+import * as protocol from '../contracts/protocol.js'
+import * as work from '../contracts/work.js'
+
+/** Takes what concerns one attempt. */
+export abstract class Listener {
+  abstract readonly key: work.AttemptKey
+  abstract readonly link: links.Link
+  abstract take (frames: readonly work.Frame[]): void
+  abstract lost (): void
+  abstract opened (): void
+}
+
+export class Attempts extends links.LinkObserver {
+  private readonly listeners = new Map<string, Listener>()
+
+  get size (): number {
+    return this.listeners.size
+  }
+
+  add (listener: Listener): void {
+    this.listeners.set(listener.key.attempt, listener)
+  }
+
+  remove (listener: Listener): void {
+    this.listeners.delete(listener.key.attempt)
+  }
+
+  override lost (link: links.Link): void {
+    for (const listener of this.listOn(link)) {
+      listener.lost()
+    }
+  }
+
+  override opened (link: links.Link): void {
+    for (const listener of this.listOn(link)) {
+      listener.opened()
+    }
+  }
+
+  /** Drops frames of attempts that are over, of other requests, and from other agents. */
+  override noticed<Name extends protocol.NotificationName> (
+    link: links.Link, name: Name, notice: protocol.Notice<Name>
+  ): void {
+    if (name !== 'work.frames') {
+      return
+    }
+    const batch = notice as work.Frames
+    const listener = this.listeners.get(batch.attempt)
+    if (listener === undefined || listener.key.request !== batch.request || listener.link !== link) {
+      return
+    }
+    listener.take(batch.frames)
+  }
+
+  private listOn (link: links.Link): Listener[] {
+    return [...this.listeners.values()].filter(listener => listener.link === link)
+  }
+}
--- /dev/null
+++ b/src/entry/caller_server.ts
@@ -0,0 +1,58 @@
+/**
+ * The HTTP server for callers: limits that hold before a request reaches its listener.
+ */
+import * as diagnosticTable from '../contracts/diagnostics.js'
+import * as failures from '../contracts/failure.js'
+import * as http from 'node:http'
+import * as replies from './reply.js'
+import * as settings from '../contracts/settings.js'
+import * as stream from 'node:stream'
+
+/** Period in which slow headers are looked for, in milliseconds. */
+const checkPeriodMs = 1000
+
+/** Creates the server, not listening yet. Requests that cannot be parsed get the one shape of errors too. */
+export function createCallerServer (
+  listener: http.RequestListener, limits: settings.Limits, timing: settings.Timing
+): http.Server {
+  const server = http.createServer({
+    maxHeaderSize: limits.headerBytes,
+    headersTimeout: limits.bodyTimeoutMs,
+    requestTimeout: 0,
+    keepAliveTimeout: timing.idleMs,
+    connectionsCheckingInterval: checkPeriodMs,
+    insecureHTTPParser: false
+  }, listener)
+  // Headers beyond the count would be dropped in silence; the listener refuses them.
+  server.maxHeadersCount = 0
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuse(error, socket, limits))
+  return server
+}
+
+function refuse (error: NodeJS.ErrnoException, socket: stream.Duplex, limits: settings.Limits): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const failure = createFailure(error, limits)
+  const { status } = diagnosticTable.diagnostics[failure.code]
+  const body = JSON.stringify(replies.createErrorBody(failure))
+  const head = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'Connection: close'
+  ]
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`, () => socket.destroy())
+}
+
+function createFailure (error: NodeJS.ErrnoException, limits: settings.Limits): failures.Failure {
+  switch (error.code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return failures.createFailure('not_run', 'headers_invalid', [`more than ${limits.headerBytes} bytes`])
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return failures.createFailure('not_run', 'body_too_slow', [limits.bodyTimeoutMs])
+    default:
+      return failures.createFailure('not_run', 'headers_invalid', ['the request cannot be parsed'])
+  }
+}
--- /dev/null
+++ b/src/entry/callers.ts
@@ -0,0 +1,160 @@
+/**
+ * HTTP for callers: checks, limits and routes. Everything that can be refused is refused before it costs.
+ */
+import * as buffer from 'node:buffer'
+import * as authenticators from './authenticator.js'
+import * as bodies from './bodies.js'
+import * as calls from './calls.js'
+import * as completionsApi from './completions_api.js'
+import * as exchanges from './exchanges.js'
+import * as failures from '../contracts/failure.js'
+import * as generations from './generations.js'
+import * as h3 from 'h3/node'
+import * as headerChecks from './headers.js'
+import * as http from 'node:http'
+import * as types from './types.js'
+
+/** What tells whether new requests are taken. */
+export abstract class Gate {
+  /** Returns why no request is taken now, or `undefined`. */
+  abstract check (): failures.Failure | undefined
+  /** Whether connections are closed after their next answer. */
+  abstract readonly isClosing: boolean
+}
+
+type Serve = (exchange: exchanges.Exchange) => Promise<failures.Result<void>>
+
+export class Callers {
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly gate: Gate,
+    private readonly exchanges: exchanges.Exchanges,
+    private readonly authenticator: authenticators.Authenticator,
+    private readonly generations: generations.Generations,
+    private readonly calls: calls.Calls
+  ) {}
+
+  createListener (): http.RequestListener {
+    const app = new h3.H3()
+    app.post('/v1/completions', this.handle(exchange => this.complete('text', exchange)))
+    app.post('/v1/chat/completions', this.handle(exchange => this.complete('chat', exchange)))
+    app.get('/v1/models', this.handle(exchange => this.listModels(exchange)))
+    app.all('/**', this.handle(exchange => this.call(exchange)))
+    return h3.toNodeHandler(app) as http.RequestListener
+  }
+
+  private handle (serve: Serve): h3.EventHandler {
+    return h3.fromNodeHandler((request, response) =>
+      this.run(request as http.IncomingMessage, response as http.ServerResponse, serve))
+  }
+
+  private async run (request: http.IncomingMessage, response: http.ServerResponse, serve: Serve): Promise<void> {
+    const exchange = new exchanges.Exchange(this.surroundings, request, response)
+    exchange.reply.setHeader('x-request-id', exchange.id)
+    const refusal = this.checkStart(request)
+    this.exchanges.add(exchange)
+    if (this.gate.isClosing) {
+      exchange.reply.setHeader('connection', 'close')
+    }
+    const result = refusal === undefined ? await this.tryServe(exchange, serve) : failures.fail<void>(refusal)
+    result.ifLeft(failure => exchange.reply.sendFailure(failure))
+    this.report(exchange, result)
+    this.exchanges.remove(exchange)
+  }
+
+  private async tryServe (exchange: exchanges.Exchange, serve: Serve): Promise<failures.Result<void>> {
+    try {
+      return await serve(exchange)
+    } catch (error) {
+      this.surroundings.system.log.error('request failed by a defect', { request: exchange.id, error: String(error) })
+      return failures.fail(failures.createFailure('may_have_run', 'internal', ['see the log']))
+    }
+  }
+
+  private checkStart (request: http.IncomingMessage): failures.Failure | undefined {
+    const { limits } = this.surroundings
+    return this.gate.check() ?? headerChecks.checkHeaders(request.rawHeaders, limits)
+  }
+
+  private async complete (kind: completionsApi.Kind, exchange: exchanges.Exchange): Promise<failures.Result<void>> {
+    const caller = this.authenticate(exchange)
+    if (caller.isLeft()) {
+      return failures.fail(caller.extract() as failures.Failure)
+    }
+    const body = await this.readBody(exchange)
+    if (body.isLeft()) {
+      return failures.fail(body.extract() as failures.Failure)
+    }
+    const owner = caller.extract() as authenticators.Caller
+    return await this.generations.serve(kind, exchange, owner, body.extract() as buffer.Buffer)
+  }
+
+  private async listModels (exchange: exchanges.Exchange): Promise<failures.Result<void>> {
+    const names = this.authenticate(exchange).map(({ workspace }) => this.generations.listModels(workspace))
+    return names.map(list => exchange.reply.sendJson(200, completionsApi.createModelList(list)))
+  }
+
+  private async call (exchange: exchanges.Exchange): Promise<failures.Result<void>> {
+    const found = this.calls.findRoute(exchange.request)
+    if (found.isLeft()) {
+      return failures.fail(found.extract() as failures.Failure)
+    }
+    const route = found.extract() as calls.Route
+    const refusal = this.authenticateRoute(exchange, route)
+    if (refusal !== undefined) {
+      return failures.fail(refusal)
+    }
+    const body = await this.readBody(exchange)
+    if (body.isLeft()) {
+      return failures.fail(body.extract() as failures.Failure)
+    }
+    return await this.calls.serve(exchange, route, body.extract() as buffer.Buffer)
+  }
+
+  /** A key is not needed on an open route; one that comes all the same must be good. */
+  private authenticateRoute (exchange: exchanges.Exchange, route: calls.Route): failures.Failure | undefined {
+    const caller = this.authenticate(exchange)
+    const failure = caller.isLeft() ? caller.extract() as failures.Failure : undefined
+    if (route.match.route.open && failure?.code === 'key_missing') {
+      return undefined
+    }
+    return failure
+  }
+
+  private authenticate (exchange: exchanges.Exchange): failures.Result<authenticators.Caller> {
+    const caller = this.authenticator.authenticate(exchange.request.rawHeaders)
+    caller.ifRight(owner => {
+      exchange.caller = owner
+      this.surroundings.recorder.record({ kind: 'request.received', request: exchange.id, workspace: owner.workspace })
+    })
+    return caller
+  }
+
+  /** Reads the body; one that contains the caller's key would pass it on to a server. */
+  private async readBody (exchange: exchanges.Exchange): Promise<failures.Result<buffer.Buffer>> {
+    const { limits, system } = this.surroundings
+    const body = await bodies.readBody(exchange.request, limits, system.clock)
+    return body.chain(bytes => exchange.caller?.isKeyIn(bytes) === true
+      ? failures.fail(failures.createFailure('not_run', 'body_invalid', ['it contains the caller\'s key']))
+      : failures.succeed(bytes))
+  }
+
+  private report (exchange: exchanges.Exchange, result: failures.Result<void>): void {
+    const workspace = exchange.caller?.workspace ?? ''
+    const outcome = result.caseOf({ Left: failure => failure.code as string, Right: () => 'answered' })
+    this.surroundings.meter.count('requests_total', { workspace, outcome }, 1)
+    this.surroundings.recorder.record({
+      kind: result.caseOf({ Left: chooseEndKind, Right: () => 'request.finished' as const }),
+      request: exchange.id,
+      workspace,
+      details: { outcome }
+    })
+  }
+}
+
+function chooseEndKind (failure: failures.Failure): 'request.refused' | 'request.abandoned' | 'request.finished' {
+  if (failure.code === 'caller_gone' || failure.code === 'caller_stalled') {
+    return 'request.abandoned'
+  }
+  return failure.verdict === 'not_run' ? 'request.refused' : 'request.finished'
+}
--- /dev/null
+++ b/src/entry/calls.ts
@@ -0,0 +1,142 @@
+/**
+ * Calls of plain services: what may pass to the server, and what comes back.
+ */
+import * as buffer from 'node:buffer'
+import * as claimRules from './claim_rules.js'
+import * as documents from '../configuration/document.js'
+import * as exchanges from './exchanges.js'
+import * as failures from '../contracts/failure.js'
+import * as headerChecks from './headers.js'
+import * as http from 'node:http'
+import * as serviceRuns from './service_run.js'
+import * as work from '../contracts/work.js'
+
+/** A plain service's route that a request has matched. */
+export interface Route {
+  readonly match: documents.RouteMatch
+  readonly method: string
+  /** Path and query. */
+  readonly target: string
+}
+
+/** Paths that a server might read as another path than the entry does. */
+const ambiguousPath = /%2f|%5c|%2e|%00|\\|\/\//i
+
+export class Calls {
+  constructor (private readonly tools: serviceRuns.Tools) {}
+
+  /** Fails with `route_unknown` or `method_not_allowed`. */
+  findRoute (request: http.IncomingMessage): failures.Result<Route> {
+    const method = request.method ?? 'GET'
+    const { pathname, search } = new URL(`http://entry${request.url ?? '/'}`)
+    const match = ambiguousPath.test(pathname) ? undefined : this.tools.surroundings.configuration.matchRoute(pathname)
+    if (match === undefined) {
+      return failures.fail(failures.createFailure('not_run', 'route_unknown', [method, pathname]))
+    }
+    if (!match.route.methods.some(allowed => allowed === method)) {
+      return failures.fail(failures.createFailure('not_run', 'method_not_allowed', [method, pathname]))
+    }
+    return failures.succeed({ match, method, target: pathname + search })
+  }
+
+  /** Makes the call and answers; a failure is left to the caller of this method. */
+  async serve (exchange: exchanges.Exchange, route: Route, body: buffer.Buffer): Promise<failures.Result<void>> {
+    const refusal = this.checkWorkspace(exchange, route) ?? checkKey(exchange, route)
+    if (refusal !== undefined) {
+      return failures.fail(refusal)
+    }
+    const claim = createClaimOrder(exchange, route, body)
+    if (claim.isLeft()) {
+      return failures.fail(claim.extract() as failures.Failure)
+    }
+    const order = this.createOrder(exchange, route, body, claim.extract() as serviceRuns.ClaimOrder | undefined)
+    const result = await this.run(new serviceRuns.ServiceRun(this.tools, order), exchange.signal)
+    return result.map(outcome => sendAnswer(exchange, outcome))
+  }
+
+  private async run (
+    run: serviceRuns.ServiceRun, signal: AbortSignal
+  ): Promise<failures.Result<serviceRuns.Outcome>> {
+    const aborted = new Promise<failures.Result<serviceRuns.Outcome>>(resolve => {
+      const abort = (): void => resolve(failures.fail(run.abort(signal.reason as failures.Failure)))
+      signal.addEventListener('abort', abort, { once: true })
+    })
+    if (signal.aborted) {
+      return failures.fail(failures.withVerdict(signal.reason as failures.Failure, 'not_run'))
+    }
+    return await Promise.race([run.run(), aborted])
+  }
+
+  /** A route open to all is open to every workspace too. */
+  private checkWorkspace (exchange: exchanges.Exchange, { match }: Route): failures.Failure | undefined {
+    const workspace = exchange.caller?.workspace
+    if (match.route.open || workspace === undefined) {
+      return undefined
+    }
+    const allowed = this.tools.surroundings.configuration.getWorkspace(workspace)?.services
+    if (allowed === undefined || allowed.includes(match.service)) {
+      return undefined
+    }
+    return failures.createFailure('not_run', 'workspace_forbidden', [workspace, match.service])
+  }
+
+  private createOrder (
+    exchange: exchanges.Exchange, route: Route, body: buffer.Buffer, claim: serviceRuns.ClaimOrder | undefined
+  ): serviceRuns.Order {
+    const workspace = exchange.caller?.workspace ?? ''
+    const { allowance } = this.tools.surroundings.configuration.getWorkspace(workspace) ?? {}
+    const call: work.ServiceCall = {
+      service: route.match.service,
+      method: route.method,
+      target: route.target,
+      headers: { ...headerChecks.selectForwarded(exchange.request.rawHeaders), 'x-request-id': exchange.id },
+      body: body.toString('base64'),
+      timeoutMs: route.match.timeoutMs
+    }
+    const order = { request: exchange.id, workspace, weight: allowance?.tokensPerSecond ?? 1, match: route.match, call }
+    return claim === undefined ? order : { ...order, claim }
+  }
+}
+
+/** Refuses a call that would show the caller's key to the server by its target or a header. */
+function checkKey (exchange: exchanges.Exchange, route: Route): failures.Failure | undefined {
+  const { caller, request } = exchange
+  const passed = [route.target, ...Object.values(headerChecks.selectForwarded(request.rawHeaders))]
+  const isShown = caller !== undefined && passed.some(text => caller.isKeyIn(text))
+  return isShown
+    ? failures.createFailure('not_run', 'headers_invalid', ['the caller\'s key outside of Authorization'])
+    : undefined
+}
+
+/** Returns the claim of a call with an `Idempotency-Key` on a route that may not be repeated. */
+function createClaimOrder (
+  exchange: exchanges.Exchange, route: Route, body: buffer.Buffer
+): failures.Result<serviceRuns.ClaimOrder | undefined> {
+  const key = exchange.request.headers['idempotency-key']
+  if (typeof key !== 'string' || route.match.route.idempotent) {
+    return failures.succeed(undefined)
+  }
+  if (!claimRules.isAcceptableKey(key)) {
+    const detail = 'it must have 1 to 255 visible ASCII characters'
+    return failures.fail(failures.createFailure('not_run', 'idempotency_key_invalid', [detail]))
+  }
+  const workspace = exchange.caller?.workspace
+  if (workspace === undefined) {
+    const detail = 'it needs a workspace, so the call must carry a key'
+    return failures.fail(failures.createFailure('not_run', 'idempotency_key_invalid', [detail]))
+  }
+  const { match, method, target } = route
+  const type = exchange.request.headers['content-type'] ?? ''
+  return failures.succeed({
+    name: claimRules.createClaimName(workspace, `${match.service}${match.route.prefix}`, key),
+    fingerprint: claimRules.createFingerprint(method, target, type, body)
+  })
+}
+
+function sendAnswer (exchange: exchanges.Exchange, { answer, isReplay }: serviceRuns.Outcome): void {
+  const headers = headerChecks.selectReturned(answer.headers)
+  if (isReplay) {
+    headers['idempotency-replayed'] = 'true'
+  }
+  exchange.reply.send(answer.status, { ...headers, 'x-request-id': exchange.id }, Buffer.from(answer.body, 'base64'))
+}
--- /dev/null
+++ b/src/entry/conductor.ts
@@ -0,0 +1,79 @@
+/**
+ * Carries one generation through: charges the workspace's allowance with a bound, sees the request through its
+ * passage, and settles the charge with what was used, exactly once whatever happens.
+ */
+import * as allowances from '../allowances/types.js'
+import * as diagnosticTable from '../contracts/diagnostics.js'
+import * as failures from '../contracts/failure.js'
+import * as passages from './passage.js'
+import * as types from './types.js'
+
+/** Ends that the caller or the operator brought about; what the engines did until then is charged. */
+const chargedCodes: ReadonlySet<diagnosticTable.DiagnosticCode> = new Set([
+  'caller_gone', 'caller_stalled', 'key_withdrawn', 'request_timeout'
+] as const)
+
+export class Conductor {
+  constructor (private readonly tools: passages.Tools) {}
+
+  /** Serves a generation. The signal's reason must be a `Failure`; it ends the request at once. */
+  async run (job: types.Job, sink: types.Sink, signal: AbortSignal): Promise<failures.Result<types.Completion>> {
+    this.tools.retryBudget.earn()
+    const charged = await raceAbort(this.charge(job), signal)
+    if (charged.isLeft()) {
+      return failures.fail(charged.extract() as failures.Failure)
+    }
+    const grant = charged.extract() as allowances.Grant
+    const passage = new passages.Passage(this.tools, job, sink, signal)
+    const result = await passage.run()
+    grant.settle(getUsedTokens(result, passage, job, sink))
+    return result
+  }
+
+  private async charge (job: types.Job): Promise<failures.Result<allowances.Grant>> {
+    const { allowances: book, configuration, system } = this.tools.surroundings
+    const tokens = job.generation.promptTokens + job.generation.maximumTokens
+    const burst = configuration.getWorkspace(job.workspace)?.allowance.burstTokens ?? 0
+    if (tokens > burst) {
+      return failures.fail(failures.createFailure('not_run', 'request_exceeds_burst', [tokens, job.workspace, burst]))
+    }
+    return await book.charge({ id: system.random.nextId(), workspace: job.workspace, tokens })
+  }
+}
+
+/** Waits for the grant, or the abort: a grant that comes after it is given back. */
+function raceAbort (
+  charged: Promise<failures.Result<allowances.Grant>>, signal: AbortSignal
+): Promise<failures.Result<allowances.Grant>> {
+  return new Promise(resolve => {
+    const abort = (): void => {
+      charged.then(result => result.ifRight(grant => grant.settle(0)))
+      resolve(failures.fail(signal.reason as failures.Failure))
+    }
+    if (signal.aborted) {
+      abort()
+      return
+    }
+    signal.addEventListener('abort', abort, { once: true })
+    charged.then(result => {
+      signal.removeEventListener('abort', abort)
+      resolve(result)
+    })
+  })
+}
+
+/**
+ * Tokens to charge: the engine's count for a whole answer; what was delivered of a broken one; what the engines
+ * did for a caller that left; nothing for a failure of the system without an answer.
+ */
+function getUsedTokens (
+  result: failures.Result<types.Completion>, passage: passages.Passage, job: types.Job, sink: types.Sink
+): number {
+  return result.caseOf({
+    Right: ({ usage }) => usage.promptTokens + usage.outputTokens,
+    Left: failure => {
+      const isCharged = sink.isCommitted || (chargedCodes.has(failure.code) && failure.verdict !== 'not_run')
+      return isCharged ? job.generation.promptTokens + passage.outputTokens : 0
+    }
+  })
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,139 @@
+/**
+ * An entry: takes callers' requests, and shuts down gracefully.
+ */
+import * as attempts from './attempts.js'
+import * as authenticators from './authenticator.js'
+import * as callerServers from './caller_server.js'
+import * as callers from './callers.js'
+import * as calls from './calls.js'
+import * as cancels from './cancels.js'
+import * as claimStores from './claims.js'
+import * as conductors from './conductor.js'
+import * as exchanges from './exchanges.js'
+import * as failures from '../contracts/failure.js'
+import * as generations from './generations.js'
+import * as host from '../host/types.js'
+import * as http from 'node:http'
+import * as inquiries from './inquiries.js'
+import * as offers from './offers.js'
+import * as overload from './overload.js'
+import * as prefixes from './prefixes.js'
+import * as retryBudgets from './retry_budget.js'
+import * as servers from './servers.js'
+import * as serviceRuns from './service_run.js'
+import * as types from './types.js'
+
+/** When to come back to an entry that takes no requests now, in milliseconds. */
+const closedRetryMs = 1000
+
+type State = 'open' | 'unready' | 'closed'
+
+export class Entry extends callers.Gate {
+  /** The server for callers; not listening yet. */
+  readonly server: http.Server
+  readonly listener: http.RequestListener
+  private readonly exchanges: exchanges.Exchanges
+  private readonly stops: host.Stop[] = []
+  private state: State = 'open'
+  private drained: Promise<void> | undefined
+
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly tools: serviceRuns.Tools,
+    hasher: prefixes.Hasher,
+    private readonly overloadSignal: overload.OverloadSignal
+  ) {
+    super()
+    const authenticator = new authenticators.Authenticator(surroundings.configuration)
+    const generator = new generations.Generations(surroundings, new conductors.Conductor(tools), hasher)
+    this.exchanges = new exchanges.Exchanges(surroundings, authenticator)
+    this.listener = new callers.Callers(
+      surroundings, this, this.exchanges, authenticator, generator, new calls.Calls(tools)
+    ).createListener()
+    this.server = callerServers.createCallerServer(this.listener, surroundings.limits, surroundings.timing)
+    this.stops.push(surroundings.links.observe(tools.attempts), surroundings.links.observe(tools.servers))
+  }
+
+  /** Whether the balancer may send requests. */
+  isReady (): boolean {
+    return this.state === 'open' && this.surroundings.configuration.version > 0
+  }
+
+  override get isClosing (): boolean {
+    return this.state !== 'open'
+  }
+
+  override check (): failures.Failure | undefined {
+    if (this.state === 'closed') {
+      return failures.createFailure('not_run', 'shutting_down', [], closedRetryMs)
+    }
+    if (this.surroundings.configuration.version === 0) {
+      return failures.createFailure('not_run', 'not_ready', [], closedRetryMs)
+    }
+    if (this.overloadSignal.isOverloaded(this.exchanges.size)) {
+      return failures.createFailure('not_run', 'entry_overloaded', [], closedRetryMs)
+    }
+    return undefined
+  }
+
+  /** Figures for the status. */
+  getFigures (): Record<string, number> {
+    return {
+      requestsInFlight: this.exchanges.size,
+      attemptsInFlight: this.tools.attempts.size,
+      cancelsUnconfirmed: this.tools.cancels.size,
+      claimsUnsettled: this.tools.claims.size
+    }
+  }
+
+  /**
+   * Shuts down gracefully: reports not ready, serves on while the balancer may not know it, closes idle
+   * connections, and resolves when the last request is answered and its traces are settled.
+   */
+  drain (): Promise<void> {
+    this.drained ??= this.drainOnce()
+    return this.drained
+  }
+
+  private async drainOnce (): Promise<void> {
+    const { clock } = this.surroundings.system
+    const { balancerLagMs, drainTimeoutMs } = this.surroundings.timing
+    this.state = 'unready'
+    this.surroundings.recorder.record({ kind: 'process.draining' })
+    await clock.sleep(balancerLagMs)
+    this.state = 'closed'
+    this.server.close()
+    this.server.closeIdleConnections()
+    await Promise.race([this.finish(), clock.sleep(drainTimeoutMs)])
+    for (const stop of this.stops) {
+      stop()
+    }
+  }
+
+  private async finish (): Promise<void> {
+    await this.exchanges.waitUntilEmpty()
+    await this.tools.claims.waitUntilSettled()
+    await this.tools.cancels.waitUntilConfirmed()
+    this.server.closeIdleConnections()
+  }
+}
+
+/** Creates an entry; `overloadSignal` counts requests in flight if left out. */
+export async function createEntry (
+  surroundings: types.Surroundings,
+  overloadSignal: overload.OverloadSignal = new overload.InFlightSignal(surroundings.limits.requestsInFlight)
+): Promise<Entry> {
+  const known = new servers.Servers(surroundings)
+  const claims = new claimStores.Claims(surroundings)
+  const tools: serviceRuns.Tools = {
+    surroundings,
+    attempts: new attempts.Attempts(),
+    cancels: new cancels.Cancels(surroundings),
+    servers: known,
+    offers: new offers.Offers(surroundings, known),
+    retryBudget: new retryBudgets.RetryBudget(),
+    claims,
+    inquiries: new inquiries.Inquiries(surroundings, claims)
+  }
+  return new Entry(surroundings, tools, await prefixes.createHasher(), overloadSignal)
+}
--- /dev/null
+++ b/src/entry/exchanges.ts
@@ -0,0 +1,114 @@
+/**
+ * The callers' requests in flight: their number is limited, keys withdrawn meanwhile end them, and a graceful
+ * shutdown waits for the last one.
+ */
+import * as authenticators from './authenticator.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as http from 'node:http'
+import * as replies from './reply.js'
+import * as types from './types.js'
+
+/** Period in which requests in flight are checked against changes of the configuration, in milliseconds. */
+const sweepPeriodMs = 500
+
+/** One caller's request and its answer. */
+export class Exchange {
+  readonly id: string
+  readonly receivedAtMs: number
+  readonly reply: replies.Reply
+  caller: authenticators.Caller | undefined
+  private readonly controller = new AbortController()
+  private readonly stopTimer: host.Stop
+
+  constructor (
+    surroundings: types.Surroundings,
+    readonly request: http.IncomingMessage,
+    readonly response: http.ServerResponse
+  ) {
+    const { limits, system } = surroundings
+    const stalled = failures.createFailure('may_have_run', 'caller_stalled', [limits.stalledCallerMs])
+    const late = failures.createFailure('may_have_run', 'request_timeout', [limits.requestTimeoutMs])
+    this.id = system.random.nextId()
+    this.receivedAtMs = system.clock.monotonicMs()
+    this.reply = new replies.Reply(response, limits, system.clock, () => this.abort(stalled))
+    this.stopTimer = system.clock.after(limits.requestTimeoutMs, () => this.abort(late))
+    response.once('close', () => this.leave())
+  }
+
+  /** Aborted, with a `Failure` as its reason, when the request is to end at once. */
+  get signal (): AbortSignal {
+    return this.controller.signal
+  }
+
+  abort (failure: failures.Failure): void {
+    if (!this.controller.signal.aborted) {
+      this.controller.abort(failure)
+    }
+  }
+
+  close (): void {
+    this.stopTimer()
+  }
+
+  private leave (): void {
+    if (!this.response.writableFinished) {
+      this.abort(failures.createFailure('may_have_run', 'caller_gone'))
+    }
+  }
+}
+
+export class Exchanges {
+  private readonly open = new Set<Exchange>()
+  private readonly waiters: (() => void)[] = []
+  private sweptVersion = 0
+
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly authenticator: authenticators.Authenticator
+  ) {
+    surroundings.system.clock.every(sweepPeriodMs, () => this.sweep())
+  }
+
+  get size (): number {
+    return this.open.size
+  }
+
+  add (exchange: Exchange): void {
+    this.open.add(exchange)
+  }
+
+  remove (exchange: Exchange): void {
+    exchange.close()
+    this.open.delete(exchange)
+    if (this.open.size > 0) {
+      return
+    }
+    for (const wake of this.waiters.splice(0)) {
+      wake()
+    }
+  }
+
+  /** Resolves once no request is in flight. */
+  async waitUntilEmpty (): Promise<void> {
+    if (this.open.size > 0) {
+      await new Promise<void>(resolve => this.waiters.push(resolve))
+    }
+  }
+
+  /** Ends the requests whose keys are no longer good. */
+  private sweep (): void {
+    const { version } = this.surroundings.configuration
+    if (version === this.sweptVersion) {
+      return
+    }
+    this.sweptVersion = version
+    for (const exchange of this.open) {
+      const { caller } = exchange
+      const failure = caller && this.authenticator.check(caller.keyHash, caller.workspace)
+      if (failure !== undefined) {
+        exchange.abort(failure)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/inquiries.ts
@@ -0,0 +1,64 @@
+/**
+ * Asks the agent of a claimed call what became of it, once the entry that made the claim is late.
+ */
+import * as claimRules from './claim_rules.js'
+import * as claimStores from './claims.js'
+import * as failures from '../contracts/failure.js'
+import * as links from '../links/types.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+/** When to ask again for a call whose agent cannot be reached, in milliseconds. */
+const unreachableRetryMs = 5000
+
+export class Inquiries {
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly claims: claimStores.Claims
+  ) {}
+
+  /** Returns `ask_agent` when the call has not run and never will, so that the claim may be taken over. */
+  async ask (held: claimStores.Held): Promise<claimRules.Decision> {
+    const server = this.surroundings.configuration.getServer(held.claim.server)
+    if (server === undefined) {
+      return claimRules.refuseUnknown('may_have_run')
+    }
+    const link = this.surroundings.links.get(server.agent)
+    const { request, attempt, boot } = held.claim
+    const cancel: work.Cancel = { request, attempt, boot, mode: 'unless_started' }
+    const answer = await link.call('work.cancel', cancel, this.surroundings.timing.callTimeoutMs)
+    if (answer.isLeft()) {
+      return claimRules.refuseUnknown('may_have_run', unreachableRetryMs)
+    }
+    return await this.judge(held, link, answer.extract() as work.CancelAnswer)
+  }
+
+  private async judge (
+    held: claimStores.Held, link: links.Link, answer: work.CancelAnswer
+  ): Promise<claimRules.Decision> {
+    if (answer.verdict === 'not_run') {
+      return { kind: 'ask_agent' }
+    }
+    if (answer.state === 'running' || answer.state === 'queued') {
+      return claimRules.refuseRunning(0)
+    }
+    return answer.state === 'finished' ? await this.fetchAnswer(held, link) : claimRules.refuseUnknown('may_have_run')
+  }
+
+  private async fetchAnswer (held: claimStores.Held, link: links.Link): Promise<claimRules.Decision> {
+    const { request, attempt, boot } = held.claim
+    const resume = { request, attempt, boot, offset: 0 }
+    const answer = await link.call('work.resume', resume, this.surroundings.timing.callTimeoutMs)
+    const last = answer.caseOf({ Left: () => undefined, Right: ({ frames }) => frames.at(-1) })
+    if (last?.kind !== 'finished' || last.answer === undefined) {
+      return isNotRun(last) ? { kind: 'ask_agent' } : claimRules.refuseUnknown('may_have_run')
+    }
+    this.claims.settle(held, claimRules.recordAnswer(held.claim, last.answer))
+    return { kind: 'replay', answer: last.answer }
+  }
+}
+
+function isNotRun (frame: work.Frame | undefined): boolean {
+  const failure: failures.Failure | undefined = frame?.kind === 'failed' ? frame.failure : undefined
+  return failure?.verdict === 'not_run'
+}
--- /dev/null
+++ b/src/entry/offers.ts
@@ -0,0 +1,163 @@
+/**
+ * Asks two servers at once how soon they could start a task, and takes the better one. The other's answer
+ * still corrects the picture, and the room it may have kept is released.
+ */
+import * as failures from '../contracts/failure.js'
+import * as links from '../links/types.js'
+import * as planner from './planner.js'
+import * as servers from './servers.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+/** A server that has offered to take a task. */
+export interface Offered {
+  readonly name: string
+  readonly candidate: planner.Candidate
+  readonly link: links.Link
+  readonly answer: work.OfferAnswer
+}
+
+/** How long the second answer is waited for once the first is there, in milliseconds. */
+const secondAnswerMs = 20
+
+/** When to come back after no server could be reached, in milliseconds. */
+const noServerRetryMs = 1000
+
+export class Offers {
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly servers: servers.Servers
+  ) {}
+
+  /**
+   * Asks the candidates and returns the best offer; `getCost` ranks the offers, in milliseconds. Fails with
+   * the agents' own refusal, or `no_server`, always `not_run`.
+   */
+  async choose (
+    candidates: readonly planner.Candidate[],
+    offer: work.Offer,
+    getCost: (offered: Offered) => number
+  ): Promise<failures.Result<Offered>> {
+    const round = new Round(this.surroundings, this.servers, offer, getCost)
+    return await round.run(candidates)
+  }
+
+  /** Gives back room that an offer has kept. */
+  release (offered: Offered): void {
+    release(offered, this.surroundings.timing.callTimeoutMs)
+  }
+}
+
+class Round {
+  private readonly offered: Offered[] = []
+  private readonly refusals: failures.Failure[] = []
+  private isOver = false
+  private settle: () => void = () => {}
+  private waiting = 0
+
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly servers: servers.Servers,
+    private readonly offer: work.Offer,
+    private readonly getCost: (offered: Offered) => number
+  ) {}
+
+  async run (candidates: readonly planner.Candidate[]): Promise<failures.Result<Offered>> {
+    this.waiting = candidates.length
+    if (candidates.length > 0) {
+      await new Promise<void>(resolve => {
+        this.settle = resolve
+        for (const candidate of candidates) {
+          this.ask(candidate)
+        }
+      })
+    }
+    this.isOver = true
+    return this.takeBest()
+  }
+
+  private async ask (candidate: planner.Candidate): Promise<void> {
+    const link = this.servers.getLink(candidate.server)
+    const answer = await link.call('work.offer', this.offer, this.surroundings.timing.callTimeoutMs)
+    answer.caseOf({
+      Left: failure => this.refused(candidate, failure),
+      Right: found => this.answered({ name: candidate.name, candidate, link, answer: found })
+    })
+    this.waiting -= 1
+    if (this.waiting === 0) {
+      this.settle()
+    } else if (answer.isRight()) {
+      this.surroundings.system.clock.after(secondAnswerMs, this.settle)
+    }
+  }
+
+  private answered (offered: Offered): void {
+    const { picture } = this.servers
+    const { answer, name } = offered
+    picture.noteLoad(name, answer.load, this.surroundings.system.clock.monotonicMs())
+    picture.noteAnswered(name)
+    if (this.offer.kind === 'prefill') {
+      this.correctPrefixes(name, answer.cachedTokens)
+    }
+    if (this.isOver) {
+      release(offered, this.surroundings.timing.callTimeoutMs)
+      return
+    }
+    this.offered.push(offered)
+  }
+
+  private correctPrefixes (name: string, cachedTokens: number): void {
+    const { prefixes } = this.offer
+    const pieceTokens = this.surroundings.configuration.getModel(this.offer.model)?.pieceTokens ?? 1024
+    this.servers.picture.correctPrefixes(name, prefixes, Math.floor(cachedTokens / pieceTokens))
+  }
+
+  private refused (candidate: planner.Candidate, failure: failures.Failure): void {
+    this.refusals.push(failure)
+    if (failure.code === 'server_leaving') {
+      this.servers.picture.noteLeaving(candidate.name)
+      return
+    }
+    if (failure.verdict !== 'not_run' || failure.code === 'link_lost') {
+      this.servers.picture.noteFailure(candidate.name, this.surroundings.system.clock.monotonicMs())
+    }
+  }
+
+  private takeBest (): failures.Result<Offered> {
+    const [best, ...others] = this.offered.sort((first, second) => this.getCost(first) - this.getCost(second))
+    for (const other of others) {
+      release(other, this.surroundings.timing.callTimeoutMs)
+    }
+    if (best !== undefined) {
+      return failures.succeed(best)
+    }
+    return failures.fail(this.createRefusal())
+  }
+
+  /** Returns the refusal that lets the caller come back soonest. */
+  private createRefusal (): failures.Failure {
+    let soonest: failures.Failure | undefined
+    for (const refusal of this.refusals) {
+      if (refusal.retryAfterMs === undefined) {
+        continue
+      }
+      if (soonest?.retryAfterMs === undefined || refusal.retryAfterMs < soonest.retryAfterMs) {
+        soonest = refusal
+      }
+    }
+    return soonest === undefined
+      ? createNoServer(this.offer.model)
+      : failures.withVerdict(soonest, 'not_run')
+  }
+}
+
+/** No server can take the task; nothing has run. */
+export function createNoServer (subject: string): failures.Failure {
+  return failures.createFailure('not_run', 'no_server', [subject], noServerRetryMs)
+}
+
+function release (offered: Offered, timeoutMs: number): void {
+  if (offered.answer.reservation !== undefined) {
+    offered.link.call('work.release', { reservation: offered.answer.reservation }, timeoutMs)
+  }
+}
--- /dev/null
+++ b/src/entry/pairing.ts
@@ -0,0 +1,189 @@
+/**
+ * Chooses the prefill and the decode server of a request, asking both pools at once: the decode server keeps
+ * room for the instant when the prefill and its transfer are expected to end.
+ */
+import * as failures from '../contracts/failure.js'
+import * as offers from './offers.js'
+import * as pictures from './picture.js'
+import * as planner from './planner.js'
+import * as servers from './servers.js'
+import * as types from './types.js'
+import * as work from '../contracts/work.js'
+
+/** A chosen prefill and a promised decode slot. */
+export interface Pair {
+  readonly prefill: offers.Offered
+  readonly decode: offers.Offered
+  readonly transferMs: number
+}
+
+/** A finished prefill whose KV cache waits in its engine. */
+export interface Source {
+  readonly name: string
+  readonly region: string
+}
+
+/** Shortest time that room is kept beyond the expected instant, in milliseconds. */
+const minimumHoldMs = 500
+
+/** Share of the expected time by which the instant may be missed. */
+const holdShare = 0.5
+
+type Standings = ReadonlyMap<string, pictures.Standing>
+
+export class Pairing {
+  private readonly need: planner.Need
+
+  constructor (
+    private readonly surroundings: types.Surroundings,
+    private readonly servers: servers.Servers,
+    private readonly offers: offers.Offers,
+    private readonly job: types.Job
+  ) {
+    this.need = createNeed(job)
+  }
+
+  /** Chooses both servers, none of them in `avoid`, and admits the request; every failure is `not_run`. */
+  async choosePair (avoid: ReadonlySet<string>): Promise<failures.Result<Pair>> {
+    const standings = this.listStandings('prefill', this.place.region, avoid)
+    const ranked = planner.rankPrefills(this.servers.picture, standings, this.need, this.place)
+    const picked = planner.pickTwo(ranked, this.nextUnit)
+    const best = picked[0]
+    if (best === undefined) {
+      return failures.fail(offers.createNoServer(this.job.generation.model))
+    }
+    const source = standings.get(best.name)
+    const expectedMs = best.waitMs + best.serviceMs
+    const [prefill, decode] = await Promise.all([
+      this.offers.choose(picked, this.createOffer('prefill', 0, undefined), getPrefillCost),
+      this.promise(source, best.server.region, expectedMs, avoid)
+    ])
+    return await this.join(prefill, decode, expectedMs)
+  }
+
+  /** Chooses a decode server for a prefill that has ended. */
+  async chooseDecode (source: Source, avoid: ReadonlySet<string>): Promise<failures.Result<offers.Offered>> {
+    const server = this.surroundings.configuration.getServer(source.name)
+    const standing = server === undefined ? undefined : this.servers.picture.getStanding(source.name, server, this.nowMs)
+    return await this.promise(standing, source.region, 0, avoid)
+  }
+
+  private async join (
+    prefill: failures.Result<offers.Offered>, decode: failures.Result<offers.Offered>, expectedMs: number
+  ): Promise<failures.Result<Pair>> {
+    if (prefill.isLeft()) {
+      decode.ifRight(offered => this.offers.release(offered))
+      return failures.fail(prefill.extract() as failures.Failure)
+    }
+    if (decode.isLeft()) {
+      return failures.fail(decode.extract() as failures.Failure)
+    }
+    const pair = this.createPair(prefill.extract() as offers.Offered, decode.extract() as offers.Offered)
+    const refusal = this.checkAdmission(pair)
+    if (refusal !== undefined) {
+      this.offers.release(pair.decode)
+      return failures.fail(refusal)
+    }
+    return await this.renewPromise(pair, expectedMs)
+  }
+
+  /** Promises the room anew when the prefill's own answer moved its end beyond the time that room is kept. */
+  private async renewPromise (pair: Pair, expectedMs: number): Promise<failures.Result<Pair>> {
+    const { waitMs, serviceMs } = pair.prefill.answer
+    const foundMs = waitMs + serviceMs
+    if (Math.abs(foundMs - expectedMs) <= getHoldMs(expectedMs) / 2) {
+      return failures.succeed(pair)
+    }
+    this.offers.release(pair.decode)
+    const offer = this.createOffer('decode', foundMs + pair.transferMs, getHoldMs(foundMs))
+    const renewed = await this.offers.choose([pair.decode.candidate], offer, getWait)
+    return renewed.map(decode => ({ ...pair, decode }))
+  }
+
+  private async promise (
+    source: pictures.Standing | undefined, region: string, expectedMs: number, avoid: ReadonlySet<string>
+  ): Promise<failures.Result<offers.Offered>> {
+    const standings = this.listStandings('decode', region, avoid)
+    const picked = planner.pickTwo(planner.rankDecodes(standings, this.need, source, this.place), this.nextUnit)
+    const target = standings.get(picked[0]?.name ?? '')
+    if (target === undefined) {
+      return failures.fail(offers.createNoServer(this.job.generation.model))
+    }
+    const transferMs = planner.estimateTransferMs(this.need, source, target)
+    const offer = this.createOffer('decode', expectedMs + transferMs, getHoldMs(expectedMs))
+    return await this.offers.choose(picked, offer, getWait)
+  }
+
+  private createPair (prefill: offers.Offered, decode: offers.Offered): Pair {
+    const source = this.getStanding(prefill)
+    const target = this.getStanding(decode)
+    return { prefill, decode, transferMs: planner.estimateTransferMs(this.need, source, target) }
+  }
+
+  private checkAdmission (pair: Pair): failures.Failure | undefined {
+    const { prefill, decode, transferMs } = pair
+    const unloadedMs = this.need.promptTokens / prefill.candidate.server.prefillTokensPerSecond * 1000 + transferMs
+    return planner.checkAdmission({
+      elapsedMs: this.nowMs - this.job.receivedAtMs,
+      prefillWaitMs: prefill.answer.waitMs,
+      prefillServiceMs: prefill.answer.serviceMs,
+      transferMs,
+      decodeWaitMs: decode.answer.waitMs,
+      stepMs: decode.answer.serviceMs,
+      unloadedMs
+    }, this.job.model.firstTokenTargetMs)
+  }
+
+  private createOffer (kind: 'prefill' | 'decode', expectedInMs: number, holdMs: number | undefined): work.Offer {
+    const offer = {
+      request: this.job.request,
+      workspace: this.job.workspace,
+      kind,
+      model: this.job.generation.model,
+      promptTokens: this.need.promptTokens,
+      maximumTokens: this.need.maximumTokens,
+      prefixes: kind === 'prefill' ? [...this.need.prefixes] : [],
+      expectedInMs
+    }
+    return holdMs === undefined ? offer : { ...offer, holdMs }
+  }
+
+  private listStandings (role: 'prefill' | 'decode', region: string, avoid: ReadonlySet<string>): Standings {
+    return this.servers.listStandings({ role, subject: this.job.generation.model, region }, avoid)
+  }
+
+  private getStanding (offered: offers.Offered): pictures.Standing {
+    return this.servers.picture.getStanding(offered.name, offered.candidate.server, this.nowMs)
+  }
+
+  private readonly nextUnit = (): number => this.surroundings.system.random.nextUnit()
+
+  private get nowMs (): number {
+    return this.surroundings.system.clock.monotonicMs()
+  }
+
+  private get place (): planner.Place {
+    return this.surroundings.identity
+  }
+}
+
+export function createNeed (job: types.Job): planner.Need {
+  return {
+    model: job.model,
+    promptTokens: job.generation.promptTokens,
+    maximumTokens: job.generation.maximumTokens,
+    prefixes: job.prefixes
+  }
+}
+
+function getHoldMs (expectedMs: number): number {
+  return minimumHoldMs + expectedMs * holdShare
+}
+
+function getPrefillCost (offered: offers.Offered): number {
+  return offered.answer.waitMs + offered.answer.serviceMs
+}
+
+function getWait (offered: offers.Offered): number {
+  return offered.answer.waitMs
+}
--- /dev/null
+++ b/src/entry/passage.ts
@@ -0,0 +1,315 @@
+/**
+ * The way of one generation: a prefill, the transfer, a decode, and further attempts where they are allowed.
+ */
+import * as attemptRuns from './attempt.js'
+import * as diagnosticTable from '../contracts/diagnostics.js'
+import * as failures from '../contracts/failure.js'
+import * as offers from './offers.js'
+import * as pairings from './pairing.js'
+import * as planner from './planner.js'
+import * as retryBudgets from './retry_budget.js'
+import * as servers from './servers.js'
+import * as transcripts from './transcript.js'
+import * as types from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+import * as work from '../contracts/work.js'
+
+/** What every passage of an entry shares. */
+export interface Tools extends attemptRuns.Tools {
+  readonly servers: servers.Servers
+  readonly offers: offers.Offers
+  readonly retryBudget: retryBudgets.RetryBudget
+}
+
+interface Prefilled extends pairings.Source {
+  readonly transfer: work.TransferHandle | undefined
+  readonly finishedAtMs: number
+}
+
+/** How long an engine keeps the KV cache of a finished prefill, in milliseconds. */
+const prefillLastsMs = 800
+
+/** Shortest wait that a decode is allowed in its agent's queue, in milliseconds. */
+const minimumDecodeWaitMs = 500
+
+/** Failures after which another server may do better. */
+const retryableCodes: ReadonlySet<diagnosticTable.DiagnosticCode> = new Set([
+  'link_lost', 'link_timeout', 'server_boot_changed', 'server_leaving', 'server_failed', 'transfer_failed',
+  'queue_full', 'memory_exhausted', 'attempt_cancelled', 'shutting_down', 'session_unknown'
+] as const)
+
+export class Passage {
+  private readonly pairing: pairings.Pairing
+  private readonly transcript: transcripts.Transcript
+  private readonly avoided = new Set<string>()
+  private attempt: attemptRuns.Attempt | undefined
+  private prefilled: Prefilled | undefined
+  private promised: offers.Offered | undefined
+  private tries = 0
+  private joinedVerdict: verdicts.Verdict = 'not_run'
+
+  constructor (
+    private readonly tools: Tools,
+    private readonly job: types.Job,
+    private readonly sink: types.Sink,
+    private readonly signal: AbortSignal
+  ) {
+    this.pairing = new pairings.Pairing(tools.surroundings, tools.servers, tools.offers, job)
+    this.transcript = new transcripts.Transcript(sink, job.generation.seed !== undefined)
+  }
+
+  /** Verdict on everything that was tried so far. */
+  get verdict (): verdicts.Verdict {
+    return this.joinedVerdict
+  }
+
+  /** Output tokens that have arrived, of the furthest attempt. */
+  get outputTokens (): number {
+    return this.transcript.tokens
+  }
+
+  /** Runs to the end, unless aborted: then it ends at once with the signal's reason, a `Failure`. */
+  async run (): Promise<failures.Result<types.Completion>> {
+    const aborted = new Promise<failures.Result<types.Completion>>(resolve => {
+      this.signal.addEventListener('abort', () => resolve(this.abort()), { once: true })
+    })
+    if (this.signal.aborted) {
+      return this.abort()
+    }
+    return await Promise.race([this.tryUntilDone(), aborted])
+  }
+
+  private abort (): failures.Result<types.Completion> {
+    const failure = this.signal.reason as failures.Failure
+    this.releasePromise()
+    const current = this.attempt === undefined ? 'not_run' : 'may_have_run'
+    this.attempt?.abandon(failure)
+    return failures.fail(failures.withVerdict(failure, verdicts.joinVerdicts(this.joinedVerdict, current)))
+  }
+
+  private async tryUntilDone (): Promise<failures.Result<types.Completion>> {
+    for (;;) {
+      this.tries += 1
+      const result = await this.tryOnce()
+      if (result.isRight() || this.signal.aborted) {
+        return result
+      }
+      const failure = result.extract() as failures.Failure
+      this.joinedVerdict = verdicts.joinVerdicts(this.joinedVerdict, failure.verdict)
+      if (!this.mayTryAgain(failure)) {
+        return failures.fail(this.createFinalFailure(failure))
+      }
+      this.transcript.restart()
+      this.tools.surroundings.meter.count('retries_total', { reason: failure.code }, 1)
+    }
+  }
+
+  private async tryOnce (): Promise<failures.Result<types.Completion>> {
+    const decode = this.hasUsablePrefill() ? await this.planDecode() : await this.planAndPrefill()
+    if (decode.isLeft()) {
+      return failures.fail(decode.extract() as failures.Failure)
+    }
+    return await this.decode(decode.extract() as offers.Offered)
+  }
+
+  private async planDecode (): Promise<failures.Result<offers.Offered>> {
+    const source = this.prefilled as Prefilled
+    return this.keepPromise(await this.pairing.chooseDecode(source, this.avoided))
+  }
+
+  private async planAndPrefill (): Promise<failures.Result<offers.Offered>> {
+    this.prefilled = undefined
+    const chosen = await this.pairing.choosePair(this.avoided)
+    const promised = this.keepPromise(chosen.map(pair => pair.decode))
+    if (promised.isLeft()) {
+      return promised
+    }
+    const prefill = await this.prefill(chosen.extract() as pairings.Pair)
+    if (prefill.isLeft()) {
+      this.releasePromise()
+      return failures.fail(prefill.extract() as failures.Failure)
+    }
+    return promised
+  }
+
+  /** Notes promised room, to be given back if the request ends before using it. */
+  private keepPromise (chosen: failures.Result<offers.Offered>): failures.Result<offers.Offered> {
+    chosen.ifRight(offered => {
+      this.promised = offered
+      this.record('reservation.made', offered.name)
+    })
+    if (this.signal.aborted) {
+      this.releasePromise()
+      return failures.fail(this.signal.reason as failures.Failure)
+    }
+    return chosen
+  }
+
+  private releasePromise (): void {
+    if (this.promised !== undefined) {
+      this.tools.offers.release(this.promised)
+      this.promised = undefined
+    }
+  }
+
+  private async prefill (pair: pairings.Pair): Promise<failures.Result<Prefilled>> {
+    const { prefill: offered } = pair
+    const { generation } = this.job
+    const burden = { promptTokens: generation.promptTokens, pieces: 0 }
+    const start = this.createStart(offered, { kind: 'prefill', generation }, this.getPrefillWaitMs(pair))
+    const result = await this.runAttempt(offered, start, burden, () => {}, () => {})
+    return result.map(frame => this.notePrefilled(offered, frame))
+  }
+
+  private notePrefilled (offered: offers.Offered, frame: attemptRuns.FinishedFrame): Prefilled {
+    this.joinedVerdict = 'ran'
+    this.tools.servers.picture.notePrefixes(offered.name, this.job.prefixes)
+    this.prefilled = {
+      name: offered.name,
+      region: offered.candidate.server.region,
+      transfer: frame.transfer,
+      finishedAtMs: this.nowMs
+    }
+    return this.prefilled
+  }
+
+  private async decode (offered: offers.Offered): Promise<failures.Result<types.Completion>> {
+    const source = this.prefilled as Prefilled
+    const { generation } = this.job
+    const task: work.Task = source.transfer === undefined
+      ? { kind: 'decode', generation }
+      : { kind: 'decode', generation, transfer: source.transfer }
+    const start = this.createStart(offered, task, this.getDecodeWaitMs(offered))
+    const burden = { promptTokens: 0, pieces: planner.countPieces(pairings.createNeed(this.job)) }
+    const endTransfer = this.startTransfer(source.name, offered.name)
+    this.promised = undefined
+    this.record('reservation.used', offered.name)
+    const result = await this.runAttempt(offered, start, burden, frame => this.takeText(frame), endTransfer)
+    endTransfer()
+    return result.map(frame => this.createCompletion(frame))
+  }
+
+  private async runAttempt (
+    offered: offers.Offered,
+    start: work.Start,
+    burden: { readonly promptTokens: number, readonly pieces: number },
+    onText: (frame: attemptRuns.TextFrame) => void,
+    onStarted: () => void
+  ): Promise<failures.Result<attemptRuns.FinishedFrame>> {
+    if (this.signal.aborted) {
+      return failures.fail(this.signal.reason as failures.Failure)
+    }
+    const { picture } = this.tools.servers
+    const { name: server, link } = offered
+    this.attempt = new attemptRuns.Attempt(this.tools, { server, link, start, isRepeatable: true, onText, onStarted })
+    picture.noteSent(server, burden)
+    const result = await this.attempt.run()
+    picture.noteEnded(server, burden)
+    this.attempt = undefined
+    result.ifLeft(failure => this.noteFailed(server, failure))
+    return result
+  }
+
+  private noteFailed (server: string, failure: failures.Failure): void {
+    this.avoided.add(server)
+    if (failure.code === 'transfer_failed') {
+      this.prefilled = undefined
+    }
+    if (failure.code === 'server_leaving') {
+      this.tools.servers.picture.noteLeaving(server)
+    }
+  }
+
+  private takeText (frame: attemptRuns.TextFrame): void {
+    if (this.signal.aborted) {
+      return
+    }
+    if (!this.transcript.take(frame.text, frame.tokens)) {
+      this.attempt?.abandon(failures.createFailure('ran', 'stream_interrupted', ['a new attempt gave other text']))
+    }
+  }
+
+  private createCompletion (frame: attemptRuns.FinishedFrame): types.Completion {
+    const reason = frame.reason === 'length' ? 'length' : 'stop'
+    const counted = { promptTokens: this.job.generation.promptTokens, outputTokens: this.outputTokens, cachedTokens: 0 }
+    return { reason, usage: frame.usage ?? counted }
+  }
+
+  private createStart (offered: offers.Offered, task: work.Task, maximumWaitMs: number): work.Start {
+    const start = {
+      request: this.job.request,
+      attempt: this.tools.surroundings.system.random.nextId(),
+      boot: offered.answer.boot,
+      workspace: this.job.workspace,
+      weight: this.job.weight,
+      maximumWaitMs,
+      task
+    }
+    const { reservation } = offered.answer
+    return reservation === undefined ? start : { ...start, reservation }
+  }
+
+  private startTransfer (source: string, target: string): () => void {
+    const { picture } = this.tools.servers
+    let isOver = false
+    picture.noteTransfer(source, 1)
+    picture.noteTransfer(target, 1)
+    return () => {
+      if (isOver) {
+        return
+      }
+      isOver = true
+      picture.noteTransfer(source, -1)
+      picture.noteTransfer(target, -1)
+    }
+  }
+
+  private mayTryAgain (failure: failures.Failure): boolean {
+    const { configuration } = this.tools.surroundings
+    if (!isRetryable(failure) || this.tries >= configuration.policy.attemptLimit) {
+      return false
+    }
+    if (this.sink.isCommitted && !this.transcript.isRepeatable) {
+      return false
+    }
+    return this.tools.retryBudget.trySpend()
+  }
+
+  private createFinalFailure (failure: failures.Failure): failures.Failure {
+    if (this.sink.isCommitted) {
+      return failures.createFailure('ran', 'stream_interrupted', [failure.message], failure.retryAfterMs)
+    }
+    return failures.withVerdict(failure, this.joinedVerdict)
+  }
+
+  private hasUsablePrefill (): boolean {
+    return this.prefilled !== undefined && this.nowMs - this.prefilled.finishedAtMs < prefillLastsMs
+  }
+
+  private getPrefillWaitMs (pair: pairings.Pair): number {
+    const { answer, candidate } = pair.prefill
+    const unloadedMs = this.job.generation.promptTokens / candidate.server.prefillTokensPerSecond * 1000 + pair.transferMs
+    const dueMs = planner.getFirstTokenDeadlineMs(this.job.model.firstTokenTargetMs, unloadedMs)
+    const leftMs = dueMs - (this.nowMs - this.job.receivedAtMs) - answer.serviceMs - pair.transferMs
+    return Math.max(answer.waitMs, leftMs)
+  }
+
+  private getDecodeWaitMs (offered: offers.Offered): number {
+    const leftMs = this.job.model.firstTokenTargetMs - (this.nowMs - this.job.receivedAtMs)
+    return Math.max(minimumDecodeWaitMs, offered.answer.waitMs, leftMs)
+  }
+
+  private get nowMs (): number {
+    return this.tools.surroundings.system.clock.monotonicMs()
+  }
+
+  private record (kind: 'reservation.made' | 'reservation.used', server: string): void {
+    const { request, workspace } = this.job
+    this.tools.surroundings.recorder.record({ kind, request, workspace, details: { server } })
+  }
+}
+
+/** Tells whether another server may do better. */
+export function isRetryable (failure: failures.Failure): boolean {
+  return retryableCodes.has(failure.code)
+}
--- /dev/null
+++ b/src/entry/picture.ts
@@ -0,0 +1,189 @@
+/**
+ * The servers as this process knows them: their reported loads, corrected by what it has itself sent since,
+ * and the prefixes their caches are believed to hold.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as work from '../contracts/work.js'
+
+/** What a task adds to a server while it runs. */
+export interface Burden {
+  readonly promptTokens: number
+  readonly pieces: number
+}
+
+/** How a server stands at a moment. */
+export interface Standing {
+  readonly server: configuration.Server
+  readonly isUsable: boolean
+  readonly running: number
+  readonly pendingPromptTokens: number
+  /** Pieces of memory neither used nor promised; may be negative when the entry has sent more than fits. */
+  readonly freePieces: number
+  /** Transfers of KV cache under way on the server's link, as far as this process has started them. */
+  readonly transfers: number
+}
+
+/** How long a server that did not answer is passed over, in milliseconds. */
+const passOverMs = 2000
+
+/** Prefixes remembered for each server. */
+const prefixesKept = 4096
+
+interface Row {
+  load: work.Load | undefined
+  loadAtMs: number
+  /** Corrections since the last load. */
+  sentRequests: number
+  sentPromptTokens: number
+  sentPieces: number
+  transfers: number
+  passedOverUntilMs: number
+  isLeaving: boolean
+  readonly prefixes: Set<string>
+}
+
+export class Picture {
+  private readonly rows = new Map<string, Row>()
+
+  /** Takes a load that the server's agent has reported. Own sends until now are part of it. */
+  noteLoad (server: string, load: work.Load, nowMs: number): void {
+    const row = this.getRow(server)
+    row.load = load
+    row.loadAtMs = nowMs
+    row.sentRequests = 0
+    row.sentPromptTokens = 0
+    row.sentPieces = 0
+    row.isLeaving = load.draining
+  }
+
+  /** The server takes no new work. */
+  noteLeaving (server: string): void {
+    this.getRow(server).isLeaving = true
+  }
+
+  /** The server did not answer. */
+  noteFailure (server: string, nowMs: number): void {
+    this.getRow(server).passedOverUntilMs = nowMs + passOverMs
+  }
+
+  noteAnswered (server: string): void {
+    this.getRow(server).passedOverUntilMs = 0
+  }
+
+  noteSent (server: string, burden: Burden): void {
+    const row = this.getRow(server)
+    row.sentRequests += 1
+    row.sentPromptTokens += burden.promptTokens
+    row.sentPieces += burden.pieces
+  }
+
+  noteEnded (server: string, burden: Burden): void {
+    const row = this.getRow(server)
+    row.sentRequests -= 1
+    row.sentPromptTokens -= burden.promptTokens
+    row.sentPieces -= burden.pieces
+  }
+
+  noteTransfer (server: string, change: 1 | -1): void {
+    const row = this.getRow(server)
+    row.transfers = Math.max(0, row.transfers + change)
+  }
+
+  /** Remembers prefixes that the server's cache holds now; the oldest are forgotten. */
+  notePrefixes (server: string, prefixes: readonly string[]): void {
+    const known = this.getRow(server).prefixes
+    for (const prefix of prefixes) {
+      known.delete(prefix)
+      known.add(prefix)
+    }
+    for (const oldest of known) {
+      if (known.size <= prefixesKept) {
+        return
+      }
+      known.delete(oldest)
+    }
+  }
+
+  /** Corrects the memory by the number of leading prefixes that the server has really found. */
+  correctPrefixes (server: string, prefixes: readonly string[], found: number): void {
+    this.notePrefixes(server, prefixes.slice(0, found))
+    const known = this.getRow(server).prefixes
+    for (const prefix of prefixes.slice(found)) {
+      known.delete(prefix)
+    }
+  }
+
+  /** Counts the leading prefixes believed to be in the server's cache. */
+  countPrefixes (server: string, prefixes: readonly string[]): number {
+    const known = this.rows.get(server)?.prefixes
+    if (known === undefined) {
+      return 0
+    }
+    for (let index = prefixes.length - 1; index >= 0; index -= 1) {
+      if (known.has(prefixes[index] ?? '')) {
+        return index + 1
+      }
+    }
+    return 0
+  }
+
+  getStanding (name: string, server: configuration.Server, nowMs: number): Standing {
+    const row = this.getRow(name)
+    const load = row.load
+    return {
+      server,
+      isUsable: server.state === 'active' && !row.isLeaving && row.passedOverUntilMs <= nowMs,
+      running: Math.max(0, (load?.running ?? 0) + (load?.queued ?? 0) + row.sentRequests),
+      pendingPromptTokens: estimatePending(row, server, nowMs),
+      freePieces: getFreePieces(load, server) - row.sentPieces,
+      transfers: row.transfers
+    }
+  }
+
+  /** Forgets servers that are no longer configured. */
+  retain (names: ReadonlySet<string>): void {
+    for (const name of [...this.rows.keys()]) {
+      if (!names.has(name)) {
+        this.rows.delete(name)
+      }
+    }
+  }
+
+  private getRow (server: string): Row {
+    const known = this.rows.get(server)
+    if (known !== undefined) {
+      return known
+    }
+    const row = createRow()
+    this.rows.set(server, row)
+    return row
+  }
+}
+
+function createRow (): Row {
+  return {
+    load: undefined,
+    loadAtMs: 0,
+    sentRequests: 0,
+    sentPromptTokens: 0,
+    sentPieces: 0,
+    transfers: 0,
+    passedOverUntilMs: 0,
+    isLeaving: false,
+    prefixes: new Set()
+  }
+}
+
+/** Pending tokens of the last report and of own sends, less what the server has worked off since. */
+function estimatePending (row: Row, server: configuration.Server, nowMs: number): number {
+  const workedOff = (nowMs - row.loadAtMs) / 1000 * server.prefillTokensPerSecond
+  const reported = Math.max(0, (row.load?.pendingPromptTokens ?? 0) - workedOff)
+  return Math.max(0, reported + row.sentPromptTokens)
+}
+
+function getFreePieces (load: work.Load | undefined, server: configuration.Server): number {
+  if (load === undefined) {
+    return server.memoryPieces
+  }
+  return load.freePieces - load.promisedPieces
+}
--- /dev/null
+++ b/src/entry/sinks.ts
@@ -0,0 +1,100 @@
+/**
+ * Where the text of a generation goes: into a stream of events, or into one answer.
+ */
+import * as completionsApi from './completions_api.js'
+import * as replies from './reply.js'
+import * as types from './types.js'
+
+/** Text for an answer that is sent whole. */
+export class WholeSink extends types.Sink {
+  private parts: string[] = []
+
+  override get isCommitted (): boolean {
+    return false
+  }
+
+  get text (): string {
+    return this.parts.join('')
+  }
+
+  override write (text: string): void {
+    this.parts.push(text)
+  }
+
+  override reset (): void {
+    this.parts = []
+  }
+}
+
+/** Text that goes to the caller as it comes. The answer's head is sent with the first text. */
+export class StreamSink extends types.Sink {
+  constructor (
+    private readonly reply: replies.Reply,
+    private readonly writer: completionsApi.Writer,
+    private readonly demand: completionsApi.Demand
+  ) {
+    super()
+  }
+
+  override get isCommitted (): boolean {
+    return this.reply.isSent
+  }
+
+  override write (text: string): void {
+    this.open()
+    this.reply.writeEvent(this.writer.formatText(text))
+  }
+
+  override reset (): void {}
+
+  /** Ends the stream after a whole answer. */
+  finish (completion: types.Completion): void {
+    this.open()
+    this.reply.writeEvent(this.writer.formatEnd(completion.reason))
+    if (this.demand.includesUsage) {
+      this.reply.writeEvent(this.writer.formatUsage(completion.usage))
+    }
+    this.reply.writeEvent('[DONE]')
+    this.reply.endStream()
+  }
+
+  private open (): void {
+    if (this.reply.isSent) {
+      return
+    }
+    this.reply.openStream()
+    if (this.demand.kind === 'chat') {
+      this.reply.writeEvent(this.writer.formatRole())
+    }
+  }
+}
+
+/** Passes text on and reports when it came. */
+export class TimedSink extends types.Sink {
+  private lastAtMs: number | undefined
+
+  /** `took` gets the time since the request's arrival for the first text, since the last text for others. */
+  constructor (
+    private readonly inner: types.Sink,
+    private readonly receivedAtMs: number,
+    private readonly getNowMs: () => number,
+    private readonly took: (isFirst: boolean, elapsedMs: number) => void
+  ) {
+    super()
+  }
+
+  override get isCommitted (): boolean {
+    return this.inner.isCommitted
+  }
+
+  override write (text: string): void {
+    const nowMs = this.getNowMs()
+    this.took(this.lastAtMs === undefined, nowMs - (this.lastAtMs ?? this.receivedAtMs))
+    this.lastAtMs = nowMs
+    this.inner.write(text)
+  }
+
+  override reset (): void {
+    this.inner.reset()
+  }
+}
--- /dev/null
+++ b/src/entry/types.ts
@@ -0,0 +1,58 @@
+/**
+ * What the parts of an entry share: its surroundings, one request's work, and where the answer goes.
+ */
+import * as allowances from '../allowances/types.js'
+import * as configuration from '../contracts/configuration.js'
+import * as documents from '../configuration/document.js'
+import * as host from '../host/types.js'
+import * as identities from '../contracts/identity.js'
+import * as links from '../links/types.js'
+import * as metrics from '../metrics/types.js'
+import * as settings from '../contracts/settings.js'
+import * as timeline from '../timeline/types.js'
+import * as work from '../contracts/work.js'
+
+/** What an entry is given at its start. */
+export interface Surroundings {
+  readonly identity: identities.Identity
+  readonly system: host.System
+  readonly configuration: documents.ConfigurationView
+  readonly links: links.LinkPool
+  readonly allowances: allowances.Allowances
+  readonly store: host.Store
+  /** Prefix of all keys in the store; ends in a slash. */
+  readonly storePrefix: string
+  readonly limits: settings.Limits
+  readonly timing: settings.Timing
+  readonly meter: metrics.Meter
+  readonly recorder: timeline.Recorder
+}
+
+/** A generation to be served. */
+export interface Job {
+  readonly request: string
+  readonly workspace: string
+  /** Weight in the fair order. */
+  readonly weight: number
+  readonly model: configuration.Model
+  readonly generation: work.Generation
+  /** Hashes of the prompt's prefixes, one for each whole piece, shortest first. */
+  readonly prefixes: readonly string[]
+  /** Monotonic time of the request's arrival, in milliseconds. */
+  readonly receivedAtMs: number
+}
+
+/** A finished generation. */
+export interface Completion {
+  readonly reason: 'stop' | 'length'
+  readonly usage: work.Usage
+}
+
+/** Takes the text of a generation. */
+export abstract class Sink {
+  /** Whether text has reached the caller, so that it cannot be taken back. */
+  abstract readonly isCommitted: boolean
+  abstract write (text: string): void
+  /** Forgets text that has not reached the caller; a new attempt starts from the beginning. */
+  abstract reset (): void
+}
