--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -47,6 +47,7 @@
   private promised: offers.Offered | undefined
   private tries = 0
   private joinedVerdict: verdicts.Verdict = 'not_run'
+  private lastFailure: failures.Failure | undefined
 
   constructor (
     private readonly tools: Tools,
@@ -97,8 +98,9 @@
       const failure = result.extract() as failures.Failure
       this.joinedVerdict = verdicts.joinVerdicts(this.joinedVerdict, failure.verdict)
       if (!this.mayTryAgain(failure)) {
-        return failures.fail(this.createFinalFailure(failure))
+        return failures.fail(this.createFinalFailure(chooseCause(this.lastFailure, failure)))
       }
+      this.lastFailure = failure
       this.transcript.restart()
       this.tools.surroundings.meter.count('retries_total', { reason: failure.code }, 1)
     }
@@ -309,6 +311,11 @@
   }
 }
 
+/** Returns the failure to tell: that no server is left says less than why the last one failed. */
+export function chooseCause (last: failures.Failure | undefined, failure: failures.Failure): failures.Failure {
+  return last !== undefined && failure.code === 'no_server' ? last : failure
+}
+
 /** Tells whether another server may do better. */
 export function isRetryable (failure: failures.Failure): boolean {
   return retryableCodes.has(failure.code)
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -31,21 +31,13 @@
     return this.surroundings.links.get(server.agent)
   }
 
-  /** Returns the usable servers for a purpose; those of the own region only, where there are any. */
-  listStandings (purpose: Purpose, except: ReadonlySet<string>): Map<string, pictures.Standing> {
-    const near = new Map<string, pictures.Standing>()
-    const far = new Map<string, pictures.Standing>()
-    const nowMs = this.surroundings.system.clock.monotonicMs()
-    for (const [name, server] of this.surroundings.configuration.listServers()) {
-      if (except.has(name) || !isFor(server, purpose)) {
-        continue
-      }
-      const standing = this.picture.getStanding(name, server, nowMs)
-      if (standing.isUsable) {
-        (server.region === purpose.region ? near : far).set(name, standing)
-      }
-    }
-    return near.size > 0 ? near : far
+  /**
+   * Returns the usable servers for a purpose; those of the own region only, where there are any. Servers to
+   * avoid come in only where there is no other.
+   */
+  listStandings (purpose: Purpose, avoid: ReadonlySet<string>): ReadonlyMap<string, pictures.Standing> {
+    const others = this.listUsable(purpose, avoid)
+    return others.size > 0 || avoid.size === 0 ? others : this.listUsable(purpose, new Set())
   }
 
   override loadReported (link: links.Link, load: work.Load): void {
@@ -78,6 +70,22 @@
     }
   }
 
+  private listUsable (purpose: Purpose, except: ReadonlySet<string>): ReadonlyMap<string, pictures.Standing> {
+    const near = new Map<string, pictures.Standing>()
+    const far = new Map<string, pictures.Standing>()
+    const nowMs = this.surroundings.system.clock.monotonicMs()
+    for (const [name, server] of this.surroundings.configuration.listServers()) {
+      if (except.has(name) || !isFor(server, purpose)) {
+        continue
+      }
+      const standing = this.picture.getStanding(name, server, nowMs)
+      if (standing.isUsable) {
+        (server.region === purpose.region ? near : far).set(name, standing)
+      }
+    }
+    return near.size > 0 ? near : far
+  }
+
   private findName (link: links.Link): string | undefined {
     this.index()
     return this.names.get(identities.formatAddress(link.address))
--- a/src/entry/service_run.ts
+++ b/src/entry/service_run.ts
@@ -51,6 +51,7 @@
   private replay: work.ServiceAnswer | undefined
   private tries = 0
   private joinedVerdict: verdicts.Verdict = 'not_run'
+  private lastFailure: failures.Failure | undefined
   private isAborted = false
 
   constructor (private readonly tools: Tools, private readonly order: Order) {}
@@ -78,8 +79,10 @@
       this.joinedVerdict = verdicts.joinVerdicts(this.joinedVerdict, failure.verdict)
       if (this.isAborted || !this.mayTryAgain(failure)) {
         this.settleFailure()
-        return failures.fail(this.createFinalFailure(failure))
+        const cause = passages.chooseCause(this.lastFailure, failure)
+        return failures.fail(failures.withVerdict(cause, this.joinedVerdict))
       }
+      this.lastFailure = failure
     }
   }
 
@@ -273,10 +276,6 @@
     }
     return this.tools.retryBudget.trySpend()
   }
-
-  private createFinalFailure (failure: failures.Failure): failures.Failure {
-    return failures.withVerdict(failure, this.joinedVerdict)
-  }
 }
 
 function createAborted (): failures.Failure {
--- /dev/null
+++ b/tests/entry/attempts.test.ts
@@ -0,0 +1,249 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as fakes from './fake_agents.js'
+import * as fixtures from './fixture.js'
+import * as work from '../../src/contracts/work.js'
+import * as worlds from './world.js'
+
+const text = (offset: number, value: string): work.Frame => ({ kind: 'text', offset, text: value, tokens: 1 })
+const started: work.Frame = { kind: 'started', offset: 0 }
+
+test.describe('attempts', () => {
+  let fixture: fixtures.Fixture
+  let world: worlds.World
+  test.beforeEach(async () => {
+    fixture = await fixtures.Fixture.create()
+    world = fixture.world
+  })
+  test.afterEach(() => {
+    fixture.close()
+    assert.deepEqual(fixture.log.errors, [])
+    assert.equal(fixture.allowances.settled.length, fixture.allowances.charged.length, 'each charge settled once')
+  })
+
+  /** Starts a streamed completion whose decode says nothing by itself. */
+  async function startQuietDecode (body: object = {}): Promise<{ answered: Promise<fixtures.Answer> } & worlds.Received> {
+    world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, started))
+    const answered = fixture.complete({ stream: true, ...body })
+    await fixture.until(() => world.listStarts('decode').length === 1)
+    const [received] = world.listStarts('decode') as [worlds.Received]
+    await fixture.until(() => received.agent.attempts.get(received.start.attempt)?.state === 'running')
+    return { answered, ...received }
+  }
+
+  test.describe('frames', () => {
+    test.it('drops those of other attempts, other requests and old offsets', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.emit(start.attempt, text(1, 'right'))
+      agent.send({ request: start.request, attempt: 'other' }, [text(2, 'wrong')])
+      agent.send({ request: 'other', attempt: start.attempt }, [text(2, 'wrong')])
+      agent.send(start, [text(1, 'twice'), text(0, 'twice')])
+      const other = world.listAgents('decode').find(candidate => candidate !== agent)
+      other?.send(start, [text(2, 'wrong')])
+      agent.emit(start.attempt, fakes.createStop(2))
+      assert.equal(fixtures.readStream((await answered).body), 'right')
+      await fixture.untilIdle()
+    })
+
+    test.it('asks again for what is missing, by offset', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.link.isOpen = false
+      agent.emit(start.attempt, text(1, 'a'))
+      agent.link.isOpen = true
+      agent.emit(start.attempt, text(2, 'b'))
+      agent.emit(start.attempt, fakes.createStop(3))
+      assert.equal(fixtures.readStream((await answered).body), 'ab')
+      assert.deepEqual(agent.listParams('work.resume').map(resume => resume.offset), [1])
+    })
+
+    test.it('asks for a last frame that never came', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.emit(start.attempt, text(1, 'a'))
+      agent.link.isOpen = false
+      agent.emit(start.attempt, fakes.createStop(2))
+      agent.link.isOpen = true
+      await world.clock.advance(3000)
+      assert.equal(fixtures.readStream((await answered).body), 'a')
+    })
+
+    test.it('acknowledges the last one', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.emit(start.attempt, fakes.createStop(1))
+      await answered
+      const { request, attempt } = start
+      assert.deepEqual(agent.notices.at(-1), { name: 'work.acknowledge', notice: { request, attempt, offset: 1 } })
+    })
+  })
+
+  test.describe('a lost link', () => {
+    test.it('resumes a stream with text at the same agent, from its offset', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.emit(start.attempt, text(1, 'a'))
+      agent.link.cut()
+      agent.emit(start.attempt, text(2, 'b'))
+      agent.emit(start.attempt, fakes.createStop(3))
+      await world.clock.advance(3900)
+      agent.link.reopen()
+      assert.equal(fixtures.readStream((await answered).body), 'ab')
+      assert.equal(world.listStarts('decode').length, 1)
+      await fixture.untilIdle()
+    })
+
+    test.it('ends a stream with text by an error event after the session lease', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.emit(start.attempt, text(1, 'a'))
+      agent.link.cut()
+      await world.clock.advance(4000)
+      const { body } = await answered
+      assert.match(body, /event: error\ndata: .*"code":"stream_interrupted","verdict":"ran"/)
+      assert.doesNotMatch(body, /\[DONE\]/)
+      assert.deepEqual(fixture.allowances.settled, [3])
+    })
+
+    test.it('makes another attempt without text, and reuses the prefill while it lasts', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      world.setScript('decode', fakes.runAtOnce)
+      agent.link.cut()
+      await world.clock.advance(300)
+      assert.equal(fixtures.readStream((await answered).body), 'Hello there')
+      assert.equal(world.listStarts('prefill').length, 1)
+      assert.equal(world.listStarts('decode').length, 2)
+      agent.link.reopen()
+      await world.clock.advance(100)
+      assert.equal(agent.attempts.get(start.attempt)?.state, 'cancelled')
+      await fixture.untilIdle()
+    })
+
+    test.it('makes a new prefill when the old one has been evicted', async () => {
+      const { answered, agent } = await startQuietDecode()
+      await world.clock.advance(800)
+      world.setScript('decode', fakes.runAtOnce)
+      agent.link.cut()
+      await world.clock.advance(300)
+      assert.equal(fixtures.readStream((await answered).body), 'Hello there')
+      assert.equal(world.listStarts('prefill').length, 2)
+    })
+  })
+
+  test.describe('an agent that has restarted', () => {
+    test.it('interrupts a stream that cannot be repeated', async () => {
+      const { answered, agent, start } = await startQuietDecode()
+      agent.emit(start.attempt, text(1, 'a'))
+      agent.link.cut()
+      agent.restart('boot2')
+      agent.link.reopen()
+      assert.match((await answered).body, /"code":"stream_interrupted"/)
+      await fixture.untilIdle()
+    })
+
+    test.it('goes on with a seeded stream, without repeating what was delivered', async () => {
+      const { answered, agent, start } = await startQuietDecode({ seed: 1 })
+      agent.emit(start.attempt, text(1, 'Hello th'))
+      world.setScript('decode', fakes.runAtOnce)
+      agent.link.cut()
+      agent.restart('boot2')
+      agent.link.reopen()
+      const { body } = await answered
+      assert.equal(fixtures.readStream(body), 'Hello there')
+      assert.match(body, /\[DONE\]/)
+    })
+
+    test.it('interrupts a seeded stream that comes out otherwise', async () => {
+      const { answered, agent, start } = await startQuietDecode({ seed: 1 })
+      agent.emit(start.attempt, text(1, 'Good'))
+      world.setScript('decode', fakes.runAtOnce)
+      agent.link.cut()
+      agent.restart('boot2')
+      agent.link.reopen()
+      const { body } = await answered
+      assert.equal(fixtures.readStream(body), 'Good')
+      assert.match(body, /"code":"stream_interrupted"/)
+      await fixture.untilIdle()
+    })
+  })
+
+  test.describe('a caller that leaves', () => {
+    test.it('has its work cancelled until the agent confirms, beyond a lost link', async () => {
+      world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, started))
+      const request = fixture.open({ path: '/v1/completions' })
+      request.on('error', () => {})
+      request.end('{"model":"m","prompt":"Hi"}')
+      await fixture.until(() => world.listStarts('decode').length === 1)
+      const [{ agent, start }] = world.listStarts('decode') as [worlds.Received]
+      world.lose('', 'work.cancel', 'call')
+      request.destroy()
+      await fixture.until(() => agent.listParams('work.cancel').length === 1)
+      await world.clock.advance(500)
+      agent.link.cut()
+      await world.clock.advance(3000)
+      assert.equal(fixture.entry.getFigures()['cancelsUnconfirmed'], 1)
+      world.endLosses()
+      agent.link.reopen()
+      await world.clock.advance(100)
+      assert.equal(agent.attempts.get(start.attempt)?.state, 'cancelled')
+      await fixture.untilIdle()
+    })
+
+    test.it('leaves the rest to the agent once the session lease is over', async () => {
+      world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, started))
+      const request = fixture.open({ path: '/v1/completions' })
+      request.on('error', () => {})
+      request.end('{"model":"m","prompt":"Hi"}')
+      await fixture.until(() => world.listStarts('decode').length === 1)
+      const [{ agent }] = world.listStarts('decode') as [worlds.Received]
+      agent.link.cut()
+      request.destroy()
+      await fixture.until(() => fixture.entry.getFigures()['cancelsUnconfirmed'] === 1)
+      await world.clock.advance(3900)
+      assert.equal(fixture.entry.getFigures()['cancelsUnconfirmed'], 1)
+      await world.clock.advance(300)
+      assert.equal(fixture.entry.getFigures()['cancelsUnconfirmed'], 0)
+    })
+  })
+
+  test.describe('starts', () => {
+    test.it('whose answer is lost are cancelled, and tried elsewhere', async () => {
+      world.lose('prefill', 'work.start', 'answer', 1)
+      const script = (agent: fakes.FakeAgent, start: work.Start): void => {
+        if (world.listStarts('prefill').length > 1) {
+          fakes.runAtOnce(agent, start)
+        }
+      }
+      world.setScript('prefill', script)
+      assert.equal((await fixture.complete({})).status, 200)
+      assert.equal(world.listStarts('prefill').length, 2)
+      await fixture.untilIdle()
+    })
+
+    test.it('are limited in number, and the failure\'s verdict covers all of them', async () => {
+      world.lose('prefill', 'work.start', 'call')
+      const answer = await fixture.complete({})
+      assert.equal(world.listStarts('prefill').length, 3)
+      assert.equal(fixtures.readFailure(answer)[2], 'may_have_run')
+      assert.deepEqual(fixture.allowances.settled, [0])
+      await fixture.untilIdle()
+    })
+  })
+
+  test.describe('refusals', () => {
+    test.it('come at once, with an honest time to come back', async () => {
+      for (const agent of world.listAgents('prefill')) {
+        agent.waitMs = 5000
+      }
+      const answer = await fixture.complete({})
+      assert.deepEqual(fixtures.readFailure(answer), [503, 'target_unreachable', 'not_run'])
+      assert.equal(answer.headers['retry-after'], '4')
+      assert.deepEqual(fixture.allowances.settled, [0])
+      await fixture.untilIdle()
+    })
+
+    test.it('say not_run when no server can be reached', async () => {
+      for (const link of world.pool.list()) {
+        link.isOpen = false
+      }
+      const answer = await fixture.complete({})
+      assert.deepEqual(fixtures.readFailure(answer), [503, 'no_server', 'not_run'])
+      assert.equal(answer.headers['retry-after'], '1')
+    })
+  })
+})
--- /dev/null
+++ b/tests/entry/calls.test.ts
@@ -0,0 +1,273 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as failures from '../../src/contracts/failure.js'
+import * as fakes from './fake_agents.js'
+import * as fixtures from './fixture.js'
+import * as work from '../../src/contracts/work.js'
+import * as worlds from './world.js'
+
+const started: work.Frame = { kind: 'started', offset: 0 }
+
+function getCall (received: worlds.Received | undefined): work.ServiceCall {
+  const task = received?.start.task
+  assert.ok(task?.kind === 'call')
+  return task.call
+}
+
+test.describe('calls of plain services', () => {
+  let fixture: fixtures.Fixture
+  let world: worlds.World
+  test.beforeEach(async () => {
+    fixture = await fixtures.Fixture.create()
+    world = fixture.world
+  })
+  test.afterEach(() => {
+    fixture.close()
+    assert.deepEqual(fixture.log.errors, [])
+  })
+
+  const booking = { path: '/bookings', body: '{"slot":1}' }
+
+  test.describe('what passes', () => {
+    test.it('holds no key, cookie or hop-by-hop header, and the entry\'s request id', async () => {
+      const headers = {
+        cookie: 'a=b', connection: 'close, x-hop', 'x-hop': 'c', te: 'trailers', 'x-kept': 'd', 'x-request-id': 'mine'
+      }
+      const answer = await fixture.send({ ...booking, path: '/bookings/7?a=b', headers })
+      const call = getCall(world.listStarts('service')[0])
+      assert.equal(call.target, '/bookings/7?a=b')
+      assert.deepEqual(call.headers, { 'x-kept': 'd', 'x-request-id': answer.headers['x-request-id'] })
+      assert.doesNotMatch(JSON.stringify(world.listStarts('').map(({ start }) => start)), new RegExp(worlds.key))
+    })
+
+    test.it('never holds the caller\'s key elsewhere', async () => {
+      const inTarget = await fixture.send({ ...booking, path: `/bookings?key=${worlds.key}` })
+      assert.deepEqual(fixtures.readFailure(inTarget), [400, 'headers_invalid', 'not_run'])
+      const inHeader = await fixture.send({ ...booking, headers: { 'x-token': worlds.key } })
+      assert.deepEqual(fixtures.readFailure(inHeader), [400, 'headers_invalid', 'not_run'])
+      const inBody = await fixture.send({ ...booking, body: worlds.key })
+      assert.deepEqual(fixtures.readFailure(inBody), [400, 'body_invalid', 'not_run'])
+      assert.deepEqual(world.listStarts(''), [])
+    })
+  })
+
+  test.describe('routes', () => {
+    test.it('that are open need no key, but no wrong one', async () => {
+      assert.equal((await fixture.send({ method: 'GET', path: '/about', key: '' })).status, 200)
+      assert.equal((await fixture.send({ method: 'GET', path: '/about', key: 'wrong-key' })).status, 401)
+      assert.equal((await fixture.send({ method: 'GET', path: '/sessions', key: '' })).status, 401)
+    })
+
+    test.it('are not reached by ambiguous paths', async () => {
+      for (const path of ['/about/%2e%2e/bookings', '/about/..%2fbookings', '/about/..\\bookings', '//bookings']) {
+        const answer = await fixture.send({ method: 'GET', path, key: '' })
+        assert.ok(answer.status === 404 || answer.status === 405 || answer.status === 401, `${path}: ${answer.status}`)
+      }
+      assert.deepEqual(world.listStarts(''), [])
+    })
+
+    test.it('refuse other methods', async () => {
+      const answer = await fixture.send({ method: 'DELETE', path: '/sessions' })
+      assert.deepEqual(fixtures.readFailure(answer), [405, 'method_not_allowed', 'not_run'])
+    })
+  })
+
+  test.describe('that may not be repeated', () => {
+    test.it('are tried elsewhere when the agent says that they have not run', async () => {
+      world.lose('service', 'work.start', 'call', 1)
+      assert.equal((await fixture.send(booking)).status, 200)
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      assert.ok(agent.tombstones.has(start.attempt))
+    })
+
+    test.it('are not tried again when the agent cannot be asked', async () => {
+      world.setScript('service', () => {})
+      world.lose('service', 'work.start', 'answer')
+      world.lose('service', 'work.cancel', 'call')
+      const answered = fixture.send(booking)
+      await fixture.until(() => world.listAgents('service').some(agent => agent.listParams('work.cancel').length > 0))
+      await world.clock.advance(2100)
+      assert.equal(fixtures.readFailure(await answered)[2], 'may_have_run')
+      assert.equal(world.listStarts('service').length, 1)
+    })
+
+    test.it('go on when they have started, though the start\'s answer was lost', async () => {
+      world.lose('service', 'work.start', 'answer')
+      world.setScript('service', (agent, { attempt }) => {
+        agent.link.isOpen = false
+        agent.emit(attempt, started)
+        agent.link.isOpen = true
+      })
+      const answered = fixture.send(booking)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      await fixture.until(() => agent.listParams('work.resume').length > 0)
+      agent.emit(start.attempt, fakes.createAnswered(1, 'booked'))
+      assert.equal((await answered).body, 'booked')
+      assert.equal(agent.listParams('work.cancel')[0]?.mode, 'unless_started')
+    })
+
+    test.it('are not tried again after a failure of a started call', async () => {
+      world.setScript('service', (agent, { attempt }) => {
+        agent.emit(attempt, started)
+        agent.emit(attempt, { kind: 'failed', offset: 1, failure: failures.createFailure('may_have_run', 'server_failed', ['s', 'x']) })
+      })
+      const answer = await fixture.send(booking)
+      assert.deepEqual(fixtures.readFailure(answer), [502, 'server_failed', 'may_have_run'])
+      assert.equal(world.listStarts('service').length, 1)
+      const read = await fixture.send({ method: 'GET', path: '/sessions/1' })
+      assert.equal(read.status, 502)
+      assert.ok(world.listStarts('service').length > 2, 'a call that may be repeated was')
+    })
+  })
+
+  test.describe('with an Idempotency-Key', () => {
+    const claimed = { ...booking, headers: { 'idempotency-key': 'k1' } }
+    let second: fixtures.Fixture
+    test.beforeEach(async () => {
+      second = await fixtures.Fixture.create(world, {}, 2)
+    })
+    test.afterEach(() => second.close())
+
+    test.it('find the first answer through another entry', async () => {
+      const first = await fixture.send(claimed)
+      const again = await second.send(claimed)
+      assert.equal(again.body, first.body)
+      assert.equal(again.headers['idempotency-replayed'], 'true')
+      assert.equal(world.listStarts('service').length, 1)
+      const entries = world.store.core.readRange({ prefix: '/t/' }).entries
+      assert.doesNotMatch(JSON.stringify(entries), /k1|key-of/)
+    })
+
+    test.it('are refused with another body, and run for another key', async () => {
+      await fixture.send(claimed)
+      const other = await second.send({ ...claimed, body: '{"slot":2}' })
+      assert.deepEqual(fixtures.readFailure(other), [422, 'idempotency_key_reused', 'not_run'])
+      await second.send({ ...claimed, headers: { 'idempotency-key': 'k2' } })
+      assert.equal(world.listStarts('service').length, 2)
+    })
+
+    test.it('are told that the first is running, until the agent knows its answer', async () => {
+      world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
+      const answered = fixture.send(claimed)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      const early = await second.send(claimed)
+      assert.deepEqual(fixtures.readFailure(early), [409, 'idempotency_in_progress', 'may_have_run'])
+      assert.equal(early.headers['retry-after'], '19')
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      agent.emit(start.attempt, fakes.createAnswered(1, 'booked'))
+      assert.equal((await answered).body, 'booked')
+      assert.equal((await second.send(claimed)).body, 'booked')
+    })
+
+    test.it('survive the entry that made the claim: the agent has the answer', async () => {
+      world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
+      const request = fixture.open(claimed)
+      request.on('error', () => {})
+      request.end(claimed.body)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      world.pool.observers.clear()
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      agent.emit(start.attempt, fakes.createAnswered(1, 'booked'))
+      world.clock.stepWall(20_000)
+      const again = await second.send(claimed)
+      assert.equal(again.body, 'booked')
+      assert.equal(world.listStarts('service').length, 1)
+      request.destroy()
+    })
+
+    test.it('take over a claim whose call never started, and nobody else can start it', async () => {
+      world.lose('service', 'work.start', 'call')
+      world.lose('service', 'work.cancel', 'call')
+      const request = fixture.open(claimed)
+      request.on('error', () => {})
+      request.end(claimed.body)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      world.endLosses()
+      world.clock.stepWall(20_000)
+      const again = await second.send(claimed)
+      assert.equal(again.status, 200)
+      assert.ok(agent.tombstones.has(start.attempt))
+      request.destroy()
+    })
+
+    test.it('are unknown when the agent has restarted', async () => {
+      world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
+      const answered = fixture.send(claimed)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      const [{ agent }] = world.listStarts('service') as [worlds.Received]
+      agent.link.cut()
+      agent.restart('boot2')
+      agent.link.reopen()
+      assert.equal(fixtures.readFailure(await answered)[2], 'ran')
+      await fixture.until(() => fixture.entry.getFigures()['claimsUnsettled'] === 0)
+      const again = await second.send(claimed)
+      assert.deepEqual(fixtures.readFailure(again), [409, 'idempotency_unknown', 'may_have_run'])
+    })
+
+    test.it('free the claim when nothing has run', async () => {
+      for (const link of world.pool.list()) {
+        link.isOpen = false
+      }
+      const refused = await fixture.send(claimed)
+      assert.equal(fixtures.readFailure(refused)[2], 'not_run')
+      for (const link of world.pool.list()) {
+        link.isOpen = true
+      }
+      await world.clock.advance(3000)
+      assert.equal((await second.send(claimed)).status, 200)
+    })
+
+    test.it('run once although the answers of writes are lost', async () => {
+      world.store.lostAnswers = 1
+      const answered = fixture.send(claimed)
+      await fixture.until(() => world.store.lostAnswers === 0)
+      await world.clock.advance(1000)
+      assert.equal((await answered).status, 200)
+      assert.equal((await second.send(claimed)).headers['idempotency-replayed'], 'true')
+      assert.equal(world.listStarts('service').length, 1)
+    })
+
+    test.it('are refused as not run while the store is down', async () => {
+      world.store.setDown(true)
+      const answer = await fixture.send(claimed)
+      assert.deepEqual(fixtures.readFailure(answer), [503, 'store_unavailable', 'not_run'])
+      assert.equal(answer.headers['retry-after'], '1')
+      assert.deepEqual(world.listStarts('service'), [])
+    })
+
+    test.it('have their outcome recorded after an outage of the store', async () => {
+      world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
+      const answered = fixture.send(claimed)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      world.store.setDown(true)
+      agent.emit(start.attempt, fakes.createAnswered(1, 'booked'))
+      assert.equal((await answered).body, 'booked')
+      world.store.setDown(false)
+      await world.clock.advance(1000)
+      await fixture.until(() => fixture.entry.getFigures()['claimsUnsettled'] === 0)
+      assert.equal((await second.send(claimed)).body, 'booked')
+    })
+
+    test.it('go on without their caller, so that it finds the answer later', async () => {
+      world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
+      const request = fixture.open(claimed)
+      request.on('error', () => {})
+      request.end(claimed.body)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
+      request.destroy()
+      await fixture.until(() => fixture.entry.getFigures()['requestsInFlight'] === 0)
+      agent.emit(start.attempt, fakes.createAnswered(1, 'booked'))
+      await fixture.until(() => fixture.entry.getFigures()['claimsUnsettled'] === 0)
+      assert.equal((await second.send(claimed)).body, 'booked')
+    })
+
+    test.it('need an acceptable key', async () => {
+      const answer = await fixture.send({ ...booking, headers: { 'idempotency-key': 'a'.repeat(300) } })
+      assert.deepEqual(fixtures.readFailure(answer), [400, 'idempotency_key_invalid', 'not_run'])
+    })
+  })
+})
--- a/tests/entry/fake_agents.ts
+++ b/tests/entry/fake_agents.ts
@@ -50,9 +50,6 @@
   script: Script = runAtOnce
   waitMs = 0
   serviceMs = 1
-  /** Methods whose calls never arrive, and methods whose answers are lost. */
-  readonly lostCalls = new Set<protocol.MethodName>()
-  readonly lostAnswers = new Set<protocol.MethodName>()
   readonly calls: { readonly method: protocol.MethodName, readonly params: unknown }[] = []
   readonly notices: { readonly name: string, readonly notice: unknown }[] = []
   readonly attempts = new Map<string, Held>()
@@ -187,11 +184,11 @@
       return failures.fail(failures.withVerdict(lost, 'not_run'))
     }
     this.agent.calls.push({ method, params })
-    if (this.agent.lostCalls.has(method)) {
+    if (this.pool.isLost(this.agent, method, 'call')) {
       return failures.fail(lost)
     }
     const answer = this.agent.handle(method, params) as failures.Result<protocol.Answer<Method>>
-    return this.agent.lostAnswers.has(method) ? failures.fail(lost) : answer
+    return this.pool.isLost(this.agent, method, 'answer') ? failures.fail(lost) : answer
   }
 
   override notify<Name extends protocol.NotificationName> (name: Name, notice: protocol.Notice<Name>): void {
@@ -231,14 +228,33 @@
   }
 }
 
+/** Calls that never arrive, or whose answers are lost, at agents whose names start so. */
+export interface Loss {
+  readonly prefix: string
+  readonly method: protocol.MethodName
+  readonly part: 'call' | 'answer'
+  left: number
+}
+
 export class FakePool extends links.LinkPool {
   readonly observers = new Set<links.LinkObserver>()
+  readonly losses: Loss[] = []
   private readonly known = new Map<string, FakeLink>()
 
   add (address: identities.Address, agent: FakeAgent): void {
     this.known.set(identities.formatAddress(address), new FakeLink(address, agent, this))
   }
 
+  isLost (agent: FakeAgent, method: protocol.MethodName, part: Loss['part']): boolean {
+    for (const loss of this.losses) {
+      if (loss.left > 0 && loss.method === method && loss.part === part && agent.name.startsWith(loss.prefix)) {
+        loss.left -= 1
+        return true
+      }
+    }
+    return false
+  }
+
   override get (address: identities.Address): links.Link {
     return this.known.get(identities.formatAddress(address)) as FakeLink
   }
--- /dev/null
+++ b/tests/entry/planner.test.ts
@@ -0,0 +1,190 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as fastCheck from 'fast-check'
+import * as configuration from '../../src/contracts/configuration.js'
+import * as fakes from './fake_agents.js'
+import * as pictures from '../../src/entry/picture.js'
+import * as planner from '../../src/entry/planner.js'
+import * as random from '../../src/host/seeded_random.js'
+import * as work from '../../src/contracts/work.js'
+
+const place: planner.Place = { zone: 'a', region: 'local' }
+const model = configuration.Model.parse({ pieceTokens: 1000, kvBytesPerToken: 1000 })
+
+function createServer (changes: Partial<configuration.Server> = {}): configuration.Server {
+  const agent = { host: '127.0.0.1', port: 1 }
+  return configuration.Server.parse({ role: 'prefill', zone: 'a', agent, prefillTokensPerSecond: 10_000, ...changes })
+}
+
+function createLoad (changes: Partial<work.Load>): work.Load {
+  return { ...fakes.createLoad(), ...changes }
+}
+
+function createNeed (promptTokens: number, prefixes: readonly string[] = []): planner.Need {
+  return { model, promptTokens, maximumTokens: 100, prefixes }
+}
+
+test.describe('planner', () => {
+  let picture: pictures.Picture
+  const servers = new Map<string, configuration.Server>()
+  test.beforeEach(() => {
+    picture = new pictures.Picture()
+    servers.clear()
+    servers.set('s1', createServer())
+    servers.set('s2', createServer())
+  })
+
+  function getStandings (nowMs = 0): Map<string, pictures.Standing> {
+    const standings = new Map<string, pictures.Standing>()
+    for (const [name, server] of servers) {
+      standings.set(name, picture.getStanding(name, server, nowMs))
+    }
+    return standings
+  }
+
+  function rankPrefills (need: planner.Need): string[] {
+    return planner.rankPrefills(picture, getStandings(), need, place).map(candidate => candidate.name)
+  }
+
+  test.describe('prefill', () => {
+    test.it('corrects an old report by what this process has sent since', () => {
+      picture.noteLoad('s1', createLoad({ pendingPromptTokens: 1000 }), 0)
+      picture.noteLoad('s2', createLoad({ pendingPromptTokens: 2000 }), 0)
+      assert.deepEqual(rankPrefills(createNeed(100)), ['s1', 's2'])
+      picture.noteSent('s1', { promptTokens: 5000, pieces: 0 })
+      assert.deepEqual(rankPrefills(createNeed(100)), ['s2', 's1'])
+      picture.noteLoad('s1', createLoad({ pendingPromptTokens: 0 }), 0)
+      assert.deepEqual(rankPrefills(createNeed(100)), ['s1', 's2'])
+    })
+
+    test.it('counts on work being done since the report', () => {
+      picture.noteLoad('s1', createLoad({ pendingPromptTokens: 9000 }), 0)
+      const pending = [0, 600, 2000].map(nowMs => getStandings(nowMs).get('s1')?.pendingPromptTokens)
+      assert.deepEqual(pending, [9000, 3000, 0])
+    })
+
+    test.it('follows a cached prefix for a bounded detour only', () => {
+      const prefixes = Array.from({ length: 10 }, (_, index) => `p${index}`)
+      picture.notePrefixes('s1', prefixes)
+      picture.noteLoad('s1', createLoad({ pendingPromptTokens: 2000 }), 0)
+      assert.equal(rankPrefills(createNeed(10_000, prefixes))[0], 's1')
+      picture.noteLoad('s1', createLoad({ pendingPromptTokens: 3000 }), 0)
+      assert.equal(rankPrefills(createNeed(10_000, prefixes))[0], 's2')
+    })
+
+    test.it('forgets prefixes that a server no longer finds', () => {
+      picture.notePrefixes('s1', ['p1', 'p2', 'p3'])
+      picture.correctPrefixes('s1', ['p1', 'p2', 'p3'], 1)
+      assert.equal(picture.countPrefixes('s1', ['p1', 'p2', 'p3']), 1)
+    })
+
+    test.it('prefers the own zone among equals', () => {
+      servers.set('s1', createServer({ zone: 'b' }))
+      assert.deepEqual(rankPrefills(createNeed(100)), ['s2', 's1'])
+    })
+  })
+
+  test.describe('decode', () => {
+    function rankDecodes (need: planner.Need): string[] {
+      const standings = getStandings()
+      return planner.rankDecodes(standings, need, undefined, place).map(candidate => candidate.name)
+    }
+
+    test.it('avoids servers whose memory is promised', () => {
+      picture.noteLoad('s1', createLoad({ freePieces: 5, promisedPieces: 4 }), 0)
+      picture.noteLoad('s2', createLoad({ freePieces: 5, running: 3 }), 0)
+      assert.equal(rankDecodes(createNeed(3000))[0], 's2')
+    })
+
+    test.it('shares a link among the transfers under way', () => {
+      const server = createServer({ linkBytesPerSecond: 1e6 })
+      servers.set('s1', server)
+      const estimate = (): number =>
+        planner.estimateTransferMs(createNeed(1000), undefined, picture.getStanding('s1', server, 0))
+      assert.equal(estimate(), 1000)
+      picture.noteTransfer('s1', 1)
+      assert.equal(estimate(), 2000)
+      picture.noteTransfer('s1', -1)
+      assert.equal(estimate(), 1000)
+    })
+  })
+
+  test.describe('pickTwo', () => {
+    const createCandidate = (name: string, costMs: number): planner.Candidate =>
+      ({ name, costMs, server: createServer(), waitMs: 0, serviceMs: 0 })
+
+    test.it('spreads near ties, and repeats for the same seed', () => {
+      const ranked = [1, 2, 3, 4].map(index => createCandidate(`s${index}`, index))
+      const pickOften = (seed: number): (string | undefined)[] => {
+        const source = new random.SeededRandom(seed)
+        return Array.from({ length: 50 }, () => planner.pickTwo(ranked, () => source.nextUnit())[0]?.name)
+      }
+      assert.equal(new Set(pickOften(1)).size, 4)
+      assert.deepEqual(pickOften(1), pickOften(1))
+    })
+
+    test.it('takes two different ones, the first of them near the best', () => {
+      fastCheck.assert(fastCheck.property(
+        fastCheck.array(fastCheck.nat(2000), { maxLength: 20 }), fastCheck.nat(1000), (costs, seed) => {
+          const sorted = [...costs].sort((first, second) => first - second)
+          const ranked = sorted.map((cost, index) => createCandidate(`s${index}`, cost))
+          const source = new random.SeededRandom(seed)
+          const picked = planner.pickTwo(ranked, () => source.nextUnit())
+          assert.equal(picked.length, Math.min(2, ranked.length))
+          assert.equal(new Set(picked).size, picked.length)
+          const best = sorted[0] ?? 0
+          assert.ok((picked[0]?.costMs ?? best) <= best + Math.max(5, best * 0.05))
+        }
+      ), { seed: 1, numRuns: 300 })
+    })
+  })
+
+  test.describe('checkAdmission', () => {
+    const base: planner.Prediction = {
+      elapsedMs: 10, prefillWaitMs: 0, prefillServiceMs: 100, transferMs: 50, decodeWaitMs: 0, stepMs: 25, unloadedMs: 150
+    }
+
+    test.it('admits what meets the target, and refuses the rest with the time that is missing', () => {
+      assert.equal(planner.checkAdmission(base, 1900), undefined)
+      const refusal = planner.checkAdmission({ ...base, prefillWaitMs: 3000 }, 1900)
+      assert.equal(refusal?.verdict, 'not_run')
+      assert.equal(refusal?.retryAfterMs, 3185 - 1900)
+    })
+
+    test.it('admits a prompt that is too long for the target on an idle server', () => {
+      const long = { ...base, prefillServiceMs: 4000, unloadedMs: 4050 }
+      assert.equal(planner.checkAdmission(long, 1900), undefined)
+      assert.notEqual(planner.checkAdmission({ ...long, prefillWaitMs: 2500 }, 1900), undefined)
+    })
+  })
+
+  test.describe('picture', () => {
+    test.it('passes over servers that are leaving or did not answer', () => {
+      const isUsable = (name: string, nowMs: number): boolean =>
+        picture.getStanding(name, createServer(), nowMs).isUsable
+      picture.noteLeaving('s1')
+      picture.noteFailure('s2', 0)
+      assert.equal(isUsable('s1', 5000), false)
+      assert.equal(isUsable('s2', 1999), false)
+      assert.equal(isUsable('s2', 2000), true)
+      assert.equal(picture.getStanding('s3', createServer({ state: 'leaving' }), 0).isUsable, false)
+    })
+
+    test.it('returns to the reported load when all that was sent has ended', () => {
+      fastCheck.assert(fastCheck.property(
+        fastCheck.array(fastCheck.record({ promptTokens: fastCheck.nat(1000), pieces: fastCheck.nat(10) })), burdens => {
+          const own = new pictures.Picture()
+          own.noteLoad('s', createLoad({ running: 3, pendingPromptTokens: 700 }), 0)
+          const before = own.getStanding('s', createServer(), 0)
+          for (const burden of burdens) {
+            own.noteSent('s', burden)
+          }
+          for (const burden of burdens) {
+            own.noteEnded('s', burden)
+          }
+          assert.deepEqual(own.getStanding('s', createServer(), 0), before)
+        }
+      ), { seed: 1 })
+    })
+  })
+})
--- a/tests/entry/world.ts
+++ b/tests/entry/world.ts
@@ -57,6 +57,15 @@
     }
   }
 
+  /** Loses the next calls of a method, or their answers. */
+  lose (prefix: string, method: fakes.Loss['method'], part: fakes.Loss['part'], left = Number.POSITIVE_INFINITY): void {
+    this.pool.losses.push({ prefix, method, part, left })
+  }
+
+  endLosses (): void {
+    this.pool.losses.length = 0
+  }
+
   listAgents (prefix: string): fakes.FakeAgent[] {
     return [...this.agents.values()].filter(agent => agent.name.startsWith(prefix))
   }
