--- /dev/null
+++ b/src/configuration/change_request.ts
@@ -0,0 +1,142 @@
+/**
+ * What an operator asks of the editor, and what the editor decides.
+ */
+import * as crypto from 'node:crypto'
+import * as z from 'zod'
+import * as configuration from '../contracts/configuration.js'
+import * as documents from './document.js'
+import * as failures from '../contracts/failure.js'
+
+/** Most sections in one change. */
+export const maximumEdits = 50
+
+/** Most bytes of one change as it is stored. */
+export const maximumChangeBytes = 524_288
+
+/** Identifies an operation, chosen by the caller; the same call may be repeated with it. */
+export const OperationId = z.string().regex(/^[A-Za-z0-9._:-]{1,128}$/)
+
+/** The new body of one section. */
+export const Edit = z.strictObject({
+  name: z.string().min(1).max(200),
+  /** Version of the section that the edit replaces; 0 if the section does not exist. */
+  expectedVersion: z.number().int().nonnegative(),
+  /** Absent to delete the section. */
+  body: z.unknown().optional()
+})
+export type Edit = z.infer<typeof Edit>
+
+export const ChangeBody = z.strictObject({
+  operation: OperationId,
+  edits: z.array(Edit).min(1).max(maximumEdits)
+})
+export type ChangeBody = z.infer<typeof ChangeBody>
+
+/** Makes the edits from the document that the change will be checked and committed against. */
+export type EditMaker = (document: documents.Document) => failures.Result<readonly Edit[]>
+
+export interface ChangeRequest {
+  readonly operation: string
+  /** Digest of what is asked for; see `createDigest`. */
+  readonly digest: string
+  readonly makeEdits: EditMaker
+}
+
+/** One mistake in a change. */
+export const Mistake = z.object({
+  section: z.string(),
+  /** Path within the section's body, parts joined by dots; empty for the whole section. */
+  path: z.string(),
+  message: z.string()
+})
+export type Mistake = z.infer<typeof Mistake>
+
+/** One difference between two bodies. */
+export const Difference = z.object({
+  path: z.string(),
+  before: z.unknown().optional(),
+  after: z.unknown().optional()
+})
+export type Difference = z.infer<typeof Difference>
+
+/** One change of one section. */
+export const HistoryEntry = z.object({
+  /** Version of the document. */
+  version: z.number().int(),
+  /** Version of the section. */
+  sectionVersion: z.number().int(),
+  operation: z.string(),
+  team: z.string(),
+  atMs: z.number(),
+  deleted: z.boolean(),
+  /** Against the version before, as far as that is kept. */
+  differences: z.array(Difference)
+})
+export type HistoryEntry = z.infer<typeof HistoryEntry>
+
+/** An accepted change. */
+export const Acceptance = z.object({
+  version: z.number().int().positive(),
+  sections: z.array(z.object({ name: z.string(), version: z.number().int().positive() })),
+  /** Whether an earlier call with the same operation had made the change. */
+  repeated: z.boolean()
+})
+export type Acceptance = z.infer<typeof Acceptance>
+
+/** Sections that were changed by others since the version that an edit replaces. */
+export const Staleness = z.object({
+  section: z.string(),
+  version: z.number().int(),
+  expectedVersion: z.number().int(),
+  since: z.array(HistoryEntry)
+})
+export type Staleness = z.infer<typeof Staleness>
+
+/** A change that was not accepted, with every reason. */
+export interface Refusal {
+  readonly failure: failures.Failure
+  readonly mistakes: readonly Mistake[]
+  readonly stale: readonly Staleness[]
+}
+
+export type Decision =
+  | { readonly kind: 'accepted', readonly acceptance: Acceptance }
+  | { readonly kind: 'refused', readonly refusal: Refusal }
+
+/** Returns the SHA-256 of a value's JSON text in hexadecimal, the same for any order of members. */
+export function createDigest (value: unknown): string {
+  return crypto.createHash('sha256').update(JSON.stringify(sortMembers(value)) ?? '').digest('hex')
+}
+
+/** Creates a request from edits that were made beforehand. */
+export function createChangeRequest (body: ChangeBody): ChangeRequest {
+  return {
+    operation: body.operation,
+    digest: createDigest(body.edits),
+    makeEdits: () => failures.succeed(body.edits)
+  }
+}
+
+/** Wraps a refusal for which the failure says all. */
+export function createRefusal (failure: failures.Failure): Decision {
+  return { kind: 'refused', refusal: { failure, mistakes: [], stale: [] } }
+}
+
+/** Returns the version that an edit must name: 0 for a section that is missing or deleted. */
+export function getEditableVersion (section: configuration.Section | undefined): number {
+  return section === undefined || section.body === undefined ? 0 : section.version
+}
+
+function sortMembers (value: unknown): unknown {
+  if (Array.isArray(value)) {
+    return value.map(sortMembers)
+  }
+  if (typeof value !== 'object' || value === null) {
+    return value
+  }
+  const sorted: Record<string, unknown> = {}
+  for (const name of Object.keys(value).sort()) {
+    sorted[name] = sortMembers((value as Record<string, unknown>)[name])
+  }
+  return sorted
+}
--- /dev/null
+++ b/src/configuration/checks.ts
@@ -0,0 +1,158 @@
+/**
+ * Checks a change against the document: rights, versions, schemas and the rules across sections.
+ */
+import * as z from 'zod'
+import * as changeRequests from './change_request.js'
+import * as configuration from '../contracts/configuration.js'
+import * as credentials from './credentials.js'
+import * as documents from './document.js'
+import * as drafts from './draft.js'
+import * as failures from '../contracts/failure.js'
+import * as rules from './rules.js'
+
+/** A stale section, still without what has changed since. */
+export interface StaleEdit {
+  readonly section: string
+  readonly version: number
+  readonly expectedVersion: number
+}
+
+/** The outcome of the checks. */
+export type Checked =
+  | { readonly kind: 'passed', readonly sections: readonly configuration.Section[] }
+  | { readonly kind: 'refused', readonly failure: failures.Failure, readonly mistakes: readonly changeRequests.Mistake[], readonly stale: readonly StaleEdit[] }
+
+export interface CheckContext {
+  readonly operator: credentials.Operator
+  readonly administratorHash: string
+  readonly document: documents.Document
+}
+
+/** Returns the sections as they will be stored, or every reason against the change. */
+export function checkEdits (edits: readonly changeRequests.Edit[], context: CheckContext): Checked {
+  const forbidden = edits.find(edit => !credentials.mayChange(context.operator, edit.name))
+  if (forbidden !== undefined) {
+    return refuse(failures.createFailure('not_run', 'section_forbidden', [context.operator.team, forbidden.name]))
+  }
+  const stale = findStaleEdits(edits, context.document)
+  const [first] = stale
+  if (first !== undefined) {
+    const details = [first.section, first.version, first.expectedVersion]
+    return refuse(failures.createFailure('not_run', 'version_stale', details), [], stale)
+  }
+  const mistakes: changeRequests.Mistake[] = []
+  const bodies = checkBodies(edits, context, mistakes)
+  const draft = new drafts.Draft(context.document)
+  for (const [name, body] of bodies) {
+    draft.put(name, body)
+  }
+  mistakes.push(...rules.checkRules(draft, context.document, context.administratorHash))
+  if (mistakes.length > 0) {
+    return refuse(failures.createFailure('not_run', 'change_invalid', [formatMistakes(mistakes)]), mistakes)
+  }
+  return { kind: 'passed', sections: createSections(bodies, context.document, draft) }
+}
+
+/** Returns the mistakes in one line. */
+export function formatMistakes (mistakes: readonly changeRequests.Mistake[]): string {
+  return mistakes.map(formatMistake).join('; ')
+}
+
+export function formatMistake (mistake: changeRequests.Mistake): string {
+  const place = mistake.path === '' ? mistake.section : `${mistake.section} at ${mistake.path}`
+  return `${place}: ${mistake.message}`
+}
+
+function refuse (
+  failure: failures.Failure, mistakes: readonly changeRequests.Mistake[] = [], stale: readonly StaleEdit[] = []
+): Checked {
+  return { kind: 'refused', failure, mistakes, stale }
+}
+
+function findStaleEdits (edits: readonly changeRequests.Edit[], document: documents.Document): readonly StaleEdit[] {
+  const stale: StaleEdit[] = []
+  for (const { name, expectedVersion } of edits) {
+    const section = document.getSection(name)
+    const version = changeRequests.getEditableVersion(section)
+    if (version !== expectedVersion) {
+      stale.push({ section: name, version: section?.version ?? 0, expectedVersion })
+    }
+  }
+  return stale
+}
+
+/** Returns the bodies that match their schemas; reports the others. */
+function checkBodies (
+  edits: readonly changeRequests.Edit[], context: CheckContext, mistakes: changeRequests.Mistake[]
+): ReadonlyMap<string, unknown> {
+  const bodies = new Map<string, unknown>()
+  for (const { name, body } of edits) {
+    const problem = checkName(name, bodies)
+    if (problem !== undefined) {
+      mistakes.push({ section: name, path: '', message: problem })
+      continue
+    }
+    if (body === undefined) {
+      if (context.document.getSection(name)?.body === undefined) {
+        mistakes.push({ section: name, path: '', message: 'the section does not exist' })
+      }
+      bodies.set(name, undefined)
+      continue
+    }
+    const parsed = parseBody(name, body)
+    if (parsed.success) {
+      bodies.set(name, parsed.data)
+      continue
+    }
+    mistakes.push(...describeIssues(name, parsed.error))
+  }
+  return bodies
+}
+
+function checkName (name: string, seen: ReadonlyMap<string, unknown>): string | undefined {
+  const kind = configuration.getSectionKind(name)
+  if (kind === undefined) {
+    return `there is no such kind of section; one of ${Object.keys(configuration.sectionSchemas).join(', ')} is expected`
+  }
+  if (seen.has(name)) {
+    return 'the section is listed twice'
+  }
+  if (kind === 'policy') {
+    return name === 'policy' ? undefined : 'the section is named "policy"'
+  }
+  const local = configuration.Name.safeParse(documents.getLocalName(name))
+  return local.success ? undefined : 'the name consists of 1 to 63 of a-z, 0-9, ".", "_" and "-", and starts with a letter or digit'
+}
+
+/** Checks a body by the schema of its kind; members that the schema does not know are mistakes. */
+function parseBody (name: string, body: unknown): z.ZodSafeParseResult<unknown> {
+  const kind = configuration.getSectionKind(name) ?? 'policy'
+  return strictSchemas[kind].safeParse(body)
+}
+
+const strictSchemas: Record<configuration.SectionKind, z.ZodType> = {
+  workspaces: configuration.Workspace.strict(),
+  keys: configuration.KeyRing.strict(),
+  models: configuration.Model.strict(),
+  servers: configuration.Server.strict(),
+  services: configuration.Service.strict(),
+  teams: configuration.Team.strict(),
+  policy: configuration.Policy.strict()
+}
+
+/** Returns one mistake for each issue that the schema found. */
+export function describeIssues (section: string, error: z.ZodError): readonly changeRequests.Mistake[] {
+  return error.issues.map(issue => ({ section, path: issue.path.map(String).join('.'), message: issue.message }))
+}
+
+function createSections (
+  bodies: ReadonlyMap<string, unknown>, document: documents.Document, draft: drafts.Draft
+): readonly configuration.Section[] {
+  const sections: configuration.Section[] = []
+  for (const [name, body] of bodies) {
+    const version = (document.getSection(name)?.version ?? 0) + 1
+    const owner = credentials.findOwner(draft.teams, name)
+    sections.push(body === undefined ? { name, owner, version } : { name, owner, version, body })
+  }
+  return sections
+}
--- /dev/null
+++ b/src/configuration/credentials.ts
@@ -0,0 +1,76 @@
+/**
+ * Operators' credentials and the rights of teams. Only hashes are kept; they are compared in constant time.
+ */
+import * as crypto from 'node:crypto'
+import * as configuration from '../contracts/configuration.js'
+import * as documents from './document.js'
+
+/** Name of the administrators, who may change everything. */
+export const rootTeam = 'root'
+
+/** Who makes a call. */
+export interface Operator {
+  readonly team: string
+  /** Section names, or prefixes that end in `*`. */
+  readonly sections: readonly string[]
+}
+
+/** Returns the SHA-256 of a credential or key in hexadecimal. */
+export function hashSecret (secret: string): string {
+  return crypto.createHash('sha256').update(secret).digest('hex')
+}
+
+/** Finds whose credential has the hash; always compares with all of them. */
+export function findOperator (
+  document: documents.Document, administratorHash: string, hash: string
+): Operator | undefined {
+  let found: Operator | undefined
+  for (const [name, team] of document.listTeams()) {
+    if (isSameHash(team.credentialHash, hash)) {
+      found = { team: name, sections: team.sections }
+    }
+  }
+  return isSameHash(administratorHash, hash) ? { team: rootTeam, sections: ['*'] } : found
+}
+
+/** Tells whether an operator may change a section. Teams are changed by the administrators only. */
+export function mayChange (operator: Operator, section: string): boolean {
+  if (operator.team === rootTeam) {
+    return true
+  }
+  if (configuration.getSectionKind(section) === 'teams') {
+    return false
+  }
+  return operator.sections.some(pattern => matches(pattern, section))
+}
+
+/**
+ * Returns the owner of a section: the team with the longest pattern that matches it, the first by name
+ * among equals, or the administrators.
+ */
+export function findOwner (teams: ReadonlyMap<string, configuration.Team>, section: string): string {
+  let owner = rootTeam
+  let longest = -1
+  if (configuration.getSectionKind(section) === 'teams') {
+    return owner
+  }
+  for (const name of [...teams.keys()].sort()) {
+    for (const pattern of teams.get(name)?.sections ?? []) {
+      if (pattern.length > longest && matches(pattern, section)) {
+        owner = name
+        longest = pattern.length
+      }
+    }
+  }
+  return owner
+}
+
+function matches (pattern: string, section: string): boolean {
+  return pattern.endsWith('*') ? section.startsWith(pattern.slice(0, -1)) : section === pattern
+}
+
+function isSameHash (first: string, second: string): boolean {
+  const left = Buffer.from(first)
+  const right = Buffer.from(second)
+  return left.length === right.length && crypto.timingSafeEqual(left, right)
+}
--- /dev/null
+++ b/src/configuration/difference.ts
@@ -0,0 +1,30 @@
+/**
+ * Differences between two bodies of a section, member by member.
+ */
+import * as util from 'node:util'
+import * as changeRequests from './change_request.js'
+
+/** Returns the differences in the order of their paths; lists that differ in length are compared by position. */
+export function findDifferences (before: unknown, after: unknown): readonly changeRequests.Difference[] {
+  const found: changeRequests.Difference[] = []
+  collect('', before, after, found)
+  return found
+}
+
+function collect (path: string, before: unknown, after: unknown, found: changeRequests.Difference[]): void {
+  if (util.isDeepStrictEqual(before, after)) {
+    return
+  }
+  if (!isContainer(before) || !isContainer(after) || Array.isArray(before) !== Array.isArray(after)) {
+    found.push({ path, before, after })
+    return
+  }
+  const names = new Set([...Object.keys(before), ...Object.keys(after)])
+  for (const name of names) {
+    collect(path === '' ? name : `${path}.${name}`, before[name], after[name], found)
+  }
+}
+
+function isContainer (value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null
+}
--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -4,6 +4,7 @@
  */
 import * as configuration from '../contracts/configuration.js'
 import * as verdicts from '../contracts/verdict.js'
+import * as z from 'zod'
 
 /** A caller's key together with the workspace it belongs to. */
 export interface KeyOwner {
@@ -44,6 +45,7 @@
   private readonly models = new Map<string, configuration.Model>()
   private readonly servers = new Map<string, configuration.Server>()
   private readonly services = new Map<string, configuration.Service>()
+  private readonly teams = new Map<string, configuration.Team>()
   private currentPolicy = configuration.Policy.parse({})
 
   override get version (): number {
@@ -90,6 +92,18 @@
     return this.servers
   }
 
+  listServices (): ReadonlyMap<string, configuration.Service> {
+    return this.services
+  }
+
+  listKeyRings (): ReadonlyMap<string, configuration.KeyRing> {
+    return this.keyRings
+  }
+
+  listTeams (): ReadonlyMap<string, configuration.Team> {
+    return this.teams
+  }
+
   override matchRoute (path: string): RouteMatch | undefined {
     let best: RouteMatch | undefined
     for (const [name, service] of this.services) {
@@ -160,28 +174,30 @@
     this.putBody(kind, section)
   }
 
+  /** Indexes a body. One that a newer release wrote and this one cannot read is kept, but not indexed. */
   private putBody (kind: configuration.SectionKind, section: configuration.Section): void {
     const name = getLocalName(section.name)
     switch (kind) {
       case 'workspaces':
-        this.workspaces.set(name, configuration.Workspace.parse(section.body))
+        readBody(configuration.Workspace, section, workspace => this.workspaces.set(name, workspace))
         return
       case 'keys':
-        this.putKeyRing(name, configuration.KeyRing.parse(section.body))
+        readBody(configuration.KeyRing, section, ring => this.putKeyRing(name, ring))
         return
       case 'models':
-        this.models.set(name, configuration.Model.parse(section.body))
+        readBody(configuration.Model, section, model => this.models.set(name, model))
         return
       case 'servers':
-        this.servers.set(name, configuration.Server.parse(section.body))
+        readBody(configuration.Server, section, server => this.servers.set(name, server))
         return
       case 'services':
-        this.services.set(name, configuration.Service.parse(section.body))
-        return
-      case 'policy':
-        this.currentPolicy = configuration.Policy.parse(section.body)
+        readBody(configuration.Service, section, service => this.services.set(name, service))
         return
       case 'teams':
+        readBody(configuration.Team, section, team => this.teams.set(name, team))
+        return
+      case 'policy':
+        readBody(configuration.Policy, section, policy => { this.currentPolicy = policy })
         return
       default:
         verdicts.assertNever(kind)
@@ -214,6 +230,9 @@
       case 'services':
         this.services.delete(name)
         return
+      case 'teams':
+        this.teams.delete(name)
+        return
       case 'policy':
         this.currentPolicy = configuration.Policy.parse({})
     }
@@ -236,6 +255,15 @@
   return slash < 0 ? '' : sectionName.slice(slash + 1)
 }
 
+function readBody<Schema extends z.ZodType> (
+  schema: Schema, section: configuration.Section, put: (body: z.output<Schema>) => void
+): void {
+  const parsed = schema.safeParse(section.body)
+  if (parsed.success) {
+    put(parsed.data)
+  }
+}
+
 function isBelow (path: string, prefix: string): boolean {
   if (!path.startsWith(prefix)) {
     return false
--- /dev/null
+++ b/src/configuration/draft.ts
@@ -0,0 +1,58 @@
+/**
+ * The document as it would be after a change: typed bodies by kind and name.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as documents from './document.js'
+import * as verdicts from '../contracts/verdict.js'
+
+export class Draft {
+  readonly workspaces: Map<string, configuration.Workspace>
+  readonly keyRings: Map<string, configuration.KeyRing>
+  readonly models: Map<string, configuration.Model>
+  readonly servers: Map<string, configuration.Server>
+  readonly services: Map<string, configuration.Service>
+  readonly teams: Map<string, configuration.Team>
+
+  constructor (document: documents.Document) {
+    this.workspaces = new Map(document.listWorkspaces())
+    this.keyRings = new Map(document.listKeyRings())
+    this.models = new Map(document.listModels())
+    this.servers = new Map(document.listServers())
+    this.services = new Map(document.listServices())
+    this.teams = new Map(document.listTeams())
+  }
+
+  /** Puts a body that the schema of its kind has checked; `undefined` deletes the section. */
+  put (sectionName: string, body: unknown): void {
+    const kind = configuration.getSectionKind(sectionName)
+    if (kind === undefined || kind === 'policy') {
+      return
+    }
+    const sections = this.getKind(kind)
+    const name = documents.getLocalName(sectionName)
+    if (body === undefined) {
+      sections.delete(name)
+      return
+    }
+    sections.set(name, body)
+  }
+
+  private getKind (kind: Exclude<configuration.SectionKind, 'policy'>): Map<string, unknown> {
+    switch (kind) {
+      case 'workspaces':
+        return this.workspaces
+      case 'keys':
+        return this.keyRings
+      case 'models':
+        return this.models
+      case 'servers':
+        return this.servers
+      case 'services':
+        return this.services
+      case 'teams':
+        return this.teams
+      default:
+        return verdicts.assertNever(kind)
+    }
+  }
+}
--- /dev/null
+++ b/src/configuration/history.ts
@@ -0,0 +1,93 @@
+/**
+ * The accepted changes that the store keeps.
+ */
+import * as changeRequests from './change_request.js'
+import * as configuration from '../contracts/configuration.js'
+import * as differences from './difference.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as layout from './layout.js'
+
+/** Changes read from the store at once. */
+const pageLength = 25
+
+export class History {
+  constructor (private readonly store: host.Store) {}
+
+  /**
+   * Returns the changes of a section, the latest first, down to `afterVersion` of the section at most.
+   * The last one returned has no differences if the change before it is no longer kept.
+   */
+  async read (
+    section: string, documentVersion: number, limit: number, afterVersion = 0
+  ): Promise<failures.Result<readonly changeRequests.HistoryEntry[]>> {
+    const found: HistoryChange[] = []
+    let last = documentVersion
+    while (last > 0 && found.length <= limit) {
+      const page = await this.readPage(last)
+      if (page.isLeft()) {
+        return failures.fail(page.swap().unsafeCoerce())
+      }
+      const changes = page.unsafeCoerce()
+      for (const change of changes) {
+        const changed = change.sections.find(candidate => candidate.name === section)
+        if (changed !== undefined) {
+          found.push({ change, section: changed })
+        }
+      }
+      if (changes.length === 0 || isComplete(found, afterVersion)) {
+        break
+      }
+      last -= pageLength
+    }
+    return failures.succeed(createEntries(found, afterVersion).slice(0, limit))
+  }
+
+  /** Returns the changes up to `last`, the latest first. */
+  private async readPage (last: number): Promise<failures.Result<readonly configuration.Change[]>> {
+    const after = layout.getChangeKey(Math.max(0, last - pageLength))
+    const page = await this.store.readRange({ prefix: layout.changePrefix, after, limit: Math.min(pageLength, last) })
+    return page.map(({ entries }) => {
+      const changes: configuration.Change[] = []
+      for (const entry of entries) {
+        const change = layout.parseChange(entry.value)
+        if (change !== undefined && change.version <= last) {
+          changes.unshift(change)
+        }
+      }
+      return changes
+    })
+  }
+}
+
+interface HistoryChange {
+  readonly change: configuration.Change
+  readonly section: configuration.Section
+}
+
+/** Whether the body that the earliest change of interest is compared with has been found. */
+function isComplete (found: readonly HistoryChange[], afterVersion: number): boolean {
+  const earliest = found.at(-1)?.section.version
+  return earliest !== undefined && earliest <= Math.max(1, afterVersion)
+}
+
+function createEntries (found: readonly HistoryChange[], afterVersion: number): changeRequests.HistoryEntry[] {
+  const entries: changeRequests.HistoryEntry[] = []
+  for (const [index, { change, section }] of found.entries()) {
+    if (section.version <= afterVersion) {
+      break
+    }
+    const before = found[index + 1]?.section
+    const isComparable = before !== undefined || section.version === 1
+    entries.push({
+      version: change.version,
+      sectionVersion: section.version,
+      operation: change.operation,
+      team: change.team,
+      atMs: change.atMs,
+      deleted: section.body === undefined,
+      differences: isComparable ? [...differences.findDifferences(before?.body, section.body)] : []
+    })
+  }
+  return entries
+}
--- /dev/null
+++ b/src/configuration/notices.ts
@@ -0,0 +1,57 @@
+/**
+ * Listens to links and sessions for changes that other processes pass on.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as identities from '../contracts/identity.js'
+import * as links from '../links/types.js'
+import * as protocol from '../contracts/protocol.js'
+
+export type TakeNotice = (change: configuration.Change, from: identities.Identity) => void
+
+/** Keeps track of the sessions that changes are sent to. */
+export interface SessionRegister {
+  openSession (session: links.Session): void
+  closeSession (session: links.Session): void
+}
+
+export class ChangeLinkObserver extends links.LinkObserver {
+  constructor (private readonly take: TakeNotice) {
+    super()
+  }
+
+  override noticed<Name extends protocol.NotificationName> (
+    link: links.Link, name: Name, notice: protocol.Notice<Name>
+  ): void {
+    if (link.remote !== undefined && isChangeNotice(name, notice)) {
+      this.take(notice.change, link.remote)
+    }
+  }
+}
+
+export class ChangeSessionObserver extends links.SessionObserver {
+  constructor (private readonly take: TakeNotice, private readonly register: SessionRegister) {
+    super()
+  }
+
+  override opened (session: links.Session): void {
+    this.register.openSession(session)
+  }
+
+  override expired (session: links.Session): void {
+    this.register.closeSession(session)
+  }
+
+  override noticed<Name extends protocol.NotificationName> (
+    session: links.Session, name: Name, notice: protocol.Notice<Name>
+  ): void {
+    if (isChangeNotice(name, notice)) {
+      this.take(notice.change, session.remote)
+    }
+  }
+}
+
+function isChangeNotice (
+  name: protocol.NotificationName, _notice: unknown
+): _notice is protocol.Notice<'configuration.changed'> {
+  return name === 'configuration.changed'
+}
--- /dev/null
+++ b/src/configuration/peers.ts
@@ -0,0 +1,49 @@
+/**
+ * The other processes of the deployment, as far as the configuration needs them.
+ */
+import * as allowances from '../allowances/types.js'
+import * as identities from '../contracts/identity.js'
+import * as links from '../links/types.js'
+
+export abstract class Peers {
+  /** Returns the link on which a process can be asked, or `undefined` if its listener is not known. */
+  abstract getLink (peer: identities.Identity): links.Link | undefined
+  /** Returns the link to a listener. */
+  abstract getLinkTo (address: identities.Address): links.Link
+  /** Returns the listeners of the live entries without this one, as far as they are known. */
+  abstract listEntries (): readonly identities.Address[]
+  /** The open links of this process. */
+  abstract listOpenLinks (): readonly links.Link[]
+}
+
+/** Peers by the directory of VMs; without one, as at an agent, only processes that call are known. */
+export class DirectoryPeers extends Peers {
+  constructor (
+    private readonly pool: links.LinkPool,
+    private readonly directory: allowances.Entries | undefined
+  ) {
+    super()
+  }
+
+  override getLink (peer: identities.Identity): links.Link | undefined {
+    return peer.control === undefined ? undefined : this.pool.get(peer.control)
+  }
+
+  override getLinkTo (address: identities.Address): links.Link {
+    return this.pool.get(address)
+  }
+
+  override listEntries (): readonly identities.Address[] {
+    const addresses: identities.Address[] = []
+    for (const entry of this.directory?.list() ?? []) {
+      if (entry.state === 'live' && entry.node !== this.directory?.self.node) {
+        addresses.push(entry.address)
+      }
+    }
+    return addresses
+  }
+
+  override listOpenLinks (): readonly links.Link[] {
+    return this.pool.list().filter(link => link.isOpen)
+  }
+}
--- /dev/null
+++ b/src/configuration/publisher.ts
@@ -0,0 +1,113 @@
+/**
+ * Passes accepted changes on: at once over the open links and sessions, and a little later by asking the
+ * agents that this entry is responsible for, which then fetch what they lack.
+ */
+import * as changeLogs from './change_log.js'
+import * as configuration from '../contracts/configuration.js'
+import * as documents from './document.js'
+import * as duties from './duty.js'
+import * as host from '../host/types.js'
+import * as identities from '../contracts/identity.js'
+import * as links from '../links/types.js'
+import * as peersModule from './peers.js'
+
+/** Shortest and longest pause between a change and asking the agents, in milliseconds. */
+const shortestRoundMs = 300
+const longestRoundMs = 1_500
+
+/** Longest wait for an agent's answer, in milliseconds. */
+const answerTimeoutMs = 1_000
+
+/** Rounds in which agents that did not answer are asked again. */
+const maximumRounds = 4
+
+export class Publisher {
+  private readonly sessions = new Set<links.Session>()
+  private roundsLeft = 0
+  private isRunning = false
+  private stopTimer: host.Stop | undefined
+
+  constructor (
+    private readonly document: documents.Document,
+    private readonly peers: peersModule.Peers,
+    private readonly own: identities.Address,
+    private readonly clock: host.Clock,
+    private readonly random: host.Random
+  ) {}
+
+  openSession (session: links.Session): void {
+    this.sessions.add(session)
+  }
+
+  closeSession (session: links.Session): void {
+    this.sessions.delete(session)
+  }
+
+  /** Sends a change to every process with an open connection. */
+  send (change: configuration.Change): void {
+    for (const link of this.peers.listOpenLinks()) {
+      this.notify(link, change)
+    }
+    for (const session of this.sessions) {
+      if (session.isOpen) {
+        this.notify(session, change)
+      }
+    }
+  }
+
+  /** Sees to it that the agents hear of the current version. */
+  schedule (): void {
+    this.roundsLeft = maximumRounds
+    if (!this.isRunning) {
+      this.isRunning = true
+      this.startTimer()
+    }
+  }
+
+  stop (): void {
+    this.roundsLeft = 0
+    this.stopTimer?.()
+  }
+
+  private startTimer (): void {
+    const delayMs = shortestRoundMs + this.random.nextUnit() * (longestRoundMs - shortestRoundMs)
+    this.stopTimer = this.clock.after(delayMs, () => {
+      this.runRound().catch(() => {})
+    })
+  }
+
+  private async runRound (): Promise<void> {
+    this.roundsLeft -= 1
+    const { version } = this.document
+    const areAllTold = await this.askAgents()
+    if (this.roundsLeft > 0 && (!areAllTold || this.document.version !== version)) {
+      this.startTimer()
+      return
+    }
+    this.isRunning = false
+  }
+
+  private async askAgents (): Promise<boolean> {
+    const entries = this.peers.listEntries()
+    const asked: Promise<boolean>[] = []
+    for (const server of this.document.listServers().values()) {
+      if (duties.isOnDuty(this.own, entries, server.agent)) {
+        asked.push(this.ask(server.agent))
+      }
+    }
+    const told = await Promise.all(asked)
+    return told.every(isTold => isTold)
+  }
+
+  /** Any call tells the agent the version of this entry; the answer tells whether the agent has it. */
+  private async ask (agent: identities.Address): Promise<boolean> {
+    const answer = await this.peers.getLinkTo(agent).call('status.read', {}, answerTimeoutMs)
+    return answer.map(({ configurationVersion }) => configurationVersion >= this.document.version).orDefault(false)
+  }
+
+  private notify (to: links.Link | links.Session, change: configuration.Change): void {
+    if (to.remote !== undefined) {
+      to.notify('configuration.changed', { change: changeLogs.redactChange(change, to.remote.role) })
+    }
+  }
+}
--- /dev/null
+++ b/src/configuration/replica.ts
@@ -0,0 +1,314 @@
+/**
+ * Keeps the document of this process current, from the store and from other processes.
+ */
+import * as changeLogs from './change_log.js'
+import * as configuration from '../contracts/configuration.js'
+import * as decisions from './replica_decisions.js'
+import * as documents from './document.js'
+import * as editors from './editor.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as identities from '../contracts/identity.js'
+import * as links from '../links/types.js'
+import * as metrics from '../metrics/types.js'
+import * as notices from './notices.js'
+import * as peersModule from './peers.js'
+import * as protocol from '../contracts/protocol.js'
+import * as publishers from './publisher.js'
+import * as storeFollowers from './store_follower.js'
+import * as storeSources from './store_source.js'
+import * as timelines from '../timeline/types.js'
+
+/** Longest wait for the answer of a peer, in milliseconds. */
+const peerTimeoutMs = 2_000
+
+/** Entries asked for their version at the start. */
+const probedEntries = 3
+
+/** A version that no process has: the answer to such a request is a version alone. */
+const beyondAnyVersion = Number.MAX_SAFE_INTEGER
+
+export interface ReplicaOptions {
+  readonly identity: identities.Identity
+  /** Control listener of this process. */
+  readonly address: identities.Address
+  /** Entries only. */
+  readonly store?: host.Store
+  readonly peers: peersModule.Peers
+  readonly clock: host.Clock
+  readonly random: host.Random
+  readonly log: host.Log
+  readonly meter: metrics.Meter
+  readonly recorder: timelines.Recorder
+}
+
+/** Called after the document has moved on, with the names of the sections that changed. */
+export type ChangeListener = (version: number, sections: readonly string[]) => void
+
+export class Replica extends editors.CurrentDocument {
+  override readonly document = new documents.Document()
+  /** For the listener of links. */
+  readonly handlers: links.Handlers
+  readonly linkObserver: links.LinkObserver
+  readonly sessionObserver: links.SessionObserver
+
+  private readonly decisions: decisions.ReplicaDecisions
+  private readonly changeLog = new changeLogs.ChangeLog()
+  private readonly publisher: publishers.Publisher
+  private readonly source: storeSources.StoreSource | undefined
+  private readonly listeners = new Set<ChangeListener>()
+  private readonly waiters = new Set<() => void>()
+  private readonly follower: storeFollowers.StoreFollower | undefined
+  private stopTimer: host.Stop | undefined
+  private stopped = false
+
+  constructor (private readonly options: ReplicaOptions) {
+    super()
+    this.decisions = new decisions.ReplicaDecisions(options.identity.role)
+    this.source = options.store === undefined ? undefined : new storeSources.StoreSource(options.store)
+    this.follower = this.source === undefined ? undefined : this.createFollower(this.source)
+    this.publisher = new publishers.Publisher(
+      this.document, options.peers, options.address, options.clock, options.random
+    )
+    this.handlers = { 'configuration.read': async (params, session) => this.answer(params, session.remote.role) }
+    const take: notices.TakeNotice = (change, from) => this.takeNotice(change, from)
+    this.linkObserver = new notices.ChangeLinkObserver(take)
+    this.sessionObserver = new notices.ChangeSessionObserver(take, this.publisher)
+  }
+
+  /** Whether the version is at least the highest that anybody had told when the replica was complete first. */
+  get isReady (): boolean {
+    return this.decisions.isReady
+  }
+
+  start (): void {
+    this.report({ kind: 'started' })
+  }
+
+  stop (): void {
+    this.stopped = true
+    this.follower?.stop()
+    this.stopTimer?.()
+    this.publisher.stop()
+  }
+
+  /** Resolves once the replica is ready. */
+  whenReady (): Promise<void> {
+    if (this.isReady) {
+      return Promise.resolve()
+    }
+    return new Promise(resolve => this.waiters.add(resolve))
+  }
+
+  /** Calls the listener after each change until stopped. */
+  onChange (listener: ChangeListener): host.Stop {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+
+  /** Version of the document in force. */
+  get version (): number {
+    return this.document.version
+  }
+
+  /** Takes note of a version that another process knows; to be called for every message. */
+  hear (version: number, from: identities.Identity | undefined): void {
+    if (version <= this.document.version) {
+      return
+    }
+    this.report(from === undefined ? { kind: 'heard', version } : { kind: 'heard', version, peer: from })
+  }
+
+  override async reach (version: number): Promise<failures.Result<void>> {
+    if (this.document.version < version && this.source !== undefined) {
+      const news = await this.source.readSince(this.document.version)
+      if (news.isLeft()) {
+        return failures.fail(news.swap().unsafeCoerce())
+      }
+      this.takeNews(news.unsafeCoerce())
+    }
+    if (this.document.version < version) {
+      return failures.fail(failures.createFailure('not_run', 'store_unavailable', ['the read is stale']))
+    }
+    return failures.succeed(undefined)
+  }
+
+  override publish (change: configuration.Change): void {
+    this.offer([change])
+    this.publisher.send(change)
+  }
+
+  /** Takes a change that another process passed on. */
+  private takeNotice (change: configuration.Change, from: identities.Identity): void {
+    if (this.isTrusted(from)) {
+      this.offer([change])
+    }
+    this.hear(change.version, from)
+  }
+
+  /** An entry takes no content from agents, which lack the secret sections. */
+  private isTrusted (from: identities.Identity): boolean {
+    return this.options.identity.role === 'agent' || from.role === 'entry'
+  }
+
+  private async answer (
+    { since }: protocol.Params<'configuration.read'>, audience: identities.Role
+  ): Promise<failures.Result<protocol.Answer<'configuration.read'>>> {
+    if (audience === 'entry' && this.options.identity.role === 'agent') {
+      return failures.fail(failures.createFailure('not_run', 'configuration_forbidden', [audience]))
+    }
+    return failures.succeed(changeLogs.createAnswer(this.document, this.changeLog, since, audience))
+  }
+
+  private report (event: decisions.ReplicaEvent): void {
+    if (this.stopped) {
+      return
+    }
+    for (const action of this.decisions.decide(event, this.options.clock.monotonicMs())) {
+      this.perform(action)
+    }
+    this.setTimer()
+  }
+
+  private setTimer (): void {
+    this.stopTimer?.()
+    const dueMs = this.decisions.getDueMs()
+    if (dueMs === undefined || dueMs === Number.POSITIVE_INFINITY) {
+      return
+    }
+    const delayMs = Math.max(1, dueMs - this.options.clock.monotonicMs())
+    this.stopTimer = this.options.clock.after(delayMs, () => this.report({ kind: 'due' }))
+  }
+
+  private perform (action: decisions.ReplicaAction): void {
+    switch (action.kind) {
+      case 'read_store':
+        this.follower?.follow(this.document.version).catch(() => this.failStore())
+        return
+      case 'ask_peer':
+        this.askPeer(action.peer, action.since).catch(() => this.report({ kind: 'peer_failed', node: action.peer.node }))
+        return
+      case 'probe_entries':
+        this.probeEntries().catch(() => {}).finally(() => this.report({ kind: 'probed' }))
+        return
+      case 'become_ready':
+        this.becomeReady()
+    }
+  }
+
+  private becomeReady (): void {
+    this.options.log.info('configuration ready', { version: this.document.version })
+    for (const resolve of this.waiters) {
+      resolve()
+    }
+    this.waiters.clear()
+  }
+
+  private createFollower (source: storeSources.StoreSource): storeFollowers.StoreFollower {
+    return new storeFollowers.StoreFollower(source, {
+      read: news => {
+        this.takeNews(news)
+        this.report({ kind: 'store_read' })
+      },
+      changed: change => this.takeWatched(change),
+      failed: () => this.failStore()
+    })
+  }
+
+  private failStore (): void {
+    this.options.meter.count('configuration_store_failures')
+    this.report({ kind: 'store_failed', jitter: this.options.random.nextUnit() })
+  }
+
+  private takeNews (news: storeSources.StoreNews): void {
+    if (news.snapshot !== undefined) {
+      this.replace(news.snapshot)
+    }
+    this.offer(news.changes)
+  }
+
+  /** A change that does not follow the document's version makes the replica look for what it lacks. */
+  private takeWatched (change: configuration.Change): void {
+    this.offer([change])
+    this.hear(change.version, undefined)
+  }
+
+  private async askPeer (peer: identities.Identity, since: number): Promise<void> {
+    const link = this.options.peers.getLink(peer)
+    const answer = await link?.call('configuration.read', { since }, peerTimeoutMs)
+    if (answer === undefined || answer.isLeft()) {
+      this.report({ kind: 'peer_failed', node: peer.node })
+      return
+    }
+    const { version, changes, snapshot } = answer.unsafeCoerce()
+    this.options.meter.count('configuration_peer_reads')
+    if (snapshot !== undefined) {
+      this.replace(snapshot)
+    }
+    this.offer(changes)
+    this.report({ kind: 'peer_answered', node: peer.node, version })
+  }
+
+  private async probeEntries (): Promise<void> {
+    const entries = [...this.options.peers.listEntries()]
+    const probes: Promise<void>[] = []
+    while (probes.length < probedEntries && entries.length > 0) {
+      const [address] = entries.splice(this.options.random.nextInteger(entries.length), 1)
+      if (address !== undefined) {
+        probes.push(this.probe(address))
+      }
+    }
+    await Promise.all(probes)
+  }
+
+  private async probe (address: identities.Address): Promise<void> {
+    const link = this.options.peers.getLinkTo(address)
+    const answer = await link.call('configuration.read', { since: beyondAnyVersion }, peerTimeoutMs)
+    if (answer.isRight()) {
+      this.hear(answer.unsafeCoerce().version, link.remote)
+    }
+  }
+
+  /** Applies the changes that follow the document's version; the others change nothing. */
+  private offer (changes: readonly configuration.Change[]): void {
+    const applied: configuration.Change[] = []
+    for (const change of changes) {
+      if (this.document.applyChange(change)) {
+        this.changeLog.add(change)
+        applied.push(change)
+      }
+    }
+    if (applied.length > 0) {
+      this.announce(applied.flatMap(change => change.sections.map(section => section.name)))
+    }
+  }
+
+  private replace (snapshot: configuration.Snapshot): void {
+    const before = new Map(this.document.listSections().map(section => [section.name, section.version]))
+    if (!this.document.applySnapshot(snapshot)) {
+      return
+    }
+    this.changeLog.clear()
+    const names: string[] = []
+    for (const section of this.document.listSections()) {
+      if (before.get(section.name) !== section.version) {
+        names.push(section.name)
+      }
+      before.delete(section.name)
+    }
+    this.announce([...names, ...before.keys()])
+  }
+
+  private announce (sections: readonly string[]): void {
+    const { version } = this.document
+    this.options.recorder.record({ kind: 'configuration.changed', details: { version, sections: sections.length } })
+    this.options.meter.gauge('configuration_version', {}, version)
+    for (const listener of this.listeners) {
+      listener(version, sections)
+    }
+    if (this.options.identity.role === 'entry') {
+      this.publisher.schedule()
+    }
+    this.report({ kind: 'advanced', version })
+  }
+}
--- /dev/null
+++ b/src/configuration/store_source.ts
@@ -0,0 +1,183 @@
+/**
+ * Reads the configuration from the store and watches it.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as layout from './layout.js'
+
+/** Keys read at once. */
+const pageLength = 100
+
+/** What the store has beyond a version, up to a revision of the store. */
+export interface StoreNews {
+  readonly revision: number
+  readonly changes: readonly configuration.Change[]
+  /** Present, in place of the changes, if some of them are no longer kept. */
+  readonly snapshot?: configuration.Snapshot
+}
+
+interface Head {
+  readonly version: number
+  readonly revision: number
+}
+
+interface Entries {
+  readonly revision: number
+  readonly entries: readonly host.StoreEntry[]
+}
+
+/** Reads that a stale replica of the store answered are reported so. */
+const staleRead = failures.createFailure('not_run', 'store_unavailable', ['the read is stale'])
+
+export class StoreSource {
+  constructor (private readonly store: host.Store) {}
+
+  /** Returns what a document at the version lacks. */
+  async readSince (version: number): Promise<failures.Result<StoreNews>> {
+    const head = await this.readHead()
+    if (head.isLeft()) {
+      return failures.fail(head.swap().unsafeCoerce())
+    }
+    const { version: headVersion, revision } = head.unsafeCoerce()
+    if (headVersion <= version) {
+      return failures.succeed({ revision, changes: [] })
+    }
+    if (version === 0) {
+      return this.readSnapshot(head.unsafeCoerce())
+    }
+    const read = await this.readChanges(version, revision)
+    return read.caseOf<Promise<failures.Result<StoreNews>>>({
+      Left: async failure => failures.fail(failure),
+      Right: async news => isContiguous(news.changes, version, headVersion)
+        ? failures.succeed(news)
+        : await this.readSnapshot(head.unsafeCoerce())
+    })
+  }
+
+  /** Reports changes committed after the revision, in order. */
+  watch (
+    revision: number,
+    changed: (change: configuration.Change) => void,
+    ended: (failure: failures.Failure) => void
+  ): host.Stop {
+    return this.store.watch(layout.changePrefix, revision + 1, events => {
+      for (const event of events) {
+        const change = event.kind === 'put' ? layout.parseChange(event.entry.value) : undefined
+        if (change !== undefined) {
+          changed(change)
+        }
+      }
+    }, ended)
+  }
+
+  /** Reads by a transaction, which no stale replica of the store answers. */
+  private async readHead (): Promise<failures.Result<Head>> {
+    const commit = await this.store.commit({ compare: [], success: [{ kind: 'get', key: layout.headKey }], failure: [] })
+    return commit.chain(({ reads: [entry], revision }) => {
+      const version = layout.parseHead(entry?.value)
+      return version === undefined
+        ? failures.fail(failures.createFailure('not_run', 'internal', ['the head record cannot be read']))
+        : failures.succeed({ version, revision })
+    })
+  }
+
+  /**
+   * Reads the sections page by page and brings them to one version by the changes made meanwhile.
+   */
+  private async readSnapshot (head: Head): Promise<failures.Result<StoreNews>> {
+    const read = await this.readEntries(layout.sectionPrefix, undefined, head.revision)
+    if (read.isLeft()) {
+      return failures.fail(read.swap().unsafeCoerce())
+    }
+    const sections = new Map<string, configuration.Section>()
+    for (const entry of read.unsafeCoerce().entries) {
+      const section = layout.parseRecord(configuration.Section, entry.value)
+      if (section !== undefined) {
+        sections.set(section.name, section)
+      }
+    }
+    return this.completeSnapshot(head, sections)
+  }
+
+  private async completeSnapshot (
+    head: Head, sections: Map<string, configuration.Section>
+  ): Promise<failures.Result<StoreNews>> {
+    const later = await this.readHead()
+    if (later.isLeft()) {
+      return failures.fail(later.swap().unsafeCoerce())
+    }
+    const { version, revision } = later.unsafeCoerce()
+    const read = await this.readChanges(head.version, revision)
+    if (read.isLeft()) {
+      return read
+    }
+    const news = read.unsafeCoerce()
+    if (!isContiguous(news.changes, head.version, version)) {
+      return failures.fail(failures.createFailure('not_run', 'store_unavailable', ['changes are missing']))
+    }
+    for (const change of news.changes) {
+      for (const section of change.sections) {
+        sections.set(section.name, section)
+      }
+    }
+    const last = news.changes.at(-1)?.version ?? version
+    return failures.succeed({ revision: news.revision, changes: [], snapshot: { version: last, sections: [...sections.values()] } })
+  }
+
+  /** Returns the kept changes after a version, read at `minimumRevision` of the store or later. */
+  private async readChanges (version: number, minimumRevision: number): Promise<failures.Result<StoreNews>> {
+    const read = await this.readEntries(layout.changePrefix, layout.getChangeKey(version), minimumRevision)
+    return read.map(({ revision, entries }) => {
+      const changes: configuration.Change[] = []
+      for (const entry of entries) {
+        const change = layout.parseChange(entry.value)
+        if (change !== undefined) {
+          changes.push(change)
+        }
+      }
+      return { revision, changes }
+    })
+  }
+
+  /** Reads a range page by page; the revision returned is that of the first page. */
+  private async readEntries (
+    prefix: string, after: string | undefined, minimumRevision: number
+  ): Promise<failures.Result<Entries>> {
+    const entries: host.StoreEntry[] = []
+    let revision: number | undefined
+    let last = after
+    for (;;) {
+      const read = await this.store.readRange(createRange(prefix, last))
+      if (read.isLeft()) {
+        return failures.fail(read.swap().unsafeCoerce())
+      }
+      const page = read.unsafeCoerce()
+      if (page.revision < minimumRevision) {
+        return failures.fail(staleRead)
+      }
+      revision ??= page.revision
+      entries.push(...page.entries)
+      last = page.entries.at(-1)?.key
+      if (!page.more || last === undefined) {
+        return failures.succeed({ revision, entries })
+      }
+    }
+  }
+}
+
+function createRange (prefix: string, after: string | undefined): host.StoreRange {
+  return after === undefined ? { prefix, limit: pageLength } : { prefix, after, limit: pageLength }
+}
+
+/** Tells whether the changes follow the version without a gap, at least up to another. */
+function isContiguous (changes: readonly configuration.Change[], version: number, upTo: number): boolean {
+  let next = version + 1
+  for (const change of changes) {
+    if (change.version !== next) {
+      return false
+    }
+    next += 1
+  }
+  return next > upTo
+}
--- /dev/null
+++ b/tests/configuration/replica.test.ts
@@ -0,0 +1,282 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as directStores from '../support/direct_store.js'
+import * as duties from '../../src/configuration/duty.js'
+import * as failures from '../../src/contracts/failure.js'
+import * as fixture from './fixture.js'
+import * as host from '../../src/host/types.js'
+import * as layout from '../../src/configuration/layout.js'
+
+/** Answers range reads from the state at the time when it was frozen. */
+class StaleStore extends directStores.DirectStore {
+  private readonly pages = new Map<string, host.StorePage>()
+  isFrozen = false
+
+  override async readRange (range: host.StoreRange): Promise<failures.Result<host.StorePage>> {
+    const page = this.pages.get(range.prefix)
+    if (this.isFrozen && page !== undefined) {
+      return failures.succeed({ ...page, entries: page.entries.filter(entry => entry.key > (range.after ?? '')) })
+    }
+    const read = await super.readRange(range)
+    read.ifRight(found => this.pages.set(range.prefix, found))
+    return read
+  }
+}
+
+/** Answers everything from the state at the time when it was made. */
+class OldStore extends StaleStore {
+  override async commit (): Promise<failures.Result<host.StoreCommit>> {
+    const read = await super.readRange({ prefix: layout.headKey })
+    return read.map(page => ({ succeeded: true, revision: page.revision, reads: [page.entries[0]] }))
+  }
+
+  override watch (): host.Stop {
+    return () => {}
+  }
+}
+
+async function createEntry (network: fixture.Network): Promise<fixture.Process> {
+  const entry = network.addEntry()
+  await entry.start()
+  return entry
+}
+
+async function addWorkspaces (entry: fixture.Process, from: number, to: number): Promise<void> {
+  for (let index = from; index <= to; index += 1) {
+    await fixture.change(entry, `op-${index}`, [fixture.createWorkspace(`w${index}`)])
+  }
+}
+
+const server = { role: 'decode', zone: 'a', models: ['m'], memoryPieces: 10 }
+
+test.describe('Replica', () => {
+  test.describe('of an entry', () => {
+    test.it('reads a snapshot, then follows the store', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 3)
+      const late = await createEntry(network)
+      assert.deepEqual([late.replica.version, late.replica.isReady], [3, true])
+      await addWorkspaces(entry, 4, 4)
+      assert.equal(late.replica.version, 4)
+      assert.notEqual(late.replica.document.getWorkspace('w4'), undefined)
+    })
+
+    test.it('refuses a snapshot made of stale pages', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      const store = new StaleStore(network.core)
+      await store.readRange({ prefix: layout.sectionPrefix })
+      await addWorkspaces(entry, 1, 2)
+      store.isFrozen = true
+      const late = network.addEntry(store)
+      network.cut.add(entry.address.port)
+      await late.start()
+      assert.equal(late.replica.isReady, false)
+      store.isFrozen = false
+      await network.clock.advance(1_000)
+      assert.deepEqual([late.replica.version, late.replica.isReady], [2, true])
+    })
+
+    test.it('does not come up with an old version while a peer tells of a newer one', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 1)
+      const store = new OldStore(network.core)
+      await store.commit()
+      await store.readRange({ prefix: layout.sectionPrefix })
+      await store.readRange({ prefix: layout.changePrefix })
+      store.isFrozen = true
+      await addWorkspaces(entry, 2, 3)
+      const late = network.addEntry(store)
+      await late.start()
+      assert.deepEqual([late.replica.version, late.replica.isReady], [1, false])
+      await network.clock.advance(200)
+      assert.deepEqual([late.replica.version, late.replica.isReady], [3, true])
+    })
+
+    test.it('takes what it lacks from another entry while the store is down', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      const store = new directStores.DirectStore(network.core)
+      const other = network.addEntry(store)
+      await other.start()
+      store.setDown(true)
+      await addWorkspaces(entry, 1, 2)
+      assert.equal(other.replica.version, 0)
+      other.replica.hear(2, entry.identity)
+      await network.clock.advance(200)
+      assert.equal(other.replica.version, 2)
+      store.setDown(false)
+      await addWorkspaces(entry, 3, 3)
+      await network.clock.advance(10_000)
+      assert.equal(other.replica.version, 3)
+    })
+
+    test.it('starts from another entry while the store is down', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 2)
+      const store = new directStores.DirectStore(network.core)
+      store.setDown(true)
+      const late = network.addEntry(store)
+      await late.start()
+      assert.equal(late.replica.isReady, false)
+      await network.clock.advance(200)
+      assert.deepEqual([late.replica.version, late.replica.isReady], [2, true])
+    })
+
+    test.it('never takes its configuration from an agent', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 1)
+      const agent = network.addAgent()
+      await agent.start()
+      agent.replica.hear(1, entry.identity)
+      await network.clock.advance(200)
+      network.cut.add(entry.address.port)
+      const store = new directStores.DirectStore(network.core)
+      store.setDown(true)
+      const late = network.addEntry(store)
+      await late.start()
+      late.replica.hear(1, agent.identity)
+      await network.clock.advance(5_000)
+      assert.deepEqual([late.replica.version, late.replica.isReady, agent.reads], [0, false, 0])
+      const answer = await new fixture.DirectLink(late, agent.address).call('configuration.read', { since: 0 })
+      assert.equal(answer.swap().unsafeCoerce().code, 'configuration_forbidden')
+    })
+
+    test.it('reads a snapshot when the store no longer keeps the changes it lacks', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 1)
+      const store = new directStores.DirectStore(network.core)
+      const other = network.addEntry(store)
+      await other.start()
+      store.setDown(true)
+      network.cut.add(entry.address.port)
+      await addWorkspaces(entry, 2, 4)
+      network.core.commit({ compare: [], success: [{ kind: 'delete', key: layout.getChangeKey(2) }], failure: [] })
+      store.setDown(false)
+      await network.clock.advance(1_000)
+      assert.equal(other.replica.version, 4)
+      assert.notEqual(other.replica.document.getWorkspace('w2'), undefined)
+    })
+
+    test.it('never goes back when the store does', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 3)
+      network.core.commit({
+        compare: [],
+        success: [{ kind: 'put', key: layout.headKey, value: '{"version":1}' }, { kind: 'delete', key: layout.getSectionKey('workspaces/w3') }],
+        failure: []
+      })
+      const store = entry.store as directStores.DirectStore
+      store.setDown(true)
+      store.setDown(false)
+      await network.clock.advance(5_000)
+      assert.equal(entry.replica.version, 3)
+      assert.notEqual(entry.replica.document.getWorkspace('w3'), undefined)
+    })
+
+    test.it('names the changed sections to listeners', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      const seen: unknown[] = []
+      entry.replica.onChange((version, sections) => seen.push([version, sections]))
+      await addWorkspaces(entry, 1, 2)
+      assert.deepEqual(seen, [[1, ['workspaces/w1']], [2, ['workspaces/w2']]])
+    })
+  })
+
+  test.describe('of an agent', () => {
+    test.it('fetches the configuration without secret sections, whole first and by changes later', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await fixture.change(entry, 'op', [
+        fixture.createWorkspace('a'), { name: 'keys/a', expectedVersion: 0, body: { keys: [] } }
+      ])
+      const agent = network.addAgent()
+      await agent.start()
+      agent.replica.hear(1, entry.identity)
+      await network.clock.advance(200)
+      assert.deepEqual(agent.replica.document.listSections().map(section => section.name), ['workspaces/a'])
+      await fixture.change(entry, 'op-2', [{ name: 'keys/a', expectedVersion: 1, body: { keys: [{ id: 'k', hash: 'b'.repeat(64), createdAtMs: 1 }] } }])
+      agent.replica.hear(2, entry.identity)
+      await network.clock.advance(200)
+      assert.deepEqual([agent.replica.version, agent.replica.document.getSection('keys/a')], [2, undefined])
+    })
+
+    test.it('relays to agents', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      await addWorkspaces(entry, 1, 1)
+      const agents = [network.addAgent(), network.addAgent()]
+      for (const agent of agents) {
+        await agent.start()
+      }
+      agents[0]?.replica.hear(1, entry.identity)
+      await network.clock.advance(200)
+      network.cut.add(entry.address.port)
+      agents[1]?.replica.hear(1, agents[0]?.identity)
+      await network.clock.advance(200)
+      assert.equal(agents[1]?.replica.version, 1)
+    })
+
+    test.it('is told of a change by the entries responsible for it, without any other message', async () => {
+      const network = new fixture.Network()
+      const entries = [await createEntry(network), await createEntry(network), await createEntry(network)]
+      const agent = network.addAgent()
+      await agent.start()
+      const [entry] = entries as [fixture.Process]
+      await fixture.change(entry, 'op', [
+        { name: 'models/m', expectedVersion: 0, body: {} },
+        { name: 'servers/s', expectedVersion: 0, body: { ...server, agent: agent.address } }
+      ])
+      await network.clock.advance(4_000)
+      assert.deepEqual([agent.replica.version, agent.replica.isReady], [1, true])
+      assert.equal(entries.reduce((sum, { reads }) => sum + reads, 0) <= 1 + 3 * 2, true)
+    })
+
+    test.it('takes the next change from a notice, and asks after a gap', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      const agent = network.addAgent()
+      await agent.start()
+      const session = { remote: entry.identity } as Parameters<typeof agent.replica.sessionObserver.noticed>[0]
+      const notice = (version: number): void => agent.replica.sessionObserver.noticed(session, 'configuration.changed', {
+        change: { version, operation: 'o', team: 'root', atMs: 0, sections: [] }
+      })
+      await addWorkspaces(entry, 1, 3)
+      notice(1)
+      assert.equal(agent.replica.version, 1)
+      notice(3)
+      assert.equal(agent.replica.version, 1)
+      await network.clock.advance(200)
+      assert.equal(agent.replica.version, 3)
+    })
+  })
+
+  test.describe('withdrawn keys', () => {
+    test.it('reach the other entries', async () => {
+      const network = new fixture.Network()
+      const entries = [await createEntry(network), await createEntry(network)] as const
+      const key = { id: 'k', hash: 'c'.repeat(64), createdAtMs: 1 }
+      await fixture.change(entries[0], 'op-1', [fixture.createWorkspace('a'), { name: 'keys/a', expectedVersion: 0, body: { keys: [key] } }])
+      assert.equal(entries[1].replica.document.findKey(key.hash)?.key.withdrawnAtMs, undefined)
+      await fixture.change(entries[0], 'op-2', [{ name: 'keys/a', expectedVersion: 1, body: { keys: [{ ...key, withdrawnAtMs: 5 }] } }])
+      assert.equal(entries[1].replica.document.findKey(key.hash)?.key.withdrawnAtMs, 5)
+    })
+  })
+})
+
+test.describe('isOnDuty', () => {
+  test.it('gives each agent to the same two of all entries', () => {
+    const entries = Array.from({ length: 20 }, (_, index) => ({ host: '10.0.0.1', port: 1 + index }))
+    for (let port = 100; port < 150; port += 1) {
+      const onDuty = entries.filter(own => duties.isOnDuty(own, entries.filter(other => other !== own), { host: '10.0.0.2', port }))
+      assert.equal(onDuty.length, duties.dutyCopies)
+    }
+  })
+})
