--- /dev/null
+++ b/src/administration/listener.ts
@@ -0,0 +1,47 @@
+/**
+ * The listener of the administration API.
+ */
+import * as events from 'node:events'
+import * as h3 from 'h3/node'
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as applications from './application.js'
+import * as identities from '../contracts/identity.js'
+
+export interface ListenerLimits {
+  /** All headers of a request, in bytes. */
+  readonly headerBytes: number
+  /** Headers of a request. */
+  readonly headerCount: number
+  /** Longest time for a request to arrive, in milliseconds. */
+  readonly bodyTimeoutMs: number
+}
+
+export class AdministrationListener {
+  private readonly server: http.Server
+
+  constructor (options: applications.ApplicationOptions, limits: ListenerLimits) {
+    const handler = h3.toNodeHandler(applications.createApplication(options))
+    this.server = http.createServer({
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.bodyTimeoutMs,
+      requestTimeout: limits.bodyTimeoutMs,
+      connectionsCheckingInterval: Math.max(100, limits.bodyTimeoutMs / 10)
+    }, handler)
+    this.server.maxHeadersCount = limits.headerCount
+  }
+
+  /** Listens and returns the port, which is chosen if the address has port 0. */
+  async listen (address: Pick<identities.Address, 'host'> & { readonly port: number }): Promise<number> {
+    this.server.listen(address.port, address.host)
+    await events.EventEmitter.once(this.server, 'listening')
+    return (this.server.address() as net.AddressInfo).port
+  }
+
+  /** Closes the listener once the calls under way have been answered. */
+  async close (): Promise<void> {
+    this.server.close()
+    this.server.closeIdleConnections()
+    await events.EventEmitter.once(this.server, 'close')
+  }
+}
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -21,9 +21,34 @@
   async read (
     section: string, documentVersion: number, limit: number, afterVersion = 0
   ): Promise<failures.Result<readonly changeRequests.HistoryEntry[]>> {
+    const found = await this.find(section, documentVersion, limit + 1, Math.max(1, afterVersion))
+    return found.map(changes => createEntries(changes, afterVersion).slice(0, limit))
+  }
+
+  /**
+   * Returns the bodies of a section at the versions asked for, as far as the last `limit` changes have them.
+   * Version 0 is that of a section that never existed; its body is `undefined`, as of a deleted one.
+   */
+  async readBodies (
+    section: string, documentVersion: number, versions: readonly number[], limit: number
+  ): Promise<failures.Result<ReadonlyMap<number, unknown>>> {
+    const found = await this.find(section, documentVersion, limit, Math.max(1, Math.min(...versions)))
+    return found.map(changes => {
+      const bodies = new Map<number, unknown>()
+      for (const { section: changed } of changes) {
+        bodies.set(changed.version, changed.body)
+      }
+      return bodies.set(0, undefined)
+    })
+  }
+
+  /** Looks for changes of a section, the latest first, until one is of `lastVersion` or earlier. */
+  private async find (
+    section: string, documentVersion: number, limit: number, lastVersion: number
+  ): Promise<failures.Result<readonly HistoryChange[]>> {
     const found: HistoryChange[] = []
     let last = documentVersion
-    while (last > 0 && found.length <= limit) {
+    while (last > 0 && found.length < limit) {
       const page = await this.readPage(last)
       if (page.isLeft()) {
         return failures.fail(page.swap().unsafeCoerce())
@@ -35,12 +60,13 @@
           found.push({ change, section: changed })
         }
       }
-      if (changes.length === 0 || isComplete(found, afterVersion)) {
+      const earliest = found.at(-1)?.section.version
+      if (changes.length === 0 || (earliest !== undefined && earliest <= lastVersion)) {
         break
       }
       last -= pageLength
     }
-    return failures.succeed(createEntries(found, afterVersion).slice(0, limit))
+    return failures.succeed(found)
   }
 
   /** Returns the changes up to `last`, the latest first. */
@@ -65,12 +91,6 @@
   readonly section: configuration.Section
 }
 
-/** Whether the body that the earliest change of interest is compared with has been found. */
-function isComplete (found: readonly HistoryChange[], afterVersion: number): boolean {
-  const earliest = found.at(-1)?.section.version
-  return earliest !== undefined && earliest <= Math.max(1, afterVersion)
-}
-
 function createEntries (found: readonly HistoryChange[], afterVersion: number): changeRequests.HistoryEntry[] {
   const entries: changeRequests.HistoryEntry[] = []
   for (const [index, { change, section }] of found.entries()) {
