--- a/src/administration/application.ts
+++ b/src/administration/application.ts
@@ -76,7 +76,8 @@
       return result.caseOf({ Left: refuse, Right: reply => this.respond(reply) })
     } catch (error) {
       const text = error instanceof Error ? error.message : String(error)
-      return refuse(failures.createFailure('may_have_run', 'internal', [text]))
+      const verdict = this.route.method === 'GET' ? 'not_run' : 'may_have_run'
+      return refuse(failures.createFailure(verdict, 'internal', [text]))
     }
   }
 
--- /dev/null
+++ b/src/configuration/settings_table.ts
@@ -0,0 +1,67 @@
+/**
+ * The options of the settings file as a table, made from their schemas.
+ */
+import * as z from 'zod'
+import * as identities from '../contracts/identity.js'
+import * as settings from '../contracts/settings.js'
+
+export interface SettingsOption {
+  /** Path in the file, parts joined by dots. */
+  readonly path: string
+  readonly type: string
+  /** Value if the option is left out; absent for an option that must be given or has none. */
+  readonly standard: unknown
+  readonly isRequired: boolean
+  readonly description: string
+}
+
+/** The parts of a JSON schema that the table shows. */
+interface Described {
+  readonly type?: string | undefined
+  readonly const?: unknown
+  readonly enum?: readonly unknown[] | undefined
+  readonly default?: unknown
+  readonly description?: string | undefined
+  readonly properties?: Readonly<Record<string, Described>> | undefined
+  readonly required?: readonly string[] | undefined
+  readonly items?: Described | undefined
+}
+
+/** Lists the options of a role in the order of the schema. */
+export function listOptions (role: identities.Role): readonly SettingsOption[] {
+  const schema = role === 'entry' ? settings.EntrySettings : settings.AgentSettings
+  const options: SettingsOption[] = []
+  collect('', z.toJSONSchema(schema, { io: 'input' }) as Described, true, options)
+  return options
+}
+
+function collect (prefix: string, schema: Described, isNeeded: boolean, options: SettingsOption[]): void {
+  for (const [name, member] of Object.entries(schema.properties ?? {})) {
+    const path = prefix + name
+    const isRequired = isNeeded && (schema.required?.includes(name) ?? false)
+    if (member.properties !== undefined) {
+      collect(`${path}.`, member, isRequired, options)
+      continue
+    }
+    options.push({
+      path,
+      type: describeType(member),
+      standard: member.default,
+      isRequired,
+      description: member.description ?? schema.description ?? ''
+    })
+  }
+}
+
+function describeType (schema: Described): string {
+  if (schema.const !== undefined) {
+    return String(schema.const)
+  }
+  if (schema.enum !== undefined) {
+    return schema.enum.map(String).join(' | ')
+  }
+  if (schema.type === 'array') {
+    return `list of ${describeType(schema.items ?? {})}`
+  }
+  return schema.type ?? 'any'
+}
--- a/src/contracts/diagnostics.ts
+++ b/src/contracts/diagnostics.ts
@@ -88,6 +88,7 @@
   configuration_forbidden: row('operator', 403, 'A process of role "{0}" may not take the configuration from an agent.'),
   version_missing: row('operator', 428, 'Say which version of section "{0}" is replaced: If-Match with its version, or "0" if it does not exist.'),
   version_stale: row('operator', 409, 'Section "{0}" is at version {1}; the change was made against version {2}.'),
+  command_invalid: row('operator', 400, 'The command line is not valid: {0}.'),
   settings_invalid: row('operator', 422, '{0}: at "{1}": expected {2}, found {3}.'),
   settings_unreadable: row('operator', 422, 'The settings file "{0}" cannot be read: {1}.')
 } as const satisfies Record<string, Diagnostic>
