--- a/src/configuration/editor.ts
+++ b/src/configuration/editor.ts
@@ -18,6 +18,9 @@
 /** Commits that one call tries while others change the document at the same time. */
 const maximumCommits = 20
 
+/** Leases asked for while their answers are lost. */
+const maximumLeaseTries = 3
+
 /** Earlier changes listed with a stale edit. */
 const staleHistoryLimit = 20
 
@@ -219,7 +222,11 @@
     if (this.lease !== undefined) {
       return failures.succeed(this.lease)
     }
-    const lease = await this.options.store.grantLease(layout.operationTtlMs)
+    let lease = await this.options.store.grantLease(layout.operationTtlMs)
+    for (let tried = 1; isAnswerLost(lease) && tried < maximumLeaseTries; tried += 1) {
+      // A lease whose answer was lost holds nothing, and expires.
+      lease = await this.options.store.grantLease(layout.operationTtlMs)
+    }
     this.lease = lease.isRight() ? lease.unsafeCoerce() : undefined
     return lease
   }
@@ -236,6 +243,10 @@
   }
 }
 
+function isAnswerLost (lease: failures.Result<host.StoreLease>): boolean {
+  return lease.swap().map(({ verdict }) => verdict === 'may_have_run').orDefault(false)
+}
+
 function createTransaction (
   change: configuration.Change, text: string, record: layout.OperationRecord, headRevision: number, lease: host.StoreLease
 ): host.StoreTransaction {
--- a/src/configuration/peers.ts
+++ b/src/configuration/peers.ts
@@ -26,7 +26,8 @@
   }
 
   override getLink (peer: identities.Identity): links.Link | undefined {
-    return peer.control === undefined ? undefined : this.pool.get(peer.control)
+    const address = peer.control ?? this.findListed(peer.node)
+    return address === undefined ? undefined : this.pool.get(address)
   }
 
   override getLinkTo (address: identities.Address): links.Link {
@@ -46,4 +47,13 @@
   override listOpenLinks (): readonly links.Link[] {
     return this.pool.list().filter(link => link.isOpen)
   }
+
+  private findListed (node: string): identities.Address | undefined {
+    for (const entry of this.directory?.list() ?? []) {
+      if (entry.node === node) {
+        return entry.address
+      }
+    }
+    return undefined
+  }
 }
