--- /dev/null
+++ b/src/configuration/history.ts
@@ -0,0 +1,113 @@
+/**
+ * The accepted changes that the store keeps.
+ */
+import * as changeRequests from './change_request.js'
+import * as configuration from '../contracts/configuration.js'
+import * as differences from './difference.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as layout from './layout.js'
+
+/** Changes read from the store at once. */
+const pageLength = 25
+
+export class History {
+  constructor (private readonly store: host.Store) {}
+
+  /**
+   * Returns the changes of a section, the latest first, down to `afterVersion` of the section at most.
+   * The last one returned has no differences if the change before it is no longer kept.
+   */
+  async read (
+    section: string, documentVersion: number, limit: number, afterVersion = 0
+  ): Promise<failures.Result<readonly changeRequests.HistoryEntry[]>> {
+    const found = await this.find(section, documentVersion, limit + 1, Math.max(1, afterVersion))
+    return found.map(changes => createEntries(changes, afterVersion).slice(0, limit))
+  }
+
+  /**
+   * Returns the bodies of a section at the versions asked for, as far as the last `limit` changes have them.
+   * Version 0 is that of a section that never existed; its body is `undefined`, as of a deleted one.
+   */
+  async readBodies (
+    section: string, documentVersion: number, versions: readonly number[], limit: number
+  ): Promise<failures.Result<ReadonlyMap<number, unknown>>> {
+    const found = await this.find(section, documentVersion, limit, Math.max(1, Math.min(...versions)))
+    return found.map(changes => {
+      const bodies = new Map<number, unknown>()
+      for (const { section: changed } of changes) {
+        bodies.set(changed.version, changed.body)
+      }
+      return bodies.set(0, undefined)
+    })
+  }
+
+  /** Looks for changes of a section, the latest first, until one is of `lastVersion` or earlier. */
+  private async find (
+    section: string, documentVersion: number, limit: number, lastVersion: number
+  ): Promise<failures.Result<readonly HistoryChange[]>> {
+    const found: HistoryChange[] = []
+    let last = documentVersion
+    while (last > 0 && found.length < limit) {
+      const page = await this.readPage(last)
+      if (page.isLeft()) {
+        return failures.fail(page.swap().unsafeCoerce())
+      }
+      const changes = page.unsafeCoerce()
+      for (const change of changes) {
+        const changed = change.sections.find(candidate => candidate.name === section)
+        if (changed !== undefined) {
+          found.push({ change, section: changed })
+        }
+      }
+      const earliest = found.at(-1)?.section.version
+      if (changes.length === 0 || (earliest !== undefined && earliest <= lastVersion)) {
+        break
+      }
+      last -= pageLength
+    }
+    return failures.succeed(found)
+  }
+
+  /** Returns the changes up to `last`, the latest first. */
+  private async readPage (last: number): Promise<failures.Result<readonly configuration.Change[]>> {
+    const after = layout.getChangeKey(Math.max(0, last - pageLength))
+    const page = await this.store.readRange({ prefix: layout.changePrefix, after, limit: Math.min(pageLength, last) })
+    return page.map(({ entries }) => {
+      const changes: configuration.Change[] = []
+      for (const entry of entries) {
+        const change = layout.parseChange(entry.value)
+        if (change !== undefined && change.version <= last) {
+          changes.unshift(change)
+        }
+      }
+      return changes
+    })
+  }
+}
+
+interface HistoryChange {
+  readonly change: configuration.Change
+  readonly section: configuration.Section
+}
+
+function createEntries (found: readonly HistoryChange[], afterVersion: number): changeRequests.HistoryEntry[] {
+  const entries: changeRequests.HistoryEntry[] = []
+  for (const [index, { change, section }] of found.entries()) {
+    if (section.version <= afterVersion) {
+      break
+    }
+    const before = found[index + 1]?.section
+    const isComparable = before !== undefined || section.version === 1
+    entries.push({
+      version: change.version,
+      sectionVersion: section.version,
+      operation: change.operation,
+      team: change.team,
+      atMs: change.atMs,
+      deleted: section.body === undefined,
+      differences: isComparable ? [...differences.findDifferences(before?.body, section.body)] : []
+    })
+  }
+  return entries
+}
