Keepers of allowance shards: right, succession, floors, hand-over, client

A shard has one keeper in an entry process, by a lease in the store. The keeper goes on past the lease only with the live promise of every named successor; announced floors let a successor start buckets at a known level; a leaving keeper stops, announces its last levels, and then frees the holder key. Undecided writes are sent again with the same comparison until decided, so a delayed one can't take effect later. All of it in pure objects with a thin host.

--- /dev/null
+++ b/src/allowances/eligibility.ts
@@ -0,0 +1,71 @@
+/**
+ * When this process may try to become the keeper of a shard.
+ *
+ * While an earlier term may be extended without the store, only those without whose promise that is impossible
+ * may take over: the named successors, and the holder's own VM once its process has ended.
+ */
+import * as placement from './placement.js'
+import * as records from './record.js'
+import * as timings from './timing.js'
+import * as types from './types.js'
+
+/** Pause between the candidates for one shard, so that they do not all write at once, in milliseconds. */
+const staggerMs = 300
+
+/** A shard as the store shows it. */
+export interface ShardView {
+  readonly stored: records.StoredRecord | undefined
+  /** Whether the holder key exists. */
+  readonly isHeld: boolean
+  /** Since when this process has seen the same record without a holder key, in milliseconds. */
+  readonly vacantSinceMs: number
+}
+
+export interface Candidate {
+  readonly shard: number
+  readonly self: types.EntryVm
+  readonly boot: string
+  readonly entries: readonly types.EntryVm[]
+  /** This process's own promises for the shard. */
+  readonly promisedUntilMs: number
+  /** Highest term that this process has given up by itself. */
+  readonly releasedTerm: number
+  readonly timing: timings.KeeperTiming
+}
+
+/** Returns the earliest time at which the candidate may try, or `undefined` while the shard is held. */
+export function getTakeOverMs (view: ShardView, candidate: Candidate): number | undefined {
+  if (view.isHeld) {
+    return undefined
+  }
+  const record = view.stored?.record
+  if (record === undefined) {
+    return view.vacantSinceMs + getRank(candidate) * staggerMs
+  }
+  const freeMs = Math.max(view.vacantSinceMs, candidate.promisedUntilMs)
+  return freeMs + getDelayMs(record, candidate)
+}
+
+function getDelayMs (record: records.TermRecord, candidate: Candidate): number {
+  const { self, boot, timing } = candidate
+  const isOwn = record.holder.node === self.node
+  if (isOwn && record.holderBoot === boot && record.term > candidate.releasedTerm) {
+    return 0
+  }
+  if (record.successors.length === 0) {
+    return getRank(candidate) * staggerMs
+  }
+  const index = record.successors.findIndex(successor => successor.node === self.node)
+  if (index >= 0) {
+    return index * staggerMs
+  }
+  if (isOwn) {
+    return timings.getOutwaitMs(timing.promiseMs, timing) + record.successors.length * staggerMs
+  }
+  return timings.getOutwaitMs(timing.maximumExtensionMs, timing) + getRank(candidate) * staggerMs
+}
+
+function getRank (candidate: Candidate): number {
+  const ranked = placement.rankEntries(candidate.shard, candidate.entries)
+  return Math.max(0, ranked.findIndex(entry => entry.node === candidate.self.node))
+}
--- /dev/null
+++ b/src/allowances/keeper_host.ts
@@ -0,0 +1,358 @@
+/**
+ * Runs the shards of allowances in an entry process: reads and writes their keys in the store, exchanges promises
+ * with other entries, and answers charges of the shards that this process keeps.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as keepers from './keeper.js'
+import * as keeperKeys from './keeper_keys.js'
+import * as links from '../links/types.js'
+import * as meters from '../metrics/types.js'
+import * as placement from './placement.js'
+import * as processLeases from './process_lease.js'
+import * as protocol from '../contracts/protocol.js'
+import * as recorders from '../timeline/types.js'
+import * as records from './record.js'
+import * as shards from './shard.js'
+import * as succession from './succession.js'
+import * as tenures from './tenure.js'
+import * as timeouts from './timeout.js'
+import * as timings from './timing.js'
+import * as types from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+
+/** Period of the shards' clockwork, in milliseconds. */
+const tickMs = 100
+/** Longest time to hand all shards over before the process ends, in milliseconds. */
+const handOverTimeoutMs = 3000
+
+export type ChargeRequest = protocol.Params<'allowance.charge'>
+export type ChargeAnswer = protocol.Answer<'allowance.charge'>
+export type Settlement = protocol.Params<'allowance.settle'>
+
+/** The workspaces with their allowances, as the configuration has them. */
+export type Workspaces = () => ReadonlyMap<string, configuration.Workspace>
+
+/** What a host works with. */
+export interface KeeperHostContext {
+  readonly boot: string
+  readonly entries: types.Entries
+  readonly store: host.Store
+  readonly links: links.LinkPool
+  readonly clock: host.Clock
+  readonly log: host.Log
+  readonly recorder: recorders.Recorder
+  readonly meter: meters.Meter
+  readonly workspaces: Workspaces
+  readonly timing: timings.KeeperTiming
+}
+
+export class KeeperHost {
+  private readonly keys: keeperKeys.KeeperKeys
+  private readonly lease: processLeases.ProcessLease
+  private readonly succession: succession.Succession
+  private readonly shards: shards.Shard[] = []
+  private readonly hints = new Map<number, { readonly term: number, readonly keeper: records.Member }>()
+  private stopTicks: host.Stop = () => {}
+  private stopWatch: host.Stop = () => {}
+  private isStopped = false
+  private isLeaseWanted = false
+  private idle: (() => void) | undefined
+
+  constructor (private readonly context: KeeperHostContext) {
+    const { store, boot, clock, timing } = context
+    this.keys = new keeperKeys.KeeperKeys(store, boot)
+    this.lease = new processLeases.ProcessLease(store, clock, timing, lease => this.broadcast({ kind: 'lease', lease }))
+    this.succession = new succession.Succession(boot, clock.monotonicMs(), timing)
+  }
+
+  /** Number of shards; 0 until it is known from the store. */
+  get shardCount (): number {
+    return this.shards.length
+  }
+
+  /** Starts to work; `shardCount` counts only at the first start of the deployment. */
+  start (shardCount: number): void {
+    this.stopTicks = this.context.clock.every(tickMs, () => this.tick())
+    this.follow(shardCount)
+  }
+
+  /** Hands all shards over, for a graceful shutdown. */
+  async leave (): Promise<void> {
+    this.broadcast({ kind: 'leave' })
+    if (this.isAnyHeld()) {
+      const idle = new Promise<void>(resolve => {
+        this.idle = resolve
+      })
+      await Promise.race([idle, this.context.clock.sleep(handOverTimeoutMs)])
+    }
+    this.stop()
+    await this.lease.revoke()
+  }
+
+  /** Stops at once, without handing over. */
+  stop (): void {
+    this.isStopped = true
+    this.stopTicks()
+    this.stopWatch()
+  }
+
+  /** Passes changed allowances on to the shards kept here. */
+  configurationChanged (): void {
+    const nowMs = this.context.clock.monotonicMs()
+    for (const [workspace, section] of this.context.workspaces()) {
+      this.getShardOf(workspace)?.setAllowance(workspace, section.allowance, nowMs)
+    }
+  }
+
+  /** Returns the keeper of a shard as far as this process knows. */
+  findKeeper (shard: number): records.Member | undefined {
+    const hint = this.hints.get(shard)
+    const stored = this.shards[shard]?.record
+    if (hint !== undefined && hint.term > (stored?.term ?? 0)) {
+      return hint.keeper
+    }
+    return stored?.holder
+  }
+
+  /** Takes note of a keeper that another process knows of. */
+  noteKeeper (shard: number, term: number, keeper: records.Member): void {
+    if (term > (this.hints.get(shard)?.term ?? 0)) {
+      this.hints.set(shard, { term, keeper })
+    }
+  }
+
+  /** Whether this process holds the shard or is about to. */
+  isKeeper (shard: number): boolean {
+    return this.shards[shard]?.getStartMs(this.context.clock.monotonicMs()) !== undefined
+  }
+
+  /** Answers a charge, of this process or another. */
+  answerCharge (request: ChargeRequest): ChargeAnswer {
+    const shard = this.shards[request.shard]
+    const nowMs = this.context.clock.monotonicMs()
+    const charge = { id: request.charge, workspace: request.workspace, tokens: request.tokens }
+    const decision = shard?.charge(charge, nowMs)
+    if (shard === undefined || decision === undefined) {
+      return this.createReferral(request.shard, nowMs)
+    }
+    if (decision.kind === 'floor_reached') {
+      this.perform(request.shard, shard.createRequests(nowMs))
+    }
+    return this.createAnswer(shard.record?.term ?? 0, decision)
+  }
+
+  answerSettlement (settlement: Settlement): void {
+    this.shards[settlement.shard]?.settle(settlement.charge, settlement.usedTokens, this.context.clock.monotonicMs())
+  }
+
+  answerPromise (request: succession.PromiseRequest): succession.PromiseAnswer {
+    const nowMs = this.context.clock.monotonicMs()
+    const shard = this.shards[request.shard]
+    return shard?.answerPromise(request, nowMs) ?? this.succession.answer(request, nowMs, true)
+  }
+
+  /** Returns the handlers for calls of other processes. */
+  createHandlers (): links.Handlers {
+    return {
+      'allowance.charge': async request => failures.succeed(this.answerCharge(request)),
+      'allowance.settle': async settlement => {
+        this.answerSettlement(settlement)
+        return failures.succeed({})
+      },
+      'keeper.promise': async request => failures.succeed(this.answerPromise(request))
+    }
+  }
+
+  private createReferral (shardNumber: number, nowMs: number): ChargeAnswer {
+    const shard = this.shards[shardNumber]
+    const term = shard?.record?.term ?? 0
+    const startMs = shard?.getStartMs(nowMs)
+    const keeper = this.findKeeper(shardNumber)
+    if (startMs !== undefined || keeper === undefined || keeper.node === this.context.entries.self.node) {
+      const retryAfterMs = Math.max(startMs ?? 0, this.context.timing.retryMs)
+      return { granted: false, term, retryAfterMs, reason: 'not_yet' }
+    }
+    return { granted: false, term, retryAfterMs: 0, reason: 'not_keeper', keeper }
+  }
+
+  private createAnswer (term: number, decision: keepers.Decision): ChargeAnswer {
+    this.context.meter.count('allowance_charges_total', { outcome: decision.kind })
+    const refused = { granted: false, term, retryAfterMs: 0 }
+    switch (decision.kind) {
+      case 'granted':
+        return { granted: true, term, retryAfterMs: 0 }
+      case 'exhausted':
+        return { ...refused, reason: 'exhausted', retryAfterMs: decision.retryAfterMs }
+      case 'exceeds_burst':
+        return { ...refused, reason: 'exceeds_burst', burstTokens: decision.burstTokens }
+      case 'settled':
+        return { ...refused, reason: 'settled' }
+      case 'floor_reached':
+      case 'unknown_workspace':
+        return { ...refused, reason: 'not_yet', retryAfterMs: this.context.timing.retryMs }
+      default:
+        return verdicts.assertNever(decision)
+    }
+  }
+
+  private getShardOf (workspace: string): shards.Shard | undefined {
+    return this.shards.length === 0 ? undefined : this.shards[placement.getShard(workspace, this.shards.length)]
+  }
+
+  /** Reads the keys, then follows them; starts over whenever the watch breaks. */
+  private async follow (shardCount: number): Promise<void> {
+    if (this.isStopped) {
+      return
+    }
+    const counted = await this.keys.fixCount(shardCount)
+    const loaded = counted.isRight() ? await this.keys.load() : counted
+    if (this.isStopped) {
+      return
+    }
+    if (counted.isLeft() || loaded.isLeft()) {
+      this.context.clock.after(this.context.timing.renewMs, () => this.follow(shardCount))
+      return
+    }
+    this.createShards(counted.unsafeCoerce(), shardCount)
+    this.showKeys()
+    this.stopWatch = this.context.store.watch(
+      records.keyPrefix,
+      loaded.unsafeCoerce() + 1,
+      events => this.noteEvents(events),
+      () => this.context.clock.after(this.context.timing.renewMs, () => this.follow(shardCount))
+    )
+  }
+
+  private createShards (count: number, wanted: number): void {
+    if (this.shards.length > 0) {
+      return
+    }
+    if (count !== wanted) {
+      this.context.log.warn('The number of allowance shards stays as it was at first', { count, wanted })
+    }
+    const { boot, entries, clock, timing } = this.context
+    for (let shard = 0; shard < count; shard += 1) {
+      const owner = { shard, self: entries.self, boot, succession: this.succession, timing }
+      this.shards.push(new shards.Shard(owner, clock.monotonicMs()))
+    }
+    this.broadcast({ kind: 'lease', lease: this.lease.current })
+  }
+
+  private noteEvents (events: readonly host.StoreEvent[]): void {
+    this.keys.apply(events)
+    const touched = new Set(events.map(event => {
+      return records.parseKey(event.kind === 'put' ? event.entry.key : event.key)?.shard
+    }))
+    for (const shard of touched) {
+      if (shard !== undefined) {
+        this.showShard(shard)
+      }
+    }
+  }
+
+  private showKeys (): void {
+    for (const shard of this.shards.keys()) {
+      this.showShard(shard)
+    }
+  }
+
+  private showShard (shard: number): void {
+    const { stored, isHeld } = this.keys.get(shard)
+    this.accept(shard, { kind: 'observed', stored, isHeld })
+  }
+
+  private tick (): void {
+    this.isLeaseWanted = false
+    this.broadcast({ kind: 'tick', entries: this.context.entries.list() })
+    if (this.isLeaseWanted || this.isAnyHeld()) {
+      this.lease.maintain()
+    }
+    this.context.meter.gauge('allowance_shards_kept', {}, this.countHeld())
+  }
+
+  private broadcast (event: shards.Event): void {
+    for (const shard of this.shards.keys()) {
+      this.accept(shard, event)
+    }
+  }
+
+  private accept (shardNumber: number, event: shards.Event): void {
+    const shard = this.shards[shardNumber]
+    if (shard === undefined) {
+      return
+    }
+    this.perform(shardNumber, shard.accept(event, this.context.clock.monotonicMs()))
+    if (this.idle !== undefined && !this.isAnyHeld()) {
+      this.idle()
+      this.idle = undefined
+    }
+  }
+
+  private perform (shard: number, actions: readonly shards.Action[]): void {
+    for (const action of actions) {
+      switch (action.kind) {
+        case 'write':
+          this.write(shard, action.write, action.leaseId)
+          break
+        case 'want_lease':
+          this.isLeaseWanted = true
+          break
+        case 'promise':
+          this.ask(shard, action.outgoing)
+          break
+        case 'report':
+          this.report(shard, action.change, action.term)
+          break
+        default:
+          verdicts.assertNever(action)
+      }
+    }
+  }
+
+  private async write (shard: number, write: shards.Write, leaseId: string | undefined): Promise<void> {
+    const outcome = await this.keys.write(shard, write, leaseId)
+    this.accept(shard, { kind: 'outcome', write, leaseId, outcome })
+  }
+
+  private async ask (shard: number, outgoing: tenures.Outgoing): Promise<void> {
+    const { clock, timing } = this.context
+    const sentMs = clock.monotonicMs()
+    const call = this.context.links.get(outgoing.to.address)
+      .call('keeper.promise', outgoing.request, timing.promiseTimeoutMs)
+    const result = await timeouts.limitCall(call, timing.promiseTimeoutMs, clock)
+    const answer = result?.caseOf({ Left: () => undefined, Right: value => value })
+    this.accept(shard, { kind: 'answer', node: outgoing.to.node, sentMs, answer })
+  }
+
+  private report (shard: number, change: 'acquired' | 'extended' | 'lost', term: number): void {
+    this.context.recorder.record({ kind: `keeper.${change}`, details: { shard, term } })
+    this.context.meter.count('allowance_keeper_changes_total', { change })
+    if (change === 'acquired') {
+      this.fillShard(shard)
+    }
+  }
+
+  private fillShard (shardNumber: number): void {
+    const nowMs = this.context.clock.monotonicMs()
+    const shard = this.shards[shardNumber]
+    for (const [workspace, section] of this.context.workspaces()) {
+      if (placement.getShard(workspace, this.shards.length) === shardNumber) {
+        shard?.setAllowance(workspace, section.allowance, nowMs)
+      }
+    }
+  }
+
+  private isAnyHeld (): boolean {
+    return this.countHeld() > 0
+  }
+
+  private countHeld (): number {
+    let held = 0
+    for (const shard of this.shards) {
+      held += shard.tenure === undefined ? 0 : 1
+    }
+    return held
+  }
+}
--- /dev/null
+++ b/src/allowances/process_lease.ts
@@ -0,0 +1,66 @@
+/**
+ * The one lease of this process in the store, to which the holder keys of all its shards are bound.
+ */
+import * as host from '../host/types.js'
+import * as shards from './shard.js'
+import * as timings from './timing.js'
+
+export class ProcessLease {
+  private lease: shards.ProcessLease | undefined
+  private isBusy = false
+  private requestedMs = Number.NEGATIVE_INFINITY
+
+  /** `changed` is called with each grant, renewal and loss. */
+  constructor (
+    private readonly store: host.Store,
+    private readonly clock: host.Clock,
+    private readonly timing: timings.KeeperTiming,
+    private readonly changed: (lease: shards.ProcessLease | undefined) => void
+  ) {}
+
+  get current (): shards.ProcessLease | undefined {
+    return this.lease
+  }
+
+  /** Grants a lease if there is none, or renews it when that is due. */
+  async maintain (): Promise<void> {
+    const nowMs = this.clock.monotonicMs()
+    if (this.isBusy || nowMs - this.requestedMs < this.timing.renewMs) {
+      return
+    }
+    this.isBusy = true
+    this.requestedMs = nowMs
+    await (this.lease === undefined ? this.grant(nowMs) : this.renew(this.lease.id, nowMs))
+    this.isBusy = false
+  }
+
+  /** Gives the lease up; keys bound to it disappear. */
+  async revoke (): Promise<void> {
+    const lease = this.lease
+    if (lease !== undefined) {
+      this.set(undefined)
+      await this.store.revokeLease(lease.id)
+    }
+  }
+
+  private async grant (sentMs: number): Promise<void> {
+    const result = await this.store.grantLease(this.timing.leaseTtlMs)
+    result.ifRight(lease => this.set({ id: lease.id, sentMs }))
+  }
+
+  private async renew (id: string, sentMs: number): Promise<void> {
+    const result = await this.store.renewLease(id)
+    result
+      .ifRight(() => this.set({ id, sentMs }))
+      .ifLeft(failure => {
+        if (failure.code === 'store_conflict') {
+          this.set(undefined)
+        }
+      })
+  }
+
+  private set (lease: shards.ProcessLease | undefined): void {
+    this.lease = lease
+    this.changed(lease)
+  }
+}
--- /dev/null
+++ b/src/allowances/shard.ts
@@ -0,0 +1,464 @@
+/**
+ * One shard as one process sees it: who the keeper is, and the steps by which this process becomes, remains and
+ * ceases to be the keeper. Takes events and the time, returns actions.
+ */
+import * as configuration from '../contracts/configuration.js'
+import * as eligibility from './eligibility.js'
+import * as keepers from './keeper.js'
+import * as placement from './placement.js'
+import * as records from './record.js'
+import * as succession from './succession.js'
+import * as tenures from './tenure.js'
+import * as timings from './timing.js'
+import * as types from './types.js'
+import * as verdicts from '../contracts/verdict.js'
+
+/** Successors that did not answer may be named again after this time, in milliseconds. */
+const forgiveMs = 10_000
+
+/** The lease of this process, as far as it is known to live. */
+export interface ProcessLease {
+  readonly id: string
+  /** When its last successful grant or renewal was sent, in milliseconds. */
+  readonly sentMs: number
+}
+
+/** A change of the shard's keys; made only if the record is still at the expected revision, 0 for none. */
+export interface Write {
+  readonly record: records.TermRecord
+  readonly expectedRevision: number
+  /** `put` writes the holder key and requires that there is none. */
+  readonly holder: 'put' | 'keep' | 'delete'
+}
+
+export type Outcome =
+  | { readonly kind: 'written', readonly revision: number }
+  /** Refused, with the keys as they are now; `holderLease` is the lease of the holder key. */
+  | { readonly kind: 'refused', readonly stored: records.StoredRecord | undefined, readonly holderLease: string | undefined }
+  /** Certainly without effect. */
+  | { readonly kind: 'not_run' }
+  | { readonly kind: 'unknown' }
+
+export type Event =
+  | { readonly kind: 'observed', readonly stored: records.StoredRecord | undefined, readonly isHeld: boolean }
+  | { readonly kind: 'lease', readonly lease: ProcessLease | undefined }
+  | { readonly kind: 'outcome', readonly write: Write, readonly leaseId: string | undefined, readonly outcome: Outcome }
+  | { readonly kind: 'answer', readonly node: string, readonly sentMs: number, readonly answer: succession.PromiseAnswer | undefined }
+  | { readonly kind: 'tick', readonly entries: readonly types.EntryVm[] }
+  | { readonly kind: 'leave' }
+
+export type Action =
+  | { readonly kind: 'write', readonly write: Write, readonly leaseId: string | undefined }
+  | { readonly kind: 'want_lease' }
+  | { readonly kind: 'promise', readonly outgoing: tenures.Outgoing }
+  | { readonly kind: 'report', readonly change: 'acquired' | 'extended' | 'lost', readonly term: number }
+
+/** What a process knows about itself. */
+export interface ShardOwner {
+  readonly shard: number
+  readonly self: types.EntryVm
+  readonly boot: string
+  readonly succession: succession.Succession
+  readonly timing: timings.KeeperTiming
+}
+
+interface Pending {
+  readonly write: Write
+  isInFlight: boolean
+  /** Whether an attempt may have taken effect. */
+  isUncertain: boolean
+}
+
+export class Shard {
+  private view: eligibility.ShardView
+  private lease: ProcessLease | undefined
+  private own: tenures.Tenure | undefined
+  private pending: Pending | undefined
+  private releasedTerm = 0
+  private isLeaving = false
+  private isExtended = false
+  private forgivenMs: number
+
+  constructor (private readonly owner: ShardOwner, nowMs: number) {
+    this.view = { stored: undefined, isHeld: true, vacantSinceMs: nowMs }
+    this.forgivenMs = nowMs
+  }
+
+  /** The keeper's state while this process is the keeper, whether or not it may decide at this moment. */
+  get tenure (): tenures.Tenure | undefined {
+    return this.own
+  }
+
+  /** The term record, as far as it is known. */
+  get record (): records.TermRecord | undefined {
+    return this.own?.record ?? this.view.stored?.record
+  }
+
+  /** Whether this process tries to become the keeper at this moment. */
+  get isAcquiring (): boolean {
+    return this.pending?.write.holder === 'put' && this.own === undefined
+  }
+
+  accept (event: Event, nowMs: number): readonly Action[] {
+    switch (event.kind) {
+      case 'observed':
+        return this.observe(event.stored, event.isHeld, nowMs)
+      case 'lease':
+        return this.noteLease(event.lease)
+      case 'outcome':
+        return this.noteOutcome(event.write, event.leaseId, event.outcome, nowMs)
+      case 'answer':
+        return this.noteAnswer(event.node, event.sentMs, event.answer, nowMs)
+      case 'tick':
+        return this.tick(event.entries, nowMs)
+      case 'leave':
+        return this.leave(nowMs)
+      default:
+        return verdicts.assertNever(event)
+    }
+  }
+
+  /** Answers a holder that asks this process not to take the shard over. */
+  answerPromise (request: succession.PromiseRequest, nowMs: number): succession.PromiseAnswer {
+    return this.owner.succession.answer(request, nowMs, this.own === undefined && !this.isAcquiring)
+  }
+
+  /** Decides a charge; `undefined` if this process cannot. */
+  charge (charge: types.Charge, nowMs: number): keepers.Decision | undefined {
+    return this.own?.isServing(nowMs) === true ? this.own.charge(charge, nowMs) : undefined
+  }
+
+  /** Returns how long until this process can decide charges, or `undefined` if it is not the keeper. */
+  getStartMs (nowMs: number): number | undefined {
+    if (this.own === undefined || this.own.isStopped || !this.own.right.isHeld(nowMs)) {
+      return undefined
+    }
+    return Math.max(0, this.own.serveFromMs - nowMs)
+  }
+
+  settle (id: string, usedTokens: number, nowMs: number): void {
+    this.own?.keeper.settle(id, usedTokens, nowMs)
+  }
+
+  setAllowance (workspace: string, allowance: configuration.Allowance, nowMs: number): void {
+    this.own?.keeper.setAllowance(workspace, allowance, nowMs)
+  }
+
+  /** Returns the requests that are due to the successors. */
+  createRequests (nowMs: number): readonly Action[] {
+    const own = this.own
+    if (own === undefined || (!own.isStopped && !own.right.isHeld(nowMs))) {
+      return []
+    }
+    return own.createRequests(nowMs).map(outgoing => ({ kind: 'promise', outgoing }))
+  }
+
+  private observe (stored: records.StoredRecord | undefined, isHeld: boolean, nowMs: number): readonly Action[] {
+    if (stored !== undefined && stored.revision < (this.view.stored?.revision ?? 0)) {
+      return []
+    }
+    const isSame = stored?.revision === this.view.stored?.revision && isHeld === this.view.isHeld
+    if (!isSame) {
+      this.view = { stored, isHeld, vacantSinceMs: nowMs }
+    }
+    if (stored !== undefined) {
+      this.owner.succession.noteTerm(this.owner.shard, stored.record.term)
+    }
+    return this.checkOwn()
+  }
+
+  /** Gives the tenure up once the store names another holder. */
+  private checkOwn (): readonly Action[] {
+    const own = this.own
+    const stored = this.view.stored
+    if (own === undefined || stored === undefined || stored.revision <= own.revision || this.isOwnRecord(stored.record)) {
+      return []
+    }
+    return this.lose(own)
+  }
+
+  private lose (own: tenures.Tenure): readonly Action[] {
+    this.own = undefined
+    this.pending = undefined
+    this.isExtended = false
+    return [{ kind: 'report', change: 'lost', term: own.record.term }]
+  }
+
+  private isOwnRecord (record: records.TermRecord): boolean {
+    const isOwnProcess = record.holder.node === this.owner.self.node && record.holderBoot === this.owner.boot
+    return isOwnProcess && (this.own === undefined || record.term === this.own.record.term)
+  }
+
+  private noteLease (lease: ProcessLease | undefined): readonly Action[] {
+    this.lease = lease
+    const own = this.own
+    if (own === undefined || own.leaseId === undefined) {
+      return []
+    }
+    if (lease?.id === own.leaseId) {
+      own.right.noteLease(lease.sentMs)
+      return []
+    }
+    own.right.dropLease()
+    own.leaseId = undefined
+    return []
+  }
+
+  private tick (entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+    if (this.pending !== undefined) {
+      return [...this.retryWrite(), ...this.createRequests(nowMs)]
+    }
+    if (this.own === undefined) {
+      return this.tryTakeOver(entries, nowMs)
+    }
+    return this.maintain(this.own, entries, nowMs)
+  }
+
+  private tryTakeOver (entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+    if (this.isLeaving) {
+      return []
+    }
+    const { shard, self, boot, timing } = this.owner
+    const promisedUntilMs = this.owner.succession.getPromisedUntilMs(shard)
+    const candidate = { shard, self, boot, entries, promisedUntilMs, releasedTerm: this.releasedTerm, timing }
+    const orphan = this.getOrphan()
+    if (orphan !== undefined) {
+      return this.write({ record: orphan.record, expectedRevision: orphan.revision, holder: 'delete' })
+    }
+    const fromMs = eligibility.getTakeOverMs(this.view, candidate)
+    if (fromMs === undefined || nowMs < fromMs) {
+      return []
+    }
+    if (this.lease === undefined) {
+      return [{ kind: 'want_lease' }]
+    }
+    const earlier = this.view.stored
+    const record: records.TermRecord = {
+      term: (earlier?.record.term ?? 0) + 1,
+      holder: { node: self.node, address: self.address },
+      holderBoot: boot,
+      successors: this.createSuccessors(earlier?.record, entries)
+    }
+    return this.write({ record, expectedRevision: earlier?.revision ?? 0, holder: 'put' })
+  }
+
+  /** Returns a record that names this process although it holds nothing: a late effect of an abandoned write. */
+  private getOrphan (): records.StoredRecord | undefined {
+    const stored = this.view.stored
+    const isOrphan = stored !== undefined && this.view.isHeld && this.isOwnRecord(stored.record)
+    return isOrphan ? stored : undefined
+  }
+
+  /** A new holder starts with the successors of the old one, less itself; the old holder's VM may be gone. */
+  private createSuccessors (
+    earlier: records.TermRecord | undefined, entries: readonly types.EntryVm[]
+  ): records.Member[] {
+    const { shard, self, timing } = this.owner
+    if (earlier !== undefined) {
+      return earlier.successors.filter(member => member.node !== self.node)
+    }
+    const chosen = placement.chooseSuccessors(shard, self, entries, timing.successors)
+    return chosen.map(entry => ({ node: entry.node, address: entry.address }))
+  }
+
+  private maintain (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+    if (own.isStopped) {
+      return this.continueRelease(own, nowMs)
+    }
+    const actions: Action[] = [...this.reportExtension(own, nowMs)]
+    if (own.leaseId === undefined) {
+      actions.push(...this.reacquire(own))
+    } else {
+      actions.push(...this.nameSuccessors(own, entries, nowMs))
+    }
+    if (own.right.isHeld(nowMs)) {
+      own.updateFloors(nowMs)
+    }
+    actions.push(...this.createRequests(nowMs))
+    return actions
+  }
+
+  private reportExtension (own: tenures.Tenure, nowMs: number): readonly Action[] {
+    const isExtended = own.right.isHeld(nowMs) && nowMs >= own.right.getLeaseUntilMs()
+    if (isExtended === this.isExtended) {
+      return []
+    }
+    this.isExtended = isExtended
+    return isExtended ? [{ kind: 'report', change: 'extended', term: own.record.term }] : []
+  }
+
+  private reacquire (own: tenures.Tenure): readonly Action[] {
+    if (this.lease === undefined) {
+      return [{ kind: 'want_lease' }]
+    }
+    return this.write({ record: own.record, expectedRevision: own.revision, holder: 'put' })
+  }
+
+  private nameSuccessors (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+    if (nowMs >= own.right.getLeaseUntilMs()) {
+      return []
+    }
+    if (nowMs - this.forgivenMs >= forgiveMs) {
+      this.forgivenMs = nowMs
+      own.forgiveOthers()
+    }
+    const successors = own.chooseSuccessors(this.owner.self, entries)
+    if (isSameSet(successors, own.record.successors)) {
+      return []
+    }
+    own.expect(successors)
+    return this.write({
+      record: { ...own.record, successors: [...successors] }, expectedRevision: own.revision, holder: 'keep'
+    })
+  }
+
+  private write (write: Write): readonly Action[] {
+    this.pending = { write, isInFlight: false, isUncertain: false }
+    return this.retryWrite()
+  }
+
+  /** Sends the pending write, again if its outcome is unknown: the same comparison can succeed only once. */
+  private retryWrite (): readonly Action[] {
+    const pending = this.pending
+    if (pending === undefined || pending.isInFlight) {
+      return []
+    }
+    if (pending.write.holder === 'put' && this.lease === undefined) {
+      return [{ kind: 'want_lease' }]
+    }
+    pending.isInFlight = true
+    return [{ kind: 'write', write: pending.write, leaseId: this.lease?.id }]
+  }
+
+  private noteOutcome (
+    write: Write, leaseId: string | undefined, outcome: Outcome, nowMs: number
+  ): readonly Action[] {
+    const pending = this.pending
+    if (pending === undefined || pending.write !== write) {
+      return []
+    }
+    pending.isInFlight = false
+    switch (outcome.kind) {
+      case 'unknown':
+        pending.isUncertain = true
+        return []
+      case 'not_run':
+        return this.noteNotRun(pending)
+      case 'written':
+        this.pending = undefined
+        return this.noteWritten(write, { record: write.record, revision: outcome.revision }, leaseId, nowMs)
+      case 'refused':
+        this.pending = undefined
+        return this.noteRefused(write, outcome.stored, outcome.holderLease, nowMs)
+      default:
+        return verdicts.assertNever(outcome)
+    }
+  }
+
+  private noteNotRun (pending: Pending): readonly Action[] {
+    if (!pending.isUncertain) {
+      this.pending = undefined
+      this.own?.adopt({ record: this.own.record, revision: this.own.revision })
+    }
+    return []
+  }
+
+  private noteWritten (
+    write: Write, stored: records.StoredRecord, holderLease: string | undefined, nowMs: number
+  ): readonly Action[] {
+    if (write.holder === 'delete') {
+      return this.finishRelease(stored, nowMs)
+    }
+    const actions = this.own === undefined ? this.begin(write, stored, nowMs) : []
+    this.own?.adopt(stored)
+    if (write.holder === 'put') {
+      this.bindLease(holderLease)
+    }
+    this.view = { stored, isHeld: true, vacantSinceMs: nowMs }
+    this.owner.succession.noteTerm(this.owner.shard, stored.record.term)
+    return [...actions, ...this.createRequests(nowMs)]
+  }
+
+  private bindLease (leaseId: string | undefined): void {
+    const own = this.own
+    if (own !== undefined && leaseId !== undefined && this.lease?.id === leaseId) {
+      own.leaseId = leaseId
+      own.right.noteLease(this.lease.sentMs)
+    }
+  }
+
+  private begin (write: Write, stored: records.StoredRecord, nowMs: number): readonly Action[] {
+    const { shard, timing } = this.owner
+    const isFirst = write.expectedRevision === 0
+    const inheritance = isFirst
+      ? keepers.firstInheritance
+      : this.owner.succession.getInheritance(shard, write.record.term - 1)
+    const waitMs = isFirst ? 0 : timings.getOutwaitMs(timing.grantTtlMs, timing)
+    this.own = new tenures.Tenure({ shard, stored, startedMs: nowMs, serveFromMs: nowMs + waitMs, inheritance }, timing)
+    return [{ kind: 'report', change: 'acquired', term: stored.record.term }]
+  }
+
+  /** An earlier attempt of the same write may have succeeded; then the record carries its mark. */
+  private noteRefused (
+    write: Write, stored: records.StoredRecord | undefined, holderLease: string | undefined, nowMs: number
+  ): readonly Action[] {
+    if (stored !== undefined && stored.record.term === write.record.term && this.isOwnRecord(stored.record)) {
+      if (write.holder === 'delete' && holderLease !== undefined) {
+        return this.write({ ...write, expectedRevision: stored.revision })
+      }
+      return this.noteWritten(write, stored, holderLease, nowMs)
+    }
+    return this.observe(stored, holderLease !== undefined, nowMs)
+  }
+
+  private noteAnswer (
+    node: string, sentMs: number, answer: succession.PromiseAnswer | undefined, nowMs: number
+  ): readonly Action[] {
+    const own = this.own
+    if (own === undefined) {
+      return []
+    }
+    own.noteAnswer(node, sentMs, answer)
+    if (own.isStopped) {
+      return this.continueRelease(own, nowMs)
+    }
+    return this.createRequests(nowMs)
+  }
+
+  private leave (nowMs: number): readonly Action[] {
+    this.isLeaving = true
+    return this.release(nowMs)
+  }
+
+  /** Stops deciding, tells the successors so, and then frees the holder key. */
+  private release (nowMs: number): readonly Action[] {
+    const own = this.own
+    if (own === undefined || own.isStopped) {
+      return []
+    }
+    own.stop(nowMs)
+    return this.continueRelease(own, nowMs)
+  }
+
+  private continueRelease (own: tenures.Tenure, nowMs: number): readonly Action[] {
+    if (this.pending !== undefined) {
+      return this.createRequests(nowMs)
+    }
+    if (!own.isReleaseKnown()) {
+      return this.createRequests(nowMs)
+    }
+    return this.write({ record: own.record, expectedRevision: own.revision, holder: 'delete' })
+  }
+
+  private finishRelease (stored: records.StoredRecord, nowMs: number): readonly Action[] {
+    this.releasedTerm = stored.record.term
+    this.view = { stored, isHeld: false, vacantSinceMs: nowMs }
+    const own = this.own
+    return own === undefined ? [] : this.lose(own)
+  }
+}
+
+function isSameSet (one: readonly records.Member[], other: readonly records.Member[]): boolean {
+  const nodes = new Set(one.map(member => member.node))
+  return one.length === other.length && other.every(member => nodes.has(member.node))
+}
--- /dev/null
+++ b/src/allowances/tenure.ts
@@ -0,0 +1,237 @@
+/**
+ * What a process has of a shard while it is the shard's keeper: its right, the buckets, and its dealings with
+ * the successors.
+ */
+import * as floors from './floors.js'
+import * as keepers from './keeper.js'
+import * as placement from './placement.js'
+import * as records from './record.js'
+import * as rights from './right.js'
+import * as succession from './succession.js'
+import * as timings from './timing.js'
+import * as types from './types.js'
+
+/** Failed requests in a row after which a successor is replaced. */
+const failuresToReplace = 2
+
+/** A request to be sent to a successor. */
+export interface Outgoing {
+  readonly to: records.Member
+  readonly request: succession.PromiseRequest
+}
+
+interface Peer {
+  boot: string | undefined
+  isInFlight: boolean
+  sentMs: number
+  failures: number
+  /** Whether the peer has acknowledged that this keeper has stopped. */
+  knowsRelease: boolean
+}
+
+export interface TenureStart {
+  readonly shard: number
+  readonly stored: records.StoredRecord
+  readonly startedMs: number
+  /** Charges are decided from this time on. */
+  readonly serveFromMs: number
+  readonly inheritance: keepers.Inheritance
+}
+
+export class Tenure {
+  readonly right: rights.Right
+  readonly keeper: keepers.Keeper
+  readonly serveFromMs: number
+  /** Lease that the holder key is bound to; `undefined` when the key has to be written again. */
+  leaseId: string | undefined
+  /** Whether the keeper has stopped for good, to hand the shard over. */
+  isStopped = false
+  private stored: records.StoredRecord
+  private readonly ledger = new floors.FloorLedger()
+  private readonly peers = new Map<string, Peer>()
+  private required: readonly records.Member[] = []
+
+  constructor (private readonly start: TenureStart, private readonly timing: timings.KeeperTiming) {
+    this.stored = start.stored
+    this.serveFromMs = start.serveFromMs
+    this.right = new rights.Right(timing)
+    this.keeper = new keepers.Keeper(start.startedMs, start.inheritance, timing)
+    this.adopt(start.stored)
+  }
+
+  get record (): records.TermRecord {
+    return this.stored.record
+  }
+
+  get revision (): number {
+    return this.stored.revision
+  }
+
+  isServing (nowMs: number): boolean {
+    return !this.isStopped && nowMs >= this.serveFromMs && this.right.isHeld(nowMs)
+  }
+
+  /** Takes over the record as the store is known to hold it. */
+  adopt (stored: records.StoredRecord): void {
+    this.stored = stored
+    this.setRequired(stored.record.successors)
+  }
+
+  /** Also counts successors of a write whose outcome is open. */
+  expect (successors: readonly records.Member[]): void {
+    const added = successors.filter(one => !this.required.some(other => other.node === one.node))
+    this.setRequired([...this.required, ...added])
+  }
+
+  /** Decides a charge. `isFloorReached` tells that new floors should be sent at once. */
+  charge (charge: types.Charge, nowMs: number): keepers.Decision {
+    const reserveOf = (workspace: string): number => this.ledger.getReserve(workspace)
+    const decision = this.keeper.charge(charge, nowMs, reserveOf)
+    if (decision.kind === 'floor_reached') {
+      this.ledger.update(this.listViews(nowMs, charge))
+    }
+    return decision
+  }
+
+  /** Chooses new floors where levels have moved far enough. */
+  updateFloors (nowMs: number): void {
+    if (this.required.length > 0) {
+      this.ledger.update(this.listViews(nowMs))
+    }
+  }
+
+  /** Returns the requests that are due. */
+  createRequests (nowMs: number): readonly Outgoing[] {
+    const outgoing: Outgoing[] = []
+    for (const member of this.required) {
+      const peer = this.getPeer(member.node)
+      if (!peer.isInFlight && this.isDue(member.node, peer, nowMs)) {
+        peer.isInFlight = true
+        peer.sentMs = nowMs
+        outgoing.push({ to: member, request: this.createRequest(member.node, peer) })
+      }
+    }
+    return outgoing
+  }
+
+  /** Takes note of a successor's answer, or of its failing to answer. */
+  noteAnswer (node: string, sentMs: number, answer: succession.PromiseAnswer | undefined): void {
+    const peer = this.getPeer(node)
+    peer.isInFlight = false
+    if (answer === undefined) {
+      peer.failures += 1
+      return
+    }
+    peer.failures = 0
+    const isSameBoot = peer.boot === answer.boot
+    peer.boot = answer.boot
+    this.ledger.acknowledge(node, isSameBoot ? answer.sequence : 0)
+    if (answer.promised && this.isStopped && isSameBoot) {
+      peer.knowsRelease = true
+    }
+    if (answer.promised && !this.isStopped) {
+      this.right.notePromise(node, sentMs)
+    }
+  }
+
+  /** Stops deciding for good and fixes the last floors. */
+  stop (nowMs: number): void {
+    this.isStopped = true
+    const last: floors.Floor[] = []
+    for (const view of this.listViews(nowMs)) {
+      last.push({ workspace: view.workspace, tokens: Math.max(0, Math.floor(view.level)) })
+    }
+    this.ledger.fix(last)
+  }
+
+  /** Whether all successors that answer at all know that this keeper has stopped. */
+  isReleaseKnown (): boolean {
+    return this.required.every(member => {
+      const peer = this.getPeer(member.node)
+      return peer.knowsRelease || peer.failures >= failuresToReplace
+    })
+  }
+
+  /** Returns the successors that the record should name. */
+  chooseSuccessors (self: types.EntryVm, entries: readonly types.EntryVm[]): readonly records.Member[] {
+    const usable = entries.filter(entry => entry.state === 'live' && this.isAnswering(entry.node))
+    const named = new Set(this.record.successors.map(member => member.node))
+    const kept = usable.filter(entry => named.has(entry.node))
+    const ranked = placement.chooseSuccessors(this.start.shard, self, usable, this.timing.successors)
+    const added = ranked.filter(entry => !named.has(entry.node))
+    const chosen = [...kept, ...added].slice(0, this.timing.successors)
+    return chosen.map(entry => ({ node: entry.node, address: entry.address }))
+  }
+
+  /** Forgets failures of entries that are not named, so that they may be tried again. */
+  forgiveOthers (): void {
+    for (const node of [...this.peers.keys()]) {
+      if (!this.required.some(member => member.node === node)) {
+        this.peers.delete(node)
+      }
+    }
+  }
+
+  private setRequired (members: readonly records.Member[]): void {
+    this.required = members
+    const nodes = members.map(member => member.node)
+    this.right.setRequired(nodes)
+    this.ledger.setSuccessors(nodes)
+  }
+
+  private isAnswering (node: string): boolean {
+    return (this.peers.get(node)?.failures ?? 0) < failuresToReplace
+  }
+
+  private isDue (node: string, peer: Peer, nowMs: number): boolean {
+    if (this.isStopped) {
+      return !peer.knowsRelease
+    }
+    const isUrgent = peer.boot !== undefined && this.ledger.isBehind(node)
+    return isUrgent || nowMs - peer.sentMs >= this.timing.renewMs
+  }
+
+  private createRequest (node: string, peer: Peer): succession.PromiseRequest {
+    const announcement = peer.boot === undefined
+      ? { sequence: 0, base: 0, floors: [] }
+      : this.ledger.send(node)
+    return {
+      shard: this.start.shard,
+      term: this.record.term,
+      holder: this.record.holder.node,
+      holderBoot: this.record.holderBoot,
+      forMs: this.timing.promiseMs,
+      sequence: announcement.sequence,
+      base: announcement.base,
+      floors: [...announcement.floors],
+      toBoot: peer.boot,
+      released: this.isStopped
+    }
+  }
+
+  private * listViews (nowMs: number, wanted?: types.Charge): Iterable<floors.BucketView> {
+    for (const workspace of this.keeper.listWorkspaces()) {
+      const bucket = this.keeper.getBucket(workspace)
+      if (bucket === undefined) {
+        continue
+      }
+      const wantedTokens = wanted?.workspace === workspace ? wanted.tokens : 0
+      yield { workspace, level: bucket.getLevel(nowMs), burstTokens: bucket.allowance.burstTokens, wantedTokens }
+    }
+    for (const [workspace, level] of this.keeper.listUnclaimedFloors()) {
+      yield { workspace, level, burstTokens: 0 }
+    }
+  }
+
+  private getPeer (node: string): Peer {
+    const known = this.peers.get(node)
+    if (known !== undefined) {
+      return known
+    }
+    const fresh = {
+      boot: undefined, isInFlight: false, sentMs: Number.NEGATIVE_INFINITY, failures: 0, knowsRelease: false
+    }
+    this.peers.set(node, fresh)
+    return fresh
+  }
+}
--- a/src/contracts/protocol.ts
+++ b/src/contracts/protocol.ts
@@ -71,6 +71,8 @@
   sequence: z.number().int().nonnegative().default(0),
   /** The floors left out are as in this announcement; 0 when the list is complete. */
   base: z.number().int().nonnegative().default(0),
+  /** Boot of the successor that the floors are meant for; another boot takes nothing from the request. */
+  toBoot: z.string().optional(),
   /** Whether the holder has stopped: its right has ended and earlier promises to it are void. */
   released: z.boolean().default(false)
 })
@@ -79,6 +81,7 @@
   promised: z.boolean(),
   /** Highest term that the successor knows of. */
   term: z.number().int().nonnegative(),
+  boot: z.string(),
   /** Announcement of floors that the successor holds for the holder's term; 0 for none. */
   sequence: z.number().int().nonnegative().default(0)
 })
--- /dev/null
+++ b/tests/allowances/keeper_host.test.ts
@@ -0,0 +1,104 @@
+import * as assert from 'node:assert/strict'
+import * as fleets from './fleet.js'
+import * as test from 'node:test'
+
+async function createFleet (nodes: readonly string[]): Promise<fleets.Fleet> {
+  const fleet = new fleets.Fleet()
+  fleet.addWorkspace('w', 1000, 10_000)
+  for (const node of nodes) {
+    fleet.start(node)
+  }
+  await fleet.clock.advance(2500)
+  return fleet
+}
+
+async function request (fleet: fleets.Fleet, node: string, tokens: number, usedShare = 1): Promise<boolean> {
+  const answer = fleet.request(node, 'w', tokens, usedShare, 100)
+  await fleet.clock.advance(1600)
+  return await answer
+}
+
+function getOther (fleet: fleets.Fleet, node: string | undefined): string {
+  for (const other of fleet.entries.keys()) {
+    if (other !== node) {
+      return other
+    }
+  }
+  return ''
+}
+
+test.describe('KeeperHost', () => {
+  test.it('has one keeper, which answers its own entry and the others', async () => {
+    const fleet = await createFleet(['a', 'b', 'c'])
+    assert.notEqual(fleet.findServing(), undefined)
+    for (const node of ['a', 'b', 'c']) {
+      assert.equal(await request(fleet, node, 1000), true)
+    }
+  })
+
+  test.it('refuses what the allowance does not hold, with the time to come back', async () => {
+    const fleet = await createFleet(['a', 'b'])
+    assert.equal(await request(fleet, 'a', 10_000), true)
+    assert.equal(await request(fleet, 'b', 10_000), false)
+    const failure = fleet.refused[0]?.failure
+    assert.equal(failure?.code, 'allowance_exhausted')
+    assert.equal(failure?.verdict, 'not_run')
+    assert.ok((failure?.retryAfterMs ?? 0) > 8000 && (failure?.retryAfterMs ?? 0) < 10_000)
+    assert.equal(await request(fleet, 'b', 10_001), false)
+    assert.equal(fleet.refused[1]?.failure.code, 'request_exceeds_burst')
+  })
+
+  test.it('goes on through a store outage of any length', async () => {
+    const fleet = await createFleet(['a', 'b', 'c'])
+    const keeper = fleet.findServing()
+    fleet.setStoreDown(true)
+    await fleet.clock.advance(60_000)
+    assert.equal(fleet.findServing(), keeper)
+    assert.equal(await request(fleet, getOther(fleet, keeper), 5000), true)
+    fleet.setStoreDown(false)
+    await fleet.clock.advance(10_000)
+    assert.equal(fleet.findServing(), keeper)
+  })
+
+  test.it('hands over to a successor that knows the levels when the keeper dies', async () => {
+    const fleet = await createFleet(['a', 'b', 'c'])
+    const keeper = fleet.findServing() as string
+    fleet.kill(keeper)
+    await fleet.clock.advance(5000)
+    assert.notEqual(fleet.findServing(), keeper)
+    assert.equal(await request(fleet, getOther(fleet, keeper), 7000), true)
+  })
+
+  test.it('hands over without refusing anything when the keeper leaves', async () => {
+    const fleet = await createFleet(['a', 'b', 'c'])
+    const keeper = fleet.findServing() as string
+    const left = fleet.entries.get(keeper)?.keepers.leave()
+    assert.equal(await request(fleet, getOther(fleet, keeper), 9000), true)
+    await left
+    assert.notEqual(fleet.findServing(), undefined)
+    assert.deepEqual(fleet.refused, [])
+  })
+
+  test.it('does not let a paused keeper grant after its right has ended', async () => {
+    const fleet = await createFleet(['a', 'b', 'c'])
+    const keeper = fleet.findServing() as string
+    assert.equal(await request(fleet, keeper, 9000), true)
+    fleet.entries.get(keeper)?.gate.pause()
+    await fleet.clock.advance(6000)
+    assert.notEqual(fleet.findServing(), undefined)
+    await request(fleet, getOther(fleet, keeper), 9000)
+    fleet.entries.get(keeper)?.gate.resume()
+    await request(fleet, keeper, 9000)
+    assert.ok(fleet.getOvershoot('w') <= 0)
+  })
+
+  test.it('settles a take-over whose answer is lost by writing again', async () => {
+    const fleet = new fleets.Fleet()
+    fleet.addWorkspace('w', 1000, 10_000)
+    const entry = fleet.start('a')
+    entry.store.lostAnswers = 3
+    await fleet.clock.advance(6000)
+    assert.equal(fleet.findServing(), 'a')
+    assert.equal(await request(fleet, 'a', 1000), true)
+  })
+})
--- a/tests/support/direct_store.ts
+++ b/tests/support/direct_store.ts
@@ -39,6 +39,9 @@
   }
 
   override async commit (transaction: host.StoreTransaction): Promise<failures.Result<host.StoreCommit>> {
+    if (!this.isDown && this.hasDeadLease(transaction)) {
+      return failures.fail(failures.createFailure('not_run', 'store_conflict', ['the lease has expired']))
+    }
     const result = this.answer(() => this.core.commit(transaction))
     if (this.lostAnswers > 0 && result.isRight()) {
       this.lostAnswers -= 1
@@ -85,6 +88,13 @@
     }
   }
 
+  private hasDeadLease (transaction: host.StoreTransaction): boolean {
+    this.core.expireLeases()
+    return transaction.success.some(operation => {
+      return operation.kind === 'put' && operation.lease !== undefined && !this.core.hasLease(operation.lease)
+    })
+  }
+
   private answer<Value> (operate: () => Value): failures.Result<Value> {
     this.calls += 1
     if (this.isDown) {
