--- /dev/null
+++ b/src/links/session_observers.ts
@@ -0,0 +1,31 @@
+/**
+ * Several observers of the sessions of one listener.
+ */
+import * as protocol from '../contracts/protocol.js'
+import * as types from './types.js'
+
+export class SessionObservers extends types.SessionObserver {
+  constructor (private readonly observers: readonly types.SessionObserver[]) {
+    super()
+  }
+
+  override opened (session: types.Session): void {
+    for (const observer of this.observers) {
+      observer.opened(session)
+    }
+  }
+
+  override expired (session: types.Session): void {
+    for (const observer of this.observers) {
+      observer.expired(session)
+    }
+  }
+
+  override noticed<Name extends protocol.NotificationName> (
+    session: types.Session, name: Name, notice: protocol.Notice<Name>
+  ): void {
+    for (const observer of this.observers) {
+      observer.noticed(session, name, notice)
+    }
+  }
+}
