--- a/src/daemon/agent_process.ts
+++ b/src/daemon/agent_process.ts
@@ -38,10 +38,7 @@
   override async start (): Promise<void> {
     const { base, options, replica } = this
     base.links.observe(replica.linkObserver)
-    replica.onChange(version => {
-      base.ring.record({ kind: 'configuration.changed', details: { version } })
-      this.agent.configure(replica.document)
-    })
+    replica.onChange(() => this.agent.configure(replica.document))
     replica.start()
     await this.agent.start()
     await this.control.listen(options.control)
--- a/src/daemon/entry_process.ts
+++ b/src/daemon/entry_process.ts
@@ -51,8 +51,7 @@
     base.links.observe(replica.linkObserver)
     replica.start()
     this.serve().catch((error: unknown) => base.system.log.error('serving failed', { error: String(error) }))
-    replica.onChange((version, sections) => {
-      base.ring.record({ kind: 'configuration.changed', details: { version } })
+    replica.onChange((_, sections) => {
       if (sections.some(name => name.startsWith(workspaceSections))) {
         keepers.configurationChanged()
       }
