--- a/standins/engine_answers.ts
+++ b/standins/engine_answers.ts
@@ -3,7 +3,6 @@
  */
 import * as engineMessages from './engine_messages.js'
 import * as engineRequests from './engine_request.js'
-import * as engineText from './engine_text.js'
 import * as webHosts from './web_host.js'
 
 /** Writes a request's progress to one caller. */
@@ -50,7 +49,10 @@
     if (request.phase !== 'finished') {
       return
     }
-    const text = engineText.createText(request.digest, request.generated)
+    let text = ''
+    for (let index = 0; index < request.generated; index += 1) {
+      text += request.getToken(index)
+    }
     this.exchange.sendJson(200, {
       ...engineMessages.createHead(request),
       choices: [engineMessages.createChoice(text, request.finishReason)],
@@ -113,7 +115,7 @@
   private takeTokens (): string {
     let text = ''
     for (; this.sent < this.request.generated; this.sent += 1) {
-      const token = engineText.createToken(this.request.digest, this.sent)
+      const token = this.request.getToken(this.sent)
       text += `id: ${this.sent}\ndata: ${this.chunkStart},"choices":[{"index":0,"text":"${token}","logprobs":null,"finish_reason":null}]}\n\n`
     }
     return text
--- a/standins/engine_core.ts
+++ b/standins/engine_core.ts
@@ -70,9 +70,7 @@
       return error
     }
     this.lastOrder += 1
-    const outputTokens = this.getOutputTokens(completion)
-    const request = new engineRequests.EngineRequest(completion, this.lastOrder, outputTokens)
-    request.finishReason = outputTokens < completion.maximumTokens ? 'stop' : 'length'
+    const request = new engineRequests.EngineRequest(completion, this.lastOrder, this.planOutput(completion))
     this.table.add(request)
     return request
   }
@@ -152,16 +150,16 @@
     this.scheduler.cancel(request)
   }
 
-  private getOutputTokens (completion: engineRequests.Completion): number {
-    const { meanOutputTokens } = this.getFaults()
+  private planOutput (completion: engineRequests.Completion): engineRequests.Output {
     if (completion.isExport) {
-      return 1
-    }
-    if (meanOutputTokens === 0) {
-      return completion.maximumTokens
+      return { tokens: 1, textLength: undefined }
     }
     const digest = engineText.getDigest(completion.prompt, completion.seed)
-    return Math.min(completion.maximumTokens, engineText.getNaturalLength(digest, meanOutputTokens))
+    const { meanOutputTokens } = this.getFaults()
+    const natural = meanOutputTokens === 0 ? completion.maximumTokens : engineText.getNaturalLength(digest, meanOutputTokens)
+    const tokens = Math.min(completion.maximumTokens, natural)
+    const stop = engineText.findStop(digest, tokens, completion.stops)
+    return stop === undefined ? { tokens, textLength: undefined } : { tokens: stop.tokens, textLength: stop.length }
   }
 
   private findError (completion: engineRequests.Completion): engineRequests.EngineError | undefined {
--- a/standins/engine_messages.ts
+++ b/standins/engine_messages.ts
@@ -18,6 +18,7 @@
   stream: z.boolean().default(false),
   priority: z.number().int().default(0),
   seed: z.number().int().default(0),
+  stop: z.union([z.string(), z.array(z.string())]).default([]),
   kv_transfer_params: z.union([engineRequests.TransferSource, ExportParams]).optional()
 })
 export type CompletionBody = z.infer<typeof CompletionBody>
@@ -36,6 +37,7 @@
     maximumTokens: body.max_tokens,
     priority: body.priority,
     seed: body.seed,
+    stops: typeof body.stop === 'string' ? [body.stop] : body.stop,
     isExport,
     source: params !== undefined && 'do_remote_prefill' in params ? params : undefined
   }
--- a/standins/engine_prefix_cache.ts
+++ b/standins/engine_prefix_cache.ts
@@ -77,13 +77,6 @@
     this.log.add('removed', this.evict())
   }
 
-  /** Forgets everything, as a change of the model does. */
-  clear (): void {
-    const removed = [...this.hashes]
-    this.hashes.clear()
-    this.log.add('removed', removed)
-  }
-
   private evict (): string[] {
     const removed: string[] = []
     for (const hash of this.hashes) {
--- a/standins/engine_request.ts
+++ b/standins/engine_request.ts
@@ -29,11 +29,19 @@
   /** Lower goes first. */
   readonly priority: number
   readonly seed: number
+  readonly stops: readonly string[]
   /** Whether the KV cache is to be kept for another engine. */
   readonly isExport: boolean
   readonly source: TransferSource | undefined
 }
 
+/** How long the output will be. */
+export interface Output {
+  readonly tokens: number
+  /** Characters, if the text ends before the last token does. */
+  readonly textLength: number | undefined
+}
+
 export interface EngineError {
   readonly status: number
   readonly code: string
@@ -51,7 +59,6 @@
   cachedTokens = 0
   /** Whether the KV cache of the source has been used, or is not to be used. */
   isSourceSpent = false
-  finishReason: 'stop' | 'length' = 'length'
   error: EngineError | undefined
   holding: engineMemory.Holding | undefined
   /** What the response passes on to a decode engine. */
@@ -62,10 +69,19 @@
   private readonly listeners = new Set<() => void>()
 
   /** `order` counts the requests of the engine by arrival. */
-  constructor (readonly completion: Completion, readonly order: number, readonly outputTokens: number) {
+  constructor (readonly completion: Completion, readonly order: number, readonly output: Output) {
     this.digest = engineText.getDigest(completion.prompt, completion.seed)
   }
 
+  get finishReason (): 'stop' | 'length' {
+    return this.output.tokens < this.completion.maximumTokens || this.output.textLength !== undefined ? 'stop' : 'length'
+  }
+
+  /** Returns the text of a token, counted from 0. */
+  getToken (index: number): string {
+    return engineText.createTokenBefore(this.digest, index, this.output.textLength ?? Number.POSITIVE_INFINITY)
+  }
+
   get isOver (): boolean {
     return finalPhases.has(this.phase)
   }
--- a/standins/engine_scheduler.ts
+++ b/standins/engine_scheduler.ts
@@ -214,7 +214,7 @@
       this.fail(request, { status: 500, code: 'engine_failure', message: 'The generation failed.' })
       return
     }
-    if (request.generated >= request.outputTokens) {
+    if (request.generated >= request.output.tokens) {
       this.finish(request)
       return
     }
--- a/standins/engine_text.ts
+++ b/standins/engine_text.ts
@@ -8,6 +8,8 @@
 const hasher = await xxhash.default()
 const syllables = ['ka', 'lo', 'mi', 'ne', 'ru', 'sa', 'ti', 'vo'] as const
 const wordSyllables = 4
+/** Characters of every token: a space and the syllables of two letters. */
+const tokenLength = 1 + 2 * wordSyllables
 /** Odd multipliers that spread consecutive numbers over 32 bits. */
 const spread = 0x9E3779B1
 const mix = 0x85EBCA6B
@@ -38,6 +40,33 @@
   return text
 }
 
+/** Where an output ends at a stop string. */
+export interface Stop {
+  /** Tokens generated until the stop string was complete. */
+  readonly tokens: number
+  /** Characters of text before it. */
+  readonly length: number
+}
+
+/** Returns where the first of the stop strings occurs within the first `count` tokens, if it does. */
+export function findStop (digest: number, count: number, stops: readonly string[]): Stop | undefined {
+  const text = stops.length === 0 ? '' : createText(digest, count)
+  let found: Stop | undefined
+  for (const stop of stops) {
+    const start = text.indexOf(stop)
+    const tokens = Math.ceil((start + stop.length) / tokenLength)
+    if (start >= 0 && (found === undefined || start < found.length)) {
+      found = { tokens, length: start }
+    }
+  }
+  return found
+}
+
+/** Returns what of token `index` lies before the end of the text at `length` characters. */
+export function createTokenBefore (digest: number, index: number, length: number): string {
+  return createToken(digest, index).slice(0, Math.max(0, length - index * tokenLength))
+}
+
 /** Returns after how many tokens the output ends by itself: between 1 and twice the mean. */
 export function getNaturalLength (digest: number, meanTokens: number): number {
   return 1 + scatter(digest, -1) % (2 * meanTokens)
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -61,8 +61,9 @@
   private applyFaults (): void {
     const { outage, staleReads } = this.faults.current
     this.gateway.setStale(staleReads !== 'none')
-    this.watches.setSilent(outage === 'hang')
-    if (outage === 'refuse' || outage === 'close') {
+    if (outage === 'hang') {
+      this.watches.silenceAll()
+    } else if (outage === 'refuse' || outage === 'close') {
       this.watches.closeAll()
     }
   }
--- a/standins/store_faults.ts
+++ b/standins/store_faults.ts
@@ -6,7 +6,7 @@
 import * as host from '../src/host/types.js'
 
 export const StoreFaults = z.strictObject({
-  /** `refuse` and `close` also end the open watches; `hang` silences them. */
+  /** `refuse` and `close` also end the open watches; `hang` silences them for good. */
   outage: outages.Outage.default('none'),
   /** Added to every answer, in milliseconds. */
   delayMs: z.number().nonnegative().default(0),
--- a/standins/store_watch.ts
+++ b/standins/store_watch.ts
@@ -8,8 +8,7 @@
 import * as host from '../src/host/types.js'
 
 export class StoreWatches {
-  private readonly open = new Set<webHosts.Exchange>()
-  private isSilent = false
+  private readonly open = new Map<webHosts.Exchange, host.Stop>()
 
   constructor (private readonly core: storeCore.StoreCore) {}
 
@@ -29,7 +28,7 @@
     const stop = this.core.watchSpan(storeGateway.toSpan(request), fromRevision, events => {
       this.send(exchange, { header: storeMessages.createHeader(this.core.revision), events: events.map(toEvent) })
     })
-    this.open.add(exchange)
+    this.open.set(exchange, stop)
     exchange.response.once('close', () => {
       this.open.delete(exchange)
       stop()
@@ -38,14 +37,16 @@
 
   /** Closes the connections of all watches. */
   closeAll (): void {
-    for (const exchange of [...this.open]) {
+    for (const exchange of [...this.open.keys()]) {
       exchange.drop()
     }
   }
 
-  /** Stops or resumes reporting without closing the watches; what happens in between is lost. */
-  setSilent (isSilent: boolean): void {
-    this.isSilent = isSilent
+  /** Makes the open watches silent for good without closing them. */
+  silenceAll (): void {
+    for (const stop of this.open.values()) {
+      stop()
+    }
   }
 
   /** Events that the caller asked for are gone, so that it has to read anew. */
@@ -57,9 +58,7 @@
   }
 
   private send (exchange: webHosts.Exchange, result: object): void {
-    if (!this.isSilent) {
-      exchange.response.write(`${JSON.stringify({ result })}\n`)
-    }
+    exchange.response.write(`${JSON.stringify({ result })}\n`)
   }
 }
 
--- a/tests/standins/engine.test.ts
+++ b/tests/standins/engine.test.ts
@@ -96,6 +96,16 @@
       assert.equal((await getState(url)).memory.used, 0)
     })
 
+    test.it('end before a stop string, wherever it lies', async () => {
+      const url = await open()
+      const text = getText('hello world', 5)
+      const stop = text.slice(16, 21)
+      const whole = await complete(url, 'whole', { stop })
+      const before = text.slice(0, text.indexOf(stop))
+      assert.deepEqual([whole.json.choices[0].text, whole.json.choices[0].finish_reason], [before, 'stop'])
+      assert.equal(parseStream((await complete(url, 'streamed', { stop: [stop], stream: true })).text).text, before)
+    })
+
     test.it('are refused when malformed, of an unknown model, or too long', async () => {
       const url = await open()
       assert.equal((await complete(url, 'a', { max_tokens: 'many' })).status, 400)
--- a/tests/standins/store.test.ts
+++ b/tests/standins/store.test.ts
@@ -108,6 +108,17 @@
       assert.deepEqual([canceled, compactRevision], [true, '3'])
     })
 
+    test.it('never skip events: one that was silent in an outage stays so', async () => {
+      const results = openWatch({ key: encode('w') })
+      await results.next()
+      await setFaults({ outage: 'hang' })
+      await setFaults({ outage: 'none' })
+      await call('kv/put', { key: encode('w'), value: encode('after') })
+      assert.equal((await clients.get(`${url}/_state`)).json.openWatches, 1)
+      await setFaults({ outage: 'close' })
+      await assert.rejects(results.next())
+    })
+
     test.it('close with an outage that closes connections', async () => {
       const results = openWatch({ key: encode('w') })
       await results.next()
