--- a/tests/agent/gate_driver.ts
+++ b/tests/agent/gate_driver.ts
@@ -103,6 +103,9 @@
     for (let next = this.gate.nextTickMs; next !== undefined && next <= untilMs; next = this.gate.nextTickMs) {
       this.nowMs = Math.max(this.nowMs, next)
       this.apply({ kind: 'tick', nowMs: this.nowMs })
+      if ((this.gate.nextTickMs ?? Number.POSITIVE_INFINITY) <= this.nowMs) {
+        throw new Error(`the gate asks again for a tick at ${next}`)
+      }
     }
     this.nowMs = untilMs
   }
--- /dev/null
+++ b/tests/agent/gate_memory.test.ts
@@ -0,0 +1,127 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as drivers from './gate_driver.js'
+
+const prefill = { role: 'prefill', slots: 4 } as const
+
+test.describe('Gate: memory', () => {
+  test.describe('pieces', () => {
+    test.it('admits by the growth that is expected', () => {
+      const driver = new drivers.GateDriver({}, { slots: 20, memoryPieces: 10 })
+      driver.start('1', { promptTokens: 200, maximumTokens: 400 })
+      driver.start('2', { promptTokens: 200, maximumTokens: 400 })
+      assert.equal(driver.isLaunched('2'), false)
+      driver.finish('1')
+      assert.equal(driver.isLaunched('2'), true)
+    })
+
+    test.it('counts growth while decoding', () => {
+      const driver = new drivers.GateDriver()
+      driver.start('1', { promptTokens: 100, maximumTokens: 400 })
+      driver.progress('1', 'x', 150)
+      assert.equal(driver.gate.figures.held, 3)
+    })
+
+    test.it('learns how much of the bound is used, and admits more', () => {
+      const driver = new drivers.GateDriver({}, { slots: 20, memoryPieces: 10 })
+      for (let index = 0; index < 40; index += 1) {
+        driver.start(`warm-${index}`, { promptTokens: 100, maximumTokens: 400 })
+        driver.progress(`warm-${index}`, 'x', 40)
+        driver.finish(`warm-${index}`)
+      }
+      for (const attempt of ['1', '2', '3', '4', '5']) {
+        driver.start(attempt, { promptTokens: 100, maximumTokens: 400 })
+      }
+      assert.equal(driver.isLaunched('5'), true)
+      assert.equal(driver.gate.figures.expected, 10)
+    })
+
+    test.it('never counts more than there is when outputs outgrow what was expected', () => {
+      const driver = new drivers.GateDriver({}, { slots: 20, memoryPieces: 10 })
+      for (let index = 0; index < 40; index += 1) {
+        driver.start(`warm-${index}`, { promptTokens: 100, maximumTokens: 400 })
+        driver.progress(`warm-${index}`, 'x', 40)
+        driver.finish(`warm-${index}`)
+      }
+      for (const attempt of ['1', '2', '3', '4', '5']) {
+        driver.start(attempt, { promptTokens: 100, maximumTokens: 400 })
+      }
+      for (const attempt of ['1', '2', '3', '4', '5']) {
+        driver.progress(attempt, 'x', 400)
+        assert.ok(driver.gate.figures.held <= 10)
+      }
+      driver.finish('1')
+      driver.finish('2')
+      assert.equal(driver.gate.figures.held, 10)
+      driver.finish('3')
+      driver.finish('4')
+      driver.finish('5')
+      assert.equal(driver.gate.figures.held, 0)
+    })
+
+    test.it('refuses what could never fit', () => {
+      const driver = new drivers.GateDriver()
+      const failure = drivers.getFailure(driver.start('1', { promptTokens: 1_000, maximumTokens: 1_000 }))
+      assert.deepEqual([failure.code, failure.verdict], ['memory_exhausted', 'not_run'])
+    })
+  })
+
+  test.describe('hand-over', () => {
+    test.it('keeps the pieces of a finished prefill until its transfer is evicted', () => {
+      const driver = new drivers.GateDriver({}, prefill)
+      driver.start('1', { kind: 'prefill', promptTokens: 250 })
+      driver.finish('1', { reason: 'prefilled', transfer: { block: 1 } })
+      assert.equal(driver.gate.figures.held, 3)
+      driver.advance(499)
+      assert.equal(driver.gate.figures.held, 3)
+      driver.advance(1)
+      assert.equal(driver.gate.figures.held, 0)
+    })
+
+    test.it('frees them earlier when the transfer is given up and the engine has confirmed', () => {
+      const driver = new drivers.GateDriver({}, prefill)
+      driver.start('1', { kind: 'prefill' })
+      driver.finish('1', { reason: 'prefilled', transfer: { block: 1 } })
+      assert.deepEqual(driver.cancel('1'), { verdict: 'ran', state: 'finished' })
+      assert.deepEqual([driver.aborted, driver.gate.figures.holders], [[1], 1])
+      driver.confirm('1')
+      assert.equal(driver.gate.figures.holders, 0)
+    })
+  })
+
+  test.describe('pace', () => {
+    test.it('takes no more at once than the time between tokens allows, and tries again later', () => {
+      const driver = new drivers.GateDriver({}, { slots: 3, betweenTokensTargetMs: 28 })
+      driver.start('1', { maximumTokens: 1_000 })
+      driver.start('2', { maximumTokens: 100 })
+      for (let step = 0; step < 30; step += 1) {
+        driver.nowMs += 40
+        driver.progress('1')
+        driver.progress('2')
+      }
+      driver.finish('2')
+      driver.start('3')
+      assert.equal(driver.isLaunched('3'), false)
+      driver.advance(11_000)
+      assert.equal(driver.isLaunched('3'), true)
+    })
+  })
+
+  test.describe('prefill', () => {
+    test.it('keeps the order of prefills to itself instead of giving all to the engine', () => {
+      const driver = new drivers.GateDriver({}, prefill)
+      driver.start('1', { kind: 'prefill', promptTokens: 400 })
+      driver.start('2', { kind: 'prefill', promptTokens: 400 })
+      assert.equal(driver.isLaunched('2'), false)
+      driver.finish('1')
+      assert.equal(driver.isLaunched('2'), true)
+    })
+
+    test.it('predicts less work for prompts that the engine has cached', () => {
+      const driver = new drivers.GateDriver({}, prefill)
+      driver.apply({ kind: 'cache.changed', nowMs: 0, change: { stored: ['p1', 'p2'], evicted: [] } })
+      const offer = driver.offer('r', { kind: 'prefill', promptTokens: 400, prefixes: ['p1', 'p2', 'p3'] })
+      assert.deepEqual([offer.cachedTokens, offer.serviceMs], [200, 200])
+    })
+  })
+})
--- /dev/null
+++ b/tests/agent/gate_promises.test.ts
@@ -0,0 +1,62 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as drivers from './gate_driver.js'
+
+const oneSlot = { slots: 1, memoryPieces: 100 } as const
+const hold = { expectedInMs: 500, holdMs: 200 } as const
+
+test.describe('Gate: reservations', () => {
+  test.it('keeps the slot for the start that names the reservation', () => {
+    const driver = new drivers.GateDriver({}, oneSlot)
+    const { reservation, waitMs } = driver.offer('r-1', hold)
+    assert.equal(waitMs, 0)
+    driver.start('long', { maximumTokens: 200 })
+    assert.equal(driver.isLaunched('long'), false)
+    driver.advance(500)
+    assert.equal(driver.start('1', { reservation, maximumWaitMs: 0 }).unsafeCoerce().state, 'running')
+  })
+
+  test.it('is of no use to another request', () => {
+    const driver = new drivers.GateDriver({}, oneSlot)
+    const { reservation } = driver.offer('r-1', hold)
+    assert.equal(driver.start('2', { reservation, maximumTokens: 200 }).unsafeCoerce().state, 'queued')
+    assert.equal(driver.gate.figures.reservations, 1)
+  })
+
+  test.it('lapses, and the slot goes to who waits', () => {
+    const driver = new drivers.GateDriver({}, oneSlot)
+    driver.offer('r-1', hold)
+    driver.start('long', { maximumTokens: 200 })
+    driver.advance(699)
+    assert.equal(driver.isLaunched('long'), false)
+    driver.advance(1)
+    assert.equal(driver.isLaunched('long'), true)
+  })
+
+  test.it('does not keep the slot idle when something short fits before its instant', () => {
+    const driver = new drivers.GateDriver({}, oneSlot)
+    driver.offer('r-1', hold)
+    driver.start('short', { maximumTokens: 40 })
+    assert.equal(driver.isLaunched('short'), true)
+  })
+
+  test.it('is made when the slot is taken now and free at the instant', () => {
+    const driver = new drivers.GateDriver({}, oneSlot)
+    driver.start('running', { maximumTokens: 50 })
+    assert.notEqual(driver.offer('r-1', hold).reservation, undefined)
+    assert.equal(driver.offer('r-2', hold).reservation, undefined)
+    assert.equal(driver.offer('r-3', { expectedInMs: 100, holdMs: 200 }).reservation, undefined)
+  })
+
+  test.it('is replaced when the offer is repeated, given back on request, and ends with its session', () => {
+    const driver = new drivers.GateDriver()
+    driver.offer('r-1', hold)
+    const { reservation } = driver.offer('r-1', hold)
+    assert.equal(driver.gate.load.promisedPieces, 2)
+    driver.call('work.release', { reservation: reservation ?? '' })
+    assert.equal(driver.gate.load.promisedPieces, 0)
+    driver.offer('r-2', hold)
+    driver.apply({ kind: 'session.expired', nowMs: 0, session: 'one' })
+    assert.equal(driver.gate.figures.reservations, 0)
+  })
+})
--- /dev/null
+++ b/tests/agent/gate_queue.test.ts
@@ -0,0 +1,129 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as drivers from './gate_driver.js'
+
+const oneSlot = { slots: 1, memoryPieces: 100 } as const
+
+/** Runs what is queued on one slot, and returns the attempts in the order of their starts. */
+function runAll (driver: drivers.GateDriver, outputTokens: number): readonly string[] {
+  for (let index = 0; index < driver.launched.length; index += 1) {
+    const attempt = driver.launched[index]?.id.attempt ?? ''
+    driver.progress(attempt, 'x', outputTokens)
+    driver.finish(attempt)
+  }
+  return driver.launched.map(order => order.id.attempt)
+}
+
+test.describe('Gate: queue', () => {
+  test.describe('waiting', () => {
+    test.it('refuses at once what would wait too long, and says when to come back', () => {
+      const driver = new drivers.GateDriver({}, oneSlot)
+      driver.start('1', { maximumTokens: 100 })
+      const failure = drivers.getFailure(driver.start('2', { maximumWaitMs: 400 }))
+      assert.deepEqual([failure.code, failure.verdict, failure.retryAfterMs], ['target_unreachable', 'not_run', 600])
+    })
+
+    test.it('takes it when it comes back after that time', () => {
+      const driver = new drivers.GateDriver({}, oneSlot)
+      driver.start('1', { maximumTokens: 100 })
+      for (let step = 0; step < 60; step += 1) {
+        driver.nowMs += 10
+        driver.progress('1')
+      }
+      assert.equal(driver.start('3', { maximumWaitMs: 400 }).unsafeCoerce().state, 'queued')
+    })
+
+    test.it('refuses at that moment what has waited as long as it may', () => {
+      const driver = new drivers.GateDriver({}, oneSlot)
+      driver.start('1', { maximumTokens: 100 })
+      driver.start('2', { maximumWaitMs: 1_500 })
+      driver.advance(1_499)
+      assert.deepEqual(driver.getFrames('2'), [])
+      driver.advance(1)
+      const [frame] = driver.getFrames('2')
+      assert.equal(frame?.kind === 'failed' && frame.failure.verdict, 'not_run')
+      assert.ok(frame?.kind === 'failed' && (frame.failure.retryAfterMs ?? 0) > 0)
+      driver.finish('1')
+      assert.equal(driver.isLaunched('2'), false)
+    })
+  })
+
+  test.describe('limit', () => {
+    test.it('lets the longest backlog give way, so that a burst hits its own sender', () => {
+      const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 4 })
+      driver.start('running')
+      for (const attempt of ['1', '2', '3', '4']) {
+        driver.start(attempt)
+      }
+      assert.equal(drivers.getFailure(driver.start('5')).code, 'queue_full')
+      assert.equal(driver.start('other', { workspace: 'b' }).isRight(), true)
+      const [frame] = driver.getFrames('4')
+      assert.equal(frame?.kind === 'failed' && frame.failure.code, 'queue_full')
+    })
+  })
+
+  test.describe('order', () => {
+    test.it('is first come first served within a workspace', () => {
+      const driver = new drivers.GateDriver({}, oneSlot)
+      for (const attempt of ['1', '2', '3']) {
+        driver.start(attempt)
+      }
+      assert.deepEqual(runAll(driver, 10), ['1', '2', '3'])
+    })
+
+    test.it('counts the tokens that were served, not the attempts', () => {
+      const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 50 })
+      driver.start('first', { workspace: 'c' })
+      for (let index = 0; index < 20; index += 1) {
+        driver.start(`a${index}`, { workspace: 'a' })
+        driver.start(`b${index}`, { workspace: 'b' })
+      }
+      for (let index = 0; index < 12; index += 1) {
+        const attempt = driver.launched[index]?.id.attempt ?? ''
+        driver.progress(attempt, 'x', attempt.startsWith('a') ? 90 : 9)
+        driver.finish(attempt)
+      }
+      const order = driver.launched.map(launched => launched.id.attempt)
+      assert.equal(order.filter(attempt => attempt.startsWith('a')).length, 2)
+    })
+
+    test.it('serves workspaces by tokens, weighted', () => {
+      const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 50 })
+      driver.start('first', { workspace: 'c' })
+      for (let index = 0; index < 12; index += 1) {
+        driver.start(`a${index}`, { workspace: 'a', weight: 2 })
+        driver.start(`b${index}`, { workspace: 'b', weight: 1 })
+      }
+      const order = runAll(driver, 100).slice(1, 13)
+      assert.equal(order.filter(attempt => attempt.startsWith('a')).length, 8)
+    })
+
+    test.it('lets a workspace that returns from idle hoard no credit', () => {
+      const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 50 })
+      for (let index = 0; index < 20; index += 1) {
+        driver.start(`a${index}`, { workspace: 'a' })
+      }
+      for (let index = 0; index < 10; index += 1) {
+        driver.progress(`a${index}`, 'x', 100)
+        driver.finish(`a${index}`)
+      }
+      for (let index = 0; index < 10; index += 1) {
+        driver.start(`b${index}`, { workspace: 'b' })
+      }
+      const order = runAll(driver, 100).slice(11, 21)
+      assert.equal(order.filter(attempt => attempt.startsWith('b')).length, 5)
+    })
+
+    test.it('predicts the wait of a small workspace without the backlog of a large one', () => {
+      const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 50 })
+      driver.start('running', { workspace: 'a' })
+      for (let index = 0; index < 20; index += 1) {
+        driver.start(`a${index}`, { workspace: 'a' })
+      }
+      driver.progress('running', 'x', 50)
+      const { waitMs } = driver.start('b', { workspace: 'b', maximumWaitMs: 3_000 }).unsafeCoerce()
+      assert.ok(waitMs <= 2_500)
+      assert.equal(drivers.getFailure(driver.start('late', { workspace: 'a', maximumWaitMs: 3_000 })).code, 'target_unreachable')
+    })
+  })
+})
