Take acknowledgements by the last frame's offset, and keep answers of finished calls

Cause: entries acknowledge the offset of the frame that has arrived, but the gate waited for the one after it, so that ended attempts stayed until they were forgotten by age. An offer carries no weight, so waits of a workspace with a backlog were predicted as if it had the weight 1. The answer of a finished call was dropped with its session, though another entry may ask for it on the caller's retry.

Change: an acknowledgement of the last frame settles the attempt; offers use the weight seen last; the answer of a finished call outlives its session for as long as the attempt is remembered.

The tests of acknowledgement, of the wait of a small workspace and of the kept answer were each seen to fail without their change.

--- a/src/agent/attempt_table.ts
+++ b/src/agent/attempt_table.ts
@@ -90,6 +90,19 @@
     ended.attempt = undefined
   }
 
+  /** Takes an ended attempt from its session, which has gone; only the answer of a finished call is kept. */
+  orphan (attempt: attempts.Attempt): void {
+    const ended = this.ended.get(attempt.key)
+    if (ended === undefined) {
+      return
+    }
+    if (attempt.state === 'finished' && attempt.demand.kind === 'call') {
+      this.leave(attempt)
+      return
+    }
+    this.settle(ended)
+  }
+
   /** Gives an attempt to another session. */
   move (attempt: attempts.Attempt, session: string): void {
     this.leave(attempt)
--- a/src/agent/control.ts
+++ b/src/agent/control.ts
@@ -55,12 +55,15 @@
   acknowledge (id: work.AttemptKey, offset: number): void {
     const { table } = this.parts
     const ended = table.getEnded(attempts.createKey(id))
-    if (ended?.attempt?.frames.isComplete(offset) === true) {
+    if (ended?.attempt?.frames.isLast(offset) === true) {
       table.settle(ended)
     }
   }
 
-  /** Cancels everything that belongs to a session that has gone. */
+  /**
+   * Cancels everything that belongs to a session that has gone. The answers of finished calls are kept for
+   * whoever asks in its place.
+   */
   endSession (session: string, nowMs: number): void {
     const { table, runner } = this.parts
     for (const attempt of runner.listHolders(session)) {
@@ -68,10 +71,7 @@
     }
     for (const attempt of table.listSession(session)) {
       this.cancelLive(attempt, 'always', nowMs)
-      const ended = table.getEnded(attempt.key)
-      if (ended !== undefined) {
-        table.settle(ended)
-      }
+      table.orphan(attempt)
     }
   }
 
--- a/src/agent/fair_queue.ts
+++ b/src/agent/fair_queue.ts
@@ -166,9 +166,10 @@
     }
   }
 
-  /** Estimates what is served before a new item of the workspace. */
-  estimateAhead (workspace: string, weight: number): Backlog {
+  /** Estimates what is served before a new item of the workspace; without a weight, by the one seen last. */
+  estimateAhead (workspace: string, givenWeight: number | undefined): Backlog {
     const own = this.lanes.get(workspace)
+    const weight = givenWeight ?? own?.weight ?? 1
     const isBacklogged = own !== undefined && own.items.size > 0
     const counter = isBacklogged ? own.counter : Math.max(own?.counter ?? 0, this.getStart())
     const turn = counter + (own?.cost ?? 0) / weight
--- a/src/agent/frame_log.ts
+++ b/src/agent/frame_log.ts
@@ -32,9 +32,9 @@
     return this.frames.slice(offset)
   }
 
-  /** Tells whether the frames before the offset are all there will be. */
-  isComplete (offset: number): boolean {
-    return this.ended && offset >= this.frames.length
+  /** Tells whether the frame at the offset is the last one. */
+  isLast (offset: number): boolean {
+    return this.ended && offset >= this.frames.length - 1
   }
 
   /** Drops the frames. */
--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -32,7 +32,7 @@
       outbox.fail(event.call, failures.createFailure('not_run', 'memory_exhausted', [options.server]))
       return undefined
     }
-    const waitNowMs = scheduler.predictWaitMs(demand, params.workspace, 1, nowMs)
+    const waitNowMs = scheduler.predictWaitMs(demand, params.workspace, undefined, nowMs)
     const waitMs = Math.max(0, waitNowMs - params.expectedInMs)
     const reservation = this.tryReserve(event, demand, waitMs)
     outbox.succeed(event.call, {
--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -77,7 +77,7 @@
   }
 
   /** Predicts the wait of a task that arrives now without promised room, in milliseconds. */
-  predictWaitMs (demand: attempts.Demand, workspace: string, weight: number, nowMs: number): number {
+  predictWaitMs (demand: attempts.Demand, workspace: string, weight: number | undefined, nowMs: number): number {
     const ahead = this.queue.estimateAhead(workspace, weight)
     ahead.count += this.promised.size + this.book.size
     ahead.pieces += this.book.promisedPieces
--- a/tests/agent/agent.test.ts
+++ b/tests/agent/agent.test.ts
@@ -135,7 +135,7 @@
     fixture.backend.observer?.finished(1, { reason: 'stop' })
     await manualClocks.settlePromises()
     assert.equal(isDrained, false)
-    fixture.agent.noticed(fixture.session, 'work.acknowledge', { request: 'r-1', attempt: '1', offset: 2 })
+    fixture.agent.noticed(fixture.session, 'work.acknowledge', { request: 'r-1', attempt: '1', offset: 1 })
     await drained
     assert.equal(isDrained, true)
   })
--- a/tests/agent/gate_queue.test.ts
+++ b/tests/agent/gate_queue.test.ts
@@ -116,13 +116,14 @@
 
     test.it('predicts the wait of a small workspace without the backlog of a large one', () => {
       const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 50 })
-      driver.start('running', { workspace: 'a' })
+      driver.start('running', { workspace: 'a', weight: 1_000 })
       for (let index = 0; index < 20; index += 1) {
-        driver.start(`a${index}`, { workspace: 'a' })
+        driver.start(`a${index}`, { workspace: 'a', weight: 1_000 })
       }
       driver.progress('running', 'x', 50)
-      const { waitMs } = driver.start('b', { workspace: 'b', maximumWaitMs: 3_000 }).unsafeCoerce()
+      const { waitMs } = driver.start('b', { workspace: 'b', weight: 1_000, maximumWaitMs: 3_000 }).unsafeCoerce()
       assert.ok(waitMs <= 2_500)
+      assert.ok(driver.offer('r', { workspace: 'b' }).waitMs <= 4_500)
       assert.equal(drivers.getFailure(driver.start('late', { workspace: 'a', maximumWaitMs: 3_000 })).code, 'target_unreachable')
     })
   })
--- a/tests/agent/gate_sessions.test.ts
+++ b/tests/agent/gate_sessions.test.ts
@@ -26,9 +26,9 @@
       const acknowledge = (offset: number): void => {
         driver.apply({ kind: 'work.acknowledge', nowMs: 0, notice: { request: 'r-1', attempt: '1', offset } })
       }
-      acknowledge(1)
+      acknowledge(0)
       assert.equal(driver.call('work.resume', resume).unsafeCoerce().frames.length, 2)
-      acknowledge(2)
+      acknowledge(1)
       assert.deepEqual(driver.call('work.resume', resume).unsafeCoerce(), { state: 'finished', frames: [] })
       assert.equal(drivers.getFailure(driver.start('1')).code, 'attempt_repeated')
     })
@@ -51,11 +51,22 @@
       assert.equal(driver.gate.figures.held, 0)
     })
 
+    test.it('keeps the answer of a finished call for whoever asks in its place', () => {
+      const driver = new drivers.GateDriver({}, { role: 'service', memoryPieces: 0 })
+      driver.apply({ kind: 'session.opened', nowMs: 0, session: 'two' })
+      driver.start('1', { kind: 'call' })
+      driver.finish('1', { reason: 'answered', answer: { status: 201, headers: {}, body: '' } })
+      driver.apply({ kind: 'session.expired', nowMs: 0, session: 'one' })
+      assert.equal(driver.gate.figures.unsettled, 0)
+      const resume = { request: 'r-1', attempt: '1', boot: drivers.boot, offset: 0 }
+      assert.equal(driver.call('work.resume', resume, 'two').unsafeCoerce().frames.length, 2)
+    })
+
     test.it('gives up the transfers of finished prefills', () => {
       const driver = new drivers.GateDriver({}, { role: 'prefill' })
       driver.start('1', { kind: 'prefill' })
       driver.finish('1', { reason: 'prefilled', transfer: {} })
-      driver.apply({ kind: 'work.acknowledge', nowMs: 0, notice: { request: 'r-1', attempt: '1', offset: 2 } })
+      driver.apply({ kind: 'work.acknowledge', nowMs: 0, notice: { request: 'r-1', attempt: '1', offset: 1 } })
       driver.apply({ kind: 'session.expired', nowMs: 0, session: 'one' })
       assert.deepEqual(driver.aborted, [1])
     })
@@ -102,7 +113,7 @@
       driver.finish('2')
       assert.equal(driver.isIdle, false)
       for (const attempt of ['1', '2']) {
-        driver.apply({ kind: 'work.acknowledge', nowMs: 0, notice: { request: `r-${attempt}`, attempt, offset: 2 } })
+        driver.apply({ kind: 'work.acknowledge', nowMs: 0, notice: { request: `r-${attempt}`, attempt, offset: 1 } })
       }
       assert.equal(driver.isIdle, true)
     })
