--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -35,7 +35,7 @@
   ) {}
 
   createListener (): http.RequestListener {
-    const app = new h3.H3()
+    const app = new h3.H3({ silent: true })
     app.post('/v1/completions', this.handle(exchange => this.complete('text', exchange)))
     app.post('/v1/chat/completions', this.handle(exchange => this.complete('chat', exchange)))
     app.get('/v1/models', this.handle(exchange => this.listModels(exchange)))
@@ -141,20 +141,30 @@
 
   private report (exchange: exchanges.Exchange, result: failures.Result<void>): void {
     const workspace = exchange.caller?.workspace ?? ''
-    const outcome = result.caseOf({ Left: failure => failure.code as string, Right: () => 'answered' })
-    this.surroundings.meter.count('requests_total', { workspace, outcome }, 1)
+    const end = result.caseOf({ Left: chooseEnd, Right: () => 'answered' as const })
+    this.surroundings.meter.count('requests_total', { workspace, end }, 1)
+    result.ifLeft(failure => this.surroundings.meter.count('request_failures_total', { code: failure.code }, 1))
     this.surroundings.recorder.record({
-      kind: result.caseOf({ Left: chooseEndKind, Right: () => 'request.finished' as const }),
+      kind: endKinds[end],
       request: exchange.id,
       workspace,
-      details: { outcome }
+      details: { outcome: result.caseOf({ Left: failure => failure.code as string, Right: () => 'answered' }) }
     })
   }
 }
 
-function chooseEndKind (failure: failures.Failure): 'request.refused' | 'request.abandoned' | 'request.finished' {
+type End = 'answered' | 'refused' | 'failed' | 'abandoned'
+
+const endKinds = {
+  answered: 'request.finished',
+  refused: 'request.refused',
+  failed: 'request.finished',
+  abandoned: 'request.abandoned'
+} as const
+
+function chooseEnd (failure: failures.Failure): End {
   if (failure.code === 'caller_gone' || failure.code === 'caller_stalled') {
-    return 'request.abandoned'
+    return 'abandoned'
   }
-  return failure.verdict === 'not_run' ? 'request.refused' : 'request.finished'
+  return failure.verdict === 'not_run' ? 'refused' : 'failed'
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -105,6 +105,7 @@
     this.server.close()
     this.server.closeIdleConnections()
     await Promise.race([this.finish(), clock.sleep(drainTimeoutMs)])
+    this.exchanges.stop()
     for (const stop of this.stops) {
       stop()
     }
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -61,13 +61,14 @@
 export class Exchanges {
   private readonly open = new Set<Exchange>()
   private readonly waiters: (() => void)[] = []
+  private readonly stopSweeping: host.Stop
   private sweptVersion = 0
 
   constructor (
     private readonly surroundings: types.Surroundings,
     private readonly authenticator: authenticators.Authenticator
   ) {
-    surroundings.system.clock.every(sweepPeriodMs, () => this.sweep())
+    this.stopSweeping = surroundings.system.clock.every(sweepPeriodMs, () => this.sweep())
   }
 
   get size (): number {
@@ -89,6 +90,11 @@
     }
   }
 
+  /** Ends the checks of keys; no request may follow. */
+  stop (): void {
+    this.stopSweeping()
+  }
+
   /** Resolves once no request is in flight. */
   async waitUntilEmpty (): Promise<void> {
     if (this.open.size > 0) {
--- a/src/entry/generations.ts
+++ b/src/entry/generations.ts
@@ -62,7 +62,7 @@
 
   private createTimed (sink: types.Sink, job: types.Job): types.Sink {
     const { meter, system } = this.surroundings
-    const labels = { model: job.generation.model, workspace: job.workspace }
+    const labels = { model: job.generation.model }
     return new sinks.TimedSink(sink, job.receivedAtMs, () => system.clock.monotonicMs(), (isFirst, elapsedMs) => {
       meter.observe(isFirst ? 'time_to_first_token_ms' : 'time_between_tokens_ms', labels, elapsedMs)
     })
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
+import * as failures from '../../src/contracts/failure.js'
 import * as fakes from './fake_agents.js'
 import * as fixtures from './fixture.js'
 import * as work from '../../src/contracts/work.js'
@@ -225,6 +226,65 @@
     })
   })
 
+  test.describe('the promised slot', () => {
+    test.it('is promised for the end of the prefill, and anew when the prefill\'s own answer moves that', async () => {
+      for (const agent of world.listAgents('prefill')) {
+        agent.waitMs = 1200
+      }
+      await fixture.complete({})
+      const offers = world.listAgents('decode').flatMap(agent => agent.listParams('work.offer'))
+      const latest = Math.max(...offers.map(offer => offer.expectedInMs))
+      assert.ok(latest >= 1200 && latest < 1300, `${latest}`)
+      assert.equal(offers.length, 3)
+      await fixture.untilIdle()
+    })
+
+    test.it('is given back when the prefill fails', async () => {
+      world.setScript('prefill', (agent, { attempt }) => {
+        const failure = failures.createFailure('ran', 'internal', ['x'])
+        agent.emit(attempt, { kind: 'failed', offset: 0, failure })
+      })
+      assert.equal((await fixture.complete({})).status, 500)
+      await fixture.untilIdle()
+    })
+  })
+
+  test.describe('a server that is leaving', () => {
+    test.it('gets nothing more once it has said so', async () => {
+      const [first] = world.listAgents('prefill') as [fakes.FakeAgent]
+      first.link.deliver('server.leaving', { load: { ...fakes.createLoad(), draining: true } })
+      for (let request = 0; request < 5; request += 1) {
+        await fixture.complete({})
+      }
+      assert.deepEqual(first.calls, [])
+    })
+  })
+
+  test.describe('a request that takes too long', () => {
+    test.it('gets its answer at once, and its work is cancelled', async () => {
+      const { answered } = await startQuietDecode()
+      await world.clock.advance(300_000)
+      assert.deepEqual(fixtures.readFailure(await answered), [504, 'request_timeout', 'ran'])
+      await fixture.untilIdle()
+    })
+  })
+
+  test.describe('a caller that leaves while its allowance is charged', () => {
+    test.it('gets its tokens back', async () => {
+      const request = fixture.open({ path: '/v1/completions' })
+      request.on('error', () => {})
+      const grant = fixture.allowances.delay()
+      request.end('{"model":"m","prompt":"Hi"}')
+      await fixture.until(() => fixture.allowances.charged.length === 1)
+      request.destroy()
+      await fixture.until(() => fixture.entry.getFigures()['requestsInFlight'] === 0)
+      grant()
+      await fixture.until(() => fixture.allowances.settled.length === 1)
+      assert.deepEqual(fixture.allowances.settled, [0])
+      assert.deepEqual(world.listStarts(''), [])
+    })
+  })
+
   test.describe('refusals', () => {
     test.it('come at once, with an honest time to come back', async () => {
       for (const agent of world.listAgents('prefill')) {
--- a/tests/entry/bad_input.test.ts
+++ b/tests/entry/bad_input.test.ts
@@ -43,6 +43,13 @@
       })
     }
 
+    test.it('refuses a body that is announced as too large before it comes', async () => {
+      const request = fixture.open({ ...completion, headers: { 'content-length': '3000' } })
+      request.write('x')
+      assert.equal((await fixtures.readAnswer(request)).status, 413)
+      request.destroy()
+    })
+
     test.it('refuses a chunked body that grows over the limit', async () => {
       const request = fixture.open(completion)
       request.write('x'.repeat(1500))
--- a/tests/entry/calls.test.ts
+++ b/tests/entry/calls.test.ts
@@ -207,15 +207,11 @@
     })
 
     test.it('free the claim when nothing has run', async () => {
-      for (const link of world.pool.list()) {
-        link.isOpen = false
-      }
+      world.lose('service', 'work.start', 'call')
       const refused = await fixture.send(claimed)
       assert.equal(fixtures.readFailure(refused)[2], 'not_run')
-      for (const link of world.pool.list()) {
-        link.isOpen = true
-      }
-      await world.clock.advance(3000)
+      world.endLosses()
+      await fixture.until(() => fixture.entry.getFigures()['claimsUnsettled'] === 0)
       assert.equal((await second.send(claimed)).status, 200)
     })
 
--- a/tests/entry/fixture.ts
+++ b/tests/entry/fixture.ts
@@ -29,14 +29,25 @@
 /** Grants everything, or fails as told, and remembers what was settled. */
 class FakeAllowances extends allowances.Allowances {
   refusal: failures.Failure | undefined
+  private delayed: Promise<void> | undefined
   readonly charged: allowances.Charge[] = []
   readonly settled: number[] = []
 
+  /** Delays grants until the returned function is called. */
+  delay (): () => void {
+    let grant = (): void => {}
+    this.delayed = new Promise(resolve => {
+      grant = resolve
+    })
+    return grant
+  }
+
   override async charge (charge: allowances.Charge): Promise<failures.Result<allowances.Grant>> {
     if (this.refusal !== undefined) {
       return failures.fail(this.refusal)
     }
     this.charged.push(charge)
+    await this.delayed
     return failures.succeed({ charge, settle: tokens => this.settled.push(tokens) })
   }
 }
--- a/tests/entry/planner.test.ts
+++ b/tests/entry/planner.test.ts
@@ -6,6 +6,7 @@
 import * as pictures from '../../src/entry/picture.js'
 import * as planner from '../../src/entry/planner.js'
 import * as random from '../../src/host/seeded_random.js'
+import * as retryBudgets from '../../src/entry/retry_budget.js'
 import * as work from '../../src/contracts/work.js'
 
 const place: planner.Place = { zone: 'a', region: 'local' }
@@ -158,6 +159,32 @@
     })
   })
 
+  test.describe('services', () => {
+    test.it('go to the server with fewer calls, own ones since the report included', () => {
+      picture.noteLoad('s1', createLoad({ running: 3 }), 0)
+      picture.noteLoad('s2', createLoad({ running: 4 }), 0)
+      const rank = (): string[] => planner.rankServices(getStandings(), place).map(candidate => candidate.name)
+      assert.deepEqual(rank(), ['s1', 's2'])
+      picture.noteSent('s1', { promptTokens: 0, pieces: 0 })
+      picture.noteSent('s1', { promptTokens: 0, pieces: 0 })
+      assert.deepEqual(rank(), ['s2', 's1'])
+      picture.noteLoad('s1', createLoad({ running: 3 }), 0)
+      assert.deepEqual(rank(), ['s1', 's2'])
+    })
+  })
+
+  test.describe('RetryBudget', () => {
+    test.it('permits a share of the requests, however many fail', () => {
+      const budget = new retryBudgets.RetryBudget()
+      let retries = 0
+      for (let request = 0; request < 1000; request += 1) {
+        budget.earn()
+        retries += budget.trySpend() ? 1 : 0
+      }
+      assert.ok(retries <= 120, `${retries} retries of 1000 requests`)
+    })
+  })
+
   test.describe('picture', () => {
     test.it('passes over servers that are leaving or did not answer', () => {
       const isUsable = (name: string, nowMs: number): boolean =>
