Agree with the agent on acknowledgements, prefixes and refusals

The agent takes an acknowledgement as the number of frames that have arrived; the last offset left every ended attempt unsettled and would have held up its drain. Cancelled attempts are acknowledged whole, the prefixes are those of the common contract, a finished prefill that no decode takes is cancelled, and a queue that ran out of time is left for another server.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -25,7 +25,6 @@
   /** Whether another attempt may be made while this one may have run. */
   readonly isRepeatable: boolean
   readonly onText: (frame: TextFrame) => void
-  readonly onStarted: () => void
 }
 
 /** What every attempt of an entry shares. */
@@ -180,6 +179,7 @@
         this.resume()
         return
       case 'end':
+        cancels.acknowledgeAll(this.link, this.key)
         this.end(failures.fail(failures.withVerdict(cause, decision.verdict)))
         return
       default:
@@ -227,19 +227,18 @@
       case 'started':
         this.isAccepted = true
         this.record('attempt.started')
-        this.course.onStarted()
         return
       case 'text':
         this.hasText = true
-        this.acknowledgeNowAndThen(frame.offset)
+        this.acknowledgeNowAndThen()
         this.course.onText(frame)
         return
       case 'finished':
-        this.acknowledge(frame.offset)
+        this.acknowledge()
         this.end(failures.succeed(frame))
         return
       case 'failed':
-        this.acknowledge(frame.offset)
+        this.acknowledge()
         this.end(failures.fail(frame.failure))
         return
       default:
@@ -247,14 +246,15 @@
     }
   }
 
-  private acknowledgeNowAndThen (offset: number): void {
-    if (offset % acknowledgePeriodFrames === 0) {
-      this.acknowledge(offset)
+  private acknowledgeNowAndThen (): void {
+    if (this.window.next % acknowledgePeriodFrames === 0) {
+      this.acknowledge()
     }
   }
 
-  private acknowledge (offset: number): void {
-    this.link.notify('work.acknowledge', { ...this.key, offset })
+  /** Tells the agent that the frames before the next one have arrived. */
+  private acknowledge (): void {
+    this.link.notify('work.acknowledge', { ...this.key, offset: this.window.next })
   }
 
   /** Asks for frames when none have come for a while, so that a dropped last frame is not waited for. */
--- a/src/entry/cancels.ts
+++ b/src/entry/cancels.ts
@@ -7,6 +7,9 @@
 import * as types from './types.js'
 import * as work from '../contracts/work.js'
 
+/** Stands for every frame that an attempt may have. */
+const everyOffset = Number.MAX_SAFE_INTEGER
+
 interface Pending {
   readonly link: links.Link
   readonly cancel: work.Cancel
@@ -60,6 +63,7 @@
     const answer = await item.link.call('work.cancel', item.cancel, this.surroundings.timing.callTimeoutMs)
     const isConfirmed = answer.caseOf({ Left: judgement.isBootGone, Right: () => true })
     if (isConfirmed) {
+      acknowledgeAll(item.link, item.cancel)
       this.surroundings.recorder.record({
         kind: 'cancel.confirmed', request: item.cancel.request, attempt: item.cancel.attempt
       })
@@ -77,3 +81,8 @@
     return nowMs - item.unreachableSinceMs >= this.surroundings.timing.sessionLeaseMs
   }
 }
+
+/** Lets an agent forget an attempt whose remaining frames nobody waits for. */
+export function acknowledgeAll (link: links.Link, key: work.AttemptKey): void {
+  link.notify('work.acknowledge', { request: key.request, attempt: key.attempt, offset: everyOffset })
+}
--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -71,11 +71,12 @@
     return await this.write(held.key, claim, compareRevision(held), lease.extract() as string, writeLimit)
   }
 
-  /** Writes the outcome of a call in the background, until the store has taken it. */
-  settle (held: Held, claim: claimRules.Claim): void {
+  /** Writes the outcome of a call in the background, until the store has taken it; `settled` is called then. */
+  settle (held: Held, claim: claimRules.Claim, settled: () => void = () => {}): void {
     this.settleLater(async () => {
       const lease = this.lease?.id ?? ''
       await this.write(held.key, claim, compareRevision(held), lease, outcomeWriteLimit)
+      settled()
     })
   }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,7 +17,6 @@
 import * as inquiries from './inquiries.js'
 import * as offers from './offers.js'
 import * as overload from './overload.js'
-import * as prefixes from './prefixes.js'
 import * as retryBudgets from './retry_budget.js'
 import * as servers from './servers.js'
 import * as serviceRuns from './service_run.js'
@@ -40,12 +39,11 @@
   constructor (
     private readonly surroundings: types.Surroundings,
     private readonly tools: serviceRuns.Tools,
-    hasher: prefixes.Hasher,
     private readonly overloadSignal: overload.OverloadSignal
   ) {
     super()
     const authenticator = new authenticators.Authenticator(surroundings.configuration)
-    const generator = new generations.Generations(surroundings, new conductors.Conductor(tools), hasher)
+    const generator = new generations.Generations(surroundings, new conductors.Conductor(tools))
     this.exchanges = new exchanges.Exchanges(surroundings, authenticator)
     this.listener = new callers.Callers(
       surroundings, this, this.exchanges, authenticator, generator, new calls.Calls(tools)
@@ -120,10 +118,10 @@
 }
 
 /** Creates an entry; `overloadSignal` counts requests in flight if left out. */
-export async function createEntry (
+export function createEntry (
   surroundings: types.Surroundings,
   overloadSignal: overload.OverloadSignal = new overload.InFlightSignal(surroundings.limits.requestsInFlight)
-): Promise<Entry> {
+): Entry {
   const known = new servers.Servers(surroundings)
   const claims = new claimStores.Claims(surroundings)
   const tools: serviceRuns.Tools = {
@@ -136,5 +134,5 @@
     claims,
     inquiries: new inquiries.Inquiries(surroundings, claims)
   }
-  return new Entry(surroundings, tools, await prefixes.createHasher(), overloadSignal)
+  return new Entry(surroundings, tools, overloadSignal)
 }
--- a/src/entry/generations.ts
+++ b/src/entry/generations.ts
@@ -8,16 +8,18 @@
 import * as configuration from '../contracts/configuration.js'
 import * as exchanges from './exchanges.js'
 import * as failures from '../contracts/failure.js'
-import * as prefixes from './prefixes.js'
+import * as prefixes from '../contracts/prefixes.js'
 import * as sinks from './sinks.js'
 import * as types from './types.js'
 import * as work from '../contracts/work.js'
 
+/** Most prefixes that an offer carries. */
+const maximumPrefixes = 512
+
 export class Generations {
   constructor (
     private readonly surroundings: types.Surroundings,
-    private readonly conductor: conductors.Conductor,
-    private readonly hasher: prefixes.Hasher
+    private readonly conductor: conductors.Conductor
   ) {}
 
   /** Answers a request; a failure is left to the caller of this method. */
@@ -91,8 +93,13 @@
       weight: this.surroundings.configuration.getWorkspace(workspace)?.allowance.tokensPerSecond ?? 1,
       model,
       generation,
-      prefixes: this.hasher.hashPrefixes(generation.prompt, model),
+      prefixes: hashPrefixes(generation, model),
       receivedAtMs: exchange.receivedAtMs
     }
   }
 }
+
+function hashPrefixes (generation: work.Generation, model: configuration.Model): readonly string[] {
+  const { pieceTokens, bytesPerToken } = model
+  return prefixes.hashPrefixes(generation.model, generation.prompt, pieceTokens, bytesPerToken).slice(0, maximumPrefixes)
+}
--- a/src/entry/inquiries.ts
+++ b/src/entry/inquiries.ts
@@ -1,6 +1,7 @@
 /**
  * Asks the agent of a claimed call what became of it, once the entry that made the claim is late.
  */
+import * as cancels from './cancels.js'
 import * as claimRules from './claim_rules.js'
 import * as claimStores from './claims.js'
 import * as failures from '../contracts/failure.js'
@@ -53,7 +54,8 @@
     if (last?.kind !== 'finished' || last.answer === undefined) {
       return isNotRun(last) ? { kind: 'ask_agent' } : claimRules.refuseUnknown('may_have_run')
     }
-    this.claims.settle(held, claimRules.recordAnswer(held.claim, last.answer))
+    const acknowledge = (): void => cancels.acknowledgeAll(link, { request, attempt })
+    this.claims.settle(held, claimRules.recordAnswer(held.claim, last.answer), acknowledge)
     return { kind: 'replay', answer: last.answer }
   }
 }
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -4,6 +4,7 @@
 import * as attemptRuns from './attempt.js'
 import * as diagnosticTable from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
+import * as links from '../links/types.js'
 import * as offers from './offers.js'
 import * as pairings from './pairing.js'
 import * as planner from './planner.js'
@@ -22,6 +23,8 @@
 }
 
 interface Prefilled extends pairings.Source {
+  readonly link: links.Link
+  readonly start: work.Start
   readonly transfer: work.TransferHandle | undefined
   readonly finishedAtMs: number
 }
@@ -35,7 +38,7 @@
 /** Failures after which another server may do better. */
 const retryableCodes: ReadonlySet<diagnosticTable.DiagnosticCode> = new Set([
   'link_lost', 'link_timeout', 'server_boot_changed', 'server_leaving', 'server_failed', 'transfer_failed',
-  'queue_full', 'memory_exhausted', 'attempt_cancelled', 'shutting_down', 'session_unknown'
+  'queue_full', 'memory_exhausted', 'attempt_cancelled', 'shutting_down', 'session_unknown', 'stream_interrupted'
 ] as const)
 
 export class Passage {
@@ -46,6 +49,9 @@
   private prefilled: Prefilled | undefined
   private promised: offers.Offered | undefined
   private tries = 0
+  private isContradicted = false
+  /** Whether the last try failed at a server, and not while one was chosen. */
+  private hasAttemptFailed = false
   private joinedVerdict: verdicts.Verdict = 'not_run'
   private lastFailure: failures.Failure | undefined
 
@@ -77,7 +83,18 @@
     if (this.signal.aborted) {
       return this.abort()
     }
-    return await Promise.race([this.tryUntilDone(), aborted])
+    const result = await Promise.race([this.tryUntilDone(), aborted])
+    result.ifLeft(() => this.dropPrefill())
+    return result
+  }
+
+  /** Has the KV cache of a prefill that no decode will take given up. */
+  private dropPrefill (): void {
+    if (this.prefilled !== undefined) {
+      const { link, start } = this.prefilled
+      this.tools.cancels.add(link, start, start.boot)
+      this.prefilled = undefined
+    }
   }
 
   private abort (): failures.Result<types.Completion> {
@@ -91,6 +108,7 @@
   private async tryUntilDone (): Promise<failures.Result<types.Completion>> {
     for (;;) {
       this.tries += 1
+      this.hasAttemptFailed = false
       const result = await this.tryOnce()
       if (result.isRight() || this.signal.aborted) {
         return result
@@ -120,7 +138,7 @@
   }
 
   private async planAndPrefill (): Promise<failures.Result<offers.Offered>> {
-    this.prefilled = undefined
+    this.dropPrefill()
     const chosen = await this.pairing.choosePair(this.avoided)
     const promised = this.keepPromise(chosen.map(pair => pair.decode))
     if (promised.isLeft()) {
@@ -159,16 +177,18 @@
     const { generation } = this.job
     const burden = { promptTokens: generation.promptTokens, pieces: 0 }
     const start = this.createStart(offered, { kind: 'prefill', generation }, this.getPrefillWaitMs(pair))
-    const result = await this.runAttempt(offered, start, burden, () => {}, () => {})
-    return result.map(frame => this.notePrefilled(offered, frame))
+    const result = await this.runAttempt(offered, start, burden, () => {})
+    return result.map(frame => this.notePrefilled(offered, start, frame))
   }
 
-  private notePrefilled (offered: offers.Offered, frame: attemptRuns.FinishedFrame): Prefilled {
+  private notePrefilled (offered: offers.Offered, start: work.Start, frame: attemptRuns.FinishedFrame): Prefilled {
     this.joinedVerdict = 'ran'
     this.tools.servers.picture.notePrefixes(offered.name, this.job.prefixes)
     this.prefilled = {
       name: offered.name,
       region: offered.candidate.server.region,
+      link: offered.link,
+      start,
       transfer: frame.transfer,
       finishedAtMs: this.nowMs
     }
@@ -186,7 +206,10 @@
     const endTransfer = this.startTransfer(source.name, offered.name)
     this.promised = undefined
     this.record('reservation.used', offered.name)
-    const result = await this.runAttempt(offered, start, burden, frame => this.takeText(frame), endTransfer)
+    const result = await this.runAttempt(offered, start, burden, frame => {
+      endTransfer()
+      this.takeText(frame)
+    })
     endTransfer()
     return result.map(frame => this.createCompletion(frame))
   }
@@ -195,15 +218,14 @@
     offered: offers.Offered,
     start: work.Start,
     burden: { readonly promptTokens: number, readonly pieces: number },
-    onText: (frame: attemptRuns.TextFrame) => void,
-    onStarted: () => void
+    onText: (frame: attemptRuns.TextFrame) => void
   ): Promise<failures.Result<attemptRuns.FinishedFrame>> {
     if (this.signal.aborted) {
       return failures.fail(this.signal.reason as failures.Failure)
     }
     const { picture } = this.tools.servers
     const { name: server, link } = offered
-    this.attempt = new attemptRuns.Attempt(this.tools, { server, link, start, isRepeatable: true, onText, onStarted })
+    this.attempt = new attemptRuns.Attempt(this.tools, { server, link, start, isRepeatable: true, onText })
     picture.noteSent(server, burden)
     const result = await this.attempt.run()
     picture.noteEnded(server, burden)
@@ -214,8 +236,9 @@
 
   private noteFailed (server: string, failure: failures.Failure): void {
     this.avoided.add(server)
+    this.hasAttemptFailed = true
     if (failure.code === 'transfer_failed') {
-      this.prefilled = undefined
+      this.dropPrefill()
     }
     if (failure.code === 'server_leaving') {
       this.tools.servers.picture.noteLeaving(server)
@@ -227,6 +250,7 @@
       return
     }
     if (!this.transcript.take(frame.text, frame.tokens)) {
+      this.isContradicted = true
       this.attempt?.abandon(failures.createFailure('ran', 'stream_interrupted', ['a new attempt gave other text']))
     }
   }
@@ -268,7 +292,10 @@
 
   private mayTryAgain (failure: failures.Failure): boolean {
     const { configuration } = this.tools.surroundings
-    if (!isRetryable(failure) || this.tries >= configuration.policy.attemptLimit) {
+    if (this.isContradicted || this.tries >= configuration.policy.attemptLimit) {
+      return false
+    }
+    if (!isRetryable(failure) && !(this.hasAttemptFailed && failure.code === 'target_unreachable')) {
       return false
     }
     if (this.sink.isCommitted && !this.transcript.isRepeatable) {
--- a/src/entry/service_run.ts
+++ b/src/entry/service_run.ts
@@ -132,8 +132,7 @@
       link: offered.link,
       start: this.createStart(offered, attempt),
       isRepeatable: match.route.idempotent,
-      onText: () => {},
-      onStarted: () => {}
+      onText: () => {}
     })
     const stopTimer = this.watchTime(offered.name, this.attempt)
     const burden = { promptTokens: 0, pieces: 0 }
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -72,7 +72,7 @@
       agent.emit(start.attempt, fakes.createStop(1))
       await answered
       const { request, attempt } = start
-      assert.deepEqual(agent.notices.at(-1), { name: 'work.acknowledge', notice: { request, attempt, offset: 1 } })
+      assert.deepEqual(agent.notices.at(-1), { name: 'work.acknowledge', notice: { request, attempt, offset: 2 } })
     })
   })
 
@@ -171,7 +171,7 @@
       request.end('{"model":"m","prompt":"Hi"}')
       await fixture.until(() => world.listStarts('decode').length === 1)
       const [{ agent, start }] = world.listStarts('decode') as [worlds.Received]
-      world.lose('', 'work.cancel', 'call')
+      world.lose('decode', 'work.cancel', 'call')
       request.destroy()
       await fixture.until(() => agent.listParams('work.cancel').length === 1)
       await world.clock.advance(500)
@@ -226,6 +226,38 @@
     })
   })
 
+  test.describe('a server that lets the time run out', () => {
+    test.it('is left for another one, with the same prefill', async () => {
+      const failure = failures.createFailure('not_run', 'target_unreachable', [500, 600], 100)
+      world.setScript('decode', (agent, start) => {
+        if (world.listStarts('decode').length === 1) {
+          agent.emit(start.attempt, { kind: 'failed', offset: 0, failure })
+          return
+        }
+        fakes.runAtOnce(agent, start)
+      })
+      assert.equal((await fixture.complete({})).status, 200)
+      assert.equal(world.listStarts('prefill').length, 1)
+      assert.equal(new Set(world.listStarts('decode').map(({ agent }) => agent.name)).size, 2)
+      await fixture.untilIdle()
+    })
+  })
+
+  test.describe('a finished prefill', () => {
+    test.it('is given up when the request fails', async () => {
+      const failure = failures.createFailure('ran', 'internal', ['x'])
+      world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, { kind: 'failed', offset: 0, failure }))
+      await fixture.complete({})
+      const [{ agent, start }] = world.listStarts('prefill') as [worlds.Received]
+      await fixture.untilIdle()
+      assert.deepEqual(agent.listParams('work.cancel').map(cancel => cancel.attempt), [start.attempt])
+      assert.deepEqual(agent.notices.at(-1), {
+        name: 'work.acknowledge',
+        notice: { request: start.request, attempt: start.attempt, offset: Number.MAX_SAFE_INTEGER }
+      })
+    })
+  })
+
   test.describe('the promised slot', () => {
     test.it('is promised for the end of the prefill, and anew when the prefill\'s own answer moves that', async () => {
       for (const agent of world.listAgents('prefill')) {
--- a/tests/entry/fixture.ts
+++ b/tests/entry/fixture.ts
@@ -78,7 +78,7 @@
     world = new worlds.World(), limits: Partial<settings.Limits> = {}, seed = 1
   ): Promise<Fixture> {
     const fixture = new Fixture(world)
-    fixture.entry = await entries.createEntry({
+    fixture.entry = entries.createEntry({
       identity: { node: `entry${seed}`, boot: 'b', role: 'entry', zone: 'z', region: 'local' },
       system: { clock: world.clock, random: new random.SeededRandom(seed), log: fixture.log },
       configuration: world.document,
