--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -12,6 +12,7 @@
 import * as links from '../links/types.js'
 import * as metrics from '../metrics/types.js'
 import * as notices from './notices.js'
+import * as peerReaders from './peer_reader.js'
 import * as peersModule from './peers.js'
 import * as protocol from '../contracts/protocol.js'
 import * as publishers from './publisher.js'
@@ -19,15 +20,6 @@
 import * as storeSources from './store_source.js'
 import * as timelines from '../timeline/types.js'
 
-/** Longest wait for the answer of a peer, in milliseconds. */
-const peerTimeoutMs = 2_000
-
-/** Entries asked for their version at the start. */
-const probedEntries = 3
-
-/** A version that no process has: the answer to such a request is a version alone. */
-const beyondAnyVersion = Number.MAX_SAFE_INTEGER
-
 export interface ReplicaOptions {
   readonly identity: identities.Identity
   /** Control listener of this process. */
@@ -55,18 +47,22 @@
   private readonly decisions: decisions.ReplicaDecisions
   private readonly changeLog = new changeLogs.ChangeLog()
   private readonly publisher: publishers.Publisher
+  private readonly peerReader: peerReaders.PeerReader
   private readonly source: storeSources.StoreSource | undefined
   private readonly listeners = new Set<ChangeListener>()
   private readonly waiters = new Set<() => void>()
   private readonly follower: storeFollowers.StoreFollower | undefined
   private stopTimer: host.Stop | undefined
   private stopped = false
+  /** Whether the store has been read and is being watched. */
+  private isFollowing = false
 
   constructor (private readonly options: ReplicaOptions) {
     super()
     this.decisions = new decisions.ReplicaDecisions(options.identity.role)
     this.source = options.store === undefined ? undefined : new storeSources.StoreSource(options.store)
     this.follower = this.source === undefined ? undefined : this.createFollower(this.source)
+    this.peerReader = new peerReaders.PeerReader(options.peers, options.random)
     this.publisher = new publishers.Publisher(
       this.document, options.peers, options.address, options.clock, options.random
     )
@@ -189,7 +185,7 @@
         this.askPeer(action.peer, action.since).catch(() => this.report({ kind: 'peer_failed', node: action.peer.node }))
         return
       case 'probe_entries':
-        this.probeEntries().catch(() => {}).finally(() => this.report({ kind: 'probed' }))
+        this.peerReader.probe((version, from) => this.hear(version, from)).catch(() => {}).finally(() => this.report({ kind: 'probed' }))
         return
       case 'become_ready':
         this.becomeReady()
@@ -208,6 +204,7 @@
     return new storeFollowers.StoreFollower(source, {
       read: news => {
         this.takeNews(news)
+        this.noteFollowing()
         this.report({ kind: 'store_read' })
       },
       changed: change => this.takeWatched(change),
@@ -215,7 +212,18 @@
     })
   }
 
+  private noteFollowing (): void {
+    if (!this.isFollowing) {
+      this.isFollowing = true
+      this.options.log.info('configuration store followed', { version: this.document.version })
+    }
+  }
+
   private failStore (): void {
+    if (this.isFollowing) {
+      this.isFollowing = false
+      this.options.log.warn('configuration store lost', { version: this.document.version })
+    }
     this.options.meter.count('configuration_store_failures')
     this.report({ kind: 'store_failed', jitter: this.options.random.nextUnit() })
   }
@@ -234,9 +242,8 @@
   }
 
   private async askPeer (peer: identities.Identity, since: number): Promise<void> {
-    const link = this.options.peers.getLink(peer)
-    const answer = await link?.call('configuration.read', { since }, peerTimeoutMs)
-    if (answer === undefined || answer.isLeft()) {
+    const answer = await this.peerReader.ask(peer, since)
+    if (answer.isLeft()) {
       this.report({ kind: 'peer_failed', node: peer.node })
       return
     }
@@ -249,26 +256,6 @@
     this.report({ kind: 'peer_answered', node: peer.node, version })
   }
 
-  private async probeEntries (): Promise<void> {
-    const entries = [...this.options.peers.listEntries()]
-    const probes: Promise<void>[] = []
-    while (probes.length < probedEntries && entries.length > 0) {
-      const [address] = entries.splice(this.options.random.nextInteger(entries.length), 1)
-      if (address !== undefined) {
-        probes.push(this.probe(address))
-      }
-    }
-    await Promise.all(probes)
-  }
-
-  private async probe (address: identities.Address): Promise<void> {
-    const link = this.options.peers.getLinkTo(address)
-    const answer = await link.call('configuration.read', { since: beyondAnyVersion }, peerTimeoutMs)
-    if (answer.isRight()) {
-      this.hear(answer.unsafeCoerce().version, link.remote)
-    }
-  }
-
   /** Applies the changes that follow the document's version; the others change nothing. */
   private offer (changes: readonly configuration.Change[]): void {
     const applied: configuration.Change[] = []
--- a/tests/configuration/replica.test.ts
+++ b/tests/configuration/replica.test.ts
@@ -178,6 +178,8 @@
       await network.clock.advance(5_000)
       assert.equal(entry.replica.version, 3)
       assert.notEqual(entry.replica.document.getWorkspace('w3'), undefined)
+      const refused = await fixture.tryChange(entry, 'op', [fixture.createWorkspace('x')])
+      assert.equal(refused.swap().unsafeCoerce().code, 'change_contended')
     })
 
     test.it('names the changed sections to listeners', async () => {
