--- a/src/configuration/editor.ts
+++ b/src/configuration/editor.ts
@@ -14,13 +14,12 @@
 import * as histories from './history.js'
 import * as host from '../host/types.js'
 import * as layout from './layout.js'
+import * as operationStores from './operation_store.js'
+import * as timelines from '../timeline/types.js'
 
 /** Commits that one call tries while others change the document at the same time. */
 const maximumCommits = 20
 
-/** Leases asked for while their answers are lost. */
-const maximumLeaseTries = 3
-
 /** Earlier changes listed with a stale edit. */
 const staleHistoryLimit = 20
 
@@ -39,13 +38,14 @@
   readonly current: CurrentDocument
   /** SHA-256 of the administrators' credential, in hexadecimal. */
   readonly administratorHash: string
+  /** Takes the events of refused changes. */
+  readonly recorder?: timelines.Recorder
 }
 
-/** What the store holds of the head and of one operation. */
-interface StoreState {
+interface UnsettledCommit {
+  readonly change: configuration.Change
+  /** Revision of the head that the commit requires. */
   readonly headRevision: number
-  readonly version: number
-  readonly operation: layout.OperationRecord | undefined
 }
 
 type Step =
@@ -72,22 +72,37 @@
    */
   async change (credential: string, request: changeRequests.ChangeRequest): Promise<failures.Result<changeRequests.Decision>> {
     const call = new EditorCall(this.options, this.history, credentials.hashSecret(credential), request)
-    return call.run()
+    const result = await call.run()
+    this.record(request, result)
+    return result
+  }
+
+  private record (request: changeRequests.ChangeRequest, result: failures.Result<changeRequests.Decision>): void {
+    const failure = result.caseOf({
+      Left: failed => failed,
+      Right: decision => decision.kind === 'refused' ? decision.refusal.failure : undefined
+    })
+    if (failure !== undefined) {
+      const { code, verdict } = failure
+      this.options.recorder?.record({ kind: 'configuration.refused', details: { operation: request.operation, code, verdict } })
+    }
   }
 }
 
 /** One call of the editor. */
 class EditorCall {
-  private lease: host.StoreLease | undefined
-  /** Revision of the head that a commit of unknown outcome requires; `undefined` if there is none. */
-  private unsettledHead: number | undefined
+  private readonly operations: operationStores.OperationStore
+  /** A commit of unknown outcome; `undefined` if there is none. */
+  private unsettled: UnsettledCommit | undefined
 
   constructor (
     private readonly options: EditorOptions,
     private readonly history: histories.History,
     private readonly credentialHash: string,
     private readonly request: changeRequests.ChangeRequest
-  ) {}
+  ) {
+    this.operations = new operationStores.OperationStore(options.store, request.operation)
+  }
 
   async run (): Promise<failures.Result<changeRequests.Decision>> {
     let last = failures.createFailure('not_run', 'change_contended')
@@ -109,11 +124,11 @@
 
   /** A commit on its way makes every later failure uncertain. */
   private judge (failure: failures.Failure): failures.Failure {
-    return this.unsettledHead !== undefined ? failures.withVerdict(failure, 'may_have_run') : failure
+    return this.unsettled !== undefined ? failures.withVerdict(failure, 'may_have_run') : failure
   }
 
   private async tryOnce (): Promise<failures.Result<Step>> {
-    const read = await this.readState()
+    const read = await this.operations.read()
     if (read.isLeft()) {
       return failures.fail(read.swap().unsafeCoerce())
     }
@@ -121,9 +136,9 @@
     if (state.operation !== undefined) {
       return failures.succeed(decide(this.settle(state.operation)))
     }
-    if (state.headRevision !== this.unsettledHead) {
+    if (state.headRevision !== this.unsettled?.headRevision) {
       // A commit that requires an earlier head can no longer take effect.
-      this.unsettledHead = undefined
+      this.unsettled = undefined
     }
     const reached = await this.options.current.reach(state.version)
     if (reached.isLeft()) {
@@ -135,7 +150,7 @@
     return this.checkAndCommit(state)
   }
 
-  private async checkAndCommit (state: StoreState): Promise<failures.Result<Step>> {
+  private async checkAndCommit (state: operationStores.OperationState): Promise<failures.Result<Step>> {
     const { current, administratorHash } = this.options
     const operator = credentials.findOperator(current.document, administratorHash, this.credentialHash)
     if (operator === undefined) {
@@ -160,30 +175,25 @@
     return this.commit(change, state)
   }
 
-  private async commit (change: configuration.Change, state: StoreState): Promise<failures.Result<Step>> {
+  private async commit (change: configuration.Change, state: operationStores.OperationState): Promise<failures.Result<Step>> {
     const text = JSON.stringify(change)
     if (Buffer.byteLength(text) > changeRequests.maximumChangeBytes) {
       const details = [changeRequests.maximumChangeBytes, 'bytes']
       return failures.succeed(refuse(failures.createFailure('not_run', 'change_too_large', details)))
     }
-    const lease = await this.getLease()
-    if (lease.isLeft()) {
-      return failures.fail(failures.withVerdict(lease.swap().unsafeCoerce(), 'not_run'))
-    }
     const record = { version: change.version, digest: this.request.digest, sections: change.sections.map(getVersion) }
-    const transaction = createTransaction(change, text, record, state.headRevision, lease.unsafeCoerce())
-    const committed = await this.options.store.commit(transaction)
+    const committed = await this.operations.commit(change, text, record, state.headRevision)
     return committed.caseOf<failures.Result<Step>>({
-      Left: failure => this.takeCommitFailure(failure, state),
+      Left: failure => this.takeCommitFailure(failure, { change, headRevision: state.headRevision }),
       Right: ({ succeeded }) => failures.succeed(succeeded ? this.accept(change, record) : { kind: 'again' })
     })
   }
 
-  private takeCommitFailure (failure: failures.Failure, state: StoreState): failures.Result<Step> {
+  private takeCommitFailure (failure: failures.Failure, commit: UnsettledCommit): failures.Result<Step> {
     if (failure.verdict === 'not_run') {
       return failures.fail(failure)
     }
-    this.unsettledHead = state.headRevision
+    this.unsettled = commit
     return failures.succeed({ kind: 'unsettled', failure })
   }
 
@@ -198,37 +208,10 @@
       return changeRequests.createRefusal(failures.createFailure('not_run', 'operation_reused', [this.request.operation]))
     }
     const { version, sections } = record
-    return { kind: 'accepted', acceptance: { version, sections, repeated: this.unsettledHead === undefined } }
-  }
-
-  /** Reads by a transaction, which no stale replica of the store answers. */
-  private async readState (): Promise<failures.Result<StoreState>> {
-    const commit = await this.options.store.commit({
-      compare: [],
-      success: [{ kind: 'get', key: layout.headKey }, { kind: 'get', key: layout.getOperationKey(this.request.operation) }],
-      failure: []
-    })
-    return commit.mapLeft(failure => failures.withVerdict(failure, 'not_run')).chain(({ reads: [head, operation] }) => {
-      const version = layout.parseHead(head?.value)
-      const record = operation === undefined ? undefined : layout.parseRecord(layout.OperationRecord, operation.value)
-      if (version === undefined || (operation !== undefined && record === undefined)) {
-        return failures.fail(failures.createFailure('not_run', 'internal', ['a record in the store cannot be read']))
-      }
-      return failures.succeed({ headRevision: head?.modRevision ?? 0, version, operation: record })
-    })
-  }
-
-  private async getLease (): Promise<failures.Result<host.StoreLease>> {
-    if (this.lease !== undefined) {
-      return failures.succeed(this.lease)
+    if (this.unsettled?.change.version === version) {
+      this.options.current.publish(this.unsettled.change)
     }
-    let lease = await this.options.store.grantLease(layout.operationTtlMs)
-    for (let tried = 1; isAnswerLost(lease) && tried < maximumLeaseTries; tried += 1) {
-      // A lease whose answer was lost holds nothing, and expires.
-      lease = await this.options.store.grantLease(layout.operationTtlMs)
-    }
-    this.lease = lease.isRight() ? lease.unsafeCoerce() : undefined
-    return lease
+    return { kind: 'accepted', acceptance: { version, sections, repeated: this.unsettled === undefined } }
   }
 
   private async explainStaleness (
@@ -243,35 +226,6 @@
   }
 }
 
-function isAnswerLost (lease: failures.Result<host.StoreLease>): boolean {
-  return lease.swap().map(({ verdict }) => verdict === 'may_have_run').orDefault(false)
-}
-
-function createTransaction (
-  change: configuration.Change, text: string, record: layout.OperationRecord, headRevision: number, lease: host.StoreLease
-): host.StoreTransaction {
-  const operationKey = layout.getOperationKey(change.operation)
-  const success: host.StoreOperation[] = [
-    { kind: 'put', key: layout.headKey, value: JSON.stringify({ version: change.version }) },
-    { kind: 'put', key: layout.getChangeKey(change.version), value: text },
-    { kind: 'put', key: operationKey, value: JSON.stringify(record), lease: lease.id }
-  ]
-  for (const section of change.sections) {
-    success.push({ kind: 'put', key: layout.getSectionKey(section.name), value: JSON.stringify(section) })
-  }
-  if (change.version > layout.keptChanges) {
-    success.push({ kind: 'delete', key: layout.getChangeKey(change.version - layout.keptChanges) })
-  }
-  return {
-    compare: [
-      { key: layout.headKey, target: 'mod', revision: headRevision },
-      { key: operationKey, target: 'create', revision: 0 }
-    ],
-    success,
-    failure: []
-  }
-}
-
 function getVersion ({ name, version }: configuration.Section): { name: string, version: number } {
   return { name, version }
 }
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -1,7 +1,6 @@
 /**
  * Keeps the document of this process current, from the store and from other processes.
  */
-import * as changeLogs from './change_log.js'
 import * as configuration from '../contracts/configuration.js'
 import * as decisions from './replica_decisions.js'
 import * as documents from './document.js'
@@ -16,6 +15,7 @@
 import * as peersModule from './peers.js'
 import * as protocol from '../contracts/protocol.js'
 import * as publishers from './publisher.js'
+import * as replicaDocuments from './replica_document.js'
 import * as storeFollowers from './store_follower.js'
 import * as storeSources from './store_source.js'
 import * as timelines from '../timeline/types.js'
@@ -38,14 +38,14 @@
 export type ChangeListener = (version: number, sections: readonly string[]) => void
 
 export class Replica extends editors.CurrentDocument {
-  override readonly document = new documents.Document()
+  override readonly document: documents.Document
   /** For the listener of links. */
   readonly handlers: links.Handlers
   readonly linkObserver: links.LinkObserver
   readonly sessionObserver: links.SessionObserver
 
   private readonly decisions: decisions.ReplicaDecisions
-  private readonly changeLog = new changeLogs.ChangeLog()
+  private readonly content = new replicaDocuments.ReplicaDocument()
   private readonly publisher: publishers.Publisher
   private readonly peerReader: peerReaders.PeerReader
   private readonly source: storeSources.StoreSource | undefined
@@ -59,6 +59,7 @@
 
   constructor (private readonly options: ReplicaOptions) {
     super()
+    this.document = this.content.document
     this.decisions = new decisions.ReplicaDecisions(options.identity.role)
     this.source = options.store === undefined ? undefined : new storeSources.StoreSource(options.store)
     this.follower = this.source === undefined ? undefined : this.createFollower(this.source)
@@ -153,7 +154,7 @@
     if (audience === 'entry' && this.options.identity.role === 'agent') {
       return failures.fail(failures.createFailure('not_run', 'configuration_forbidden', [audience]))
     }
-    return failures.succeed(changeLogs.createAnswer(this.document, this.changeLog, since, audience))
+    return failures.succeed(this.content.answer(since, audience))
   }
 
   private report (event: decisions.ReplicaEvent): void {
@@ -256,37 +257,18 @@
     this.report({ kind: 'peer_answered', node: peer.node, version })
   }
 
-  /** Applies the changes that follow the document's version; the others change nothing. */
   private offer (changes: readonly configuration.Change[]): void {
-    const applied: configuration.Change[] = []
-    for (const change of changes) {
-      if (this.document.applyChange(change)) {
-        this.changeLog.add(change)
-        applied.push(change)
-      }
-    }
-    if (applied.length > 0) {
-      this.announce(applied.flatMap(change => change.sections.map(section => section.name)))
-    }
+    this.announce(this.content.offer(changes))
   }
 
   private replace (snapshot: configuration.Snapshot): void {
-    const before = new Map(this.document.listSections().map(section => [section.name, section.version]))
-    if (!this.document.applySnapshot(snapshot)) {
-      return
-    }
-    this.changeLog.clear()
-    const names: string[] = []
-    for (const section of this.document.listSections()) {
-      if (before.get(section.name) !== section.version) {
-        names.push(section.name)
-      }
-      before.delete(section.name)
-    }
-    this.announce([...names, ...before.keys()])
+    this.announce(this.content.replace(snapshot))
   }
 
-  private announce (sections: readonly string[]): void {
+  private announce (sections: readonly string[] | undefined): void {
+    if (sections === undefined) {
+      return
+    }
     const { version } = this.document
     this.options.recorder.record({ kind: 'configuration.changed', details: { version, sections: sections.length } })
     this.options.meter.gauge('configuration_version', {}, version)
--- a/src/configuration/replica_decisions.ts
+++ b/src/configuration/replica_decisions.ts
@@ -129,7 +129,7 @@
         return
       case 'peer_answered':
         this.endAsking(event.node)
-        this.correctSource(event.node, event.version)
+        this.correctSource(event.node, event.version, nowMs)
         return
       case 'peer_failed':
         this.endAsking(event.node)
@@ -195,7 +195,8 @@
     }
   }
 
-  private correctSource (node: string, version: number): void {
+  /** A peer whose answer did not bring the document to the peer's version is not asked again at once. */
+  private correctSource (node: string, version: number, nowMs: number): void {
     const source = this.sources.get(node)
     if (source === undefined) {
       return
@@ -204,7 +205,7 @@
       this.sources.delete(node)
       return
     }
-    this.sources.set(node, { ...source, version })
+    this.sources.set(node, { ...source, version, retryAtMs: nowMs + peerRetryMs })
   }
 
   private delaySource (node: string, retryAtMs: number): void {
--- a/tests/configuration/replica.test.ts
+++ b/tests/configuration/replica.test.ts
@@ -192,6 +192,24 @@
     })
   })
 
+  test.describe('of the entry that accepts a change', () => {
+    test.it('pushes it to open sessions, without secret sections to agents', async () => {
+      const network = new fixture.Network()
+      const entry = await createEntry(network)
+      const notices: string[] = []
+      const open = (role: 'entry' | 'agent', isOpen: boolean): void => entry.replica.sessionObserver.opened({
+        id: role, remote: { ...entry.identity, role }, isOpen, bufferedBytes: 0, notify: (_name, notice) => notices.push(`${role} ${JSON.stringify(notice)}`)
+      })
+      open('agent', true)
+      open('entry', true)
+      open('entry', false)
+      await fixture.change(entry, 'op', [fixture.createWorkspace('a'), { name: 'keys/a', expectedVersion: 0, body: { keys: [] } }])
+      assert.equal(notices.length, 2)
+      assert.equal(notices[0]?.startsWith('agent') && !notices[0].includes('keys/a'), true)
+      assert.equal(notices[1]?.includes('keys/a'), true)
+    })
+  })
+
   test.describe('of an agent', () => {
     test.it('fetches the configuration without secret sections, whole first and by changes later', async () => {
       const network = new fixture.Network()
--- a/tests/configuration/replica_decisions.test.ts
+++ b/tests/configuration/replica_decisions.test.ts
@@ -50,6 +50,7 @@
       const answered = event.kind === 'peer_answered' ? claims.get(event.node) : undefined
       if (answered !== undefined && event.kind === 'peer_answered') {
         answered.version = event.version
+        answered.retryAtMs = atMs + 1_000
       }
       const failed = event.kind === 'peer_failed' ? claims.get(event.node) : undefined
       if (failed !== undefined) {
