--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -1,7 +1,6 @@
 /**
  * Keeps the document of this process current, from the store and from other processes.
  */
-import * as changeLogs from './change_log.js'
 import * as configuration from '../contracts/configuration.js'
 import * as decisions from './replica_decisions.js'
 import * as documents from './document.js'
@@ -12,22 +11,15 @@
 import * as links from '../links/types.js'
 import * as metrics from '../metrics/types.js'
 import * as notices from './notices.js'
+import * as peerReaders from './peer_reader.js'
 import * as peersModule from './peers.js'
 import * as protocol from '../contracts/protocol.js'
 import * as publishers from './publisher.js'
+import * as replicaDocuments from './replica_document.js'
 import * as storeFollowers from './store_follower.js'
 import * as storeSources from './store_source.js'
 import * as timelines from '../timeline/types.js'
 
-/** Longest wait for the answer of a peer, in milliseconds. */
-const peerTimeoutMs = 2_000
-
-/** Entries asked for their version at the start. */
-const probedEntries = 3
-
-/** A version that no process has: the answer to such a request is a version alone. */
-const beyondAnyVersion = Number.MAX_SAFE_INTEGER
-
 export interface ReplicaOptions {
   readonly identity: identities.Identity
   /** Control listener of this process. */
@@ -46,27 +38,32 @@
 export type ChangeListener = (version: number, sections: readonly string[]) => void
 
 export class Replica extends editors.CurrentDocument {
-  override readonly document = new documents.Document()
+  override readonly document: documents.Document
   /** For the listener of links. */
   readonly handlers: links.Handlers
   readonly linkObserver: links.LinkObserver
   readonly sessionObserver: links.SessionObserver
 
   private readonly decisions: decisions.ReplicaDecisions
-  private readonly changeLog = new changeLogs.ChangeLog()
+  private readonly content = new replicaDocuments.ReplicaDocument()
   private readonly publisher: publishers.Publisher
+  private readonly peerReader: peerReaders.PeerReader
   private readonly source: storeSources.StoreSource | undefined
   private readonly listeners = new Set<ChangeListener>()
   private readonly waiters = new Set<() => void>()
   private readonly follower: storeFollowers.StoreFollower | undefined
   private stopTimer: host.Stop | undefined
   private stopped = false
+  /** Whether the store has been read and is being watched. */
+  private isFollowing = false
 
   constructor (private readonly options: ReplicaOptions) {
     super()
+    this.document = this.content.document
     this.decisions = new decisions.ReplicaDecisions(options.identity.role)
     this.source = options.store === undefined ? undefined : new storeSources.StoreSource(options.store)
     this.follower = this.source === undefined ? undefined : this.createFollower(this.source)
+    this.peerReader = new peerReaders.PeerReader(options.peers, options.random)
     this.publisher = new publishers.Publisher(
       this.document, options.peers, options.address, options.clock, options.random
     )
@@ -157,7 +154,7 @@
     if (audience === 'entry' && this.options.identity.role === 'agent') {
       return failures.fail(failures.createFailure('not_run', 'configuration_forbidden', [audience]))
     }
-    return failures.succeed(changeLogs.createAnswer(this.document, this.changeLog, since, audience))
+    return failures.succeed(this.content.answer(since, audience))
   }
 
   private report (event: decisions.ReplicaEvent): void {
@@ -189,7 +186,7 @@
         this.askPeer(action.peer, action.since).catch(() => this.report({ kind: 'peer_failed', node: action.peer.node }))
         return
       case 'probe_entries':
-        this.probeEntries().catch(() => {}).finally(() => this.report({ kind: 'probed' }))
+        this.peerReader.probe((version, from) => this.hear(version, from)).catch(() => {}).finally(() => this.report({ kind: 'probed' }))
         return
       case 'become_ready':
         this.becomeReady()
@@ -208,6 +205,7 @@
     return new storeFollowers.StoreFollower(source, {
       read: news => {
         this.takeNews(news)
+        this.noteFollowing()
         this.report({ kind: 'store_read' })
       },
       changed: change => this.takeWatched(change),
@@ -215,7 +213,18 @@
     })
   }
 
+  private noteFollowing (): void {
+    if (!this.isFollowing) {
+      this.isFollowing = true
+      this.options.log.info('configuration store followed', { version: this.document.version })
+    }
+  }
+
   private failStore (): void {
+    if (this.isFollowing) {
+      this.isFollowing = false
+      this.options.log.warn('configuration store lost', { version: this.document.version })
+    }
     this.options.meter.count('configuration_store_failures')
     this.report({ kind: 'store_failed', jitter: this.options.random.nextUnit() })
   }
@@ -234,9 +243,8 @@
   }
 
   private async askPeer (peer: identities.Identity, since: number): Promise<void> {
-    const link = this.options.peers.getLink(peer)
-    const answer = await link?.call('configuration.read', { since }, peerTimeoutMs)
-    if (answer === undefined || answer.isLeft()) {
+    const answer = await this.peerReader.ask(peer, since)
+    if (answer.isLeft()) {
       this.report({ kind: 'peer_failed', node: peer.node })
       return
     }
@@ -249,57 +257,18 @@
     this.report({ kind: 'peer_answered', node: peer.node, version })
   }
 
-  private async probeEntries (): Promise<void> {
-    const entries = [...this.options.peers.listEntries()]
-    const probes: Promise<void>[] = []
-    while (probes.length < probedEntries && entries.length > 0) {
-      const [address] = entries.splice(this.options.random.nextInteger(entries.length), 1)
-      if (address !== undefined) {
-        probes.push(this.probe(address))
-      }
-    }
-    await Promise.all(probes)
-  }
-
-  private async probe (address: identities.Address): Promise<void> {
-    const link = this.options.peers.getLinkTo(address)
-    const answer = await link.call('configuration.read', { since: beyondAnyVersion }, peerTimeoutMs)
-    if (answer.isRight()) {
-      this.hear(answer.unsafeCoerce().version, link.remote)
-    }
-  }
-
-  /** Applies the changes that follow the document's version; the others change nothing. */
   private offer (changes: readonly configuration.Change[]): void {
-    const applied: configuration.Change[] = []
-    for (const change of changes) {
-      if (this.document.applyChange(change)) {
-        this.changeLog.add(change)
-        applied.push(change)
-      }
-    }
-    if (applied.length > 0) {
-      this.announce(applied.flatMap(change => change.sections.map(section => section.name)))
-    }
+    this.announce(this.content.offer(changes))
   }
 
   private replace (snapshot: configuration.Snapshot): void {
-    const before = new Map(this.document.listSections().map(section => [section.name, section.version]))
-    if (!this.document.applySnapshot(snapshot)) {
-      return
-    }
-    this.changeLog.clear()
-    const names: string[] = []
-    for (const section of this.document.listSections()) {
-      if (before.get(section.name) !== section.version) {
-        names.push(section.name)
-      }
-      before.delete(section.name)
-    }
-    this.announce([...names, ...before.keys()])
+    this.announce(this.content.replace(snapshot))
   }
 
-  private announce (sections: readonly string[]): void {
+  private announce (sections: readonly string[] | undefined): void {
+    if (sections === undefined) {
+      return
+    }
     const { version } = this.document
     this.options.recorder.record({ kind: 'configuration.changed', details: { version, sections: sections.length } })
     this.options.meter.gauge('configuration_version', {}, version)
