--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -78,7 +78,7 @@
     this.follow(shardCount)
   }
 
-  /** Hands all shards over, for a graceful shutdown. */
+  /** Hands all shards over and takes none any more. Charges still find their keepers until `stop`. */
   async leave (): Promise<void> {
     this.broadcast({ kind: 'leave' })
     if (this.isAnyHeld()) {
@@ -87,11 +87,10 @@
       })
       await Promise.race([idle, this.context.clock.sleep(handOverTimeoutMs)])
     }
-    this.stop()
     await this.lease.revoke()
   }
 
-  /** Stops at once, without handing over. */
+  /** Ends all work of this object, without handing over. */
   stop (): void {
     this.isStopped = true
     this.stopTicks()
--- a/src/allowances/shard.ts
+++ b/src/allowances/shard.ts
@@ -146,11 +146,8 @@
 
   /** Returns the requests that are due to the successors. */
   createRequests (nowMs: number): readonly Action[] {
-    const own = this.own
-    if (own === undefined || (!own.isStopped && !own.right.isHeld(nowMs))) {
-      return []
-    }
-    return own.createRequests(nowMs).map(outgoing => ({ kind: 'promise', outgoing }))
+    const outgoing = this.own?.createRequests(nowMs) ?? []
+    return outgoing.map(one => ({ kind: 'promise', outgoing: one }))
   }
 
   private observe (stored: records.StoredRecord | undefined, isHeld: boolean, nowMs: number): readonly Action[] {
@@ -418,7 +415,7 @@
     if (own === undefined) {
       return []
     }
-    own.noteAnswer(node, sentMs, answer)
+    own.noteAnswer(node, sentMs, answer, nowMs)
     if (own.isStopped) {
       return this.continueRelease(own, nowMs)
     }
--- a/src/allowances/tenure.ts
+++ b/src/allowances/tenure.ts
@@ -12,7 +12,9 @@
 import * as types from './types.js'
 
 /** Failed requests in a row after which a successor is replaced. */
-const failuresToReplace = 2
+const failuresToReplace = 3
+/** How many times as often a successor that does not answer is asked. */
+const retriesPerPeriod = 4
 
 /** A request to be sent to a successor. */
 export interface Outgoing {
@@ -22,6 +24,8 @@
 
 interface Peer {
   boot: string | undefined
+  /** Boot whose promise has counted last. */
+  promisedBoot: string | undefined
   isInFlight: boolean
   sentMs: number
   failures: number
@@ -115,7 +119,7 @@
   }
 
   /** Takes note of a successor's answer, or of its failing to answer. */
-  noteAnswer (node: string, sentMs: number, answer: succession.PromiseAnswer | undefined): void {
+  noteAnswer (node: string, sentMs: number, answer: succession.PromiseAnswer | undefined, nowMs: number): void {
     const peer = this.getPeer(node)
     peer.isInFlight = false
     if (answer === undefined) {
@@ -129,7 +133,8 @@
     if (answer.promised && this.isStopped && isSameBoot) {
       peer.knowsRelease = true
     }
-    if (answer.promised && !this.isStopped) {
+    if (answer.promised && !this.isStopped && this.isContinuous(peer, answer.boot, nowMs)) {
+      peer.promisedBoot = answer.boot
       this.right.notePromise(node, sentMs)
     }
   }
@@ -179,6 +184,14 @@
     this.ledger.setSuccessors(nodes)
   }
 
+  /**
+   * Once the right has lapsed, a successor may have taken over and forgotten it with its process. Only the
+   * process that promised before the lapse can tell that it has not.
+   */
+  private isContinuous (peer: Peer, boot: string, nowMs: number): boolean {
+    return peer.promisedBoot === boot || this.right.isHeld(nowMs)
+  }
+
   private isAnswering (node: string): boolean {
     return (this.peers.get(node)?.failures ?? 0) < failuresToReplace
   }
@@ -187,8 +200,9 @@
     if (this.isStopped) {
       return !peer.knowsRelease
     }
-    const isUrgent = peer.boot !== undefined && this.ledger.isBehind(node)
-    return isUrgent || nowMs - peer.sentMs >= this.timing.renewMs
+    const isUrgent = peer.failures === 0 && peer.boot !== undefined && this.ledger.isBehind(node)
+    const periodMs = peer.failures > 0 ? this.timing.renewMs / retriesPerPeriod : this.timing.renewMs
+    return isUrgent || nowMs - peer.sentMs >= periodMs
   }
 
   private createRequest (node: string, peer: Peer): succession.PromiseRequest {
@@ -229,7 +243,12 @@
       return known
     }
     const fresh = {
-      boot: undefined, isInFlight: false, sentMs: Number.NEGATIVE_INFINITY, failures: 0, knowsRelease: false
+      boot: undefined,
+      promisedBoot: undefined,
+      isInFlight: false,
+      sentMs: Number.NEGATIVE_INFINITY,
+      failures: 0,
+      knowsRelease: false
     }
     this.peers.set(node, fresh)
     return fresh
--- /dev/null
+++ b/tests/allowances/floors.test.ts
@@ -0,0 +1,71 @@
+import * as assert from 'node:assert/strict'
+import * as floors from '../../src/allowances/floors.js'
+import * as test from 'node:test'
+
+function view (level: number, wantedTokens = 0): floors.BucketView[] {
+  return [{ workspace: 'w', level, burstTokens: 100, wantedTokens }]
+}
+
+function createLedger (): floors.FloorLedger {
+  const ledger = new floors.FloorLedger()
+  ledger.setSuccessors(['a', 'b'])
+  return ledger
+}
+
+test.describe('FloorLedger', () => {
+  test.it('does not limit anything before an announcement is sent', () => {
+    assert.equal(createLedger().getReserve('w'), 0)
+  })
+
+  test.it('holds the highest floor that any successor may have', () => {
+    const ledger = createLedger()
+    ledger.update(view(100))
+    assert.deepEqual(ledger.send('a').floors, [{ workspace: 'w', tokens: 75 }])
+    assert.equal(ledger.getReserve('w'), 75)
+    ledger.update(view(76, 40))
+    ledger.send('a')
+    ledger.acknowledge('a', 2)
+    assert.equal(ledger.getReserve('w'), 11)
+    ledger.send('b')
+    ledger.update(view(100))
+    assert.equal(ledger.getReserve('w'), 75)
+  })
+
+  test.it('keeps an earlier floor until every successor has acknowledged a lower one', () => {
+    const ledger = createLedger()
+    ledger.update(view(100))
+    ledger.send('a')
+    ledger.send('b')
+    ledger.update(view(76, 40))
+    ledger.send('a')
+    ledger.acknowledge('a', 2)
+    assert.equal(ledger.getReserve('w'), 75)
+    ledger.send('b')
+    ledger.acknowledge('b', 2)
+    assert.equal(ledger.getReserve('w'), 11)
+  })
+
+  test.it('does not let a bucket be used that a successor may take for untouched', () => {
+    const ledger = createLedger()
+    ledger.update(view(100))
+    ledger.send('a')
+    assert.equal(ledger.getReserve('new'), Number.POSITIVE_INFINITY)
+  })
+
+  test.it('is freed by a successor that is named no more', () => {
+    const ledger = createLedger()
+    ledger.update(view(100))
+    ledger.send('a')
+    ledger.setSuccessors(['b'])
+    assert.equal(ledger.getReserve('w'), 0)
+  })
+
+  test.it('sends only what changed since the last acknowledgement', () => {
+    const ledger = createLedger()
+    ledger.update([...view(100), { workspace: 'v', level: 100, burstTokens: 100 }])
+    ledger.send('a')
+    ledger.acknowledge('a', 1)
+    ledger.update([...view(76, 40), { workspace: 'v', level: 99, burstTokens: 100 }])
+    assert.deepEqual(ledger.send('a'), { sequence: 2, base: 1, floors: [{ workspace: 'w', tokens: 11 }] })
+  })
+})
--- /dev/null
+++ b/tests/allowances/succession.test.ts
@@ -0,0 +1,174 @@
+import * as assert from 'node:assert/strict'
+import * as fleets from './fleet.js'
+import * as succession from '../../src/allowances/succession.js'
+import * as test from 'node:test'
+import * as timings from '../../src/allowances/timing.js'
+
+const timing = { ...timings.defaultTiming, clockDrift: 0 }
+
+function createRequest (change: Partial<succession.PromiseRequest> = {}): succession.PromiseRequest {
+  return {
+    shard: 0,
+    term: 1,
+    holder: 'a',
+    holderBoot: 'a-1',
+    forMs: 3000,
+    floors: [],
+    sequence: 0,
+    base: 0,
+    released: false,
+    ...change
+  }
+}
+
+async function createFleet (): Promise<fleets.Fleet> {
+  const fleet = new fleets.Fleet()
+  fleet.addWorkspace('w', 10, 10_000)
+  for (const node of ['a', 'b', 'c']) {
+    fleet.start(node)
+  }
+  await fleet.clock.advance(5000)
+  return fleet
+}
+
+function getOthers (fleet: fleets.Fleet, keeper: string): readonly string[] {
+  return [...fleet.entries.keys()].filter(node => node !== keeper)
+}
+
+function cutOff (fleet: fleets.Fleet, keeper: string): void {
+  for (const other of getOthers(fleet, keeper)) {
+    fleet.cuts.add(`${keeper} ${other}`)
+    fleet.cuts.add(`${other} ${keeper}`)
+  }
+}
+
+test.describe('Succession', () => {
+  test.it('keeps a promise, counted from its receipt', () => {
+    const successor = new succession.Succession('b-1', 0, timing)
+    assert.equal(successor.answer(createRequest(), 5000, true).promised, true)
+    assert.equal(successor.getPromisedUntilMs(0), 8000)
+  })
+
+  test.it('promises nothing while it takes over, nor to an earlier term, nor after the release', () => {
+    const successor = new succession.Succession('b-1', 0, timing)
+    assert.equal(successor.answer(createRequest(), 5000, false).promised, false)
+    successor.answer(createRequest({ term: 3, released: true }), 5000, true)
+    assert.equal(successor.answer(createRequest({ term: 2 }), 5000, true).promised, false)
+    assert.equal(successor.answer(createRequest({ term: 3 }), 5000, true).promised, false)
+    assert.equal(successor.answer(createRequest({ term: 4 }), 5000, true).promised, true)
+  })
+
+  test.it('keeps the promises that an earlier process of the VM may have given', () => {
+    assert.equal(new succession.Succession('b-2', 1000, timing).getPromisedUntilMs(0), 4000)
+  })
+
+  test.describe('floors', () => {
+    const floor = { workspace: 'w', tokens: 50 }
+
+    test.it('belong to one term and one boot', () => {
+      const successor = new succession.Succession('b-2', 0, timing)
+      const late = createRequest({ sequence: 1, floors: [floor], toBoot: 'b-1' })
+      assert.equal(successor.answer(late, 0, true).promised, false)
+      assert.equal(successor.getInheritance(0, 1).isComplete, false)
+      successor.answer({ ...late, toBoot: 'b-2' }, 0, true)
+      assert.deepEqual(successor.getInheritance(0, 1).floors, new Map([['w', 50]]))
+      assert.equal(successor.getInheritance(0, 2).isComplete, false)
+    })
+
+    test.it('are not replaced by older ones, nor changed by a difference to others', () => {
+      const successor = new succession.Succession('b-1', 0, timing)
+      successor.answer(createRequest({ sequence: 2, floors: [floor] }), 0, true)
+      successor.answer(createRequest({ sequence: 1, floors: [{ ...floor, tokens: 90 }] }), 0, true)
+      const answer = successor.answer(createRequest({ sequence: 5, base: 4, floors: [{ ...floor, tokens: 80 }] }), 0, true)
+      assert.equal(answer.sequence, 2)
+      assert.equal(successor.getInheritance(0, 1).floors.get('w'), 50)
+    })
+  })
+})
+
+test.describe('A fleet', () => {
+  test.it('has no second keeper when a successor restarts before its promise has ended', async () => {
+    const fleet = await createFleet()
+    const keeper = fleet.findServing() as string
+    fleet.setStoreDown(true)
+    await fleet.clock.advance(6000)
+    cutOff(fleet, keeper)
+    for (const node of getOthers(fleet, keeper)) {
+      fleet.kill(node)
+      fleet.start(node)
+    }
+    for (let step = 0; step < 60; step += 1) {
+      await fleet.clock.advance(100)
+      fleet.findServing()
+    }
+    assert.notEqual(fleet.findServing(), keeper)
+  })
+
+  test.it('does not spend below a floor that a silent successor holds', async () => {
+    const fleet = await createFleet()
+    const keeper = fleet.findServing() as string
+    cutOff(fleet, keeper)
+    for (let count = 0; count < 10; count += 1) {
+      fleet.request(keeper, 'w', 1000, 1, 10)
+    }
+    await fleet.clock.advance(50)
+    fleet.kill(keeper)
+    await fleet.clock.advance(6000)
+    for (let count = 0; count < 10; count += 1) {
+      fleet.request(getOthers(fleet, keeper)[0] as string, 'w', 1000, 1, 10)
+    }
+    await fleet.clock.advance(2000)
+    assert.ok(fleet.accepted.length > 5)
+    assert.ok(fleet.getOvershoot('w') <= 0)
+  })
+
+  test.it('replaces a silent successor, so that the whole allowance can be used', async () => {
+    const fleet = await createFleet()
+    const keeper = fleet.findServing() as string
+    for (const other of getOthers(fleet, keeper)) {
+      fleet.kill(other)
+    }
+    const answer = fleet.request(keeper, 'w', 9000, 1, 10)
+    await fleet.clock.advance(1600)
+    assert.equal(await answer, true)
+  })
+
+  test.it('refuses with the time to come back when no one may decide', async () => {
+    const fleet = await createFleet()
+    const keeper = fleet.findServing() as string
+    fleet.setStoreDown(true)
+    fleet.kill(keeper)
+    const answer = fleet.request(getOthers(fleet, keeper)[0] as string, 'w', 100, 1, 10)
+    await fleet.clock.advance(6000)
+    assert.equal(await answer, false)
+    assert.equal(fleet.refused[0]?.failure.code, 'keeper_unavailable')
+    assert.equal(fleet.refused[0]?.failure.verdict, 'not_run')
+    assert.notEqual(fleet.refused[0]?.failure.retryAfterMs, undefined)
+  })
+
+  test.it('stops when a successor dies during an outage, and serves again once the store is back', async () => {
+    const fleet = await createFleet()
+    const keeper = fleet.findServing() as string
+    fleet.setStoreDown(true)
+    await fleet.clock.advance(5000)
+    fleet.kill(getOthers(fleet, keeper)[0] as string)
+    await fleet.clock.advance(5000)
+    assert.equal(fleet.findServing(), undefined)
+    fleet.setStoreDown(false)
+    await fleet.clock.advance(3000)
+    assert.equal(fleet.findServing(), keeper)
+  })
+
+  test.it('serves through the restart of a successor during an outage', async () => {
+    const fleet = await createFleet()
+    const keeper = fleet.findServing() as string
+    fleet.setStoreDown(true)
+    await fleet.clock.advance(5000)
+    const other = getOthers(fleet, keeper)[0] as string
+    fleet.kill(other)
+    await fleet.clock.advance(1500)
+    fleet.start(other).store.setDown(true)
+    await fleet.clock.advance(20_000)
+    assert.equal(fleet.findServing(), keeper)
+  })
+})
