Split the passage and the service run, and weigh the way in offers

Rules of retries, finished prefills and claims of calls have modules of their own; the claim's decision names the take-over.

--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -3,6 +3,7 @@
  */
 import * as buffer from 'node:buffer'
 import * as claimRules from './claim_rules.js'
+import * as claimSessions from './claim_session.js'
 import * as documents from '../configuration/document.js'
 import * as exchanges from './exchanges.js'
 import * as failures from '../contracts/failure.js'
@@ -49,7 +50,7 @@
     if (claim.isLeft()) {
       return failures.fail(claim.extract() as failures.Failure)
     }
-    const order = this.createOrder(exchange, route, body, claim.extract() as serviceRuns.ClaimOrder | undefined)
+    const order = this.createOrder(exchange, route, body, claim.extract() as claimSessions.ClaimOrder | undefined)
     const result = await this.run(new serviceRuns.ServiceRun(this.tools, order), exchange.signal)
     return result.map(outcome => sendAnswer(exchange, outcome))
   }
@@ -81,7 +82,7 @@
   }
 
   private createOrder (
-    exchange: exchanges.Exchange, route: Route, body: buffer.Buffer, claim: serviceRuns.ClaimOrder | undefined
+    exchange: exchanges.Exchange, route: Route, body: buffer.Buffer, claim: claimSessions.ClaimOrder | undefined
   ): serviceRuns.Order {
     const workspace = exchange.caller?.workspace ?? ''
     const { allowance } = this.tools.surroundings.configuration.getWorkspace(workspace) ?? {}
@@ -111,7 +112,7 @@
 /** Returns the claim of a call with an `Idempotency-Key` on a route that may not be repeated. */
 function createClaimOrder (
   exchange: exchanges.Exchange, route: Route, body: buffer.Buffer
-): failures.Result<serviceRuns.ClaimOrder | undefined> {
+): failures.Result<claimSessions.ClaimOrder | undefined> {
   const key = exchange.request.headers['idempotency-key']
   if (typeof key !== 'string' || route.match.route.idempotent) {
     return failures.succeed(undefined)
--- a/src/entry/claim_rules.ts
+++ b/src/entry/claim_rules.ts
@@ -30,6 +30,8 @@
   | { readonly kind: 'replay', readonly answer: work.ServiceAnswer }
   /** The entry that made the claim is late: the agent knows what became of the call. */
   | { readonly kind: 'ask_agent' }
+  /** The call has not run and never will: its claim may be replaced. */
+  | { readonly kind: 'take_over' }
 
 /** Largest answer that is kept, in characters of its base64 body. */
 const keptAnswerLength = 65_536
@@ -72,8 +74,12 @@
 
 /** The first call is still under way. */
 export function refuseRunning (leftMs: number): Decision {
-  const retryMs = Math.max(minimumRetryMs, leftMs)
-  return { kind: 'refuse', failure: failures.createFailure('may_have_run', 'idempotency_in_progress', [], retryMs) }
+  return { kind: 'refuse', failure: createInProgress(leftMs) }
+}
+
+/** Returns the refusal of a call whose first attempt is expected to end within `leftMs`. */
+export function createInProgress (leftMs: number): failures.Failure {
+  return failures.createFailure('may_have_run', 'idempotency_in_progress', [], Math.max(minimumRetryMs, leftMs))
 }
 
 /** The first call's answer cannot be had. */
--- a/src/entry/inquiries.ts
+++ b/src/entry/inquiries.ts
@@ -18,7 +18,7 @@
     private readonly claims: claimStores.Claims
   ) {}
 
-  /** Returns `ask_agent` when the call has not run and never will, so that the claim may be taken over. */
+  /** Decides by the agent's word; only a call that has not run and never will may be taken over. */
   async ask (held: claimStores.Held): Promise<claimRules.Decision> {
     const server = this.surroundings.configuration.getServer(held.claim.server)
     if (server === undefined) {
@@ -38,7 +38,7 @@
     held: claimStores.Held, link: links.Link, answer: work.CancelAnswer
   ): Promise<claimRules.Decision> {
     if (answer.verdict === 'not_run') {
-      return { kind: 'ask_agent' }
+      return { kind: 'take_over' }
     }
     if (answer.state === 'running' || answer.state === 'queued') {
       return claimRules.refuseRunning(0)
@@ -52,7 +52,7 @@
     const answer = await link.call('work.resume', resume, this.surroundings.timing.callTimeoutMs)
     const last = answer.caseOf({ Left: () => undefined, Right: ({ frames }) => frames.at(-1) })
     if (last?.kind !== 'finished' || last.answer === undefined) {
-      return isNotRun(last) ? { kind: 'ask_agent' } : claimRules.refuseUnknown('may_have_run')
+      return isNotRun(last) ? { kind: 'take_over' } : claimRules.refuseUnknown('may_have_run')
     }
     const acknowledge = (): void => cancels.acknowledgeAll(link, { request, attempt })
     this.claims.settle(held, claimRules.recordAnswer(held.claim, last.answer), acknowledge)
--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -96,7 +96,7 @@
     }
     this.offers.release(pair.decode)
     const offer = this.createOffer('decode', foundMs + pair.transferMs, getHoldMs(foundMs))
-    const renewed = await this.offers.choose([pair.decode.candidate], offer, getWait)
+    const renewed = await this.offers.choose([pair.decode.candidate], offer, getDecodeCost)
     return renewed.map(decode => ({ ...pair, decode }))
   }
 
@@ -111,7 +111,7 @@
     }
     const transferMs = planner.estimateTransferMs(this.need, source, target)
     const offer = this.createOffer('decode', expectedMs + transferMs, getHoldMs(expectedMs))
-    return await this.offers.choose(picked, offer, getWait)
+    return await this.offers.choose(picked, offer, getDecodeCost)
   }
 
   private createPair (prefill: offers.Offered, decode: offers.Offered): Pair {
@@ -180,10 +180,13 @@
   return minimumHoldMs + expectedMs * holdShare
 }
 
-function getPrefillCost (offered: offers.Offered): number {
-  return offered.answer.waitMs + offered.answer.serviceMs
+function getPrefillCost ({ answer, candidate }: offers.Offered): number {
+  return answer.waitMs + answer.serviceMs + candidate.wayMs
 }
 
-function getWait (offered: offers.Offered): number {
-  return offered.answer.waitMs
+/** A fuller decode server takes longer for each step. */
+function getDecodeCost ({ answer, candidate }: offers.Offered): number {
+  const { queued, running, slots } = answer.load
+  const fill = slots === 0 ? 1 : (running + queued) / slots
+  return answer.waitMs + (1 + fill) * answer.serviceMs + candidate.wayMs
 }
--- a/src/entry/planner.ts
+++ b/src/entry/planner.ts
@@ -25,6 +25,8 @@
   readonly name: string
   readonly server: configuration.Server
   readonly costMs: number
+  /** Part of the cost that lies on the way to the server, in milliseconds: other zone and transfer. */
+  readonly wayMs: number
   /** Predicted wait and service at the server, in milliseconds. */
   readonly waitMs: number
   readonly serviceMs: number
@@ -42,6 +44,9 @@
 /** Share of the best cost within which candidates count as equal. */
 const nearTieShare = 0.05
 
+/** Cost of a plain service's server with all slots in use, in milliseconds. */
+const fullServiceMs = 100
+
 /** Cost for each piece of memory that is missing, in milliseconds. */
 const missingPieceMs = 50
 
@@ -56,8 +61,9 @@
     const savedMs = Math.min(cached, need.promptTokens) / rate * 1000
     const waitMs = pendingPromptTokens / rate * 1000
     const fullMs = need.promptTokens / rate * 1000
-    const costMs = waitMs + fullMs - Math.min(savedMs, maximumDetourMs) + getZoneCost(server, place)
-    candidates.push({ name, server, costMs, waitMs, serviceMs: fullMs - savedMs })
+    const wayMs = getZoneCost(server, place)
+    const costMs = waitMs + fullMs - Math.min(savedMs, maximumDetourMs) + wayMs
+    candidates.push({ name, server, costMs, wayMs, waitMs, serviceMs: fullMs - savedMs })
   }
   return candidates.sort(byCost)
 }
@@ -73,10 +79,10 @@
     const stepMs = need.model.betweenTokensTargetMs
     const fill = standing.running / server.slots
     const missing = Math.max(0, pieces - standing.freePieces)
-    const transferMs = estimateTransferMs(need, source, standing)
+    const wayMs = estimateTransferMs(need, source, standing) + getZoneCost(server, place)
     const waitMs = Math.max(0, fill - 1) * stepMs + missing * missingPieceMs
-    const costMs = fill * stepMs + waitMs + transferMs + getZoneCost(server, place)
-    candidates.push({ name, server, costMs, waitMs, serviceMs: stepMs })
+    const costMs = fill * stepMs + waitMs + wayMs
+    candidates.push({ name, server, costMs, wayMs, waitMs, serviceMs: stepMs })
   }
   return candidates.sort(byCost)
 }
@@ -85,8 +91,9 @@
 export function rankServices (standings: ReadonlyMap<string, pictures.Standing>, place: Place): Candidate[] {
   const candidates: Candidate[] = []
   for (const [name, { server, running }] of standings) {
-    const fillMs = running / server.slots * 100
-    candidates.push({ name, server, costMs: fillMs + getZoneCost(server, place), waitMs: 0, serviceMs: 0 })
+    const wayMs = getZoneCost(server, place)
+    const costMs = running / server.slots * fullServiceMs + wayMs
+    candidates.push({ name, server, costMs, wayMs, waitMs: 0, serviceMs: 0 })
   }
   return candidates.sort(byCost)
 }
--- /dev/null
+++ b/src/entry/prefilled.ts
@@ -0,0 +1,45 @@
+/**
+ * A finished prefill: its KV cache waits in the engine for a decode to take it, for a short time.
+ */
+import * as cancels from './cancels.js'
+import * as links from '../links/types.js'
+import * as offers from './offers.js'
+import * as pairings from './pairing.js'
+import * as work from '../contracts/work.js'
+
+/** How long an engine keeps the KV cache of a finished prefill, in milliseconds. */
+const keptMs = 800
+
+export class Prefilled implements pairings.Source {
+  readonly name: string
+  readonly region: string
+  private readonly link: links.Link
+
+  /** `finishedAtMs` is monotonic time in milliseconds. */
+  constructor (
+    offered: offers.Offered,
+    private readonly start: work.Start,
+    private readonly transfer: work.TransferHandle | undefined,
+    private readonly finishedAtMs: number
+  ) {
+    this.name = offered.name
+    this.region = offered.candidate.server.region
+    this.link = offered.link
+  }
+
+  isUsable (nowMs: number): boolean {
+    return nowMs - this.finishedAtMs < keptMs
+  }
+
+  /** Returns the decode that goes on from this prefill. */
+  createDecode (generation: work.Generation): work.Task {
+    return this.transfer === undefined
+      ? { kind: 'decode', generation }
+      : { kind: 'decode', generation, transfer: this.transfer }
+  }
+
+  /** Has the KV cache given up, since no decode will take it. */
+  drop (pending: cancels.Cancels): void {
+    pending.add(this.link, this.start, this.start.boot)
+  }
+}
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -2,6 +2,7 @@
  * The configured servers with their standings and links.
  */
 import * as configuration from '../contracts/configuration.js'
+import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
 import * as links from '../links/types.js'
 import * as pictures from './picture.js'
@@ -40,6 +41,21 @@
     return others.size > 0 || avoid.size === 0 ? others : this.listUsable(purpose, new Set())
   }
 
+  /** Notes a transfer of KV cache on the links of both servers, until the returned function is called. */
+  startTransfer (source: string, target: string): host.Stop {
+    let isOver = false
+    this.picture.noteTransfer(source, 1)
+    this.picture.noteTransfer(target, 1)
+    return () => {
+      if (isOver) {
+        return
+      }
+      isOver = true
+      this.picture.noteTransfer(source, -1)
+      this.picture.noteTransfer(target, -1)
+    }
+  }
+
   override loadReported (link: links.Link, load: work.Load): void {
     const name = this.findName(link)
     if (name !== undefined) {
