--- a/src/agent/completion_run.ts
+++ b/src/agent/completion_run.ts
@@ -84,7 +84,6 @@
     this.reader.reset()
     try {
       const response = await this.context.dispatcher.request(this.createRequest(method))
-      response.body.setEncoding('utf8')
       if (response.statusCode !== 200) {
         return { kind: 'refused', status: response.statusCode, error: await readError(response.body) }
       }
@@ -110,9 +109,9 @@
     return { origin, method, path: '/v1/completions', headers, body: JSON.stringify(messages.createBody(this.task)), signal }
   }
 
-  private async read (body: AsyncIterable<string>, isStream: boolean): Promise<Outcome> {
+  private async read (body: AsyncIterable<Buffer>, isStream: boolean): Promise<Outcome> {
     let whole = ''
-    for await (const part of body) {
+    for await (const part of decodeText(body)) {
       if (isStream) {
         this.reader.readPart(part)
       } else {
@@ -170,9 +169,9 @@
   return status < 500
 }
 
-async function readError (body: AsyncIterable<string>): Promise<readers.EngineError> {
+async function readError (body: AsyncIterable<Buffer>): Promise<readers.EngineError> {
   let text = ''
-  for await (const part of body) {
+  for await (const part of decodeText(body)) {
     text += part
     if (text.length > maximumErrorLength) {
       break
@@ -182,3 +181,12 @@
   reader.readWhole(text)
   return reader.error ?? { code: '', message: 'the engine gave no reason' }
 }
+
+/** Decodes UTF-8, also where a character is split between two parts. */
+async function * decodeText (body: AsyncIterable<Buffer>): AsyncGenerator<string> {
+  const decoder = new TextDecoder()
+  for await (const part of body) {
+    yield decoder.decode(part, { stream: true })
+  }
+  yield decoder.decode()
+}
