--- a/bench/link_peer.ts
+++ b/bench/link_peer.ts
@@ -30,7 +30,7 @@
 process.on('disconnect', () => process.exit(0))
 
 function sendFrames (count: number): void {
-  const sessions = [...source.sessions]
+  const sessions = [...source.sessions].filter(session => session.isOpen)
   for (let offset = 0; offset < count; offset += 1) {
     const session = sessions[offset % sessions.length]
     const frame = { kind: 'text', offset, text: ' token', tokens: 1 } as const
--- a/bench/links.ts
+++ b/bench/links.ts
@@ -11,6 +11,9 @@
 const linkCounts = [0, 50, 100, 200]
 const watchMs = 6000
 const framesPerRun = 50_000
+const warmUpMs = 3000
+const waitStepMs = 10
+const longestWaitMs = 30_000
 
 interface Usage {
   readonly links: number
@@ -59,6 +62,7 @@
 
 async function measureHeartbeats (address: identities.Address, count: number): Promise<Usage> {
   const { links, context } = await openLinks(address, count, new types.LinkObserver())
+  await context.system.clock.sleep(warmUpMs)
   const before = process.cpuUsage()
   const sentBefore = context.traffic.get('control', 'sent').bytes
   await context.system.clock.sleep(watchMs)
@@ -86,8 +90,11 @@
   const before = process.cpuUsage()
   peer.send({ frames: framesPerRun })
   const { usage } = await receive<{ usage: NodeJS.CpuUsage }>(peer)
-  while (observer.frames < framesPerRun) {
-    await context.system.clock.sleep(10)
+  for (let waited = 0; observer.frames < framesPerRun && waited < longestWaitMs; waited += waitStepMs) {
+    await context.system.clock.sleep(waitStepMs)
+  }
+  if (observer.frames < framesPerRun) {
+    throw new Error(`Only ${observer.frames} of ${framesPerRun} frames arrived`)
   }
   const used = process.cpuUsage(before)
   peer.send({ frames: framesPerRun })
