Bound the prefixes that are hashed, and accept fractions of bytes

Cause: an offer carries at most 512 prefixes, and a piece may come to a fraction of a byte. Change: hashPrefixes stops at 512 and rounds the bytes of a piece down. Conclusion: the same hashes as before for whole pieces; tests pass.

--- a/src/contracts/prefixes.ts
+++ b/src/contracts/prefixes.ts
@@ -6,6 +6,8 @@
 
 const hasher = await xxhash.default()
 const bytesOfToken = 4
+/** Most prefixes of one prompt that are hashed. */
+const maximumPrefixes = 512
 
 /**
  * Returns one hash for each whole piece of the prompt, shortest prefix first, as 16 hexadecimal digits. Each
@@ -16,10 +18,11 @@
   model: string, prompt: work.Prompt, pieceTokens: number, bytesPerToken: number
 ): readonly string[] {
   const bytes = typeof prompt === 'string' ? new TextEncoder().encode(prompt) : encodeTokens(prompt)
-  const pieceBytes = pieceTokens * (typeof prompt === 'string' ? bytesPerToken : bytesOfToken)
+  const tokenBytes = typeof prompt === 'string' ? bytesPerToken : bytesOfToken
+  const pieceBytes = Math.max(1, Math.floor(pieceTokens * tokenBytes))
   const hashes: string[] = []
   let seed = hasher.h64(model)
-  for (let end = pieceBytes; end <= bytes.length; end += pieceBytes) {
+  for (let end = pieceBytes; end <= bytes.length && hashes.length < maximumPrefixes; end += pieceBytes) {
     seed = hasher.h64Raw(bytes.subarray(end - pieceBytes, end), seed)
     hashes.push(seed.toString(16).padStart(16, '0'))
   }
--- a/tests/prefixes.test.ts
+++ b/tests/prefixes.test.ts
@@ -6,6 +6,8 @@
   test.it('covers whole pieces only', () => {
     assert.equal(prefixes.hashPrefixes('m', 'x'.repeat(4 * 10 - 1), 4, 4).length, 2)
     assert.equal(prefixes.hashPrefixes('m', [1, 2, 3, 4, 5], 2, 4).length, 2)
+    assert.equal(prefixes.hashPrefixes('m', 'xxxxx', 1, 2.5).length, 2)
+    assert.equal(prefixes.hashPrefixes('m', 'x'.repeat(1000), 1, 1).length, 512)
   })
 
   test.it('agrees exactly as far as two prompts agree', () => {
