--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -30,6 +30,9 @@
 }
 
 const unknownRequest: engineRequests.EngineError = { status: 404, code: 'not_found', message: 'No such request.' }
+const oldFence: engineRequests.EngineError = {
+  status: 409, code: 'fencing_number_old', message: 'A newer holder has given orders.'
+}
 
 export class Engine {
   private readonly core: engineCore.EngineCore
@@ -93,9 +96,20 @@
 
   private async admit (exchange: webHosts.Exchange): Promise<boolean> {
     this.headers.record(exchange)
-    return outages.passOutage(exchange, this.faults.current.outage, () => {
+    const isUp = outages.passOutage(exchange, this.faults.current.outage, () => {
       sendError(exchange, { status: 503, code: 'unavailable', message: 'The engine is down.' })
     })
+    return isUp && this.passFence(exchange)
+  }
+
+  /** A request may carry a fencing number as an order does. */
+  private passFence (exchange: webHosts.Exchange): boolean {
+    const fence = Number(exchange.getHeader('x-fencing-number') ?? Number.POSITIVE_INFINITY)
+    if (!Number.isSafeInteger(fence) || this.core.orders.tryPass(fence)) {
+      return true
+    }
+    sendError(exchange, oldFence)
+    return false
   }
 
   private applyFaults (): void {
@@ -189,7 +203,7 @@
       return
     }
     if (!this.core.orders.tryApply(parsed.data)) {
-      sendError(exchange, { status: 409, code: 'fencing_number_old', message: 'A newer holder has given orders.' })
+      sendError(exchange, oldFence)
       return
     }
     exchange.sendJson(200, this.core.orders.describe())
--- a/standins/engine_orders.ts
+++ b/standins/engine_orders.ts
@@ -15,7 +15,7 @@
   private highestFence = 0
   private readonly applied: Order[] = []
   private refused = 0
-  /** Orders that were obeyed although a higher fencing number had been seen. */
+  /** Orders and requests that were obeyed although a higher fencing number had been seen. */
   private outdatedApplied = 0
   private role: engineOptions.EngineOptions['role']
   private readonly models: Set<string>
@@ -43,19 +43,28 @@
 
   /** Obeys an order, or returns false if its fencing number is old and this engine looks at it. */
   tryApply (order: Order): boolean {
-    if (order.fence < this.highestFence) {
-      if (this.getFaults().checksFencing) {
-        this.refused += 1
-        return false
-      }
-      this.outdatedApplied += 1
+    if (!this.tryPass(order.fence)) {
+      return false
     }
-    this.highestFence = Math.max(this.highestFence, order.fence)
     this.applied.push(order)
     this.apply(order)
     return true
   }
 
+  /** Takes note of a fencing number. Returns false if it is old and this engine looks at it. */
+  tryPass (fence: number): boolean {
+    if (fence >= this.highestFence) {
+      this.highestFence = fence
+      return true
+    }
+    if (this.getFaults().checksFencing) {
+      this.refused += 1
+      return false
+    }
+    this.outdatedApplied += 1
+    return true
+  }
+
   describe (): object {
     const { highestFence, applied, refused, outdatedApplied, role } = this
     return { highestFence, applied, refused, outdatedApplied, role, models: this.listModels() }
--- a/tests/standins/engine.test.ts
+++ b/tests/standins/engine.test.ts
@@ -181,6 +181,16 @@
       assert.equal((await order(url, 6)).status, 409)
     })
 
+    test.it('go before requests that carry an older fencing number', async () => {
+      const url = await open({}, { checksFencing: true })
+      await order(url, 7)
+      const body = { model: 'model', prompt: 'x', max_tokens: 1, kv_transfer_params: { do_remote_decode: true } }
+      const send = (fence: string): Promise<clients.Reply> => {
+        return clients.post(`${url}/v1/completions`, body, { 'x-fencing-number': fence })
+      }
+      assert.deepEqual([(await send('6')).status, (await send('7')).status], [409, 200])
+    })
+
     test.it('with an old fencing number are obeyed and counted if it does not', async () => {
       const url = await open()
       await order(url, 7)
