Stand-ins: one counter for faults that are still to happen, and the queue in a module of its own

Cause: three stand-ins counted such faults down in the same way, and the scheduler had grown. Change: Knobs.tryTake; WaitingQueue.

--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -135,7 +135,7 @@
       sendError(exchange, { status: 400, code: 'invalid_request', message: z.prettifyError(parsed.error) })
       return
     }
-    if (this.tryCount('failNext')) {
+    if (this.faults.tryTake('failNext')) {
       sendError(exchange, { status: 500, code: 'engine_failure', message: 'The engine failed.' })
       return
     }
@@ -146,7 +146,7 @@
       return
     }
     this.attach(exchange, submitted, parsed.data.stream ? 0 : undefined)
-    const breaks = !submitted.completion.isExport && this.tryCount('breakNext')
+    const breaks = !submitted.completion.isExport && this.faults.tryTake('breakNext')
     this.core.start(submitted, breaks ? this.faults.current.breakAfterTokens : undefined)
   }
 
@@ -208,15 +208,6 @@
     }
     exchange.sendJson(200, this.core.orders.describe())
   }
-
-  private tryCount (counter: 'failNext' | 'breakNext'): boolean {
-    const left = this.faults.current[counter]
-    if (left === 0) {
-      return false
-    }
-    this.faults.set({ [counter]: left - 1 })
-    return true
-  }
 }
 
 function sendError (exchange: webHosts.Exchange, error: engineRequests.EngineError): void {
--- a/standins/engine_scheduler.ts
+++ b/standins/engine_scheduler.ts
@@ -9,6 +9,7 @@
 import * as engineOptions from './engine_options.js'
 import * as enginePrefill from './engine_prefill.js'
 import * as enginePrefixCache from './engine_prefix_cache.js'
+import * as engineQueues from './engine_queue.js'
 import * as engineRequests from './engine_request.js'
 import * as host from '../src/host/types.js'
 
@@ -27,7 +28,7 @@
 }
 
 export class Scheduler {
-  private readonly waiting: engineRequests.EngineRequest[] = []
+  private readonly waiting = new engineQueues.WaitingQueue()
   private readonly imports = new Map<engineRequests.EngineRequest, host.Stop>()
   private readonly startedOnce = new WeakSet<engineRequests.EngineRequest>()
   private readonly prefill: enginePrefill.PrefillUnit
@@ -39,7 +40,7 @@
   }
 
   get waitingCount (): number {
-    return this.waiting.length
+    return this.waiting.size
   }
 
   /** Requests that hold memory for their own work. */
@@ -65,7 +66,7 @@
 
   /** Starts what has room. Called whenever memory or a slot may have become free. */
   schedule (): void {
-    for (const request of [...this.waiting]) {
+    for (const request of this.waiting.list()) {
       if (this.runningCount >= this.parts.options.slots) {
         return
       }
@@ -76,7 +77,7 @@
       if (holding === undefined) {
         return
       }
-      this.waiting.splice(this.waiting.indexOf(request), 1)
+      this.waiting.remove(request)
       request.holding = holding
       this.begin(request)
     }
@@ -90,8 +91,7 @@
 
   private enqueue (request: engineRequests.EngineRequest): void {
     request.phase = 'waiting'
-    const index = this.waiting.findIndex(other => goesBefore(request, other))
-    this.waiting.splice(index < 0 ? this.waiting.length : index, 0, request)
+    this.waiting.add(request)
   }
 
   private begin (request: engineRequests.EngineRequest): void {
@@ -233,10 +233,7 @@
   }
 
   private end (request: engineRequests.EngineRequest, phase: 'finished' | 'failed' | 'cancelled'): void {
-    const position = this.waiting.indexOf(request)
-    if (position >= 0) {
-      this.waiting.splice(position, 1)
-    }
+    this.waiting.remove(request)
     this.imports.get(request)?.()
     this.imports.delete(request)
     this.parts.counts.prefilledTokens += this.prefill.stop(request)
@@ -266,10 +263,3 @@
 function canImport (request: engineRequests.EngineRequest): boolean {
   return request.completion.source !== undefined && !request.isSourceSpent
 }
-
-function goesBefore (first: engineRequests.EngineRequest, second: engineRequests.EngineRequest): boolean {
-  if (first.completion.priority !== second.completion.priority) {
-    return first.completion.priority < second.completion.priority
-  }
-  return first.order < second.order
-}
--- a/standins/knobs.ts
+++ b/standins/knobs.ts
@@ -25,6 +25,16 @@
     return undefined
   }
 
+  /** Takes one from a knob that counts what is still to happen. Returns false when nothing is left. */
+  tryTake (counter: keyof z.infer<Schema> & string): boolean {
+    const left = this.values[counter]
+    if (typeof left !== 'number' || left === 0) {
+      return false
+    }
+    this.set({ [counter]: left - 1 })
+    return true
+  }
+
   /** Adds `GET` and `POST /_faults`. `changed` runs after each change. */
   addRoutes (web: webHosts.WebHost, changed: () => void = () => {}): void {
     web.route('GET', '/_faults', exchange => exchange.sendJson(200, this.values))
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -22,7 +22,6 @@
   closeAfterRun: z.number().int().nonnegative().default(0)
 })
 export type ServiceFaults = z.infer<typeof ServiceFaults>
-type Counter = 'failBeforeRun' | 'failAfterRun' | 'hangAfterRun' | 'closeAfterRun'
 
 interface Item {
   readonly id: string
@@ -119,16 +118,16 @@
   }
 
   private create (exchange: webHosts.Exchange): void {
-    if (this.tryCount('failBeforeRun')) {
+    if (this.faults.tryTake('failBeforeRun')) {
       exchange.sendJson(500, { error: 'failed before running' })
       return
     }
     const item = this.run(exchange)
-    if (this.tryCount('failAfterRun')) {
+    if (this.faults.tryTake('failAfterRun')) {
       exchange.sendJson(500, { error: 'failed after running' })
-    } else if (this.tryCount('closeAfterRun')) {
+    } else if (this.faults.tryTake('closeAfterRun')) {
       exchange.drop()
-    } else if (!this.tryCount('hangAfterRun')) {
+    } else if (!this.faults.tryTake('hangAfterRun')) {
       exchange.sendJson(201, item)
     }
   }
@@ -144,13 +143,4 @@
     })
     return item
   }
-
-  private tryCount (counter: Counter): boolean {
-    const left = this.faults.current[counter]
-    if (left === 0) {
-      return false
-    }
-    this.faults.set({ [counter]: left - 1 })
-    return true
-  }
 }
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -148,13 +148,11 @@
   }
 
   private takeLostAnswer (exchange: webHosts.Exchange): boolean {
-    const { lostAnswers, lostAnswerKind } = this.faults.current
-    if (lostAnswers === 0) {
+    if (!this.faults.tryTake('lostAnswers')) {
       return false
     }
-    this.faults.set({ lostAnswers: lostAnswers - 1 })
     this.counts.add('lost')
-    if (lostAnswerKind === 'close') {
+    if (this.faults.current.lostAnswerKind === 'close') {
       exchange.drop()
     }
     return true
