--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -30,6 +30,9 @@
 }
 
 const unknownRequest: engineRequests.EngineError = { status: 404, code: 'not_found', message: 'No such request.' }
+const oldFence: engineRequests.EngineError = {
+  status: 409, code: 'fencing_number_old', message: 'A newer holder has given orders.'
+}
 
 export class Engine {
   private readonly core: engineCore.EngineCore
@@ -93,9 +96,20 @@
 
   private async admit (exchange: webHosts.Exchange): Promise<boolean> {
     this.headers.record(exchange)
-    return outages.passOutage(exchange, this.faults.current.outage, () => {
+    const isUp = outages.passOutage(exchange, this.faults.current.outage, () => {
       sendError(exchange, { status: 503, code: 'unavailable', message: 'The engine is down.' })
     })
+    return isUp && this.passFence(exchange)
+  }
+
+  /** A request may carry a fencing number as an order does. */
+  private passFence (exchange: webHosts.Exchange): boolean {
+    const fence = Number(exchange.getHeader('x-fencing-number') ?? Number.POSITIVE_INFINITY)
+    if (!Number.isSafeInteger(fence) || this.core.orders.tryPass(fence)) {
+      return true
+    }
+    sendError(exchange, oldFence)
+    return false
   }
 
   private applyFaults (): void {
@@ -121,7 +135,7 @@
       sendError(exchange, { status: 400, code: 'invalid_request', message: z.prettifyError(parsed.error) })
       return
     }
-    if (this.tryCount('failNext')) {
+    if (this.faults.tryTake('failNext')) {
       sendError(exchange, { status: 500, code: 'engine_failure', message: 'The engine failed.' })
       return
     }
@@ -132,7 +146,7 @@
       return
     }
     this.attach(exchange, submitted, parsed.data.stream ? 0 : undefined)
-    const breaks = !submitted.completion.isExport && this.tryCount('breakNext')
+    const breaks = !submitted.completion.isExport && this.faults.tryTake('breakNext')
     this.core.start(submitted, breaks ? this.faults.current.breakAfterTokens : undefined)
   }
 
@@ -189,20 +203,11 @@
       return
     }
     if (!this.core.orders.tryApply(parsed.data)) {
-      sendError(exchange, { status: 409, code: 'fencing_number_old', message: 'A newer holder has given orders.' })
+      sendError(exchange, oldFence)
       return
     }
     exchange.sendJson(200, this.core.orders.describe())
   }
-
-  private tryCount (counter: 'failNext' | 'breakNext'): boolean {
-    const left = this.faults.current[counter]
-    if (left === 0) {
-      return false
-    }
-    this.faults.set({ [counter]: left - 1 })
-    return true
-  }
 }
 
 function sendError (exchange: webHosts.Exchange, error: engineRequests.EngineError): void {
