Tests of shares of retries, regions and claims that two entries take over

They cover four mutations that the tests let pass on a scratch copy: no retry budget, servers of every region alike, no acknowledgement after a decided cancel, and a lost race for a claim taken as won.

--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -317,6 +317,33 @@
     })
   })
 
+  test.describe('retries', () => {
+    test.it('stay within a share of the requests when every decode fails', async () => {
+      const failure = failures.createFailure('ran', 'server_failed', ['s', 'x'])
+      world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, { kind: 'failed', offset: 0, failure }))
+      for (let request = 0; request < 50; request += 1) {
+        const answer = await fixture.complete({})
+        assert.deepEqual(fixtures.readFailure(answer), [502, 'server_failed', 'ran'])
+      }
+      assert.ok(world.listStarts('decode').length <= 50 + 20 + 5)
+    })
+  })
+
+  test.describe('regions', () => {
+    test.it('are left only when the own one has no server', async () => {
+      const place = (name: string, changes: object): void => {
+        world.change(`servers/${name}`, { ...world.document.getServer(name), ...changes })
+      }
+      place('prefill1', { region: 'far' })
+      for (let request = 0; request < 5; request += 1) {
+        await fixture.complete({})
+      }
+      assert.deepEqual(world.listAgents('prefill1')[0]?.calls, [])
+      place('prefill2', { state: 'leaving' })
+      assert.equal((await fixture.complete({})).status, 200)
+    })
+  })
+
   test.describe('refusals', () => {
     test.it('come at once, with an honest time to come back', async () => {
       for (const agent of world.listAgents('prefill')) {
--- a/tests/entry/calls.test.ts
+++ b/tests/entry/calls.test.ts
@@ -78,6 +78,9 @@
       assert.equal((await fixture.send(booking)).status, 200)
       const [{ agent, start }] = world.listStarts('service') as [worlds.Received]
       assert.ok(agent.tombstones.has(start.attempt))
+      const { request, attempt } = start
+      const notice = { request, attempt, offset: Number.MAX_SAFE_INTEGER }
+      assert.deepEqual(agent.notices[0], { name: 'work.acknowledge', notice })
     })
 
     test.it('are not tried again when the agent cannot be asked', async () => {
@@ -192,6 +195,29 @@
       request.destroy()
     })
 
+    test.it('are taken over by one entry only', async context => {
+      world.lose('service', 'work.start', 'call')
+      world.lose('service', 'work.cancel', 'call')
+      const request = fixture.open(claimed)
+      request.on('error', () => {})
+      request.end(claimed.body)
+      await fixture.until(() => world.listStarts('service').length === 1)
+      world.endLosses()
+      world.clock.stepWall(20_000)
+      world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
+      const third = await fixtures.Fixture.create(world, {}, 3)
+      context.after(() => third.close())
+      const answers = [second.send(claimed), third.send(claimed)]
+      const refused = await Promise.race(answers)
+      assert.deepEqual(fixtures.readFailure(refused), [409, 'idempotency_in_progress', 'may_have_run'])
+      await fixture.until(() => world.listAgents('service').some(agent => agent.busy === 1))
+      assert.equal(world.listStarts('service').length, 2)
+      const { agent, start } = world.listStarts('service')[1] as worlds.Received
+      agent.emit(start.attempt, fakes.createAnswered(1, 'booked'))
+      assert.deepEqual((await Promise.all(answers)).map(answer => answer.status).sort(), [200, 409])
+      request.destroy()
+    })
+
     test.it('are unknown when the agent has restarted', async () => {
       world.setScript('service', (agent, { attempt }) => agent.emit(attempt, started))
       const answered = fixture.send(claimed)
