Page of the operators' commands, made from their table

Its test fails when the page is out of date. An argument that the parser lets pass and the command refuses counts as usage. A body that does not arrive in time is given up (test).

--- a/src/administration/api_page.ts
+++ b/src/administration/api_page.ts
@@ -39,6 +39,8 @@
   The verdict \`not_run\` says that nothing was changed and nothing will be; \`may_have_run\` is settled by repeating the call
   with the same operation. \`mistakes\` lists every mistake; \`stale\` tells what others have changed since the version named.
   \`Retry-After\` (seconds) is set where a time is known.
+- **Reads** are answered from this entry's copy of the configuration, which may be a moment behind a change that was made
+  through another entry.
 - **Secrets**: bodies of \`keys/*\` and \`teams/*\` are shown only to those who may change them.
 `
 
--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -27,6 +27,9 @@
   if (failure.code === 'settings_invalid' || failure.code === 'settings_unreadable') {
     return exitCodes.settings.code
   }
+  if (failure.code === 'command_invalid') {
+    return exitCodes.usage.code
+  }
   if (failure.verdict === 'may_have_run') {
     return exitCodes.uncertain.code
   }
--- a/tests/administration/api.test.ts
+++ b/tests/administration/api.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict'
+import * as net from 'node:net'
 import * as stream from 'node:stream'
 import * as test from 'node:test'
 import * as undici from 'undici'
@@ -189,6 +190,16 @@
       await reply.body.dump()
     })
 
+    test.it('gives up a body that does not arrive in time', async () => {
+      const slow = await apiFixture.startApi(new fixture.Network().addEntry(), 200)
+      const socket = net.connect(Number(new URL(slow.url).port), '127.0.0.1')
+      socket.write(`PUT ${path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${fixture.administratorCredential}\r\ncontent-length: 100\r\n\r\n{`)
+      const answer = Buffer.concat(await socket.toArray()).toString()
+      assert.match(answer, /^HTTP\/1.1 4/)
+      assert.equal(slow.entry.replica.version, 0)
+      await slow.close()
+    })
+
     test.it('refuses unknown routes and methods', async () => {
       assert.equal((await api.call('GET', '/admin/v1/gardens')).json.error.code, 'route_unknown')
       assert.equal((await api.call('DELETE', '/admin/v1/sections')).json.error.code, 'method_not_allowed')
--- a/tests/cli/configuration_page.test.ts
+++ b/tests/cli/pages.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as fs from 'node:fs'
 import * as test from 'node:test'
+import * as commandPages from '../../src/cli/command_page.js'
 import * as apiFixture from '../administration/fixture.js'
 import * as fixture from '../configuration/fixture.js'
 import * as programs from '../../src/cli/program.js'
@@ -21,6 +22,13 @@
   override async sleep (): Promise<void> {}
 }
 
+test.describe('docs/COMMANDS.md', () => {
+  test.it('is what the table of commands makes', () => {
+    const page = fs.readFileSync(new URL('../../../docs/COMMANDS.md', import.meta.url), 'utf8')
+    assert.equal(page, commandPages.createCommandPage())
+  })
+})
+
 test.describe('docs/CONFIGURATION.md', () => {
   test.it('has examples that the tool accepts as one change', async () => {
     const page = fs.readFileSync(new URL('../../../docs/CONFIGURATION.md', import.meta.url), 'utf8')
