--- a/tests/configuration/editor.test.ts
+++ b/tests/configuration/editor.test.ts
@@ -169,6 +169,19 @@
       assert.deepEqual(stale?.since.map(({ sectionVersion, differences }) => [sectionVersion, differences[0]?.path]), [[2, 'title']])
     })
 
+    test.it('refuses the one without the right, whoever comes first', async () => {
+      const [entry, other] = await createTwoEntries()
+      const credential = 'credential-of-filing'
+      const team = { credentialHash: credentials.hashSecret(credential), sections: ['services/*'] }
+      await fixture.change(entry, 'op-0', [fixture.createWorkspace('a'), { name: 'teams/filing', expectedVersion: 0, body: team }])
+      const edit = { name: 'workspaces/a', expectedVersion: 1, body: { allowance: fixture.allowance } }
+      const [foreign, own] = await Promise.all([
+        fixture.tryChange(other, 'op-1', [edit], credential), fixture.tryChange(entry, 'op-2', [edit])
+      ])
+      assert.deepEqual([getRefusal(foreign).failure.code, getRefusal(foreign).failure.verdict], ['section_forbidden', 'not_run'])
+      assert.equal(getAcceptance(own).version, 2)
+    })
+
     test.it('keeps the rules across sections when both sides race', async () => {
       const [entry, other] = await createTwoEntries()
       await fixture.change(entry, 'op-0', [{ name: 'models/m', expectedVersion: 0, body: {} }])
