Match a plain service's route by method among equal prefixes

Cause: only the first route of a prefix could match, so a service could not mark GET as idempotent and POST as not on one path. Change: among routes with the longest matching prefix, one that allows the method wins. The new test failed before (GET found the POST route).

--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -32,8 +32,11 @@
   abstract listModels (): ReadonlyMap<string, configuration.Model>
   abstract getServer (name: string): configuration.Server | undefined
   abstract listServers (): ReadonlyMap<string, configuration.Server>
-  /** Returns the service whose route has the longest matching prefix; its methods may still exclude the call. */
-  abstract matchRoute (path: string): RouteMatch | undefined
+  /**
+   * Returns the route with the longest matching prefix, among those with the same prefix one that allows the
+   * method. The method may still be excluded, if no route with that prefix allows it.
+   */
+  abstract matchRoute (method: string, path: string): RouteMatch | undefined
 }
 
 export class Document extends ConfigurationView {
@@ -104,14 +107,11 @@
     return this.teams
   }
 
-  override matchRoute (path: string): RouteMatch | undefined {
+  override matchRoute (method: string, path: string): RouteMatch | undefined {
     let best: RouteMatch | undefined
     for (const [name, service] of this.services) {
       for (const route of service.routes) {
-        if (!isBelow(path, route.prefix)) {
-          continue
-        }
-        if (best === undefined || route.prefix.length > best.route.prefix.length) {
+        if (isBelow(path, route.prefix) && isBetterRoute(route, best?.route, method)) {
           best = { service: name, route, timeoutMs: service.timeoutMs }
         }
       }
@@ -270,3 +270,16 @@
   }
   return path.length === prefix.length || prefix.endsWith('/') || path[prefix.length] === '/'
 }
+
+function isBetterRoute (
+  route: configuration.ServiceRoute, best: configuration.ServiceRoute | undefined, method: string
+): boolean {
+  if (best === undefined || route.prefix.length !== best.prefix.length) {
+    return route.prefix.length > (best?.prefix.length ?? -1)
+  }
+  return !hasMethod(best, method) && hasMethod(route, method)
+}
+
+function hasMethod (route: configuration.ServiceRoute, method: string): boolean {
+  return route.methods.some(allowed => allowed === method)
+}
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -30,7 +30,8 @@
   findRoute (request: http.IncomingMessage): failures.Result<Route> {
     const method = request.method ?? 'GET'
     const { pathname, search } = new URL(`http://entry${request.url ?? '/'}`)
-    const match = ambiguousPath.test(pathname) ? undefined : this.tools.surroundings.configuration.matchRoute(pathname)
+    const { configuration } = this.tools.surroundings
+    const match = ambiguousPath.test(pathname) ? undefined : configuration.matchRoute(method, pathname)
     if (match === undefined) {
       return failures.fail(failures.createFailure('not_run', 'route_unknown', [method, pathname]))
     }
--- a/tests/document.test.ts
+++ b/tests/document.test.ts
@@ -53,14 +53,26 @@
   })
 
   test.describe('matchRoute', () => {
+    test.it('prefers among equal prefixes the route that allows the method', () => {
+      const document = new documents.Document()
+      const routes = [
+        { prefix: '/reports', methods: ['POST'], idempotent: false },
+        { prefix: '/reports', methods: ['GET'], idempotent: true }
+      ]
+      document.applyChange(createChange(1, 'services/a', { routes }))
+      assert.equal(document.matchRoute('GET', '/reports')?.route.idempotent, true)
+      assert.equal(document.matchRoute('POST', '/reports')?.route.idempotent, false)
+      assert.deepEqual(document.matchRoute('PUT', '/reports')?.route.methods, ['POST'])
+    })
+
     test.it('prefers the longest prefix and matches whole path segments', () => {
       const document = new documents.Document()
       const routes = (prefix: string): unknown => ({ routes: [{ prefix, methods: ['GET'], idempotent: true }] })
       document.applyChange(createChange(1, 'services/a', routes('/reports')))
       document.applyChange(createChange(2, 'services/b', routes('/reports/filed')))
-      assert.equal(document.matchRoute('/reports/filed/1')?.service, 'b')
-      assert.equal(document.matchRoute('/reports/1')?.service, 'a')
-      assert.equal(document.matchRoute('/reportsx'), undefined)
+      assert.equal(document.matchRoute('GET', '/reports/filed/1')?.service, 'b')
+      assert.equal(document.matchRoute('GET', '/reports/1')?.service, 'a')
+      assert.equal(document.matchRoute('GET', '/reportsx'), undefined)
     })
   })
 })
--- a/tools/fleet_sections.ts
+++ b/tools/fleet_sections.ts
@@ -32,6 +32,9 @@
 /** A service keeps one collection below a path of its name. */
 function createService (service: string): configuration.Service {
   return configuration.Service.parse({
-    routes: [{ prefix: `/${service}`, methods: ['GET', 'POST'], idempotent: false }]
+    routes: [
+      { prefix: `/${service}`, methods: ['GET'], idempotent: true },
+      { prefix: `/${service}`, methods: ['POST'], idempotent: false }
+    ]
   })
 }
