--- a/src/configuration/rules.ts
+++ b/src/configuration/rules.ts
@@ -104,14 +104,22 @@
 }
 
 function checkServices (draft: drafts.Draft, report: Report): void {
-  const prefixes = new Map<string, string>()
+  const owners = new Map<string, string>()
   for (const [name, service] of draft.services) {
+    const methods = new Set<string>()
     for (const [index, route] of service.routes.entries()) {
-      const other = prefixes.get(route.prefix)
-      if (other !== undefined) {
-        report(`services/${name}`, `routes.${index}.prefix`, `service "${other}" has the same prefix`)
+      const owner = owners.get(route.prefix)
+      if (owner !== undefined && owner !== name) {
+        report(`services/${name}`, `routes.${index}.prefix`, `service "${owner}" has the same prefix`)
+      }
+      owners.set(route.prefix, name)
+      for (const method of route.methods) {
+        const call = `${method} ${route.prefix}`
+        if (methods.has(call)) {
+          report(`services/${name}`, `routes.${index}.methods`, `another route has ${call}`)
+        }
+        methods.add(call)
       }
-      prefixes.set(route.prefix, name)
     }
   }
 }
--- a/tests/configuration/editor.test.ts
+++ b/tests/configuration/editor.test.ts
@@ -49,6 +49,25 @@
 }
 
 test.describe('Editor', () => {
+  test.describe('routes of plain services', () => {
+    const createService = (name: string, ...methods: string[]): { name: string, expectedVersion: number, body: unknown } => ({
+      name: `services/${name}`,
+      expectedVersion: 0,
+      body: { routes: methods.map(method => ({ prefix: '/reports', methods: [method], idempotent: method === 'GET' })) }
+    })
+
+    test.it('may share a prefix within a service if their methods differ', async () => {
+      const [entry] = await createTwoEntries()
+      getAcceptance(await fixture.tryChange(entry, 'op', [createService('a', 'GET', 'POST')]))
+    })
+
+    test.it('may not share prefix and method, nor a prefix with another service', async () => {
+      const [entry] = await createTwoEntries()
+      getRefusal(await fixture.tryChange(entry, 'op-1', [createService('a', 'GET', 'GET')]))
+      getRefusal(await fixture.tryChange(entry, 'op-2', [createService('a', 'GET'), createService('b', 'POST')]))
+    })
+  })
+
   test.describe('acceptance', () => {
     test.it('changes several sections as a whole', async () => {
       const [entry] = await createTwoEntries()
