--- /dev/null
+++ b/tests/allowances/shard.test.ts
@@ -0,0 +1,147 @@
+import * as assert from 'node:assert/strict'
+import * as keepers from '../../src/allowances/keeper.js'
+import * as records from '../../src/allowances/record.js'
+import * as shards from '../../src/allowances/shard.js'
+import * as succession from '../../src/allowances/succession.js'
+import * as tenures from '../../src/allowances/tenure.js'
+import * as test from 'node:test'
+import * as timings from '../../src/allowances/timing.js'
+import * as types from '../../src/allowances/types.js'
+
+const timing = { ...timings.defaultTiming, clockDrift: 0 }
+
+function createVm (node: string): types.EntryVm {
+  return { node, zone: node, address: { host: node, port: 1 }, state: 'live' }
+}
+
+function createRecord (successors: readonly string[], change: Partial<records.TermRecord> = {}): records.TermRecord {
+  const members = successors.map(node => ({ node, address: createVm(node).address }))
+  const holder = { node: 'a', address: createVm('a').address }
+  return { term: 1, holder, holderBoot: 'a-1', successors: members, ...change }
+}
+
+function createShard (node: string, startedMs = 0): shards.Shard {
+  const successions = new succession.Succession(`${node}-1`, startedMs, timing)
+  return new shards.Shard({ shard: 0, self: createVm(node), boot: `${node}-1`, succession: successions, timing }, startedMs)
+}
+
+const request = {
+  shard: 0, term: 1, holder: 'a', holderBoot: 'a-1', forMs: 3000, floors: [], sequence: 0, base: 0, released: false
+}
+const entries = ['a', 'b', 'c'].map(createVm)
+
+/** Brings a successor to the point at which it writes its take-over. */
+function startTakeOver (): { shard: shards.Shard, write: shards.Write } {
+  const shard = createShard('b', -10_000)
+  shard.accept({ kind: 'lease', lease: { id: '1', sentMs: 0 } }, 0)
+  shard.accept({ kind: 'observed', stored: { record: createRecord(['b']), revision: 5 }, isHeld: false }, 0)
+  const [action] = shard.accept({ kind: 'tick', entries }, 0)
+  assert.equal(action?.kind, 'write')
+  return { shard, write: (action as { write: shards.Write }).write }
+}
+
+function createTenure (successors: readonly string[]): tenures.Tenure {
+  const stored = { record: createRecord(successors), revision: 5 }
+  const inheritance = keepers.emptyInheritance
+  return new tenures.Tenure({ shard: 0, stored, startedMs: 0, serveFromMs: 0, inheritance }, timing)
+}
+
+function answer (boot: string): succession.PromiseAnswer {
+  return { promised: true, term: 1, boot, sequence: 0 }
+}
+
+test.describe('Shard', () => {
+  test.it('promises nothing until the outcome of its take-over is decided', () => {
+    const { shard, write } = startTakeOver()
+    assert.equal(shard.answerPromise(request, 0).promised, false)
+    shard.accept({ kind: 'outcome', write, leaseId: '1', outcome: { kind: 'unknown' } }, 100)
+    assert.equal(shard.answerPromise(request, 100).promised, false)
+    const [again] = shard.accept({ kind: 'tick', entries }, 200)
+    assert.deepEqual(again, { kind: 'write', write, leaseId: '1' })
+    const refused = { kind: 'refused', stored: { record: createRecord(['b', 'c']), revision: 6 }, holderLease: '9' } as const
+    shard.accept({ kind: 'outcome', write, leaseId: '1', outcome: refused }, 300)
+    assert.equal(shard.answerPromise(request, 300).promised, true)
+  })
+
+  test.it('takes a refused write for its own success when the record carries its mark', () => {
+    const { shard, write } = startTakeOver()
+    shard.accept({ kind: 'outcome', write, leaseId: '1', outcome: { kind: 'unknown' } }, 100)
+    shard.accept({ kind: 'tick', entries }, 200)
+    const outcome = { kind: 'refused', stored: { record: write.record, revision: 6 }, holderLease: '1' } as const
+    shard.accept({ kind: 'outcome', write, leaseId: '1', outcome }, 300)
+    assert.equal(shard.tenure?.leaseId, '1')
+    assert.equal(shard.getStartMs(300), timing.grantTtlMs)
+  })
+
+  test.it('leaves a shard alone that names other successors', () => {
+    const shard = createShard('c', -10_000)
+    shard.accept({ kind: 'lease', lease: { id: '1', sentMs: 0 } }, 0)
+    shard.accept({ kind: 'observed', stored: { record: createRecord(['b']), revision: 5 }, isHeld: false }, 0)
+    assert.deepEqual(shard.accept({ kind: 'tick', entries }, 3_000_000), [])
+    assert.equal(shard.accept({ kind: 'tick', entries }, 3_700_000)[0]?.kind, 'write')
+  })
+})
+
+test.describe('Tenure', () => {
+  test.it('needs the promises of old and new successors while a change of them is undecided', () => {
+    const tenure = createTenure(['b'])
+    tenure.right.noteLease(0)
+    tenure.expect(createRecord(['c']).successors)
+    tenure.noteAnswer('c', 1000, answer('c-1'), 1000)
+    assert.equal(tenure.right.getUntilMs(), 3000)
+    tenure.noteAnswer('b', 1000, answer('b-1'), 1000)
+    assert.equal(tenure.right.getUntilMs(), 4000)
+  })
+
+  test.it('regains a lapsed right only from the process that promised before', () => {
+    const tenure = createTenure(['b'])
+    tenure.right.noteLease(0)
+    tenure.noteAnswer('b', 1000, answer('b-1'), 1000)
+    tenure.noteAnswer('b', 5000, answer('b-2'), 5000)
+    assert.equal(tenure.right.isHeld(5000), false)
+    tenure.noteAnswer('b', 5500, answer('b-1'), 5500)
+    assert.equal(tenure.right.isHeld(5500), true)
+  })
+
+  test.it('starts buckets empty when the levels of the last term are not known', () => {
+    const tenure = createTenure([])
+    tenure.right.noteLease(0)
+    tenure.keeper.setAllowance('w', { tokensPerSecond: 100, burstTokens: 1000 }, 0)
+    assert.deepEqual(tenure.charge({ id: '1', workspace: 'w', tokens: 100 }, 500), { kind: 'exhausted', retryAfterMs: 500 })
+    assert.deepEqual(tenure.charge({ id: '2', workspace: 'w', tokens: 100 }, 1000), { kind: 'granted' })
+  })
+})
+
+test.describe('Keeper', () => {
+  const allowance = { tokensPerSecond: 100, burstTokens: 1000 }
+  const charge = { id: '1', workspace: 'w', tokens: 1000 }
+
+  function createKeeper (): keepers.Keeper {
+    const keeper = new keepers.Keeper(0, keepers.firstInheritance, timing)
+    keeper.setAllowance('w', allowance, 0)
+    return keeper
+  }
+
+  test.it('counts a repeated charge and a repeated settlement once', () => {
+    const keeper = createKeeper()
+    assert.equal(keeper.charge(charge, 0, () => 0).kind, 'granted')
+    assert.equal(keeper.charge(charge, 0, () => 0).kind, 'granted')
+    keeper.settle('1', 400, 0)
+    keeper.settle('1', 0, 0)
+    assert.equal(keeper.getBucket('w')?.getLevel(0), 600)
+  })
+
+  test.it('does not grant a charge that was settled before it arrived', () => {
+    const keeper = createKeeper()
+    keeper.settle('1', 0, 0)
+    assert.equal(keeper.charge(charge, 0, () => 0).kind, 'settled')
+    assert.equal(keeper.getBucket('w')?.getLevel(0), 1000)
+  })
+
+  test.it('counts the bound of a charge that is never settled, and forgets it', () => {
+    const keeper = createKeeper()
+    keeper.charge(charge, 0, () => 0)
+    keeper.charge({ ...charge, id: '2', tokens: 1 }, timing.chargeKeptMs, () => 0)
+    assert.equal(keeper.openCharges, 1)
+  })
+})
