--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -15,6 +15,7 @@
 import * as recorders from '../timeline/types.js'
 import * as records from './record.js'
 import * as shards from './shard.js'
+import * as shardTypes from './shard_types.js'
 import * as succession from './succession.js'
 import * as tenures from './tenure.js'
 import * as timeouts from './timeout.js'
@@ -271,13 +272,13 @@
     this.context.meter.gauge('allowance_shards_kept', {}, this.countHeld())
   }
 
-  private broadcast (event: shards.Event): void {
+  private broadcast (event: shardTypes.Event): void {
     for (const shard of this.shards.keys()) {
       this.accept(shard, event)
     }
   }
 
-  private accept (shardNumber: number, event: shards.Event): void {
+  private accept (shardNumber: number, event: shardTypes.Event): void {
     const shard = this.shards[shardNumber]
     if (shard === undefined) {
       return
@@ -289,7 +290,7 @@
     }
   }
 
-  private perform (shard: number, actions: readonly shards.Action[]): void {
+  private perform (shard: number, actions: readonly shardTypes.Action[]): void {
     for (const action of actions) {
       switch (action.kind) {
         case 'write':
@@ -310,7 +311,7 @@
     }
   }
 
-  private async write (shard: number, write: shards.Write, leaseId: string | undefined): Promise<void> {
+  private async write (shard: number, write: shardTypes.Write, leaseId: string | undefined): Promise<void> {
     const outcome = await this.keys.write(shard, write, leaseId)
     this.accept(shard, { kind: 'outcome', write, leaseId, outcome })
   }
--- a/src/allowances/keeper_keys.ts
+++ b/src/allowances/keeper_keys.ts
@@ -4,7 +4,7 @@
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as records from './record.js'
-import * as shards from './shard.js'
+import * as shardTypes from './shard_types.js'
 import * as z from 'zod'
 
 /** Value of `keepers/<shard>/holder`. */
@@ -75,15 +75,15 @@
   }
 
   /** Carries out a write and tells what is known of its effect. */
-  async write (shard: number, write: shards.Write, leaseId: string | undefined): Promise<shards.Outcome> {
+  async write (shard: number, write: shardTypes.Write, leaseId: string | undefined): Promise<shardTypes.Outcome> {
     const result = await this.store.commit(this.createTransaction(shard, write, leaseId))
-    return result.caseOf<shards.Outcome>({
+    return result.caseOf<shardTypes.Outcome>({
       Left: failure => ({ kind: failure.verdict === 'not_run' ? 'not_run' : 'unknown' }),
       Right: commit => createOutcome(write, commit)
     })
   }
 
-  private createTransaction (shard: number, write: shards.Write, leaseId: string | undefined): host.StoreTransaction {
+  private createTransaction (shard: number, write: shardTypes.Write, leaseId: string | undefined): host.StoreTransaction {
     const termKey = records.getTermKey(shard)
     const holderKey = records.getHolderKey(shard)
     const isRecord: host.StoreComparison = { key: termKey, target: 'mod', revision: write.expectedRevision }
@@ -140,7 +140,7 @@
   }
 }
 
-function createOutcome (write: shards.Write, commit: host.StoreCommit): shards.Outcome {
+function createOutcome (write: shardTypes.Write, commit: host.StoreCommit): shardTypes.Outcome {
   if (commit.succeeded) {
     return { kind: 'written', revision: write.holder === 'delete' ? write.expectedRevision : commit.revision }
   }
--- a/src/allowances/process_lease.ts
+++ b/src/allowances/process_lease.ts
@@ -2,11 +2,11 @@
  * The one lease of this process in the store, to which the holder keys of all its shards are bound.
  */
 import * as host from '../host/types.js'
-import * as shards from './shard.js'
+import * as shardTypes from './shard_types.js'
 import * as timings from './timing.js'
 
 export class ProcessLease {
-  private lease: shards.ProcessLease | undefined
+  private lease: shardTypes.ProcessLease | undefined
   private isBusy = false
   private requestedMs = Number.NEGATIVE_INFINITY
 
@@ -15,10 +15,10 @@
     private readonly store: host.Store,
     private readonly clock: host.Clock,
     private readonly timing: timings.KeeperTiming,
-    private readonly changed: (lease: shards.ProcessLease | undefined) => void
+    private readonly changed: (lease: shardTypes.ProcessLease | undefined) => void
   ) {}
 
-  get current (): shards.ProcessLease | undefined {
+  get current (): shardTypes.ProcessLease | undefined {
     return this.lease
   }
 
@@ -59,7 +59,7 @@
       })
   }
 
-  private set (lease: shards.ProcessLease | undefined): void {
+  private set (lease: shardTypes.ProcessLease | undefined): void {
     this.lease = lease
     this.changed(lease)
   }
--- a/src/allowances/shard.ts
+++ b/src/allowances/shard.ts
@@ -5,81 +5,30 @@
 import * as configuration from '../contracts/configuration.js'
 import * as eligibility from './eligibility.js'
 import * as keepers from './keeper.js'
-import * as placement from './placement.js'
 import * as records from './record.js'
+import * as shardTypes from './shard_types.js'
 import * as succession from './succession.js'
+import * as takeOvers from './take_over.js'
 import * as tenures from './tenure.js'
 import * as timings from './timing.js'
 import * as types from './types.js'
 import * as verdicts from '../contracts/verdict.js'
+import * as writeSlots from './write_slot.js'
 
 /** Successors that did not answer may be named again after this time, in milliseconds. */
 const forgiveMs = 10_000
 
-/** The lease of this process, as far as it is known to live. */
-export interface ProcessLease {
-  readonly id: string
-  /** When its last successful grant or renewal was sent, in milliseconds. */
-  readonly sentMs: number
-}
-
-/** A change of the shard's keys; made only if the record is still at the expected revision, 0 for none. */
-export interface Write {
-  readonly record: records.TermRecord
-  readonly expectedRevision: number
-  /** `put` writes the holder key and requires that there is none. */
-  readonly holder: 'put' | 'keep' | 'delete'
-}
-
-export type Outcome =
-  | { readonly kind: 'written', readonly revision: number }
-  /** Refused, with the keys as they are now; `holderLease` is the lease of the holder key. */
-  | { readonly kind: 'refused', readonly stored: records.StoredRecord | undefined, readonly holderLease: string | undefined }
-  /** Certainly without effect. */
-  | { readonly kind: 'not_run' }
-  | { readonly kind: 'unknown' }
-
-export type Event =
-  | { readonly kind: 'observed', readonly stored: records.StoredRecord | undefined, readonly isHeld: boolean }
-  | { readonly kind: 'lease', readonly lease: ProcessLease | undefined }
-  | { readonly kind: 'outcome', readonly write: Write, readonly leaseId: string | undefined, readonly outcome: Outcome }
-  | { readonly kind: 'answer', readonly node: string, readonly sentMs: number, readonly answer: succession.PromiseAnswer | undefined }
-  | { readonly kind: 'tick', readonly entries: readonly types.EntryVm[] }
-  | { readonly kind: 'leave' }
-
-export type Action =
-  | { readonly kind: 'write', readonly write: Write, readonly leaseId: string | undefined }
-  | { readonly kind: 'want_lease' }
-  | { readonly kind: 'promise', readonly outgoing: tenures.Outgoing }
-  | { readonly kind: 'report', readonly change: 'acquired' | 'extended' | 'lost', readonly term: number }
-
-/** What a process knows about itself. */
-export interface ShardOwner {
-  readonly shard: number
-  readonly self: types.EntryVm
-  readonly boot: string
-  readonly succession: succession.Succession
-  readonly timing: timings.KeeperTiming
-}
-
-interface Pending {
-  readonly write: Write
-  isInFlight: boolean
-  /** Whether an attempt may have taken effect. */
-  isUncertain: boolean
-}
-
 export class Shard {
   private view: eligibility.ShardView
-  private lease: ProcessLease | undefined
+  private lease: shardTypes.ProcessLease | undefined
   private own: tenures.Tenure | undefined
-  private pending: Pending | undefined
+  private readonly slot = new writeSlots.WriteSlot()
   private releasedTerm = 0
   private isLeaving = false
   private isExtended = false
   private forgivenMs: number
 
-  constructor (private readonly owner: ShardOwner, nowMs: number) {
+  constructor (private readonly owner: shardTypes.ShardOwner, nowMs: number) {
     this.view = { stored: undefined, isHeld: true, vacantSinceMs: nowMs }
     this.forgivenMs = nowMs
   }
@@ -96,10 +45,10 @@
 
   /** Whether this process tries to become the keeper at this moment. */
   get isAcquiring (): boolean {
-    return this.pending?.write.holder === 'put' && this.own === undefined
+    return this.slot.current?.holder === 'put' && this.own === undefined
   }
 
-  accept (event: Event, nowMs: number): readonly Action[] {
+  accept (event: shardTypes.Event, nowMs: number): readonly shardTypes.Action[] {
     switch (event.kind) {
       case 'observed':
         return this.observe(event.stored, event.isHeld, nowMs)
@@ -145,12 +94,12 @@
   }
 
   /** Returns the requests that are due to the successors. */
-  createRequests (nowMs: number): readonly Action[] {
+  createRequests (nowMs: number): readonly shardTypes.Action[] {
     const outgoing = this.own?.createRequests(nowMs) ?? []
     return outgoing.map(one => ({ kind: 'promise', outgoing: one }))
   }
 
-  private observe (stored: records.StoredRecord | undefined, isHeld: boolean, nowMs: number): readonly Action[] {
+  private observe (stored: records.StoredRecord | undefined, isHeld: boolean, nowMs: number): readonly shardTypes.Action[] {
     if (stored !== undefined && stored.revision < (this.view.stored?.revision ?? 0)) {
       return []
     }
@@ -165,7 +114,7 @@
   }
 
   /** Gives the tenure up once the store names another holder. */
-  private checkOwn (): readonly Action[] {
+  private checkOwn (): readonly shardTypes.Action[] {
     const own = this.own
     const stored = this.view.stored
     if (own === undefined || stored === undefined || stored.revision <= own.revision || this.isOwnRecord(stored.record)) {
@@ -174,9 +123,9 @@
     return this.lose(own)
   }
 
-  private lose (own: tenures.Tenure): readonly Action[] {
+  private lose (own: tenures.Tenure): readonly shardTypes.Action[] {
     this.own = undefined
-    this.pending = undefined
+    this.slot.clear()
     this.isExtended = false
     return [{ kind: 'report', change: 'lost', term: own.record.term }]
   }
@@ -186,7 +135,7 @@
     return isOwnProcess && (this.own === undefined || record.term === this.own.record.term)
   }
 
-  private noteLease (lease: ProcessLease | undefined): readonly Action[] {
+  private noteLease (lease: shardTypes.ProcessLease | undefined): readonly shardTypes.Action[] {
     this.lease = lease
     const own = this.own
     if (own === undefined || own.leaseId === undefined) {
@@ -201,9 +150,9 @@
     return []
   }
 
-  private tick (entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
-    if (this.pending !== undefined) {
-      return [...this.retryWrite(), ...this.createRequests(nowMs)]
+  private tick (entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
+    if (this.slot.current !== undefined) {
+      return [...this.sendWrite(), ...this.createRequests(nowMs)]
     }
     if (this.own === undefined) {
       return this.tryTakeOver(entries, nowMs)
@@ -211,7 +160,7 @@
     return this.maintain(this.own, entries, nowMs)
   }
 
-  private tryTakeOver (entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+  private tryTakeOver (entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
     if (this.isLeaving) {
       return []
     }
@@ -229,14 +178,7 @@
     if (this.lease === undefined) {
       return [{ kind: 'want_lease' }]
     }
-    const earlier = this.view.stored
-    const record: records.TermRecord = {
-      term: (earlier?.record.term ?? 0) + 1,
-      holder: { node: self.node, address: self.address },
-      holderBoot: boot,
-      successors: this.createSuccessors(earlier?.record, entries)
-    }
-    return this.write({ record, expectedRevision: earlier?.revision ?? 0, holder: 'put' })
+    return this.write(takeOvers.createTakeOver(this.view, candidate))
   }
 
   /** Returns a record that names this process although it holds nothing: a late effect of an abandoned write. */
@@ -246,23 +188,11 @@
     return isOrphan ? stored : undefined
   }
 
-  /** A new holder starts with the successors of the old one, less itself; the old holder's VM may be gone. */
-  private createSuccessors (
-    earlier: records.TermRecord | undefined, entries: readonly types.EntryVm[]
-  ): records.Member[] {
-    const { shard, self, timing } = this.owner
-    if (earlier !== undefined) {
-      return earlier.successors.filter(member => member.node !== self.node)
-    }
-    const chosen = placement.chooseSuccessors(shard, self, entries, timing.successors)
-    return chosen.map(entry => ({ node: entry.node, address: entry.address }))
-  }
-
-  private maintain (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+  private maintain (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
     if (own.isStopped) {
       return this.continueRelease(own, nowMs)
     }
-    const actions: Action[] = [...this.reportExtension(own, nowMs)]
+    const actions: shardTypes.Action[] = [...this.reportExtension(own, nowMs)]
     if (own.leaseId === undefined) {
       actions.push(...this.reacquire(own))
     } else {
@@ -275,7 +205,7 @@
     return actions
   }
 
-  private reportExtension (own: tenures.Tenure, nowMs: number): readonly Action[] {
+  private reportExtension (own: tenures.Tenure, nowMs: number): readonly shardTypes.Action[] {
     const isExtended = own.right.isHeld(nowMs) && nowMs >= own.right.getLeaseUntilMs()
     if (isExtended === this.isExtended) {
       return []
@@ -284,14 +214,14 @@
     return isExtended ? [{ kind: 'report', change: 'extended', term: own.record.term }] : []
   }
 
-  private reacquire (own: tenures.Tenure): readonly Action[] {
+  private reacquire (own: tenures.Tenure): readonly shardTypes.Action[] {
     if (this.lease === undefined) {
       return [{ kind: 'want_lease' }]
     }
     return this.write({ record: own.record, expectedRevision: own.revision, holder: 'put' })
   }
 
-  private nameSuccessors (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly Action[] {
+  private nameSuccessors (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
     if (nowMs >= own.right.getLeaseUntilMs()) {
       return []
     }
@@ -309,60 +239,43 @@
     })
   }
 
-  private write (write: Write): readonly Action[] {
-    this.pending = { write, isInFlight: false, isUncertain: false }
-    return this.retryWrite()
+  private write (write: shardTypes.Write): readonly shardTypes.Action[] {
+    this.slot.fill(write)
+    return this.sendWrite()
   }
 
-  /** Sends the pending write, again if its outcome is unknown: the same comparison can succeed only once. */
-  private retryWrite (): readonly Action[] {
-    const pending = this.pending
-    if (pending === undefined || pending.isInFlight) {
-      return []
-    }
-    if (pending.write.holder === 'put' && this.lease === undefined) {
+  private sendWrite (): readonly shardTypes.Action[] {
+    if (this.slot.current?.holder === 'put' && this.lease === undefined) {
       return [{ kind: 'want_lease' }]
     }
-    pending.isInFlight = true
-    return [{ kind: 'write', write: pending.write, leaseId: this.lease?.id }]
+    const write = this.slot.take()
+    return write === undefined ? [] : [{ kind: 'write', write, leaseId: this.lease?.id }]
   }
 
   private noteOutcome (
-    write: Write, leaseId: string | undefined, outcome: Outcome, nowMs: number
-  ): readonly Action[] {
-    const pending = this.pending
-    if (pending === undefined || pending.write !== write) {
+    write: shardTypes.Write, leaseId: string | undefined, outcome: shardTypes.Outcome, nowMs: number
+  ): readonly shardTypes.Action[] {
+    if (!this.slot.conclude(write, outcome)) {
       return []
     }
-    pending.isInFlight = false
     switch (outcome.kind) {
       case 'unknown':
-        pending.isUncertain = true
         return []
       case 'not_run':
-        return this.noteNotRun(pending)
+        this.own?.adopt({ record: this.own.record, revision: this.own.revision })
+        return []
       case 'written':
-        this.pending = undefined
         return this.noteWritten(write, { record: write.record, revision: outcome.revision }, leaseId, nowMs)
       case 'refused':
-        this.pending = undefined
         return this.noteRefused(write, outcome.stored, outcome.holderLease, nowMs)
       default:
         return verdicts.assertNever(outcome)
     }
   }
 
-  private noteNotRun (pending: Pending): readonly Action[] {
-    if (!pending.isUncertain) {
-      this.pending = undefined
-      this.own?.adopt({ record: this.own.record, revision: this.own.revision })
-    }
-    return []
-  }
-
   private noteWritten (
-    write: Write, stored: records.StoredRecord, holderLease: string | undefined, nowMs: number
-  ): readonly Action[] {
+    write: shardTypes.Write, stored: records.StoredRecord, holderLease: string | undefined, nowMs: number
+  ): readonly shardTypes.Action[] {
     if (write.holder === 'delete') {
       return this.finishRelease(stored, nowMs)
     }
@@ -384,7 +297,7 @@
     }
   }
 
-  private begin (write: Write, stored: records.StoredRecord, nowMs: number): readonly Action[] {
+  private begin (write: shardTypes.Write, stored: records.StoredRecord, nowMs: number): readonly shardTypes.Action[] {
     const { shard, timing } = this.owner
     const isFirst = write.expectedRevision === 0
     const inheritance = isFirst
@@ -397,8 +310,8 @@
 
   /** An earlier attempt of the same write may have succeeded; then the record carries its mark. */
   private noteRefused (
-    write: Write, stored: records.StoredRecord | undefined, holderLease: string | undefined, nowMs: number
-  ): readonly Action[] {
+    write: shardTypes.Write, stored: records.StoredRecord | undefined, holderLease: string | undefined, nowMs: number
+  ): readonly shardTypes.Action[] {
     if (stored !== undefined && stored.record.term === write.record.term && this.isOwnRecord(stored.record)) {
       if (write.holder === 'delete' && holderLease !== undefined) {
         return this.write({ ...write, expectedRevision: stored.revision })
@@ -410,7 +323,7 @@
 
   private noteAnswer (
     node: string, sentMs: number, answer: succession.PromiseAnswer | undefined, nowMs: number
-  ): readonly Action[] {
+  ): readonly shardTypes.Action[] {
     const own = this.own
     if (own === undefined) {
       return []
@@ -422,13 +335,13 @@
     return this.createRequests(nowMs)
   }
 
-  private leave (nowMs: number): readonly Action[] {
+  private leave (nowMs: number): readonly shardTypes.Action[] {
     this.isLeaving = true
     return this.release(nowMs)
   }
 
   /** Stops deciding, tells the successors so, and then frees the holder key. */
-  private release (nowMs: number): readonly Action[] {
+  private release (nowMs: number): readonly shardTypes.Action[] {
     const own = this.own
     if (own === undefined || own.isStopped) {
       return []
@@ -437,8 +350,8 @@
     return this.continueRelease(own, nowMs)
   }
 
-  private continueRelease (own: tenures.Tenure, nowMs: number): readonly Action[] {
-    if (this.pending !== undefined) {
+  private continueRelease (own: tenures.Tenure, nowMs: number): readonly shardTypes.Action[] {
+    if (this.slot.current !== undefined) {
       return this.createRequests(nowMs)
     }
     if (!own.isReleaseKnown()) {
@@ -447,7 +360,7 @@
     return this.write({ record: own.record, expectedRevision: own.revision, holder: 'delete' })
   }
 
-  private finishRelease (stored: records.StoredRecord, nowMs: number): readonly Action[] {
+  private finishRelease (stored: records.StoredRecord, nowMs: number): readonly shardTypes.Action[] {
     this.releasedTerm = stored.record.term
     this.view = { stored, isHeld: false, vacantSinceMs: nowMs }
     const own = this.own
--- a/tests/allowances/shard.test.ts
+++ b/tests/allowances/shard.test.ts
@@ -2,6 +2,7 @@
 import * as keepers from '../../src/allowances/keeper.js'
 import * as records from '../../src/allowances/record.js'
 import * as shards from '../../src/allowances/shard.js'
+import * as shardTypes from '../../src/allowances/shard_types.js'
 import * as succession from '../../src/allowances/succession.js'
 import * as tenures from '../../src/allowances/tenure.js'
 import * as test from 'node:test'
@@ -31,13 +32,13 @@
 const entries = ['a', 'b', 'c'].map(createVm)
 
 /** Brings a successor to the point at which it writes its take-over. */
-function startTakeOver (): { shard: shards.Shard, write: shards.Write } {
+function startTakeOver (): { shard: shards.Shard, write: shardTypes.Write } {
   const shard = createShard('b', -10_000)
   shard.accept({ kind: 'lease', lease: { id: '1', sentMs: 0 } }, 0)
   shard.accept({ kind: 'observed', stored: { record: createRecord(['b']), revision: 5 }, isHeld: false }, 0)
   const [action] = shard.accept({ kind: 'tick', entries }, 0)
   assert.equal(action?.kind, 'write')
-  return { shard, write: (action as { write: shards.Write }).write }
+  return { shard, write: (action as { write: shardTypes.Write }).write }
 }
 
 function createTenure (successors: readonly string[]): tenures.Tenure {
