--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -16,6 +16,7 @@
   readonly seconds: string
   readonly rate?: string
   readonly json?: string
+  readonly events?: string
 }
 
 /** Longest run, in seconds. */
@@ -42,7 +43,7 @@
     const scenario = find(scenarios.scenarios, name)
     for (const policy of parseList(flags.policy)) {
       for (const seed of parseList(flags.seed)) {
-        yield { deployment, scenario, policy, seed: Number(seed), seconds, requestsPerSecond }
+        yield { deployment, scenario, policy, seed: Number(seed), seconds, requestsPerSecond, eventsFile: flags.events }
       }
     }
   }
@@ -72,6 +73,7 @@
   .option('--seconds <number>', 'length of the arrivals of a run', '20')
   .option('--rate <number>', 'generations a second at the steady peak, for other allowances than the deployment\'s')
   .option('--json <file>', 'file to which each run adds one line of JSON')
+  .option('--events <file>', 'file for the events of the requests that were not answered whole, as lines of JSON')
   .action(measure)
 await program.parseAsync()
 process.exit(0)
--- a/tools/measure/callers.ts
+++ b/tools/measure/callers.ts
@@ -12,6 +12,8 @@
 /** What became of a generation. */
 export interface Outcome {
   readonly arrival: workloads.Arrival
+  /** Identifier that the entry gave it; empty if there was no answer. */
+  readonly request: string
   /** `broken` ended after its first text, or without any answer; `wrong` gave other text than its prompt's. */
   readonly end: 'whole' | 'refused' | 'broken' | 'wrong'
   /** Code of the refusal or failure. */
@@ -36,6 +38,7 @@
 const answerTimeoutMs = 60_000
 
 interface Stream {
+  request: string
   text: string
   firstAtMs: number
   lastAtMs: number
@@ -83,7 +86,7 @@
   private async generate (arrival: workloads.Arrival): Promise<Outcome> {
     const sentAtMs = this.elapsedMs
     const prompt = workloads.createPrompt(arrival, this.mix)
-    const stream: Stream = { text: '', firstAtMs: 0, lastAtMs: 0, outputTokens: 0, code: '', isDone: false }
+    const stream: Stream = { request: '', text: '', firstAtMs: 0, lastAtMs: 0, outputTokens: 0, code: '', isDone: false }
     try {
       await this.stream(arrival, prompt, stream)
     } catch (error) {
@@ -96,6 +99,7 @@
     const response = await this.send('/v1/completions', arrival.tenant, {}, {
       model: 'model', prompt, max_tokens: arrival.outputTokens, stream: true, stream_options: { include_usage: true }
     })
+    stream.request = String(response.headers['x-request-id'] ?? '')
     if (response.statusCode !== 200) {
       stream.code = getCode(await response.body.text())
       return
@@ -124,9 +128,10 @@
   }
 
   private createOutcome (arrival: workloads.Arrival, prompt: string, stream: Stream, sentAtMs: number): Outcome {
-    const { outputTokens, firstAtMs, lastAtMs, code } = stream
+    const { request, outputTokens, firstAtMs, lastAtMs, code } = stream
     return {
       arrival,
+      request,
       end: getEnd(arrival, prompt, stream),
       code,
       firstTokenMs: firstAtMs - arrival.atMs,
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -1,6 +1,7 @@
 /**
  * One run: starts a fleet, sends the workload while the scenario disturbs it, and gathers the figures.
  */
+import * as fs from 'node:fs'
 import * as os from 'node:os'
 import * as timers from 'node:timers/promises'
 import * as balancers from './balancer.js'
@@ -22,6 +23,8 @@
   readonly seed: number
   readonly seconds: number
   readonly requestsPerSecond: number
+  /** File for the events of the requests that were not answered whole. */
+  readonly eventsFile: string | undefined
 }
 
 const service = 'bookings'
@@ -86,6 +89,9 @@
   balancer.stop()
   const [loadAverage] = os.loadavg()
   await timers.setTimeout(releaseMs)
+  if (options.eventsFile !== undefined) {
+    await writeEvents(fleet, outcomes, options.eventsFile)
+  }
   return {
     outcomes,
     calls,
@@ -95,3 +101,15 @@
     loadAverage: loadAverage as number
   }
 }
+
+/** Appends the events of the requests that were not answered whole, one line of JSON each. */
+async function writeEvents (
+  fleet: fleets.Fleet, outcomes: readonly callers.Outcome[], file: string
+): Promise<void> {
+  const failed = new Set(outcomes.filter(outcome => outcome.end !== 'whole').map(outcome => outcome.request))
+  for (const event of await observations.readEvents(fleet)) {
+    if (event.request !== undefined && failed.has(event.request)) {
+      fs.appendFileSync(file, `${JSON.stringify(event)}\n`)
+    }
+  }
+}
