Take up promised decodes at once, and let offers see the pace limit

The time line shows decodes with used reservations queued for 800 to 1,100 ms beside free slots: one pause of the process lifted the mean interval of a batch size above the target, which held back every start at that size for 10 s, while offers still predicted no wait and kept sending. Change: a start with promised room needs only that room; offers count the slots that the pace allows; an interval counts as at most twice the mean and with the weight of its step, not of its request; a void mean is tried again after 2 s; a batch is not let past a size that is known as too slow. Tests: the two of the pace of a slow engine failed before.

--- a/src/agent/pace.ts
+++ b/src/agent/pace.ts
@@ -8,12 +8,14 @@
   lastMs: number
 }
 
-/** Weight of the newest interval in the running mean. */
+/** Weight of the newest step in the running mean; each of its requests reports one interval. */
 const newestWeight = 0.05
+/** An interval counts as at most this many times the mean, so that one pause does not pass for a slow engine. */
+const largestFactor = 2
 /** Intervals seen before a mean is used. */
 const leastSamples = 20
 /** A mean without a newer interval for this long is void, so that a slow spell is tried again. */
-const validMs = 10_000
+const validMs = 2_000
 
 export class Pace {
   private readonly byRunning: (Observation | undefined)[] = []
@@ -28,17 +30,25 @@
       return
     }
     known.samples += 1
-    known.meanMs += Math.max(newestWeight, 1 / known.samples) * (intervalMs - known.meanMs)
+    const weight = Math.max(newestWeight / running, 1 / known.samples)
+    known.meanMs += weight * (Math.min(intervalMs, known.meanMs * largestFactor) - known.meanMs)
     known.lastMs = nowMs
   }
 
-  /** Tells whether so many requests at once have kept, or are not known to miss, the target. */
+  /** Tells whether so many requests at once, and fewer, have kept, or are not known to miss, the target. */
   allows (running: number, targetMs: number, nowMs: number): boolean {
-    if (running <= 1) {
-      return true
+    return running <= this.getLimit(running, targetMs, nowMs)
+  }
+
+  /** Returns how many requests at once may decode, at most `slots` and at least one. */
+  getLimit (slots: number, targetMs: number, nowMs: number): number {
+    for (let running = 2; running <= slots; running += 1) {
+      const known = this.getValid(running, nowMs)
+      if (known !== undefined && known.meanMs > targetMs) {
+        return running - 1
+      }
     }
-    const known = this.getValid(running, nowMs)
-    return known === undefined || known.meanMs <= targetMs
+    return Math.max(1, slots)
   }
 
   /** Returns the expected interval between tokens in milliseconds. */
--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -194,19 +194,26 @@
     return this.queue.getCounter(workspace)
   }
 
+  /**
+   * Tells whether an attempt may start. What was promised room needs no more than that: its finished prefill
+   * would be lost by waiting.
+   */
   private canStart (attempt: attempts.Attempt, nowMs: number): boolean {
     const { slots, betweenTokensTargetMs } = this.capacity
     const demand = this.getPieces(attempt.demand)
     if (this.running.size >= slots || !this.ledger.fits(demand, 0)) {
       return false
     }
+    if (attempt.isPromised) {
+      return true
+    }
     if (this.capacity.role === 'decode' && !this.pace.allows(this.running.size + 1, betweenTokensTargetMs, nowMs)) {
       return false
     }
     if (this.capacity.role === 'prefill' && this.getPendingMs() > prefillAheadMs) {
       return false
     }
-    return attempt.isPromised || this.book.size === 0 || this.keepsPromises(attempt, demand, nowMs)
+    return this.book.size === 0 || this.keepsPromises(attempt, demand, nowMs)
   }
 
   /** Tells whether the promised room will be there in time if the attempt starts now. */
@@ -282,7 +289,7 @@
   }
 
   private predictRoomMs (demand: attempts.Demand, ahead: fairQueues.Backlog, nowMs: number): number {
-    const { slots } = this.capacity
+    const slots = this.getUsableSlots(nowMs)
     const pieces = this.countPieces(demand)
     const room = { slots: slots - this.running.size, pieces: this.ledger.freePieces }
     if (room.slots > ahead.count && room.pieces >= ahead.pieces + pieces) {
@@ -292,6 +299,12 @@
     return forecasts.predictWaitMs(room, this.listDepartures(nowMs, false), ahead, pieces, serviceMs, slots)
   }
 
+  /** Slots that may be used at once within the time between tokens. */
+  private getUsableSlots (nowMs: number): number {
+    const { betweenTokensTargetMs, role, slots } = this.capacity
+    return role === 'decode' ? this.pace.getLimit(slots, betweenTokensTargetMs, nowMs) : slots
+  }
+
   private listDepartures (nowMs: number, cautious: boolean): forecasts.Departure[] {
     const departures: forecasts.Departure[] = []
     for (const attempt of this.running) {
--- a/tests/agent/gate_memory.test.ts
+++ b/tests/agent/gate_memory.test.ts
@@ -4,6 +4,14 @@
 
 const prefill = { role: 'prefill', slots: 4 } as const
 
+function runSteps (driver: drivers.GateDriver, steps: number, stepMs: number): void {
+  for (let step = 0; step < steps; step += 1) {
+    driver.nowMs += stepMs
+    driver.progress('1')
+    driver.progress('2')
+  }
+}
+
 test.describe('Gate: memory', () => {
   test.describe('pieces', () => {
     test.it('admits by the growth that is expected', () => {
@@ -107,6 +115,32 @@
     })
   })
 
+  test.describe('pace of a slow engine', () => {
+    test.it('is seen by offers, and holds back no start whose room was promised', () => {
+      const driver = new drivers.GateDriver({}, { slots: 3, memoryPieces: 100, betweenTokensTargetMs: 28 })
+      driver.start('1', { maximumTokens: 1_000 })
+      driver.start('2', { maximumTokens: 1_000 })
+      const { reservation } = driver.offer('r-4', { expectedInMs: 1_000, holdMs: 5_000 })
+      runSteps(driver, 30, 40)
+      driver.finish('2')
+      assert.ok(driver.offer('r-3').waitMs > 0)
+      driver.start('3')
+      driver.start('4', { reservation })
+      assert.deepEqual([driver.isLaunched('3'), driver.isLaunched('4')], [false, true])
+    })
+
+    test.it('is not concluded from one pause', () => {
+      const driver = new drivers.GateDriver({}, { slots: 3, memoryPieces: 100, betweenTokensTargetMs: 28 })
+      driver.start('1', { maximumTokens: 1_000 })
+      driver.start('2', { maximumTokens: 1_000 })
+      runSteps(driver, 30, 25)
+      runSteps(driver, 1, 400)
+      driver.finish('2')
+      driver.start('3')
+      assert.equal(driver.isLaunched('3'), true)
+    })
+  })
+
   test.describe('prefill', () => {
     test.it('keeps the order of prefills to itself instead of giving all to the engine', () => {
       const driver = new drivers.GateDriver({}, prefill)
