Baseline policies beside the chosen one, as a setting of entries

Cause: the chosen policy had nothing to be compared with. Conclusion: round robin, least requests as reported, prefill then slot, and reserve through the prefill can be run.

--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -64,6 +64,10 @@
   timing: Timing.prefault({})
 })
 
+/** How entries choose servers; all but the first are for comparison in measurements. */
+export const PolicyName = z.enum(['mulberryflow', 'round_robin', 'least_requests', 'prefill_then_slot', 'reserve_through'])
+export type PolicyName = z.infer<typeof PolicyName>
+
 /** Settings of an entry. */
 export const EntrySettings = Common.extend({
   role: z.literal('entry'),
@@ -76,6 +80,7 @@
   machines: z.strictObject({
     url: z.url().describe('Address of the platform\'s list of VMs')
   }),
+  policy: PolicyName.default('mulberryflow').describe('How servers are chosen; others than the standard are for measurements'),
   administratorHash: z.string().regex(/^[0-9a-f]{64}$/).describe('SHA-256 of the administrators\' credential')
 })
 export type EntrySettings = z.infer<typeof EntrySettings>
--- a/src/daemon/entry_process.ts
+++ b/src/daemon/entry_process.ts
@@ -18,6 +18,7 @@
 import * as listeners from '../links/listener.js'
 import * as machineDirectories from '../machines/directory.js'
 import * as machineLists from '../host/http_machine_list.js'
+import * as policies from '../entry/policy.js'
 import * as peers from '../configuration/peers.js'
 import * as processBases from './process_base.js'
 import * as replicas from '../configuration/replica.js'
@@ -222,7 +223,8 @@
     limits: options.limits,
     timing: options.timing,
     meter: base.meter,
-    recorder: base.ring
+    recorder: base.ring,
+    policy: policies.createPolicy(options.policy)
   })
   return new EntryProcess(parts, entry)
 }
--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -6,6 +6,7 @@
 import * as offers from './offers.js'
 import * as pictures from './picture.js'
 import * as planner from './planner.js'
+import * as policies from './policy.js'
 import * as servers from './servers.js'
 import * as types from './types.js'
 import * as work from '../contracts/work.js'
@@ -13,7 +14,8 @@
 /** A chosen prefill and a promised decode slot. */
 export interface Pair {
   readonly prefill: offers.Offered
-  readonly decode: offers.Offered
+  /** Absent when the decode server is chosen after the prefill. */
+  readonly decode: offers.Offered | undefined
   readonly transferMs: number
 }
 
@@ -29,7 +31,7 @@
 /** Share of the expected time by which the instant may be missed. */
 const holdShare = 0.5
 
-type Standings = ReadonlyMap<string, pictures.Standing>
+const standardPolicy = policies.createPolicy('mulberryflow')
 
 export class Pairing {
   private readonly need: planner.Need
@@ -47,17 +49,18 @@
   async choosePair (avoid: ReadonlySet<string>): Promise<failures.Result<Pair>> {
     const standings = this.listStandings('prefill', this.place.region, avoid)
     const ranked = planner.rankPrefills(this.servers.picture, standings, this.need, this.place)
-    const picked = planner.pickTwo(ranked, this.nextUnit)
+    const picked = this.policy.pick(ranked, standings, this.nextUnit)
     const best = picked[0]
     if (best === undefined) {
       return failures.fail(offers.createNoServer(this.job.generation.model))
     }
     const source = standings.get(best.name)
     const expectedMs = best.waitMs + best.serviceMs
-    const [prefill, decode] = await Promise.all([
-      this.offers.choose(picked, this.createOffer('prefill', 0, undefined), getPrefillCost),
-      this.promise(source, best.server.region, expectedMs, avoid)
-    ])
+    const asked = this.offers.choose(picked, this.createOffer('prefill', 0, undefined), getPrefillCost)
+    if (this.policy.slotTime === 'after_prefill') {
+      return this.joinPrefill(await asked)
+    }
+    const [prefill, decode] = await Promise.all([asked, this.promise(source, best.server.region, expectedMs, avoid)])
     return await this.join(prefill, decode, expectedMs)
   }
 
@@ -68,6 +71,15 @@
     return await this.promise(standing, source.region, 0, avoid)
   }
 
+  /** Admits a request by its prefill alone. */
+  private joinPrefill (prefill: failures.Result<offers.Offered>): failures.Result<Pair> {
+    return prefill.chain(offered => {
+      const pair = { prefill: offered, decode: undefined, transferMs: 0 }
+      const refusal = this.checkAdmission(pair)
+      return refusal === undefined ? failures.succeed<Pair>(pair) : failures.fail<Pair>(refusal)
+    })
+  }
+
   private async join (
     prefill: failures.Result<offers.Offered>, decode: failures.Result<offers.Offered>, expectedMs: number
   ): Promise<failures.Result<Pair>> {
@@ -78,25 +90,28 @@
     if (decode.isLeft()) {
       return failures.fail(decode.extract() as failures.Failure)
     }
-    const pair = this.createPair(prefill.extract() as offers.Offered, decode.extract() as offers.Offered)
+    const promised = decode.extract() as offers.Offered
+    const pair = this.createPair(prefill.extract() as offers.Offered, promised)
     const refusal = this.checkAdmission(pair)
     if (refusal !== undefined) {
-      this.offers.release(pair.decode)
+      this.offers.release(promised)
       return failures.fail(refusal)
     }
-    return await this.renewPromise(pair, expectedMs)
+    return await this.renewPromise(pair, promised, expectedMs)
   }
 
   /** Promises the room anew when the prefill's own answer moved its end beyond the time that room is kept. */
-  private async renewPromise (pair: Pair, expectedMs: number): Promise<failures.Result<Pair>> {
+  private async renewPromise (
+    pair: Pair, promised: offers.Offered, expectedMs: number
+  ): Promise<failures.Result<Pair>> {
     const { waitMs, serviceMs } = pair.prefill.answer
     const foundMs = waitMs + serviceMs
     if (Math.abs(foundMs - expectedMs) <= getHoldMs(expectedMs) / 2) {
       return failures.succeed(pair)
     }
-    this.offers.release(pair.decode)
-    const offer = this.createOffer('decode', foundMs + pair.transferMs, getHoldMs(foundMs))
-    const renewed = await this.offers.choose([pair.decode.candidate], offer, getDecodeCost)
+    this.offers.release(promised)
+    const offer = this.createDecodeOffer(foundMs, pair.transferMs)
+    const renewed = await this.offers.choose([promised.candidate], offer, getDecodeCost)
     return renewed.map(decode => ({ ...pair, decode }))
   }
 
@@ -104,16 +119,25 @@
     source: pictures.Standing | undefined, region: string, expectedMs: number, avoid: ReadonlySet<string>
   ): Promise<failures.Result<offers.Offered>> {
     const standings = this.listStandings('decode', region, avoid)
-    const picked = planner.pickTwo(planner.rankDecodes(standings, this.need, source, this.place), this.nextUnit)
+    const ranked = planner.rankDecodes(standings, this.need, source, this.place)
+    const picked = this.policy.pick(ranked, standings, this.nextUnit)
     const target = standings.get(picked[0]?.name ?? '')
     if (target === undefined) {
       return failures.fail(offers.createNoServer(this.job.generation.model))
     }
     const transferMs = planner.estimateTransferMs(this.need, source, target)
-    const offer = this.createOffer('decode', expectedMs + transferMs, getHoldMs(expectedMs))
+    const offer = this.createDecodeOffer(expectedMs, transferMs)
     return await this.offers.choose(picked, offer, getDecodeCost)
   }
 
+  /** Asks for room from the expected instant on, or from now on if the policy keeps it through the prefill. */
+  private createDecodeOffer (expectedMs: number, transferMs: number): work.Offer {
+    const holdMs = getHoldMs(expectedMs)
+    return this.policy.slotTime === 'through_prefill'
+      ? this.createOffer('decode', 0, expectedMs + transferMs + holdMs)
+      : this.createOffer('decode', expectedMs + transferMs, holdMs)
+  }
+
   private createPair (prefill: offers.Offered, decode: offers.Offered): Pair {
     const source = this.getStanding(prefill)
     const target = this.getStanding(decode)
@@ -122,14 +146,17 @@
 
   private checkAdmission (pair: Pair): failures.Failure | undefined {
     const { prefill, decode, transferMs } = pair
+    if (!this.policy.refusesLate) {
+      return undefined
+    }
     const unloadedMs = this.need.promptTokens / prefill.candidate.server.prefillTokensPerSecond * 1000 + transferMs
     return planner.checkAdmission({
       elapsedMs: this.nowMs - this.job.receivedAtMs,
       prefillWaitMs: prefill.answer.waitMs,
       prefillServiceMs: prefill.answer.serviceMs,
       transferMs,
-      decodeWaitMs: decode.answer.waitMs,
-      stepMs: decode.answer.serviceMs,
+      decodeWaitMs: decode?.answer.waitMs ?? 0,
+      stepMs: decode?.answer.serviceMs ?? 0,
       unloadedMs
     }, this.job.model.firstTokenTargetMs)
   }
@@ -148,7 +175,7 @@
     return holdMs === undefined ? offer : { ...offer, holdMs }
   }
 
-  private listStandings (role: 'prefill' | 'decode', region: string, avoid: ReadonlySet<string>): Standings {
+  private listStandings (role: 'prefill' | 'decode', region: string, avoid: ReadonlySet<string>): policies.Standings {
     return this.servers.listStandings({ role, subject: this.job.generation.model, region }, avoid)
   }
 
@@ -162,6 +189,10 @@
     return this.surroundings.system.clock.monotonicMs()
   }
 
+  private get policy (): policies.Policy {
+    return this.surroundings.policy ?? standardPolicy
+  }
+
   private get place (): planner.Place {
     return this.surroundings.identity
   }
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -121,16 +121,20 @@
   private async planAndPrefill (): Promise<failures.Result<offers.Offered>> {
     this.dropPrefill()
     const chosen = await this.pairing.choosePair(this.avoided)
-    const promised = this.keepPromise(chosen.map(pair => pair.decode))
-    if (promised.isLeft()) {
+    if (chosen.isLeft()) {
+      return failures.fail(chosen.extract() as failures.Failure)
+    }
+    const pair = chosen.extract() as pairings.Pair
+    const promised = pair.decode === undefined ? undefined : this.keepPromise(failures.succeed(pair.decode))
+    if (promised?.isLeft() === true) {
       return promised
     }
-    const prefill = await this.prefill(chosen.extract() as pairings.Pair)
+    const prefill = await this.prefill(pair)
     if (prefill.isLeft()) {
       this.releasePromise()
       return failures.fail(prefill.extract() as failures.Failure)
     }
-    return promised
+    return promised ?? await this.planDecode()
   }
 
   /** Notes promised room, to be given back if the request ends before using it. */
--- a/src/entry/picture.ts
+++ b/src/entry/picture.ts
@@ -16,6 +16,8 @@
   readonly server: configuration.Server
   readonly isUsable: boolean
   readonly running: number
+  /** Requests running and queued by the last report alone. */
+  readonly reported: number
   readonly pendingPromptTokens: number
   /** Pieces of memory neither used nor promised; may be negative when the entry has sent more than fits. */
   readonly freePieces: number
@@ -130,10 +132,12 @@
   getStanding (name: string, server: configuration.Server, nowMs: number): Standing {
     const row = this.getRow(name)
     const load = row.load
+    const reported = (load?.running ?? 0) + (load?.queued ?? 0)
     return {
       server,
       isUsable: server.state === 'active' && !row.isLeaving && row.passedOverUntilMs <= nowMs,
-      running: Math.max(0, (load?.running ?? 0) + (load?.queued ?? 0) + row.sentRequests),
+      running: Math.max(0, reported + row.sentRequests),
+      reported,
       pendingPromptTokens: estimatePending(row, server, nowMs),
       freePieces: getFreePieces(load, server) - row.sentPieces,
       transfers: row.transfers
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -8,6 +8,7 @@
 import * as identities from '../contracts/identity.js'
 import * as links from '../links/types.js'
 import * as metrics from '../metrics/types.js'
+import * as policies from './policy.js'
 import * as settings from '../contracts/settings.js'
 import * as timeline from '../timeline/types.js'
 import * as work from '../contracts/work.js'
@@ -26,6 +27,8 @@
   readonly timing: settings.Timing
   readonly meter: metrics.Meter
   readonly recorder: timeline.Recorder
+  /** The standard policy if left out. */
+  readonly policy?: policies.Policy
 }
 
 /** A generation to be served. */
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -6,6 +6,7 @@
 import * as deployments from './measure/deployment.js'
 import * as runs from './measure/run.js'
 import * as scenarios from './measure/scenario.js'
+import * as settings from '../src/contracts/settings.js'
 import * as summaries from './measure/summary.js'
 
 interface Flags {
@@ -43,7 +44,7 @@
     const scenario = find(scenarios.scenarios, name)
     for (const policy of parseList(flags.policy)) {
       for (const seed of parseList(flags.seed)) {
-        yield { deployment, scenario, policy, seed: Number(seed), seconds, requestsPerSecond, eventsFile: flags.events }
+        yield { deployment, scenario, policy: settings.PolicyName.parse(policy), seed: Number(seed), seconds, requestsPerSecond, eventsFile: flags.events }
       }
     }
   }
@@ -68,7 +69,7 @@
 program
   .option('--deployment <name>', deployments.deployments.map(each => each.name).join(', '), 'small')
   .option('--scenario <names>', `all, or some of ${scenarios.scenarios.map(each => each.name).join(', ')}`, 'steady')
-  .option('--policy <names>', 'policies of the entries', 'mulberryflow')
+  .option('--policy <names>', `some of ${settings.PolicyName.options.join(', ')}`, 'mulberryflow')
   .option('--seed <numbers>', 'seeds of the workload', '1')
   .option('--seconds <number>', 'length of the arrivals of a run', '20')
   .option('--rate <number>', 'generations a second at the steady peak, for other allowances than the deployment\'s')
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -13,13 +13,14 @@
 import * as observations from './observations.js'
 import * as operators from '../operator.js'
 import * as scenarios from './scenario.js'
+import * as settings from '../../src/contracts/settings.js'
 import * as summaries from './summary.js'
 import * as workloads from './workload.js'
 
 export interface RunOptions {
   readonly deployment: deployments.Deployment
   readonly scenario: scenarios.Scenario
-  readonly policy: string
+  readonly policy: settings.PolicyName
   readonly seed: number
   readonly seconds: number
   readonly requestsPerSecond: number
@@ -56,7 +57,7 @@
 }
 
 function createPlan (options: RunOptions): fleetPlans.FleetPlan {
-  return { zones: options.deployment.zones, services: [service] }
+  return { zones: options.deployment.zones, services: [service], entrySettings: { policy: options.policy } }
 }
 
 async function seed (
