--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -4,6 +4,7 @@
 import * as fs from 'node:fs'
 import * as commander from 'commander'
 import * as deployments from './measure/deployment.js'
+import * as pages from './measure/page.js'
 import * as runs from './measure/run.js'
 import * as scenarios from './measure/scenario.js'
 import * as settings from '../src/contracts/settings.js'
@@ -18,8 +19,11 @@
   readonly rate?: string
   readonly json?: string
   readonly events?: string
+  readonly write?: string
 }
 
+const page = 'docs/MEASUREMENTS.md'
+
 /** Longest run, in seconds. */
 const maximumSeconds = 120
 
@@ -55,7 +59,18 @@
   return `${deployment} ${scenario} ${policy} seed ${seed}: ${JSON.stringify(rest)}`
 }
 
+/** Rewrites the page from a file with one summary a line. */
+function writePage (file: string): void {
+  const lines = fs.readFileSync(file, 'utf8').split('\n').filter(line => line !== '')
+  const results = lines.map(line => JSON.parse(line) as summaries.Summary)
+  fs.writeFileSync(page, pages.rewritePage(fs.readFileSync(page, 'utf8'), results))
+}
+
 async function measure (flags: Flags): Promise<void> {
+  if (flags.write !== undefined) {
+    writePage(flags.write)
+    return
+  }
   for (const options of listRuns(flags)) {
     const summary = await runs.run(options)
     console.log(format(summary))
@@ -75,6 +90,7 @@
   .option('--rate <number>', 'generations a second at the steady peak, for other allowances than the deployment\'s')
   .option('--json <file>', 'file to which each run adds one line of JSON')
   .option('--events <file>', 'file for the events of the requests that were not answered whole, as lines of JSON')
+  .option('--write <file>', `rewrite the tables of ${page} from the lines of a file instead of running`)
   .action(measure)
 await program.parseAsync()
 process.exit(0)
--- a/tools/measure/deployment.ts
+++ b/tools/measure/deployment.ts
@@ -75,8 +75,8 @@
     name: 'nairobi',
     zones: [
       { zone: 'zone-a', entries: 1, prefill: 3, decode: 2, service: 1 },
-      { zone: 'zone-b', entries: 1, prefill: 2, decode: 2, service: 1 },
-      { zone: 'zone-c', entries: 1, prefill: 2, decode: 2, service: 1 }
+      { zone: 'zone-b', entries: 1, prefill: 3, decode: 2, service: 1 },
+      { zone: 'zone-c', entries: 1, prefill: 2, decode: 1, service: 1 }
     ],
     tenants,
     mix: drafting,
