--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -1,6 +1,7 @@
 /**
  * One run: starts a fleet, sends the workload while the scenario disturbs it, and gathers the figures.
  */
+import * as fs from 'node:fs'
 import * as os from 'node:os'
 import * as timers from 'node:timers/promises'
 import * as balancers from './balancer.js'
@@ -12,16 +13,19 @@
 import * as observations from './observations.js'
 import * as operators from '../operator.js'
 import * as scenarios from './scenario.js'
+import * as settings from '../../src/contracts/settings.js'
 import * as summaries from './summary.js'
 import * as workloads from './workload.js'
 
 export interface RunOptions {
   readonly deployment: deployments.Deployment
   readonly scenario: scenarios.Scenario
-  readonly policy: string
+  readonly policy: settings.PolicyName
   readonly seed: number
   readonly seconds: number
   readonly requestsPerSecond: number
+  /** File for the events of the requests that were not answered whole. */
+  readonly eventsFile: string | undefined
 }
 
 const service = 'bookings'
@@ -53,7 +57,7 @@
 }
 
 function createPlan (options: RunOptions): fleetPlans.FleetPlan {
-  return { zones: options.deployment.zones, services: [service] }
+  return { zones: options.deployment.zones, services: [service], entrySettings: { policy: options.policy } }
 }
 
 async function seed (
@@ -86,6 +90,9 @@
   balancer.stop()
   const [loadAverage] = os.loadavg()
   await timers.setTimeout(releaseMs)
+  if (options.eventsFile !== undefined) {
+    await writeEvents(fleet, outcomes, options.eventsFile)
+  }
   return {
     outcomes,
     calls,
@@ -95,3 +102,15 @@
     loadAverage: loadAverage as number
   }
 }
+
+/** Appends the events of the requests that were not answered whole, one line of JSON each. */
+async function writeEvents (
+  fleet: fleets.Fleet, outcomes: readonly callers.Outcome[], file: string
+): Promise<void> {
+  const failed = new Set(outcomes.filter(outcome => outcome.end !== 'whole').map(outcome => outcome.request))
+  for (const event of await observations.readEvents(fleet)) {
+    if (event.request !== undefined && failed.has(event.request)) {
+      fs.appendFileSync(file, `${JSON.stringify(event)}\n`)
+    }
+  }
+}
