--- a/tests/allowances/fleet.ts
+++ b/tests/allowances/fleet.ts
@@ -109,7 +109,9 @@
     method: Method, params: protocol.Params<Method>
   ): Promise<failures.Result<protocol.Answer<Method>>> {
     const lost = failures.createFailure('may_have_run', 'link_lost', [this.address.host])
-    const copy = protocol.methods[method].params.parse(JSON.parse(JSON.stringify(params))) as protocol.Params<Method>
+    const text = JSON.stringify(params)
+    const copy = protocol.methods[method].params.parse(JSON.parse(text)) as protocol.Params<Method>
+    this.fleet.countBytes(method, this.from.vm.node, this.address.host, text.length)
     await this.fleet.travel(this.from)
     const to = this.fleet.find(this.address)
     if (to === undefined || this.fleet.isCut(this.from, to)) {
@@ -119,6 +121,7 @@
     const handler = to.handlers[method]
     assert.ok(handler !== undefined)
     const result = await handler(copy, undefined as never)
+    this.fleet.countBytes(method, this.address.host, this.from.vm.node, JSON.stringify(result.extract()).length)
     await this.fleet.travel(this.from)
     await this.from.gate.pass()
     return this.fleet.isCut(to, this.from) ? failures.fail(lost) : result
@@ -225,6 +228,10 @@
   readonly refused: { readonly workspace: string, readonly atMs: number, readonly failure: failures.Failure }[] = []
   /** One-way delay of the network, in milliseconds. */
   delayMs = 1
+  /** Bytes of parameters and results by method, and by node in both directions; without their envelopes. */
+  readonly bytesOfMethod = new Map<string, number>()
+  readonly bytesOfNode = new Map<string, number>()
+  readonly messagesOfNode = new Map<string, number>()
   private readonly decisions = new Map<string, { readonly keeper: string, readonly atMs: number }>()
   private boots = 0
   private charges = 0
@@ -275,6 +282,14 @@
     return this.clock.sleep(this.delayMs)
   }
 
+  countBytes (method: string, from: string, to: string, bytes: number): void {
+    addTo(this.bytesOfMethod, method, bytes)
+    for (const node of [from, to]) {
+      addTo(this.bytesOfNode, node, bytes)
+      addTo(this.messagesOfNode, node, 1)
+    }
+  }
+
   noteDecision (charge: string, keeper: string): void {
     if (this.decisions.get(charge)?.keeper !== keeper) {
       this.decisions.set(charge, { keeper, atMs: this.clock.monotonicMs() })
@@ -342,3 +357,7 @@
     return worst
   }
 }
+
+function addTo (totals: Map<string, number>, key: string, amount: number): void {
+  totals.set(key, (totals.get(key) ?? 0) + amount)
+}
