--- a/src/allowances/client.ts
+++ b/src/allowances/client.ts
@@ -1,6 +1,7 @@
 /**
  * Charges requests at the keepers of their workspaces' shards, in this process or another.
  */
+import * as chargeAnswers from './charge_answer.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as keeperHosts from './keeper_host.js'
@@ -60,7 +61,7 @@
   }
 
   /** Asks the keeper once; `undefined` if no answer came in time to be valid. */
-  private async ask (charge: types.Charge): Promise<keeperHosts.ChargeAnswer | undefined> {
+  private async ask (charge: types.Charge): Promise<chargeAnswers.ChargeAnswer | undefined> {
     const { keepers, clock, timing } = this.context
     const shard = this.getShard(charge.workspace)
     if (shard === undefined) {
@@ -83,7 +84,7 @@
     return result?.caseOf({ Left: () => undefined, Right: answer => this.noteAnswer(shard, answer) })
   }
 
-  private noteAnswer (shard: number, answer: keeperHosts.ChargeAnswer): keeperHosts.ChargeAnswer {
+  private noteAnswer (shard: number, answer: chargeAnswers.ChargeAnswer): chargeAnswers.ChargeAnswer {
     if (answer.keeper !== undefined) {
       this.context.keepers.noteKeeper(shard, answer.term, answer.keeper)
     }
@@ -91,7 +92,7 @@
   }
 
   /** Returns the outcome that an answer decides, or `undefined` if the keeper must be asked again. */
-  private conclude (charge: types.Charge, answer: keeperHosts.ChargeAnswer): failures.Result<types.Grant> | undefined {
+  private conclude (charge: types.Charge, answer: chargeAnswers.ChargeAnswer): failures.Result<types.Grant> | undefined {
     if (answer.granted) {
       return failures.succeed(this.createGrant(charge))
     }
--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -2,11 +2,12 @@
  * Runs the shards of allowances in an entry process: reads and writes their keys in the store, exchanges promises
  * with other entries, and answers charges of the shards that this process keeps.
  */
+import * as chargeAnswers from './charge_answer.js'
 import * as configuration from '../contracts/configuration.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
-import * as keepers from './keeper.js'
 import * as keeperKeys from './keeper_keys.js'
+import * as keyFollowers from './key_follower.js'
 import * as links from '../links/types.js'
 import * as meters from '../metrics/types.js'
 import * as placement from './placement.js'
@@ -29,7 +30,6 @@
 const handOverTimeoutMs = 3000
 
 export type ChargeRequest = protocol.Params<'allowance.charge'>
-export type ChargeAnswer = protocol.Answer<'allowance.charge'>
 export type Settlement = protocol.Params<'allowance.settle'>
 
 /** The workspaces with their allowances, as the configuration has them. */
@@ -51,19 +51,22 @@
 
 export class KeeperHost {
   private readonly keys: keeperKeys.KeeperKeys
+  private readonly follower: keyFollowers.KeyFollower
   private readonly lease: processLeases.ProcessLease
   private readonly succession: succession.Succession
   private readonly shards: shards.Shard[] = []
   private readonly hints = new Map<number, { readonly term: number, readonly keeper: records.Member }>()
   private stopTicks: host.Stop = () => {}
-  private stopWatch: host.Stop = () => {}
-  private isStopped = false
   private isLeaseWanted = false
   private idle: (() => void) | undefined
 
   constructor (private readonly context: KeeperHostContext) {
     const { store, boot, clock, timing } = context
     this.keys = new keeperKeys.KeeperKeys(store, boot)
+    this.follower = new keyFollowers.KeyFollower({ keys: this.keys, store, clock, timing }, {
+      counted: (count, wanted) => this.createShards(count, wanted),
+      seen: (shard, keys) => this.show(shard, keys)
+    })
     this.lease = new processLeases.ProcessLease(store, clock, timing, lease => this.broadcast({ kind: 'lease', lease }))
     this.succession = new succession.Succession(boot, clock.monotonicMs(), timing)
   }
@@ -76,7 +79,7 @@
   /** Starts to work; `shardCount` counts only at the first start of the deployment. */
   start (shardCount: number): void {
     this.stopTicks = this.context.clock.every(tickMs, () => this.tick())
-    this.follow(shardCount)
+    this.follower.start(shardCount)
   }
 
   /** Hands all shards over and takes none any more. Charges still find their keepers until `stop`. */
@@ -93,9 +96,8 @@
 
   /** Ends all work of this object, without handing over. */
   stop (): void {
-    this.isStopped = true
     this.stopTicks()
-    this.stopWatch()
+    this.follower.stop()
   }
 
   /** Passes changed allowances on to the shards kept here. */
@@ -129,7 +131,7 @@
   }
 
   /** Answers a charge, of this process or another. */
-  answerCharge (request: ChargeRequest): ChargeAnswer {
+  answerCharge (request: ChargeRequest): chargeAnswers.ChargeAnswer {
     const shard = this.shards[request.shard]
     const nowMs = this.context.clock.monotonicMs()
     const charge = { id: request.charge, workspace: request.workspace, tokens: request.tokens }
@@ -140,7 +142,8 @@
     if (decision.kind === 'floor_reached') {
       this.perform(request.shard, shard.createRequests(nowMs))
     }
-    return this.createAnswer(shard.record?.term ?? 0, decision)
+    this.context.meter.count('allowance_charges_total', { outcome: decision.kind })
+    return chargeAnswers.createAnswer(decision, shard.record?.term ?? 0, this.context.timing.retryMs)
   }
 
   answerSettlement (settlement: Settlement): void {
@@ -165,7 +168,7 @@
     }
   }
 
-  private createReferral (shardNumber: number, nowMs: number): ChargeAnswer {
+  private createReferral (shardNumber: number, nowMs: number): chargeAnswers.ChargeAnswer {
     const shard = this.shards[shardNumber]
     const term = shard?.record?.term ?? 0
     const startMs = shard?.getStartMs(nowMs)
@@ -177,54 +180,10 @@
     return { granted: false, term, retryAfterMs: 0, reason: 'not_keeper', keeper }
   }
 
-  private createAnswer (term: number, decision: keepers.Decision): ChargeAnswer {
-    this.context.meter.count('allowance_charges_total', { outcome: decision.kind })
-    const refused = { granted: false, term, retryAfterMs: 0 }
-    switch (decision.kind) {
-      case 'granted':
-        return { granted: true, term, retryAfterMs: 0 }
-      case 'exhausted':
-        return { ...refused, reason: 'exhausted', retryAfterMs: decision.retryAfterMs }
-      case 'exceeds_burst':
-        return { ...refused, reason: 'exceeds_burst', burstTokens: decision.burstTokens }
-      case 'settled':
-        return { ...refused, reason: 'settled' }
-      case 'floor_reached':
-      case 'unknown_workspace':
-        return { ...refused, reason: 'not_yet', retryAfterMs: this.context.timing.retryMs }
-      default:
-        return verdicts.assertNever(decision)
-    }
-  }
-
   private getShardOf (workspace: string): shards.Shard | undefined {
     return this.shards.length === 0 ? undefined : this.shards[placement.getShard(workspace, this.shards.length)]
   }
 
-  /** Reads the keys, then follows them; starts over whenever the watch breaks. */
-  private async follow (shardCount: number): Promise<void> {
-    if (this.isStopped) {
-      return
-    }
-    const counted = await this.keys.fixCount(shardCount)
-    const loaded = counted.isRight() ? await this.keys.load() : counted
-    if (this.isStopped) {
-      return
-    }
-    if (counted.isLeft() || loaded.isLeft()) {
-      this.context.clock.after(this.context.timing.renewMs, () => this.follow(shardCount))
-      return
-    }
-    this.createShards(counted.unsafeCoerce(), shardCount)
-    this.showKeys()
-    this.stopWatch = this.context.store.watch(
-      records.keyPrefix,
-      loaded.unsafeCoerce() + 1,
-      events => this.noteEvents(events),
-      () => this.context.clock.after(this.context.timing.renewMs, () => this.follow(shardCount))
-    )
-  }
-
   private createShards (count: number, wanted: number): void {
     if (this.shards.length > 0) {
       return
@@ -240,27 +199,8 @@
     this.broadcast({ kind: 'lease', lease: this.lease.current })
   }
 
-  private noteEvents (events: readonly host.StoreEvent[]): void {
-    this.keys.apply(events)
-    const touched = new Set(events.map(event => {
-      return records.parseKey(event.kind === 'put' ? event.entry.key : event.key)?.shard
-    }))
-    for (const shard of touched) {
-      if (shard !== undefined) {
-        this.showShard(shard)
-      }
-    }
-  }
-
-  private showKeys (): void {
-    for (const shard of this.shards.keys()) {
-      this.showShard(shard)
-    }
-  }
-
-  private showShard (shard: number): void {
-    const { stored, isHeld } = this.keys.get(shard)
-    this.accept(shard, { kind: 'observed', stored, isHeld })
+  private show (shard: number, keys: keeperKeys.ShardKeys): void {
+    this.accept(shard, { kind: 'observed', stored: keys.stored, isHeld: keys.isHeld })
   }
 
   private tick (): void {
--- /dev/null
+++ b/src/allowances/key_follower.ts
@@ -0,0 +1,86 @@
+/**
+ * Follows the shards' keys in the store: reads them, watches them, and starts over whenever the watch breaks.
+ */
+import * as host from '../host/types.js'
+import * as keeperKeys from './keeper_keys.js'
+import * as records from './record.js'
+import * as timings from './timing.js'
+
+export interface FollowerContext {
+  readonly keys: keeperKeys.KeeperKeys
+  readonly store: host.Store
+  readonly clock: host.Clock
+  readonly timing: timings.KeeperTiming
+}
+
+/** What a follower reports. */
+export interface FollowerReports {
+  /** The number of shards is known; `wanted` is what this process was started with. */
+  readonly counted: (count: number, wanted: number) => void
+  /** The keys of a shard were read, or have changed. */
+  readonly seen: (shard: number, keys: keeperKeys.ShardKeys) => void
+}
+
+export class KeyFollower {
+  private count = 0
+  private isStopped = false
+  private stopWatch: host.Stop = () => {}
+
+  constructor (private readonly context: FollowerContext, private readonly reports: FollowerReports) {}
+
+  /** `wanted` is the number of shards if this is the first start of the deployment. */
+  start (wanted: number): void {
+    this.follow(wanted)
+  }
+
+  stop (): void {
+    this.isStopped = true
+    this.stopWatch()
+  }
+
+  private async follow (wanted: number): Promise<void> {
+    if (this.isStopped) {
+      return
+    }
+    const { keys, store } = this.context
+    const counted = await keys.fixCount(wanted)
+    const loaded = counted.isRight() ? await keys.load() : counted
+    if (this.isStopped) {
+      return
+    }
+    if (counted.isLeft() || loaded.isLeft()) {
+      this.followLater(wanted)
+      return
+    }
+    this.count = counted.unsafeCoerce()
+    this.reports.counted(this.count, wanted)
+    this.showAll()
+    const fromRevision = loaded.unsafeCoerce() + 1
+    this.stopWatch = store.watch(
+      records.keyPrefix, fromRevision, events => this.noteEvents(events), () => this.followLater(wanted))
+  }
+
+  private followLater (wanted: number): void {
+    this.context.clock.after(this.context.timing.renewMs, () => this.follow(wanted))
+  }
+
+  private showAll (): void {
+    for (let shard = 0; shard < this.count; shard += 1) {
+      this.reports.seen(shard, this.context.keys.get(shard))
+    }
+  }
+
+  private noteEvents (events: readonly host.StoreEvent[]): void {
+    this.context.keys.apply(events)
+    const touched = new Set<number>()
+    for (const event of events) {
+      const parsed = records.parseKey(event.kind === 'put' ? event.entry.key : event.key)
+      if (parsed !== undefined) {
+        touched.add(parsed.shard)
+      }
+    }
+    for (const shard of touched) {
+      this.reports.seen(shard, this.context.keys.get(shard))
+    }
+  }
+}
--- a/src/allowances/shard.ts
+++ b/src/allowances/shard.ts
@@ -12,12 +12,10 @@
 import * as tenures from './tenure.js'
 import * as timings from './timing.js'
 import * as types from './types.js'
+import * as upkeep from './upkeep.js'
 import * as verdicts from '../contracts/verdict.js'
 import * as writeSlots from './write_slot.js'
 
-/** Successors that did not answer may be named again after this time, in milliseconds. */
-const forgiveMs = 10_000
-
 export class Shard {
   private view: eligibility.ShardView
   private lease: shardTypes.ProcessLease | undefined
@@ -26,11 +24,9 @@
   private releasedTerm = 0
   private isLeaving = false
   private isExtended = false
-  private forgivenMs: number
 
   constructor (private readonly owner: shardTypes.ShardOwner, nowMs: number) {
     this.view = { stored: undefined, isHeld: true, vacantSinceMs: nowMs }
-    this.forgivenMs = nowMs
   }
 
   /** The keeper's state while this process is the keeper, whether or not it may decide at this moment. */
@@ -193,50 +189,24 @@
       return this.continueRelease(own, nowMs)
     }
     const actions: shardTypes.Action[] = [...this.reportExtension(own, nowMs)]
-    if (own.leaseId === undefined) {
-      actions.push(...this.reacquire(own))
-    } else {
-      actions.push(...this.nameSuccessors(own, entries, nowMs))
-    }
-    if (own.right.isHeld(nowMs)) {
-      own.updateFloors(nowMs)
-    }
+    const { self } = this.owner
+    const write = upkeep.planWrite(own, { self, entries, hasLease: this.lease !== undefined, nowMs })
+    if (write !== undefined) {
+      own.expect(write.record.successors)
+      actions.push(...this.write(write))
+    } else if (this.lease === undefined) {
+      actions.push({ kind: 'want_lease' })
+    }
+    own.updateFloors(nowMs)
     actions.push(...this.createRequests(nowMs))
     return actions
   }
 
   private reportExtension (own: tenures.Tenure, nowMs: number): readonly shardTypes.Action[] {
-    const isExtended = own.right.isHeld(nowMs) && nowMs >= own.right.getLeaseUntilMs()
-    if (isExtended === this.isExtended) {
-      return []
-    }
-    this.isExtended = isExtended
-    return isExtended ? [{ kind: 'report', change: 'extended', term: own.record.term }] : []
-  }
-
-  private reacquire (own: tenures.Tenure): readonly shardTypes.Action[] {
-    if (this.lease === undefined) {
-      return [{ kind: 'want_lease' }]
-    }
-    return this.write({ record: own.record, expectedRevision: own.revision, holder: 'put' })
-  }
-
-  private nameSuccessors (own: tenures.Tenure, entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
-    if (nowMs >= own.right.getLeaseUntilMs()) {
-      return []
-    }
-    if (nowMs - this.forgivenMs >= forgiveMs) {
-      this.forgivenMs = nowMs
-      own.forgiveOthers()
-    }
-    const successors = own.chooseSuccessors(this.owner.self, entries)
-    if (isSameSet(successors, own.record.successors)) {
-      return []
-    }
-    own.expect(successors)
-    return this.write({
-      record: { ...own.record, successors: [...successors] }, expectedRevision: own.revision, holder: 'keep'
-    })
+    const wasExtended = this.isExtended
+    this.isExtended = own.right.isHeld(nowMs) && nowMs >= own.right.getLeaseUntilMs()
+    const isNew = this.isExtended && !wasExtended
+    return isNew ? [{ kind: 'report', change: 'extended', term: own.record.term }] : []
   }
 
   private write (write: shardTypes.Write): readonly shardTypes.Action[] {
@@ -367,8 +337,3 @@
     return own === undefined ? [] : this.lose(own)
   }
 }
-
-function isSameSet (one: readonly records.Member[], other: readonly records.Member[]): boolean {
-  const nodes = new Set(one.map(member => member.node))
-  return one.length === other.length && other.every(member => nodes.has(member.node))
-}
--- a/src/allowances/tenure.ts
+++ b/src/allowances/tenure.ts
@@ -16,6 +16,9 @@
 /** How many times as often a successor that does not answer is asked. */
 const retriesPerPeriod = 4
 
+/** Successors that did not answer may be named again after this time, in milliseconds. */
+const forgiveMs = 10_000
+
 /** A request to be sent to a successor. */
 export interface Outgoing {
   readonly to: records.Member
@@ -51,12 +54,14 @@
   /** Whether the keeper has stopped for good, to hand the shard over. */
   isStopped = false
   private stored: records.StoredRecord
+  private forgivenMs: number
   private readonly ledger = new floors.FloorLedger()
   private readonly peers = new Map<string, Peer>()
   private required: readonly records.Member[] = []
 
   constructor (private readonly start: TenureStart, private readonly timing: timings.KeeperTiming) {
     this.stored = start.stored
+    this.forgivenMs = start.startedMs
     this.serveFromMs = start.serveFromMs
     this.right = new rights.Right(timing)
     this.keeper = new keepers.Keeper(start.startedMs, start.inheritance, timing)
@@ -168,8 +173,12 @@
     return chosen.map(entry => ({ node: entry.node, address: entry.address }))
   }
 
-  /** Forgets failures of entries that are not named, so that they may be tried again. */
-  forgiveOthers (): void {
+  /** Forgets, now and then, the failures of entries that are not named, so that they may be tried again. */
+  forgiveOthers (nowMs: number): void {
+    if (nowMs - this.forgivenMs < forgiveMs) {
+      return
+    }
+    this.forgivenMs = nowMs
     for (const node of [...this.peers.keys()]) {
       if (!this.required.some(member => member.node === node)) {
         this.peers.delete(node)
