--- a/tests/faults/callers.test.ts
+++ b/tests/faults/callers.test.ts
@@ -45,7 +45,7 @@
     const { standin } = deployment.fleet.getServer('prefill-a-1')
     await standin.setFaults({ stallTransfers: true })
     const exchange = deployment.complete()
-    await deployment.waitFor('a transfer is stalled', async () => (await readServer('decode-b-1')).transfers.in > 0)
+    await deployment.waitFor('a transfer is stalled', async () => (await readServer('prefill-a-1')).transfers.out > 0)
     exchange.leave()
     await deployment.waitForRelease()
     await standin.setFaults({ stallTransfers: false })
--- a/tests/faults/deployment.ts
+++ b/tests/faults/deployment.ts
@@ -165,6 +165,17 @@
     return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) }
   }
 
+  /** Gives a workspace its first key, and waits until every entry knows it. */
+  async addKey (workspace: string): Promise<void> {
+    const { status } = await this.change([{ name: `keys/${workspace}`, expectedVersion: 0, body: this.createKeyRing(workspace) }])
+    assert.equal(status, 200)
+    for (const entry of this.fleet.entries.keys()) {
+      await this.waitFor('the key is known', async () => {
+        return (await this.operate(entry, 'GET', `/admin/v1/sections/keys/${workspace}`)).status === 200
+      }, forceLimitMs)
+    }
+  }
+
   /** Withdraws the key of a workspace through an entry. */
   async withdraw (workspace: string, entry: number): Promise<void> {
     const name = `keys/${workspace}`
@@ -304,11 +315,8 @@
   private async seed (): Promise<void> {
     const bodies = new Map(this.fleet.listSections())
     for (const workspace of ['grants', 'surf']) {
-      const key = `mf-${workspace}-${crypto.randomBytes(24).toString('hex')}`
-      this.keys.set(workspace, key)
-      const hash = crypto.createHash('sha256').update(key).digest('hex')
       bodies.set(`workspaces/${workspace}`, standardWorkspace)
-      bodies.set(`keys/${workspace}`, { keys: [{ id: 'first', hash, createdAtMs: 0 }] })
+      bodies.set(`keys/${workspace}`, this.createKeyRing(workspace))
     }
     bodies.set('services/notices', {
       routes: [{ prefix: '/notices', methods: ['GET', 'POST'], open: true, idempotent: false }]
@@ -326,6 +334,13 @@
     })
   }
 
+  private createKeyRing (workspace: string): object {
+    const key = `mf-${workspace}-${crypto.randomBytes(24).toString('hex')}`
+    this.keys.set(workspace, key)
+    const hash = crypto.createHash('sha256').update(key).digest('hex')
+    return { keys: [{ id: 'first', hash, createdAtMs: 0 }] }
+  }
+
   /** Waits until every entry serves; these requests are not counted. */
   private async warm (): Promise<void> {
     for (const [entry] of this.fleet.entries.entries()) {
--- a/tests/faults/links.test.ts
+++ b/tests/faults/links.test.ts
@@ -15,7 +15,14 @@
 
   const getCut = (name: string): cuts.Cut => deployment.fleet.getServer(name).cut as cuts.Cut
 
+  /** Waits until both entries have connections to both engines that work. */
+  const waitForService = (): Promise<void> => deployment.waitFor('both entries serve', async () => {
+    const answers = await Promise.all([0, 1].map(entry => deployment.complete({ entry, tokens: 2 }).answer))
+    return answers.every(answer => answer.outcome === 'whole')
+  })
+
   async function startStreams (tokens: number): Promise<readonly callers.Exchange[]> {
+    await waitForService()
     const streams = [0, 1, 0, 1].map(entry => deployment.complete({ entry, tokens }))
     await Promise.all(streams.map(stream => stream.firstText))
     return streams
@@ -50,15 +57,22 @@
     await deployment.check()
   })
 
+  test.it('that fell silent while idle refuse nobody', async () => {
+    await waitForService()
+    getCut('prefill-a-1').silenceOpen()
+    getCut('decode-b-1').silenceOpen()
+    const answers = await Promise.all([0, 1].map(entry => deployment.complete({ entry }).answer))
+    assert.deepEqual(answers.map(({ outcome, code }) => code ?? outcome), ['whole', 'whole'])
+    await deployment.check()
+  })
+
   test.it('that stay cut past the session lease leave nothing held, and tell every caller', async () => {
     const streams = await startStreams(400)
     getCut('decode-b-1').cut()
     await deployment.waitFor('engines hold nothing', async () => await deployment.countHeldPieces() === 0)
     getCut('decode-b-1').restore()
     await assertOutcomes(streams, 'failed')
-    await deployment.waitFor('requests are served again', async () => {
-      return (await deployment.complete({ tokens: 2 }).answer).outcome === 'whole'
-    })
+    await waitForService()
     await deployment.check()
   })
 
