Look for another slot when a prefill has outlasted its promise, while its cache lasts

Cause: the time line of refused requests shows prefills that waited longer than predicted, whose decode then went to the server without the lapsed reservation and waited up to 1,100 ms there, although the engine evicts the KV cache after 800 ms: the prefill was lost and the caller refused at the end of the target. Change: an offer notes until when its room is kept; after that the decode server is chosen anew. One decode server's queue may take half of the time that the finished prefill still lasts, so that another can use the rest. Tests: both of the promised slot failed before.

--- a/src/entry/offers.ts
+++ b/src/entry/offers.ts
@@ -15,6 +15,8 @@
   readonly candidate: planner.Candidate
   readonly link: links.Link
   readonly answer: work.OfferAnswer
+  /** Monotonic time until which the room is kept, in milliseconds. */
+  readonly keptUntilMs: number
 }
 
 /** How long the second answer is waited for once the first is there, in milliseconds. */
@@ -78,10 +80,12 @@
 
   private async ask (candidate: planner.Candidate): Promise<void> {
     const link = this.servers.getLink(candidate.server)
+    const { expectedInMs, holdMs = 0 } = this.offer
+    const keptUntilMs = this.surroundings.system.clock.monotonicMs() + expectedInMs + holdMs
     const answer = await link.call('work.offer', this.offer, this.surroundings.timing.callTimeoutMs)
     answer.caseOf({
       Left: failure => this.refused(candidate, failure),
-      Right: found => this.answered({ name: candidate.name, candidate, link, answer: found })
+      Right: found => this.answered({ name: candidate.name, candidate, link, answer: found, keptUntilMs })
     })
     this.waiting -= 1
     if (this.waiting === 0) {
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -22,6 +22,9 @@
   readonly retryBudget: retryBudgets.RetryBudget
 }
 
+/** Share of a finished prefill's time that one decode server's queue may take; the rest is for another server. */
+const decodeWaitShare = 0.5
+
 /** Shortest wait that a decode is allowed in its agent's queue, in milliseconds. */
 const minimumDecodeWaitMs = 500
 
@@ -115,6 +118,7 @@
 
   private async planDecode (): Promise<failures.Result<offers.Offered>> {
     const source = this.prefilled as prefills.Prefilled
+    this.releasePromise()
     return this.keepPromise(await this.pairing.chooseDecode(source, this.avoided))
   }
 
@@ -134,7 +138,7 @@
       this.releasePromise()
       return failures.fail(prefill.extract() as failures.Failure)
     }
-    return promised ?? await this.planDecode()
+    return promised !== undefined && this.isPromiseKept() ? promised : await this.planDecode()
   }
 
   /** Notes promised room, to be given back if the request ends before using it. */
@@ -150,6 +154,11 @@
     return chosen
   }
 
+  /** Whether the promised room is still there; a prefill that took longer than expected may have outlasted it. */
+  private isPromiseKept (): boolean {
+    return this.promised !== undefined && this.nowMs < this.promised.keptUntilMs
+  }
+
   private releasePromise (): void {
     if (this.promised !== undefined) {
       this.tools.offers.release(this.promised)
@@ -178,7 +187,7 @@
   private async decode (offered: offers.Offered): Promise<failures.Result<types.Completion>> {
     const source = this.prefilled as prefills.Prefilled
     const { generation } = this.job
-    const start = this.createStart(offered, source.createDecode(generation), this.getDecodeWaitMs(offered))
+    const start = this.createStart(offered, source.createDecode(generation), this.getDecodeWaitMs(offered, source))
     const burden = { promptTokens: 0, pieces: planner.countPieces(pairings.createNeed(this.job)) }
     const endTransfer = this.tools.servers.startTransfer(source.name, offered.name)
     this.promised = undefined
@@ -281,9 +290,10 @@
     return Math.max(answer.waitMs, leftMs)
   }
 
-  private getDecodeWaitMs (offered: offers.Offered): number {
+  private getDecodeWaitMs (offered: offers.Offered, source: prefills.Prefilled): number {
     const leftMs = this.job.model.firstTokenTargetMs - (this.nowMs - this.job.receivedAtMs)
-    return Math.max(minimumDecodeWaitMs, offered.answer.waitMs, leftMs)
+    const waitMs = Math.max(minimumDecodeWaitMs, offered.answer.waitMs, leftMs)
+    return Math.min(waitMs, source.getRemainingMs(this.nowMs) * decodeWaitShare)
   }
 
   private get nowMs (): number {
--- a/src/entry/prefilled.ts
+++ b/src/entry/prefilled.ts
@@ -31,6 +31,11 @@
     return nowMs - this.finishedAtMs < keptMs
   }
 
+  /** Returns how long the KV cache will still be there, in milliseconds; without end if there is none to be lost. */
+  getRemainingMs (nowMs: number): number {
+    return this.transfer === undefined ? Number.POSITIVE_INFINITY : Math.max(0, this.finishedAtMs + keptMs - nowMs)
+  }
+
   /** Returns the decode that goes on from this prefill. */
   createDecode (generation: work.Generation): work.Task {
     return this.transfer === undefined
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -259,6 +259,28 @@
   })
 
   test.describe('the promised slot', () => {
+    test.it('is looked for again when the prefill has outlasted it', async () => {
+      world.setScript('prefill', (agent, start) => {
+        world.clock.after(5_000, () => fakes.runAtOnce(agent, start))
+        agent.emit(start.attempt, started)
+      })
+      const answered = fixture.complete({})
+      await fixture.until(() => world.listStarts('prefill').length === 1)
+      const before = world.listAgents('decode').flatMap(agent => agent.listParams('work.offer')).length
+      await world.clock.advance(5_000)
+      assert.equal((await answered).status, 200)
+      const after = world.listAgents('decode').flatMap(agent => agent.listParams('work.offer')).length
+      assert.deepEqual([before, after], [2, 4])
+      await fixture.untilIdle()
+    })
+
+    test.it('leaves time for another decode server while the prefill lasts', async () => {
+      await fixture.complete({})
+      const [{ start }] = world.listStarts('decode') as [worlds.Received]
+      assert.ok(start.maximumWaitMs <= 400, `${start.maximumWaitMs}`)
+      await fixture.untilIdle()
+    })
+
     test.it('is promised for the end of the prefill, and anew when the prefill\'s own answer moves that', async () => {
       for (const agent of world.listAgents('prefill')) {
         agent.waitMs = 1200
