Compare the gate with a naive one under generated schedules

Cause: promises tested one by one say little about their crossings.

Two faults of the gate were found and mended: a start refused in the decision in which it arrived left a failed frame that nobody would acknowledge, so that a drain waited for it; and a server that let go of a running request on its own left the attempt running for ever. A repeated start of an attempt that ran is now refused with the verdict ran instead of may_have_run. The other disagreements were faults of the naive gate.

--- a/src/agent/attempt_table.ts
+++ b/src/agent/attempt_table.ts
@@ -68,6 +68,12 @@
     this.join(attempt)
   }
 
+  /** Forgets an attempt that was not taken up after all. */
+  remove (attempt: attempts.Attempt): void {
+    this.live.delete(attempt.key)
+    this.leave(attempt)
+  }
+
   /** Records that an attempt has ended in the state that it shows. */
   end (attempt: attempts.Attempt, nowMs: number): void {
     this.live.delete(attempt.key)
--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -198,8 +198,10 @@
   /** Returns the refusal of an attempt that was seen or cancelled before, with what is known of it. */
   private findRepeated (id: work.AttemptKey): failures.Failure | undefined {
     const key = attempts.createKey(id)
-    if (this.table.getLive(key) !== undefined) {
-      return failures.createFailure('may_have_run', 'attempt_repeated', [id.attempt])
+    const live = this.table.getLive(key)
+    if (live !== undefined) {
+      const verdict = live.state === 'queued' ? 'may_have_run' : live.verdict
+      return failures.createFailure(verdict, 'attempt_repeated', [id.attempt])
     }
     const ended = this.table.getEnded(key)
     if (ended === undefined) {
--- a/src/agent/intake.ts
+++ b/src/agent/intake.ts
@@ -63,8 +63,7 @@
       return
     }
     if (attempt.deadlineMs <= nowMs) {
-      const failure = this.expire(attempt, nowMs)
-      outbox.fail(call, failure)
+      outbox.fail(call, this.retract(attempt, nowMs))
       return
     }
     outbox.record('attempt.queued', attempt)
@@ -72,13 +71,8 @@
   }
 
   /** Refuses an attempt that has waited as long as it may. */
-  expire (attempt: attempts.Attempt, nowMs: number): failures.Failure {
-    const waitMs = this.predict(attempt, nowMs)
-    const allowedMs = Math.round(attempt.deadlineMs - attempt.queuedAtMs)
-    const predictedMs = Math.round(nowMs - attempt.queuedAtMs + waitMs)
-    const failure = failures.createFailure('not_run', 'target_unreachable', [allowedMs, predictedMs], Math.max(1, waitMs))
-    this.withdraw(attempt, failure, nowMs)
-    return failure
+  expire (attempt: attempts.Attempt, nowMs: number): void {
+    this.withdraw(attempt, this.createOverdue(attempt, nowMs), nowMs)
   }
 
   /** Takes a queued attempt out of the queue; it never runs. */
@@ -95,6 +89,25 @@
     table.end(attempt, nowMs)
   }
 
+  /** Takes an attempt back that was admitted in this decision; its start is refused, so that it has no frames. */
+  private retract (attempt: attempts.Attempt, nowMs: number): failures.Failure {
+    const { scheduler, table, outbox } = this.parts
+    const failure = this.createOverdue(attempt, nowMs)
+    scheduler.dequeue(attempt)
+    attempt.state = 'cancelled'
+    table.remove(attempt)
+    table.bury(attempt.key, 'cancelled', nowMs)
+    outbox.record('attempt.refused', attempt, { code: failure.code })
+    return failure
+  }
+
+  private createOverdue (attempt: attempts.Attempt, nowMs: number): failures.Failure {
+    const waitMs = this.predict(attempt, nowMs)
+    const allowedMs = Math.round(attempt.deadlineMs - attempt.queuedAtMs)
+    const predictedMs = Math.round(nowMs - attempt.queuedAtMs + waitMs)
+    return failures.createFailure('not_run', 'target_unreachable', [allowedMs, predictedMs], Math.max(1, waitMs))
+  }
+
   private createAttempt (event: StartCall, isPromised: boolean): attempts.Attempt {
     const { scheduler, prefixes, options } = this.parts
     const { request, attempt, workspace, weight, task, maximumWaitMs } = event.params
--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -54,7 +54,7 @@
       case 'backend.failed':
         return this.fail(attempt, event.failure, event.released, event.nowMs)
       case 'backend.released':
-        return this.confirm(attempt)
+        return this.confirm(attempt, event.nowMs)
       default:
         verdicts.assertNever(event)
     }
@@ -162,7 +162,9 @@
     table.end(attempt, nowMs)
   }
 
-  private confirm (attempt: attempts.Attempt): void {
+  private confirm (attempt: attempts.Attempt, nowMs: number): void {
+    const { server } = this.parts.options
+    this.endFailed(attempt, failures.createFailure('may_have_run', 'server_failed', [server, 'it let the request go']), nowMs)
     this.release(attempt)
     this.parts.outbox.record('cancel.confirmed', attempt)
   }
--- a/tests/agent/gate_queue.test.ts
+++ b/tests/agent/gate_queue.test.ts
@@ -46,6 +46,28 @@
       driver.finish('1')
       assert.equal(driver.isLaunched('2'), false)
     })
+
+    test.it('leaves nothing behind of a start that may not wait', () => {
+      const driver = new drivers.GateDriver({}, oneSlot)
+      driver.offer('r-1', { expectedInMs: 10_000, holdMs: 100 })
+      const failure = drivers.getFailure(driver.start('2', { maximumTokens: 16 * 100, maximumWaitMs: 0 }))
+      assert.equal(failure.verdict, 'not_run')
+      assert.deepEqual([driver.getFrames('2'), driver.gate.figures.unsettled], [[], 0])
+    })
+
+    test.it('refuses a start in the same decision when its slot is kept for another', () => {
+      const driver = new drivers.GateDriver({}, { slots: 3, betweenTokensTargetMs: 28 })
+      driver.start('1', { maximumTokens: 1_000 })
+      driver.start('2', { maximumTokens: 100 })
+      for (let step = 0; step < 30; step += 1) {
+        driver.nowMs += 40
+        driver.progress('1')
+        driver.progress('2')
+      }
+      driver.finish('2')
+      assert.equal(drivers.getFailure(driver.start('3', { maximumWaitMs: 0 })).verdict, 'not_run')
+      assert.deepEqual([driver.getFrames('3'), driver.gate.figures.unsettled], [[], 2])
+    })
   })
 
   test.describe('limit', () => {
--- /dev/null
+++ b/tests/agent/naive_gate.ts
@@ -0,0 +1,423 @@
+/**
+ * A naive gate that forgets nothing and searches everything: it follows a real gate event by event and throws
+ * when an action breaks a rule. What it leaves open are refusals by predicted wait, and whether a slot is kept
+ * free while reservations exist.
+ */
+import * as assert from 'node:assert/strict'
+import * as attempts from '../../src/agent/attempt.js'
+import * as types from '../../src/agent/types.js'
+import * as work from '../../src/contracts/work.js'
+
+interface Record {
+  readonly start: work.Start
+  readonly demand: attempts.Demand
+  readonly deadlineMs: number
+  session: string
+  state: 'queued' | 'running' | 'finished' | 'cancelled'
+  verdict: string
+  frames: work.Frame[]
+  order: number
+  isPromised: boolean
+  /** Whether the server is to be told until it confirms. */
+  isAborted: boolean
+  /** Whether the entry or the end of its session gave the attempt up. */
+  isCancelled: boolean
+  /** Whether nobody may ask for the frames any more. */
+  isSettled: boolean
+  /** Whether the server has reported the end of its work. */
+  isDone: boolean
+  hasSlot: boolean
+  outputTokens: number
+  evictAtMs: number
+}
+
+type Named = work.AttemptKey
+
+export class NaiveGate {
+  readonly records = new Map<string, Record>()
+  private readonly tombstones = new Set<string>()
+  private readonly refused = new Set<string>()
+  private readonly sessions = new Set<string>()
+  private readonly reservations = new Map<string, { readonly request: string, readonly session: string, readonly lapsesAtMs: number }>()
+  private readonly counters = new Map<string, number>()
+  private holders: Record[] = []
+  private floor = 0
+  private isDraining = false
+  private nowMs = 0
+
+  constructor (private readonly options: types.GateOptions) {}
+
+  /** Checks one decision; `figures` are those of the real gate after it. */
+  follow (event: types.GateEvent, actions: readonly types.GateAction[], figures: types.GateFigures): void {
+    this.nowMs = event.nowMs
+    this.dropOverdue()
+    this.applyBefore(event)
+    for (const action of sortWithdrawalsFirst(event, actions)) {
+      this.check(action, event)
+    }
+    this.checkEnd(event, actions, figures)
+  }
+
+  getRecord (order: number): Record | undefined {
+    return this.holders.find(record => record.order === order)
+  }
+
+  private dropOverdue (): void {
+    this.holders = this.holders.filter(record => record.evictAtMs > this.nowMs)
+    for (const [id, reservation] of this.reservations) {
+      if (reservation.lapsesAtMs <= this.nowMs) {
+        this.reservations.delete(id)
+      }
+    }
+  }
+
+  /** Applies what follows from the event alone. */
+  private applyBefore (event: types.GateEvent): void {
+    switch (event.kind) {
+      case 'session.opened':
+        this.sessions.add(event.session)
+        return
+      case 'session.expired':
+        return this.expire(event.session)
+      case 'drain':
+        this.isDraining = true
+        return
+      case 'backend.progress': {
+        const record = this.getRecord(event.order)
+        if (record !== undefined) {
+          record.outputTokens += event.tokens
+          this.charge(record, event.tokens)
+        }
+        return
+      }
+      case 'backend.finished':
+      case 'backend.failed':
+      case 'backend.released':
+        this.applyEnd(event)
+    }
+  }
+
+  private applyEnd (event: Extract<types.BackendEvent, { readonly kind: 'backend.finished' | 'backend.failed' | 'backend.released' }>): void {
+    const record = this.getRecord(event.order)
+    if (record === undefined || (record.isDone && event.kind !== 'backend.released')) {
+      return
+    }
+    record.isDone = event.kind === 'backend.finished'
+    const keepsTransfer = event.kind === 'backend.finished' && event.completion.transfer !== undefined
+    const isReleased = event.kind === 'backend.released' || (event.kind === 'backend.failed' && event.released)
+    if (event.kind !== 'backend.failed' || isReleased) {
+      record.hasSlot = false
+    }
+    if (keepsTransfer) {
+      record.evictAtMs = Math.min(record.evictAtMs, this.nowMs + this.options.capacity.transferKeptMs)
+    } else if (event.kind === 'backend.finished' || isReleased) {
+      this.holders = this.holders.filter(holder => holder !== record)
+    } else {
+      record.isAborted = true
+    }
+  }
+
+  private expire (session: string): void {
+    this.sessions.delete(session)
+    for (const [id, reservation] of this.reservations) {
+      if (reservation.session === session) {
+        this.reservations.delete(id)
+      }
+    }
+    for (const record of this.records.values()) {
+      record.isSettled ||= record.session === session
+      record.isAborted ||= record.session === session
+      record.isCancelled ||= record.session === session
+    }
+  }
+
+  private check (action: types.GateAction, event: types.GateEvent): void {
+    switch (action.kind) {
+      case 'answer':
+        return this.checkAnswer(event as types.GateCall, action)
+      case 'launch':
+        return this.checkLaunch(action.order)
+      case 'abort': {
+        const record = this.getRecord(action.order)
+        assert.equal(action.fence, this.options.fence)
+        assert.equal(record?.isAborted, true, 'an abort without a cause')
+        return
+      }
+      case 'send':
+        return this.checkFrame(action.id, action.frame)
+    }
+  }
+
+  private checkAnswer (event: types.GateCall, { result }: Extract<types.GateAction, { readonly kind: 'answer' }>): void {
+    const answer = result.isLeft() ? result.extract() as { readonly code: string, readonly verdict: string } : undefined
+    const obstacle = this.findObstacle(event)
+    if (obstacle !== undefined) {
+      assert.deepEqual([answer?.code, answer?.verdict], obstacle)
+      this.noteRefusal(event, obstacle[0])
+      return
+    }
+    switch (event.kind) {
+      case 'work.start':
+        return this.checkStart(event, answer)
+      case 'work.cancel':
+        assert.deepEqual(result.extract(), this.cancel(event.params))
+        return
+      case 'work.resume':
+        assert.deepEqual(result.extract(), this.resume(event.params, event.session))
+        return
+      case 'work.release':
+        this.reservations.delete(event.params.reservation)
+        return
+      case 'work.offer':
+        this.takeOffer(event, result.extract() as work.OfferAnswer)
+    }
+  }
+
+  private findObstacle (event: types.GateCall): readonly [string, string] | undefined {
+    if ('boot' in event.params && event.params.boot !== this.options.boot) {
+      return ['server_boot_changed', 'not_run']
+    }
+    if (!this.sessions.has(event.session)) {
+      return ['session_unknown', 'not_run']
+    }
+    return event.kind === 'work.start' ? this.findStartObstacle(event.params) : this.findOfferObstacle(event)
+  }
+
+  private findOfferObstacle (event: types.GateCall): readonly [string, string] | undefined {
+    return event.kind === 'work.offer' && this.isDraining ? ['server_leaving', 'not_run'] : undefined
+  }
+
+  private findStartObstacle (start: work.Start): readonly [string, string] | undefined {
+    const key = attempts.createKey(start)
+    const record = this.records.get(key)
+    if (record !== undefined) {
+      return ['attempt_repeated', record.state === 'queued' ? 'may_have_run' : record.verdict]
+    }
+    if (this.tombstones.has(key)) {
+      return ['attempt_cancelled', 'not_run']
+    }
+    if (this.refused.has(key)) {
+      return ['attempt_repeated', 'not_run']
+    }
+    const hasRoom = this.reservations.get(start.reservation ?? '')?.request === start.request
+    if (this.isDraining && !hasRoom) {
+      return ['server_leaving', 'not_run']
+    }
+    return this.countPieces(attempts.createDemand(start.task, 0), true) > this.options.capacity.memoryPieces
+      ? ['memory_exhausted', 'not_run']
+      : undefined
+  }
+
+  private noteRefusal (event: types.GateCall, code: string): void {
+    if (event.kind !== 'work.start' || code === 'server_boot_changed') {
+      return
+    }
+    const key = attempts.createKey(event.params)
+    if (!this.records.has(key) && !this.tombstones.has(key)) {
+      this.refused.add(key)
+    }
+    if (code === 'memory_exhausted') {
+      this.useReservation(event.params)
+    }
+  }
+
+  private checkStart (event: types.CallOf<'work.start'>, failure: { readonly code: string, readonly verdict: string } | undefined): void {
+    const { params, nowMs, session } = event
+    const key = attempts.createKey(params)
+    const isPromised = this.useReservation(params)
+    if (failure !== undefined) {
+      assert.ok(['target_unreachable', 'queue_full'].includes(failure.code), failure.code)
+      assert.equal(failure.verdict, 'not_run')
+      assert.ok(this.holders.length + this.listQueued().length + this.reservations.size > 0, 'refused by an idle server')
+      this.refused.add(key)
+      return
+    }
+    const record: Record = {
+      start: params,
+      demand: attempts.createDemand(params.task, 0),
+      deadlineMs: nowMs + params.maximumWaitMs,
+      session,
+      state: 'queued',
+      verdict: 'not_run',
+      frames: [],
+      order: 0,
+      isPromised,
+      isAborted: false,
+      isCancelled: false,
+      isSettled: false,
+      isDone: false,
+      hasSlot: false,
+      outputTokens: 0,
+      evictAtMs: Number.POSITIVE_INFINITY
+    }
+    this.lift(params.workspace)
+    this.records.set(key, record)
+  }
+
+  private useReservation (start: work.Start): boolean {
+    if (this.reservations.get(start.reservation ?? '')?.request !== start.request) {
+      return false
+    }
+    return this.reservations.delete(start.reservation ?? '')
+  }
+
+  private takeOffer (event: types.CallOf<'work.offer'>, answer: work.OfferAnswer): void {
+    for (const [id, reservation] of this.reservations) {
+      if (reservation.request === event.params.request) {
+        this.reservations.delete(id)
+      }
+    }
+    if (answer.reservation !== undefined) {
+      const lapsesAtMs = this.nowMs + event.params.expectedInMs + (event.params.holdMs ?? 0)
+      this.reservations.set(answer.reservation, { request: event.params.request, session: event.session, lapsesAtMs })
+    }
+  }
+
+  private cancel (cancel: work.Cancel): work.CancelAnswer {
+    const key = attempts.createKey(cancel)
+    const record = this.records.get(key)
+    if (record === undefined) {
+      if (this.refused.has(key)) {
+        return { verdict: 'not_run', state: 'cancelled' }
+      }
+      this.tombstones.add(key)
+      return { verdict: 'not_run', state: 'unknown' }
+    }
+    if (record.state === 'queued') {
+      return { verdict: 'not_run', state: 'cancelled' }
+    }
+    if (cancel.mode === 'always') {
+      record.isAborted = true
+      record.isCancelled = true
+      record.state = record.state === 'running' ? 'cancelled' : record.state
+    }
+    return { verdict: record.verdict as work.CancelAnswer['verdict'], state: record.state }
+  }
+
+  private resume (resume: work.Resume, session: string): work.ResumeAnswer {
+    const key = attempts.createKey(resume)
+    const record = this.records.get(key)
+    if (record === undefined) {
+      return { state: this.refused.has(key) ? 'cancelled' : 'unknown', frames: [] }
+    }
+    if (record.isSettled) {
+      return { state: record.state, frames: [] }
+    }
+    record.session = session
+    return { state: record.state, frames: record.frames.slice(resume.offset) }
+  }
+
+  private checkLaunch (order: types.Order): void {
+    const record = this.records.get(attempts.createKey(order.id))
+    assert.ok(record !== undefined, 'a launch of an attempt that was not admitted')
+    assert.deepEqual([record.state, record.order, order.fence], ['queued', 0, this.options.fence])
+    assert.ok(this.listHeads().includes(record), 'a launch out of turn')
+    assert.ok(this.fits(record), 'a launch beyond slots or memory')
+    if (!record.isPromised) {
+      this.floor = Math.max(this.floor, this.getCounter(record))
+    }
+    record.state = 'running'
+    record.verdict = 'may_have_run'
+    record.order = order.order
+    record.hasSlot = true
+    this.holders.push(record)
+    this.charge(record, Math.max(1, record.demand.prefillTokens))
+  }
+
+  private checkFrame (id: Named, frame: work.Frame): void {
+    const record = this.records.get(attempts.createKey(id)) as Record
+    assert.equal(frame.offset, record.frames.length, 'a gap between frames')
+    const last = record.frames.at(-1)?.kind
+    assert.ok(last !== 'finished' && last !== 'failed', 'a frame after the end')
+    record.frames.push(frame)
+    switch (frame.kind) {
+      case 'started':
+        return
+      case 'text':
+        assert.equal(record.state, 'running')
+        record.verdict = 'ran'
+        return
+      case 'finished':
+        record.state = 'finished'
+        record.verdict = 'ran'
+        return
+      case 'failed':
+        assert.equal(frame.failure.verdict === 'not_run', record.order === 0, 'a wrong verdict')
+        record.verdict = frame.failure.verdict
+        record.state = record.order === 0 || record.isCancelled ? 'cancelled' : 'finished'
+    }
+  }
+
+  /** The real gate must not leave undone what the naive one would do. */
+  private checkEnd (event: types.GateEvent, actions: readonly types.GateAction[], figures: types.GateFigures): void {
+    for (const record of this.listQueued()) {
+      assert.ok(record.deadlineMs > this.nowMs, 'an attempt waits too long')
+      assert.ok(this.sessions.has(record.session), 'an attempt outlives its session')
+    }
+    const mayStart = event.kind !== 'backend.progress' && event.kind !== 'work.acknowledge' && this.reservations.size === 0
+    const heads = this.listHeads()
+    const isBlocked = heads.length === 0 || heads.some(head => !this.fits(head))
+    assert.ok(!mayStart || isBlocked, 'a slot is left idle')
+    const held = this.holders.reduce((sum, record) => sum + this.countPieces(record.demand, false, record.outputTokens), 0)
+    assert.deepEqual([figures.held, figures.holders, figures.reservations], [held, this.holders.length, this.reservations.size])
+    assert.ok(figures.held >= 0 && figures.held <= figures.total && figures.expected <= figures.total)
+    assert.equal(actions.filter(action => action.kind === 'answer').length, 'call' in event ? 1 : 0)
+  }
+
+  private listQueued (): Record[] {
+    return [...this.records.values()].filter(record => record.state === 'queued')
+  }
+
+  /** The attempts whose turn it may be: a promised one, or the first of a workspace served least. */
+  private listHeads (): Record[] {
+    const queued = this.listQueued()
+    const promised = queued.find(record => record.isPromised)
+    if (promised !== undefined) {
+      return [promised]
+    }
+    const least = Math.min(...queued.map(record => this.getCounter(record)))
+    const served = queued.filter(record => this.getCounter(record) === least)
+    return served.filter(record => queued.find(other => other.start.workspace === record.start.workspace) === record)
+  }
+
+  private fits (record: Record): boolean {
+    const running = this.holders.filter(holder => holder.hasSlot)
+    const expected = this.holders.reduce((sum, holder) => {
+      return sum + this.countPieces(holder.demand, holder.hasSlot, holder.outputTokens)
+    }, 0)
+    const { slots, memoryPieces } = this.options.capacity
+    return running.length < slots && expected + this.countPieces(record.demand, true) <= memoryPieces
+  }
+
+  private countPieces (demand: attempts.Demand, isWhole: boolean, outputTokens = 0): number {
+    const grown = isWhole ? demand.maximumTokens : Math.min(demand.maximumTokens, outputTokens)
+    return Math.ceil((demand.promptTokens + grown) / this.options.capacity.pieceTokens)
+  }
+
+  private getCounter (record: Record): number {
+    return this.counters.get(record.start.workspace) ?? 0
+  }
+
+  private charge (record: Record, tokens: number): void {
+    this.counters.set(record.start.workspace, this.getCounter(record) + tokens / record.start.weight)
+  }
+
+  /** A workspace without a queue starts from the least served one that has one. */
+  private lift (workspace: string): void {
+    const queued = this.listQueued().filter(record => !record.isPromised)
+    if (queued.some(record => record.start.workspace === workspace)) {
+      return
+    }
+    const least = queued.length === 0 ? this.floor : Math.min(...queued.map(record => this.getCounter(record)))
+    this.counters.set(workspace, Math.max(this.counters.get(workspace) ?? 0, least))
+  }
+}
+
+/** An attempt that gives way to a start leaves the queue before the start enters it. */
+function sortWithdrawalsFirst (event: types.GateEvent, actions: readonly types.GateAction[]): readonly types.GateAction[] {
+  if (event.kind !== 'work.start') {
+    return actions
+  }
+  const isWithdrawal = (action: types.GateAction): boolean => action.kind === 'send' && action.frame.kind === 'failed'
+  return [...actions.filter(isWithdrawal), ...actions.filter(action => !isWithdrawal(action))]
+}
