--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -122,9 +122,14 @@
   surroundings: types.Surroundings,
   overloadSignal: overload.OverloadSignal = new overload.InFlightSignal(surroundings.limits.requestsInFlight)
 ): Entry {
+  return new Entry(surroundings, createTools(surroundings), overloadSignal)
+}
+
+/** Creates what the requests of an entry share. */
+export function createTools (surroundings: types.Surroundings): serviceRuns.Tools {
   const known = new servers.Servers(surroundings)
   const claims = new claimStores.Claims(surroundings)
-  const tools: serviceRuns.Tools = {
+  return {
     surroundings,
     attempts: new attempts.Attempts(),
     cancels: new cancels.Cancels(surroundings),
@@ -134,5 +139,4 @@
     claims,
     inquiries: new inquiries.Inquiries(surroundings, claims)
   }
-  return new Entry(surroundings, tools, overloadSignal)
 }
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -339,6 +339,16 @@
     })
   })
 
+  test.describe('an allowance that is used up', () => {
+    test.it('is told with the time to come back, and nothing runs', async () => {
+      fixture.allowances.refusal = failures.createFailure('not_run', 'allowance_exhausted', ['a'], 2500)
+      const answer = await fixture.complete({})
+      assert.deepEqual(fixtures.readFailure(answer), [429, 'allowance_exhausted', 'not_run'])
+      assert.equal(answer.headers['retry-after'], '3')
+      assert.deepEqual(world.listStarts(''), [])
+    })
+  })
+
   test.describe('retries', () => {
     test.it('stay within a share of the requests when every decode fails', async () => {
       const failure = failures.createFailure('ran', 'server_failed', ['s', 'x'])
--- a/tests/entry/fake_agents.ts
+++ b/tests/entry/fake_agents.ts
@@ -84,6 +84,14 @@
     this.link.deliver('work.frames', { request: key.request, attempt: key.attempt, frames })
   }
 
+  /** Cancels everything, as when the entry has not been heard for the session lease; nothing is forgotten. */
+  expire (): void {
+    for (const held of this.attempts.values()) {
+      held.state = held.state === 'finished' ? 'finished' : 'cancelled'
+    }
+    this.reservations.clear()
+  }
+
   restart (boot: string): void {
     this.boot = boot
     this.attempts.clear()
--- a/tests/entry/fixture.ts
+++ b/tests/entry/fixture.ts
@@ -13,9 +13,10 @@
 import * as random from '../../src/host/seeded_random.js'
 import * as settings from '../../src/contracts/settings.js'
 import * as timeline from '../../src/timeline/types.js'
+import * as types from '../../src/entry/types.js'
 import * as worlds from './world.js'
 
-class ErrorLog extends host.Log {
+export class ErrorLog extends host.Log {
   readonly errors: string[] = []
 
   override info (): void {}
@@ -27,7 +28,7 @@
 }
 
 /** Grants everything, or fails as told, and remembers what was settled. */
-class FakeAllowances extends allowances.Allowances {
+export class FakeAllowances extends allowances.Allowances {
   refusal: failures.Failure | undefined
   private delayed: Promise<void> | undefined
   readonly charged: allowances.Charge[] = []
@@ -52,6 +53,30 @@
   }
 }
 
+interface Options {
+  readonly allowances: FakeAllowances
+  readonly log: host.Log
+  readonly limits: Partial<settings.Limits>
+  readonly seed: number
+}
+
+export function createSurroundings (world: worlds.World, options: Options): types.Surroundings {
+  const { allowances, limits, log, seed } = options
+  return {
+    identity: { node: `entry${seed}`, boot: 'b', role: 'entry', zone: 'z', region: 'local' },
+    system: { clock: world.clock, random: new random.SeededRandom(seed), log },
+    configuration: world.document,
+    links: world.pool,
+    allowances,
+    store: world.store,
+    storePrefix: '/t/',
+    limits: settings.Limits.parse(limits),
+    timing: settings.Timing.parse({}),
+    meter: new metrics.SilentMeter(),
+    recorder: new timeline.SilentRecorder()
+  }
+}
+
 export interface Request {
   readonly method?: string
   readonly path: string
@@ -78,19 +103,8 @@
     world = new worlds.World(), limits: Partial<settings.Limits> = {}, seed = 1
   ): Promise<Fixture> {
     const fixture = new Fixture(world)
-    fixture.entry = entries.createEntry({
-      identity: { node: `entry${seed}`, boot: 'b', role: 'entry', zone: 'z', region: 'local' },
-      system: { clock: world.clock, random: new random.SeededRandom(seed), log: fixture.log },
-      configuration: world.document,
-      links: world.pool,
-      allowances: fixture.allowances,
-      store: world.store,
-      storePrefix: '/t/',
-      limits: settings.Limits.parse(limits),
-      timing: settings.Timing.parse({}),
-      meter: new metrics.SilentMeter(),
-      recorder: new timeline.SilentRecorder()
-    })
+    const { allowances, log } = fixture
+    fixture.entry = entries.createEntry(createSurroundings(world, { allowances, log, limits, seed }))
     fixture.entry.server.listen(0, '127.0.0.1')
     await events.EventEmitter.once(fixture.entry.server, 'listening')
     return fixture
