Probe a connection that was idle before it is used

Cause: heartbeats run only while work is under way, so a connection that fell silent while idle was noticed only when the first call on it had been silent for 1.5 s; that call, an offer, failed, and the request was refused with no_server although the server was well. Ruled out: the passing over of failed servers (it ends when the link opens again), and the forwarder (new connections passed).

Change: a link that has become busy and has heard nothing for a heartbeat's period pings first, and replaces the connection if nothing arrives within 200 ms. A busy link is not probed; its heartbeats watch it.

Before: tests/faults/links 'that fell silent while idle refuse nobody' got no_server twice out of two requests, in each of two runs. After: both answered whole. A connection that falls silent within a heartbeat's period after its last use is still noticed only by the silence limit.

--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -25,6 +25,8 @@
 
 /** Heartbeats sent during a session lease on a connection on which the other end talks. */
 const beatsPerLease = 4
+/** How long a connection that was idle may take to answer before it is replaced, in milliseconds. */
+const probeTimeoutMs = 200
 
 type Opening = Promise<failures.Result<connections.Connection>>
 
@@ -32,6 +34,7 @@
   private readonly session: string
   private connection: connections.Connection | undefined
   private opening: Opening | undefined
+  private probing: Opening | undefined
   private remoteIdentity: identities.Identity | undefined
   private holds = 0
   private busySinceMs = 0
@@ -119,9 +122,37 @@
       return Promise.resolve(failures.fail(this.createLoss()))
     }
     if (this.connection?.isOpen === true) {
-      return Promise.resolve(failures.succeed(this.connection))
+      return this.isFresh(this.connection) ? Promise.resolve(failures.succeed(this.connection)) : this.probe(this.connection)
     }
     this.connection?.terminate()
+    return this.openAnew()
+  }
+
+  /** Whether something was heard since the link was last idle, or shortly before its work began. */
+  private isFresh (connection: connections.Connection): boolean {
+    return connection.lastHeardMs + this.context.timing.heartbeatMs > this.busySinceMs
+  }
+
+  /** Uses a connection that was idle once it has answered; replaces it if it does not. */
+  private probe (connection: connections.Connection): Opening {
+    this.probing ??= this.probeOrReplace(connection).finally(() => {
+      this.probing = undefined
+    })
+    return this.probing
+  }
+
+  private async probeOrReplace (connection: connections.Connection): Opening {
+    if (await connection.probe(probeTimeoutMs)) {
+      return failures.succeed(connection)
+    }
+    if (this.connection === connection) {
+      this.connection = undefined
+    }
+    connection.terminate()
+    return await this.open()
+  }
+
+  private openAnew (): Opening {
     this.opening ??= this.connect().finally(() => {
       this.opening = undefined
     })
--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -41,6 +41,7 @@
 export class Connection {
   private readonly rpc: jsonrpc.JSONRPCClient
   private readonly losses = new Set<() => void>()
+  private readonly hearings = new Set<() => void>()
   private heardAtMs: number
   private sentAtMs: number
   private closed = false
@@ -149,6 +150,24 @@
     this.finish()
   }
 
+  /** Sends a heartbeat and tells whether anything arrives within `timeoutMs`. */
+  probe (timeoutMs: number): Promise<boolean> {
+    return new Promise(resolve => {
+      const settle = (isHeard: boolean): void => {
+        stopTimer()
+        this.hearings.delete(hear)
+        this.losses.delete(lose)
+        resolve(isHeard)
+      }
+      const hear = (): void => settle(true)
+      const lose = (): void => settle(false)
+      const stopTimer = this.context.clock.after(timeoutMs, lose)
+      this.hearings.add(hear)
+      this.losses.add(lose)
+      this.ping()
+    })
+  }
+
   private finish (): void {
     if (this.closed) {
       return
@@ -162,6 +181,9 @@
 
   private hear (): void {
     this.heardAtMs = this.context.clock.monotonicMs()
+    for (const hearing of [...this.hearings]) {
+      hearing()
+    }
     this.events.heard()
   }
 
