Fault tests on real processes, and the tool that proves the twelve points

tests/faults runs the daemons beside the stand-ins and counts at the end of every test: answers given twice, lost or wrong, pieces held 2 s after the callers left, keys seen by servers, calls that ran twice, false not_run. npm run prove runs them and the model check and prints a line for each point; npm test runs the fault tests by the same tool, which passes over what KNOWN-RED.txt lists and prints it. docs/PROOFS.md is made from the same table.

--- a/tests/faults/drains.test.ts
+++ b/tests/faults/drains.test.ts
@@ -70,6 +70,11 @@
   })
 
   test.it('of an entry during a store outage cuts no request', async () => {
+    await deployment.waitFor('the restarted entry serves', async () => {
+      const answers = await Promise.all([0, 1].map(entry => deployment.complete({ entry, tokens: 2 }).answer))
+      return answers.every(answer => answer.outcome === 'whole')
+    })
+    await deployment.check()
     await deployment.fleet.store.setFaults({ outage: 'hang' })
     const streams = deployment.completeAll(4, { entry: 0, tokens: 80 })
     await Promise.all(streams.map(stream => stream.firstText))
--- a/tests/faults/links.test.ts
+++ b/tests/faults/links.test.ts
@@ -1,9 +1,13 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
+import * as timers from 'node:timers/promises'
 import * as cuts from '../../tools/cut.js'
 import * as callers from './caller.js'
 import * as deployments from './deployment.js'
 
+/** Longer than the period of heartbeats, in milliseconds. */
+const idleMs = 1_000
+
 test.describe('Connections between entries and agents', () => {
   let deployment: deployments.Deployment
 
@@ -59,6 +63,7 @@
 
   test.it('that fell silent while idle refuse nobody', async () => {
     await waitForService()
+    await timers.setTimeout(idleMs)
     getCut('prefill-a-1').silenceOpen()
     getCut('decode-b-1').silenceOpen()
     const answers = await Promise.all([0, 1].map(entry => deployment.complete({ entry }).answer))
--- /dev/null
+++ b/tools/proof_page.ts
@@ -0,0 +1,35 @@
+/**
+ * The page `docs/PROOFS.md`, made from the table of the points.
+ */
+import * as proofTable from './proof_table.js'
+
+const heading = `# What must always hold, and what shows it
+
+This page is made from the table in \`tools/proof_table.ts\` (\`npm run prove\`); a test fails when it is out of date.
+\`npm run prove\` runs the tests and the model check and prints for each point whether it is proved, red as listed in
+\`KNOWN-RED.txt\`, or not proved. Fault tests run the daemons as separate processes beside small stand-ins of the engines,
+the plain service, the store and the list of VMs. At the end of each, these counts must be 0: answers given twice, answers
+lost, wrong texts, pieces of engine memory held 2 s after all callers have left, keys seen by a server, calls that ran
+twice, and false refusals "not run".
+
+`
+
+export function createPage (): string {
+  return heading + proofTable.points.map((point, index) => createSection(point, index + 1)).join('\n')
+}
+
+function createSection (point: proofTable.Point, number: number): string {
+  const tests = point.tests.map(test => `  - \`tests/${test.file}.test.ts\`: ${test.name}`)
+  const properties = point.properties.map(property => `  - ${property}`)
+  return [
+    `## ${number}. ${point.title}`,
+    '',
+    `- Mechanism: ${point.mechanism}.`,
+    `- Faults tried: ${point.faults}.`,
+    '- Tests (by the beginning of their names):',
+    ...tests,
+    ...(properties.length === 0 ? ['- Model: none.'] : ['- Properties of the model:', ...properties]),
+    `- Not proved: ${point.unproved}.`,
+    ''
+  ].join('\n')
+}
--- /dev/null
+++ b/tools/proof_table.ts
@@ -0,0 +1,153 @@
+/**
+ * The twelve points that must always hold, with what proves each.
+ */
+
+/** A test by its file below `tests/`, without ending, and the beginning of its full name. */
+export interface ProofTest {
+  readonly file: string
+  readonly name: string
+}
+
+export interface Point {
+  readonly title: string
+  readonly mechanism: string
+  readonly faults: string
+  readonly tests: readonly ProofTest[]
+  /** Properties of the models, as `npm run check:model` prints them. */
+  readonly properties: readonly string[]
+  /** What the tests and the model do not show. */
+  readonly unproved: string
+}
+
+function list (file: string, suite: string, names: readonly string[]): ProofTest[] {
+  return names.map(name => ({ file: `faults/${file}`, name: `${suite} > ${name}` }))
+}
+
+const path = (...names: readonly string[]): ProofTest[] => list('path', 'The whole path', names)
+const callers = (...names: readonly string[]): ProofTest[] => list('callers', 'Callers that leave', names)
+const crashes = (...names: readonly string[]): ProofTest[] => list('crashes', 'Processes that die or freeze', names)
+const links = (...names: readonly string[]): ProofTest[] => list('links', 'Connections between entries and agents', names)
+const store = (...names: readonly string[]): ProofTest[] => list('store', 'The platform\'s store', names)
+const retries = (...names: readonly string[]): ProofTest[] => list('retries', 'Calls that may not be repeated', names)
+const drains = (...names: readonly string[]): ProofTest[] => list('drains', 'Graceful shutdown', names)
+const allowances = (...names: readonly string[]): ProofTest[] => list('allowances', 'Rate and burst over all entries', names)
+
+export const points: readonly Point[] = [
+  {
+    title: 'No engine memory stays held by requests whose callers are gone',
+    mechanism: 'Cancels repeated until the agent confirms them; tombstones; the session lease of a dead or frozen entry',
+    faults: 'callers leaving in the queue, in prefill, in a stalled transfer and in decode; an entry killed or frozen; connections cut or silent',
+    tests: [
+      ...callers('during prefill', 'in the queue', 'during a stalled transfer', 'during decode', 'all at once'),
+      ...crashes('an entry killed', 'an entry frozen past its session lease'),
+      ...links('that stay cut', 'that are silent for callers')
+    ],
+    properties: ['no memory held after the entry left'],
+    unproved: 'After the death or silence of an entry memory is free after the session lease, which is longer than 2 s'
+  },
+  {
+    title: 'No request is answered twice',
+    mechanism: 'Frames carry request, attempt and offset; what does not fit is dropped',
+    faults: 'connections reset and silent, once and twice; an agent, an engine or an entry killed; an entry frozen',
+    tests: [
+      ...links('that are reset', 'that fall silent for good', 'that fall silent twice'),
+      ...crashes('an agent killed', 'an engine killed', 'an entry frozen past its session lease')
+    ],
+    properties: ['no second answer', 'no attempt starts twice'],
+    unproved: 'Frames duplicated by the network below TCP'
+  },
+  {
+    title: 'Apart from open routes, a request runs only for the workspace whose key came with it',
+    mechanism: 'The entry finds the workspace by the key\'s hash; agents queue, charge and count by that workspace',
+    faults: 'two workspaces at once through both entries; no key; a withdrawn key',
+    tests: path('calls a plain service once', 'gives each of two workspaces', 'refuses a withdrawn key'),
+    properties: [],
+    unproved: 'A process that holds the deployment\'s credential can name any workspace'
+  },
+  {
+    title: 'No backend server ever sees a caller\'s key',
+    mechanism: 'The entry removes the key before anything is planned; agents pass on a fixed list of headers',
+    faults: 'counted at the end of every fault test from all headers that the stand-ins recorded',
+    tests: [...path('streams the whole text', 'calls a plain service once'), ...links('that are cut in the middle of a call')],
+    properties: [],
+    unproved: 'A key that the caller puts into the body of its request'
+  },
+  {
+    title: 'A withdrawn key stops working within seconds',
+    mechanism: 'Entries watch the store, tell each other versions, and end the streams of a withdrawn key',
+    faults: 'streams under way; withdrawal just before a store outage; an entry replaced during it; stale reads',
+    tests: [...path('refuses a withdrawn key'), ...store('that goes down just after a key was withdrawn')],
+    properties: ['a version never goes back', 'not ready with an old version'],
+    unproved: 'An entry cut off from the store and from all peers'
+  },
+  {
+    title: 'No workspace gets more than its rate and burst across all VMs',
+    mechanism: 'One keeper per shard under a lease, with promises of its successors while the store is down',
+    faults: 'a burst through both entries; the store down; a keeper frozen past its lease, or killed while the store is down',
+    tests: allowances('hold for a burst', 'hold while the store is down', 'hold when entry-a-1', 'hold when entry-b-1', 'hold when an entry is killed'),
+    properties: ['never two rights, 2 members', 'never two rights, 3 members', 'never two rights, finer time', 'grants are accepted in the order of terms'],
+    unproved: 'Clocks whose rates differ by more than the assumed drift'
+  },
+  {
+    title: 'A caller gets the whole answer to its own request',
+    mechanism: 'Offsets, resumption by a session that outlives its connection, an explicit error when the answer cannot be whole',
+    faults: 'connections reset and silent; an agent and an engine killed; two workspaces at once',
+    tests: [
+      ...path('streams the whole text', 'answers whole and as chat', 'gives each of two workspaces'),
+      ...links('that are reset', 'that fall silent for good', 'that fall silent twice', 'that fell silent while idle'),
+      ...crashes('an agent killed', 'an engine killed')
+    ],
+    properties: ['no second answer'],
+    unproved: 'Whether a non-streamed answer survives the death of its engine: it is refused'
+  },
+  {
+    title: 'A refusal that says "not run" is true',
+    mechanism: 'Only the agent decides not_run; it keeps a tombstone, and refuses what is addressed to an earlier boot',
+    faults: 'calls cut in the middle; servers that lose answers; an agent or an engine killed; counted at the end of every fault test',
+    tests: [
+      ...links('that are cut in the middle of a call'),
+      ...retries('run once when the server loses', 'run at most once when the store'),
+      ...crashes('an agent killed', 'an engine killed')
+    ],
+    properties: ['no start after the verdict not_run'],
+    unproved: 'Completions are counted by text that callers got, not by engine work that was thrown away'
+  },
+  {
+    title: 'A non-idempotent request runs at most once',
+    mechanism: 'Claims of Idempotency-Keys in the store; nothing is resent unless the agent decided not_run',
+    faults: 'answers lost by server, caller and entry; a repeat through another entry, also with the server leaving; the store down',
+    tests: [
+      ...retries('run once when the caller repeats', 'run once when the server loses', 'run once when the first answer', 'run once when the entry dies', 'run at most once'),
+      ...links('that are cut in the middle of a call')
+    ],
+    properties: ['no attempt starts twice'],
+    unproved: 'Repeats after the time for which a claim is kept'
+  },
+  {
+    title: 'A backend server that is leaving gets no new work after a few seconds',
+    mechanism: 'The agent refuses new work as not_run and says so on every link; the configuration and the list of VMs follow',
+    faults: 'a list of VMs that lags by a minute; traffic through both entries',
+    tests: drains('of the agent of decode', 'of the agent of prefill', 'announced by the configuration'),
+    properties: [],
+    unproved: 'Several servers leaving at once'
+  },
+  {
+    title: 'A graceful shutdown cuts no request',
+    mechanism: 'An entry turns unready, outlasts the balancer and finishes its streams; an agent finishes its attempts',
+    faults: 'traffic; the store down; connections that fall silent meanwhile',
+    tests: [
+      ...drains('of the agent of decode', 'of the agent of prefill', 'of an entry under traffic', 'of an entry during a store outage'),
+      ...links('that fall silent while the agent drains')
+    ],
+    properties: [],
+    unproved: 'Streams longer than the drain limit of the settings'
+  },
+  {
+    title: 'An accepted configuration is in force everywhere within seconds and never reverts',
+    mechanism: 'One transaction per change, an operation id, versions on every message, peers as a source',
+    faults: 'lost answers; racing operators through two entries; one without the right; the store down just after a change, with an entry replaced and stale reads',
+    tests: store('that loses the answer', 'takes one of several', 'takes nothing from a team', 'that goes down just after'),
+    properties: ['a version never goes back', 'an accepted change is kept, a refused one is not there', 'not ready with an old version'],
+    unproved: 'An entry cut off from the store and from all peers for longer than 10 s'
+  }
+]
