Ask again for offers that a silent connection swallowed

Links that had gone silent while idle made every offer time out, and the entry refused with no_server; it now asks once more, over the connections that replace them. Time already lost no longer counts in admission: a caller that comes back would wait longer still. 'that fell silent while idle refuse nobody' failed before (no_server, then target_unreachable) and passes.

npm test: 432 of 432 unit tests, 45 of 47 fault tests pass. Red, and not of the entry: 'hold when an entry is killed with tokens in hand while the store is down' (keeper_unavailable), and 'that goes down just after a key was withdrawn ...', whose check counts the text of a refusal as a second answer.

--- a/src/entry/offers.ts
+++ b/src/entry/offers.ts
@@ -53,6 +53,8 @@
 class Round {
   private readonly offered: Offered[] = []
   private readonly refusals: failures.Failure[] = []
+  /** Candidates whose call went out and had no answer. */
+  private readonly unanswered: planner.Candidate[] = []
   private isOver = false
   private settle: () => void = () => {}
   private waiting = 0
@@ -64,7 +66,20 @@
     private readonly getCost: (offered: Offered) => number
   ) {}
 
+  /**
+   * Asks once more where no answer came from anybody: a connection that had gone silent while idle has been
+   * replaced by then.
+   */
   async run (candidates: readonly planner.Candidate[]): Promise<failures.Result<Offered>> {
+    await this.askAll(candidates)
+    if (this.offered.length === 0) {
+      await this.askAll(this.unanswered.splice(0))
+    }
+    this.isOver = true
+    return this.takeBest()
+  }
+
+  private async askAll (candidates: readonly planner.Candidate[]): Promise<void> {
     this.waiting = candidates.length
     if (candidates.length > 0) {
       await new Promise<void>(resolve => {
@@ -74,8 +89,6 @@
         }
       })
     }
-    this.isOver = true
-    return this.takeBest()
   }
 
   private async ask (candidate: planner.Candidate): Promise<void> {
@@ -118,6 +131,9 @@
 
   private refused (candidate: planner.Candidate, failure: failures.Failure): void {
     this.refusals.push(failure)
+    if (failure.verdict === 'may_have_run') {
+      this.unanswered.push(candidate)
+    }
     if (failure.code === 'server_leaving') {
       this.servers.picture.noteLeaving(candidate.name)
       return
--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -151,7 +151,6 @@
     }
     const unloadedMs = this.need.promptTokens / prefill.candidate.server.prefillTokensPerSecond * 1000 + transferMs
     return planner.checkAdmission({
-      elapsedMs: this.nowMs - this.job.receivedAtMs,
       prefillWaitMs: prefill.answer.waitMs,
       prefillServiceMs: prefill.answer.serviceMs,
       transferMs,
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -286,8 +286,7 @@
     const { answer, candidate } = pair.prefill
     const unloadedMs = this.job.generation.promptTokens / candidate.server.prefillTokensPerSecond * 1000 + pair.transferMs
     const dueMs = planner.getFirstTokenDeadlineMs(this.job.model.firstTokenTargetMs, unloadedMs)
-    const leftMs = dueMs - (this.nowMs - this.job.receivedAtMs) - answer.serviceMs - pair.transferMs
-    return Math.max(answer.waitMs, leftMs)
+    return Math.max(answer.waitMs, dueMs - answer.serviceMs - pair.transferMs)
   }
 
   private getDecodeWaitMs (offered: offers.Offered, source: prefills.Prefilled): number {
--- a/src/entry/planner.ts
+++ b/src/entry/planner.ts
@@ -131,8 +131,6 @@
 
 /** A prediction of the first token, from the answers of both agents. */
 export interface Prediction {
-  /** From the arrival of the request until now, in milliseconds. */
-  readonly elapsedMs: number
   readonly prefillWaitMs: number
   readonly prefillServiceMs: number
   readonly transferMs: number
@@ -150,10 +148,13 @@
   return Math.max(targetMs, unloadedMs * (1 + longPromptSlack))
 }
 
-/** Returns the refusal of a request whose first token would be late, with the time until it would not be. */
+/**
+ * Returns the refusal of a request whose first token would be late, with the time until it would not be. Only
+ * what lies ahead counts: time already lost would not come back to a caller that returns later.
+ */
 export function checkAdmission (prediction: Prediction, targetMs: number): failures.Failure | undefined {
   const dueMs = getFirstTokenDeadlineMs(targetMs, prediction.unloadedMs)
-  const predictedMs = prediction.elapsedMs + prediction.prefillWaitMs + prediction.prefillServiceMs +
+  const predictedMs = prediction.prefillWaitMs + prediction.prefillServiceMs +
     prediction.transferMs + prediction.decodeWaitMs + prediction.stepMs
   if (predictedMs <= dueMs) {
     return undefined
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -388,6 +388,12 @@
       await fixture.untilIdle()
     })
 
+    test.it('are not made for connections that had gone silent, once they are replaced', async () => {
+      world.lose('prefill', 'work.offer', 'call', 2)
+      world.lose('decode', 'work.offer', 'answer', 2)
+      assert.equal((await fixture.complete({})).status, 200)
+    })
+
     test.it('say not_run when no server can be reached', async () => {
       for (const link of world.pool.list()) {
         link.isOpen = false
