Give each fleet a loopback network of its own

Cause: a fleet finds free ports first and its daemons listen on them later; all fleets used the addresses from 127.0.0.2 on, so that two that start together could be given the same port. Seen once in about ten starts beside other fleets: EADDRINUSE on 127.0.0.2:35127, with the whole file of tests cancelled.

Change: the network is made from the launcher's process number. Ruled out: leftovers of an earlier fleet (the port was another process's, chosen by the kernel).

--- a/tools/fleet_plan.ts
+++ b/tools/fleet_plan.ts
@@ -71,7 +71,10 @@
 const firstHost = 2
 const hostsPerNetwork = 250
 
-/** Names the VMs of a plan and gives each an address of its own in 127.0.0.0/16, other than 127.0.0.1. */
+/**
+ * Names the VMs of a plan and gives each a loopback address of its own, in a network that fleets of other
+ * processes do not use: a port that is free now must still be free when its daemon listens.
+ */
 export function listVms (plan: FleetPlan): VmList {
   const entries: Vm[] = []
   const servers: ServerVm[] = []
@@ -115,5 +118,6 @@
 }
 
 function formatHost (index: number): string {
-  return `127.0.${Math.floor(index / hostsPerNetwork)}.${firstHost + index % hostsPerNetwork}`
+  const network = Math.floor(process.pid / hostsPerNetwork) + Math.floor(index / hostsPerNetwork)
+  return `127.${1 + process.pid % hostsPerNetwork}.${network % hostsPerNetwork}.${firstHost + index % hostsPerNetwork}`
 }
