Take the time for a probe from the silence limit, and test the probe

The probe was longer than the silence limit of short settings. The test fails without the probe: the call then ends with may_have_run at the silence limit.

--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -25,8 +25,8 @@
 
 /** Heartbeats sent during a session lease on a connection on which the other end talks. */
 const beatsPerLease = 4
-/** How long a connection that was idle may take to answer before it is replaced, in milliseconds. */
-const probeTimeoutMs = 200
+/** Share of the silence limit within which a connection that was idle must answer before it is replaced. */
+const probeShare = 1 / 8
 
 type Opening = Promise<failures.Result<connections.Connection>>
 
@@ -142,7 +142,7 @@
   }
 
   private async probeOrReplace (connection: connections.Connection): Opening {
-    if (await connection.probe(probeTimeoutMs)) {
+    if (await connection.probe(this.context.timing.silenceMs * probeShare)) {
       return failures.succeed(connection)
     }
     if (this.connection === connection) {
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as net from 'node:net'
 import * as test from 'node:test'
+import * as timers from 'node:timers/promises'
 import * as clientLinks from '../../src/links/client_link.js'
 import * as failures from '../../src/contracts/failure.js'
 import * as identities from '../../src/contracts/identity.js'
@@ -258,6 +259,20 @@
     })
   })
 
+  test.describe('a connection that fell silent while idle', () => {
+    test.it('is replaced before it is used', async () => {
+      const ends = await connect()
+      await ends.link.call('status.read', {}, 1000)
+      await timers.setTimeout(2 * timing.heartbeatMs)
+      ends.forwarder.silence()
+      const answer = await ends.link.call('status.read', {}, 1000)
+      const { openings, losses } = ends.linkWatch
+      ends.close()
+      assert.equal(answer.isRight(), true)
+      assert.deepEqual([openings, losses], [[false, true], 0])
+    })
+  })
+
   test.describe('a client that is gone', () => {
     test.it('expires after the session lease', async () => {
       const ends = await connect()
