Start no prefill without a kept decode slot

The time line shows offers of full decode servers answered without a reservation, which the entry took for one: the prefill ran, and three decode servers refused. Change: a renewed promise that is not kept is asked for at two other servers; without any reservation the request is refused before its prefill, not_run, with the wait as Retry-After. Tests: the condition of the promised slot failed before.

--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -19,6 +19,11 @@
   readonly transferMs: number
 }
 
+/** A pair whose decode slot was asked for before the prefill. */
+interface PromisedPair extends Pair {
+  readonly decode: offers.Offered
+}
+
 /** A finished prefill whose KV cache waits in its engine. */
 export interface Source {
   readonly name: string
@@ -61,7 +66,7 @@
       return this.joinPrefill(await asked)
     }
     const [prefill, decode] = await Promise.all([asked, this.promise(source, best.server.region, expectedMs, avoid)])
-    return await this.join(prefill, decode, expectedMs)
+    return await this.join(prefill, decode, expectedMs, avoid)
   }
 
   /** Chooses a decode server for a prefill that has ended. */
@@ -81,7 +86,10 @@
   }
 
   private async join (
-    prefill: failures.Result<offers.Offered>, decode: failures.Result<offers.Offered>, expectedMs: number
+    prefill: failures.Result<offers.Offered>,
+    decode: failures.Result<offers.Offered>,
+    expectedMs: number,
+    avoid: ReadonlySet<string>
   ): Promise<failures.Result<Pair>> {
     if (prefill.isLeft()) {
       decode.ifRight(offered => this.offers.release(offered))
@@ -90,29 +98,44 @@
     if (decode.isLeft()) {
       return failures.fail(decode.extract() as failures.Failure)
     }
-    const promised = decode.extract() as offers.Offered
-    const pair = this.createPair(prefill.extract() as offers.Offered, promised)
+    const pair = this.createPair(prefill.extract() as offers.Offered, decode.extract() as offers.Offered)
     const refusal = this.checkAdmission(pair)
     if (refusal !== undefined) {
-      this.offers.release(promised)
+      this.offers.release(pair.decode)
       return failures.fail(refusal)
     }
-    return await this.renewPromise(pair, promised, expectedMs)
+    const renewed = await this.renewPromise(pair, expectedMs, avoid)
+    return renewed.chain(promised => this.checkPromise(promised))
   }
 
   /** Promises the room anew when the prefill's own answer moved its end beyond the time that room is kept. */
   private async renewPromise (
-    pair: Pair, promised: offers.Offered, expectedMs: number
-  ): Promise<failures.Result<Pair>> {
+    pair: PromisedPair, expectedMs: number, avoid: ReadonlySet<string>
+  ): Promise<failures.Result<PromisedPair>> {
     const { waitMs, serviceMs } = pair.prefill.answer
     const foundMs = waitMs + serviceMs
     if (Math.abs(foundMs - expectedMs) <= getHoldMs(expectedMs) / 2) {
       return failures.succeed(pair)
     }
-    this.offers.release(promised)
+    this.offers.release(pair.decode)
     const offer = this.createDecodeOffer(foundMs, pair.transferMs)
-    const renewed = await this.offers.choose([promised.candidate], offer, getDecodeCost)
-    return renewed.map(decode => ({ ...pair, decode }))
+    const renewed = await this.offers.choose([pair.decode.candidate], offer, getDecodeCost)
+    const isKept = renewed.map(({ answer }) => answer.reservation !== undefined).orDefault(false)
+    const { server } = pair.prefill.candidate
+    const decode = isKept ? renewed : await this.promise(this.getStanding(pair.prefill), server.region, foundMs, avoid)
+    return decode.map(promised => ({ ...pair, decode: promised }))
+  }
+
+  /** Refuses a request for which no decode server keeps room: its prefill would be lost. */
+  private checkPromise (pair: PromisedPair): failures.Result<Pair> {
+    const { answer } = pair.decode
+    if (answer.reservation !== undefined) {
+      return failures.succeed<Pair>(pair)
+    }
+    const elapsedMs = this.nowMs - this.job.receivedAtMs
+    const predictedMs = elapsedMs + pair.prefill.answer.waitMs + pair.prefill.answer.serviceMs + answer.waitMs
+    const details = [this.job.model.firstTokenTargetMs, Math.round(predictedMs)]
+    return failures.fail(failures.createFailure('not_run', 'target_unreachable', details, Math.max(1, answer.waitMs)))
   }
 
   private async promise (
@@ -138,7 +161,7 @@
       : this.createOffer('decode', expectedMs + transferMs, holdMs)
   }
 
-  private createPair (prefill: offers.Offered, decode: offers.Offered): Pair {
+  private createPair (prefill: offers.Offered, decode: offers.Offered): PromisedPair {
     const source = this.getStanding(prefill)
     const target = this.getStanding(decode)
     return { prefill, decode, transferMs: planner.estimateTransferMs(this.need, source, target) }
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -274,6 +274,19 @@
       await fixture.untilIdle()
     })
 
+    test.it('is a condition: without one the request is refused before its prefill', async () => {
+      for (const agent of world.listAgents('decode')) {
+        agent.keepsNothing = true
+        agent.waitMs = 700
+      }
+      const answer = await fixture.complete({})
+      assert.equal(answer.status, 503)
+      assert.match(answer.body, /target_unreachable/)
+      assert.match(answer.body, /not_run/)
+      assert.equal(world.listStarts('prefill').length, 0)
+      await fixture.untilIdle()
+    })
+
     test.it('leaves time for another decode server while the prefill lasts', async () => {
       await fixture.complete({})
       const [{ start }] = world.listStarts('decode') as [worlds.Received]
--- a/tests/entry/fake_agents.ts
+++ b/tests/entry/fake_agents.ts
@@ -50,6 +50,8 @@
   script: Script = runAtOnce
   waitMs = 0
   serviceMs = 1
+  /** Keeps no room, as a server whose wait is longer than the room would be kept. */
+  keepsNothing = false
   readonly calls: { readonly method: protocol.MethodName, readonly params: unknown }[] = []
   readonly notices: { readonly name: string, readonly notice: unknown }[] = []
   readonly attempts = new Map<string, Held>()
@@ -112,7 +114,7 @@
   private offer (offer: work.Offer): work.OfferAnswer {
     const { boot, serviceMs, waitMs } = this
     const answer = { boot, waitMs, serviceMs, cachedTokens: 0, load: createLoad() }
-    if (offer.holdMs === undefined) {
+    if (offer.holdMs === undefined || this.keepsNothing) {
       return answer
     }
     this.reserved += 1
