Measure the waste of a lost engine by its last counts

Cause: the decoded tokens of a killed engine were missing, so that their prefill counted as wasted. Change: the engines' states are read every 0.2 s, and the last ones of a lost engine are used.

--- a/tools/measure/observations.ts
+++ b/tools/measure/observations.ts
@@ -3,9 +3,10 @@
  */
 import * as undici from 'undici'
 import * as events from '../../src/contracts/events.js'
+import * as fleetNodes from '../fleet_nodes.js'
 import * as fleets from '../fleet.js'
 
-/** Sums over all engines that still run. */
+/** Sums over all engines. */
 export interface EngineTotals {
   readonly prefilledTokens: number
   readonly decodedTokens: number
@@ -22,23 +23,48 @@
   readonly peakPerSecond: number
 }
 
+/** Period of reading the engines' states, in milliseconds. */
+const watchMs = 200
+
 /** Events asked of each process. */
 const eventLimit = 20_000
 
-/** Reads the engines' counts; those of a lost engine are left out. */
-export async function readEngines (fleet: fleets.Fleet): Promise<EngineTotals> {
-  const states = await Promise.all(fleet.servers
-    .filter(server => server.vm.role !== 'service' && server.standin.process.isRunning)
-    .map(server => server.standin.readState(true)))
-  const sum = (get: (state: any) => number): number => states.reduce((total, state) => total + get(state), 0)
-  return {
-    prefilledTokens: sum(state => state.counts.prefilledTokens),
-    decodedTokens: sum(state => state.counts.importedDecodedTokens + state.counts.localDecodedTokens),
-    generatedTokens: sum(state => state.counts.generatedTokens),
-    preemptions: sum(state => state.counts.preemptions),
-    recomputedTokens: sum(state => state.counts.recomputedTokens),
-    missingKvCaches: sum(state => state.counts.missingKvCaches),
-    heldPieces: sum(state => state.memory.used)
+/** Reads the engines' states again and again, so that those of an engine that is lost are known until then. */
+export class EngineWatch {
+  private readonly states = new Map<string, any>()
+  private readonly timer: NodeJS.Timeout
+
+  constructor (private readonly fleet: fleets.Fleet) {
+    this.timer = setInterval(() => this.read(), watchMs)
+  }
+
+  /** Reads once more, and returns the sums; memory counts for the engines that still run. */
+  async finish (): Promise<EngineTotals> {
+    clearInterval(this.timer)
+    await this.read()
+    const states = [...this.states.values()]
+    const sum = (get: (state: any) => number): number => states.reduce((total, state) => total + get(state), 0)
+    const running = new Set(this.listRunning().map(server => server.vm.name))
+    return {
+      prefilledTokens: sum(state => state.counts.prefilledTokens),
+      decodedTokens: sum(state => state.counts.importedDecodedTokens + state.counts.localDecodedTokens),
+      generatedTokens: sum(state => state.counts.generatedTokens),
+      preemptions: sum(state => state.counts.preemptions),
+      recomputedTokens: sum(state => state.counts.recomputedTokens),
+      missingKvCaches: sum(state => state.counts.missingKvCaches),
+      heldPieces: sum(state => running.has(state.id) ? state.memory.used : 0)
+    }
+  }
+
+  private async read (): Promise<void> {
+    await Promise.all(this.listRunning().map(async ({ vm, standin }) => {
+      const state = await standin.readState(true).catch(() => undefined)
+      this.states.set(vm.name, state ?? this.states.get(vm.name))
+    }))
+  }
+
+  private listRunning (): readonly fleetNodes.ServerNode[] {
+    return this.fleet.servers.filter(({ vm, standin }) => vm.role !== 'service' && standin.process.isRunning)
   }
 }
 
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -82,6 +82,7 @@
   const workload = workloads.createWorkload({ ...options, factors: scenario.factors })
   const balancer = new balancers.Balancer(fleet)
   const sender = new callers.Callers(balancer, deployment.mix, keys, service)
+  const engines = new observations.EngineWatch(fleet)
   const before = await observations.readStore(fleet)
   const disturbance = scenario.disturb(fleet, options.seconds * 1000)
   const { outcomes, calls } = await sender.run(workload)
@@ -97,7 +98,7 @@
     outcomes,
     calls,
     store: { ...after, reads: after.reads - before.reads, writes: after.writes - before.writes },
-    engines: await observations.readEngines(fleet),
+    engines: await engines.finish(),
     serviceRuns: await observations.readServiceRuns(fleet),
     loadAverage: loadAverage as number
   }
