Metrics are a typed catalog; daemon's exit codes and mutual TLS are tested

Cause: names of metrics were free text, and the daemon's ends were not tested. Four faults came out: an address in use for the control listener ended the daemon by an uncaught error (code 1) because the WebSocket server passes errors of its HTTP server on; closing an entry left the administration listener open; the editor had no recorder; and closing that listener could wait for ever on a connection that had sent half a request, as it may once the process really closes it.

Change: Meter takes only names and labels of the catalog; exit codes have a table of their own; the listener takes the passed-on error; the administration listener cuts what holds it up after 2 s.

Seen to fail first: the control address in use (code 1 in place of 3); certificates of another authority and none, with the check of certificates switched off in the listener.

--- a/src/administration/listener.ts
+++ b/src/administration/listener.ts
@@ -17,10 +17,13 @@
   readonly bodyTimeoutMs: number
 }
 
+/** Longest time that calls under way, and connections without a whole request, hold up closing, in milliseconds. */
+const closeTimeoutMs = 2_000
+
 export class AdministrationListener {
   private readonly server: http.Server
 
-  constructor (options: applications.ApplicationOptions, limits: ListenerLimits) {
+  constructor (private readonly options: applications.ApplicationOptions, limits: ListenerLimits) {
     const handler = h3.toNodeHandler(applications.createApplication(options))
     this.server = http.createServer({
       maxHeaderSize: limits.headerBytes,
@@ -38,10 +41,13 @@
     return (this.server.address() as net.AddressInfo).port
   }
 
-  /** Closes the listener once the calls under way have been answered. */
+  /** Closes the listener once the calls under way have been answered, or cuts what takes too long. */
   async close (): Promise<void> {
+    const closed = events.EventEmitter.once(this.server, 'close')
     this.server.close()
     this.server.closeIdleConnections()
-    await events.EventEmitter.once(this.server, 'close')
+    const stopTimer = this.options.clock.after(closeTimeoutMs, () => this.server.closeAllConnections())
+    await closed
+    stopTimer()
   }
 }
--- a/src/agent/engine_watch.ts
+++ b/src/agent/engine_watch.ts
@@ -78,7 +78,7 @@
     }
     this.lastChange = report.last
     if (report.hasGap) {
-      this.context.meter.count('engine_cache_gaps_total')
+      this.context.meter.count('engine_cache_gaps_total', {})
     }
     this.context.cacheChanged(report)
   }
--- a/src/allowances/client.ts
+++ b/src/allowances/client.ts
@@ -135,7 +135,7 @@
       }
       await clock.sleep(timing.renewMs)
     }
-    meter.count('allowance_settlements_lost_total')
+    meter.count('allowance_settlements_lost_total', {})
   }
 
   private async trySettle (charge: types.Charge, usedTokens: number): Promise<boolean> {
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -225,7 +225,7 @@
       this.isFollowing = false
       this.options.log.warn('configuration store lost', { version: this.document.version })
     }
-    this.options.meter.count('configuration_store_failures')
+    this.options.meter.count('configuration_store_failures', {})
     this.report({ kind: 'store_failed', jitter: this.options.random.nextUnit() })
   }
 
@@ -249,7 +249,7 @@
       return
     }
     const { version, changes, snapshot } = answer.unsafeCoerce()
-    this.options.meter.count('configuration_peer_reads')
+    this.options.meter.count('configuration_peer_reads', {})
     if (snapshot !== undefined) {
       this.replace(snapshot)
     }
--- a/src/daemon/entry_process.ts
+++ b/src/daemon/entry_process.ts
@@ -79,6 +79,7 @@
     this.control.close()
     this.entry.server.closeAllConnections()
     this.entry.server.close()
+    await this.administration.close()
     await store.close()
   }
 
@@ -152,7 +153,11 @@
 ): applications.ApplicationOptions {
   const { base, directory, options, replica, store } = parts
   const editor = new editors.Editor({
-    store, clock: base.system.clock, current: replica, administratorHash: options.administratorHash
+    store,
+    clock: base.system.clock,
+    current: replica,
+    administratorHash: options.administratorHash,
+    recorder: base.ring
   })
   return {
     document: replica.document,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -8,14 +8,14 @@
 import * as agentProcesses from './agent_process.js'
 import * as daemonProcesses from './daemon_process.js'
 import * as entryProcesses from './entry_process.js'
+import * as exitCodeTable from './exit_code.js'
 import * as failures from '../contracts/failure.js'
 import * as nodeSystem from '../host/node_system.js'
 import * as processBases from './process_base.js'
 import * as settings from '../contracts/settings.js'
 import * as settingsFiles from '../configuration/settings_file.js'
 
-/** Exit codes of the daemon. */
-const exitCodes = { drained: 0, failed: 1, settings: 2, address: 3, forced: 4 } as const
+const { exitCodes } = exitCodeTable
 
 async function main (): Promise<void> {
   const program = new commander.Command('mulberryflowd')
@@ -24,10 +24,10 @@
     .parse()
   const file = program.opts<{ readonly settings: string }>().settings
   const read = await settingsFiles.readSettings(file)
-  const options = read.isRight() ? read.extract() as settings.Settings : exitWith(exitCodes.settings, read.extract())
+  const options = read.isRight() ? read.extract() as settings.Settings : exitWith(exitCodes.settings.code, read.extract())
   const security = await processBases.readSecurity(options)
   if (security.isLeft()) {
-    exitWith(exitCodes.settings, security.extract())
+    exitWith(exitCodes.settings.code, security.extract())
   }
   const system = nodeSystem.createNodeSystem(options.node, options.log)
   const base = new processBases.ProcessBase(system, options, security.toMaybe().extract())
@@ -37,7 +37,7 @@
   handleSignals(daemon)
   await daemon.start().catch((error: unknown) => {
     system.log.error('cannot start', { error: String(error) })
-    process.exit(exitCodes.address)
+    process.exit(exitCodes.address.code)
   })
 }
 
@@ -46,11 +46,11 @@
   const stop = (): void => {
     signals += 1
     if (signals > 1) {
-      process.exit(exitCodes.forced)
+      process.exit(exitCodes.forced.code)
     }
     daemon.drain().then(() => daemon.close()).then(
-      () => process.exit(exitCodes.drained),
-      () => process.exit(exitCodes.failed)
+      () => process.exit(exitCodes.drained.code),
+      () => process.exit(exitCodes.failed.code)
     )
   }
   process.on('SIGTERM', stop)
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -82,6 +82,8 @@
       server: this.server, perMessageDeflate: false, maxPayload: connections.maximumMessageBytes
     })
     this.sockets.on('connection', socket => this.accept(socket))
+    // Errors of the server are passed on here too; `listen` reports them.
+    this.sockets.on('error', () => {})
     this.addMethods(handlers)
   }
 
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -1,22 +1,71 @@
 /**
- * Every metric with its meaning; the operators' page is made from it.
+ * Every metric with its kind, labels and meaning; the operators' page is made from it.
  */
 
+export type MetricKind = 'counter' | 'gauge' | 'histogram'
+
 /** One row of the catalog. */
-export interface Metric {
-  readonly kind: 'counter' | 'gauge' | 'histogram'
+export interface Metric<Kind extends MetricKind = MetricKind, Label extends string = string> {
+  readonly kind: Kind
+  readonly labels: readonly Label[]
+  /** Meaning, with the unit. */
   readonly help: string
 }
 
-export const metrics: Readonly<Record<string, Metric>> = {
-  requests_total: { kind: 'counter', help: 'Callers\' requests by workspace and end.' },
-  request_failures_total: { kind: 'counter', help: 'Requests that were refused or failed, by code.' },
-  retries_total: { kind: 'counter', help: 'Further attempts of generations, by the reason for them.' },
-  time_to_first_token_ms: { kind: 'histogram', help: 'Time from a request\'s arrival to its first text, in milliseconds.' },
-  time_between_tokens_ms: { kind: 'histogram', help: 'Time between two texts of a stream, in milliseconds.' },
+function createMetric<Kind extends MetricKind, Label extends string> (
+  kind: Kind, labels: readonly Label[], help: string
+): Metric<Kind, Label> {
+  return { kind, labels, help }
 }
 
+export const metrics = {
+  // Entries.
+  requests_total: createMetric('counter', ['workspace', 'end'], 'Requests of callers by end: answered, refused (did not run), failed, abandoned (the caller left).'),
+  request_failures_total: createMetric('counter', ['code'], 'Requests that were refused or failed, by code.'),
+  retries_total: createMetric('counter', ['reason'], 'Further attempts of generations, by the code of the failure before.'),
+  time_to_first_token_ms: createMetric('histogram', ['model'], 'Time from the arrival of a request to its first text, in milliseconds.'),
+  time_between_tokens_ms: createMetric('histogram', ['model'], 'Time between two texts of a stream, in milliseconds.'),
+  allowance_charge_ms: createMetric('histogram', [], 'Time to charge an allowance, refusals included, in milliseconds.'),
+  allowance_charges_total: createMetric('counter', ['outcome'], 'Charges that this entry decided as a keeper, by outcome.'),
+  allowance_settlements_lost_total: createMetric('counter', [], 'Settlements that reached no keeper; the charged bound counts as used.'),
+  allowance_shards_kept: createMetric('gauge', [], 'Shards of allowances that this entry keeps.'),
+  allowance_keeper_changes_total: createMetric('counter', ['change'], 'Shards acquired, extended without the store, and lost.'),
+
+  // Agents.
+  agent_events_total: createMetric('counter', ['kind', 'workspace'], 'Events of the agent\'s time line by kind.'),
+  agent_queue_ms: createMetric('histogram', ['workspace'], 'Time that an attempt waited in the agent\'s queue, in milliseconds.'),
+  agent_running: createMetric('gauge', [], 'Attempts that the server works on.'),
+  agent_queued: createMetric('gauge', [], 'Attempts in the agent\'s queue.'),
+  agent_free_pieces: createMetric('gauge', [], 'Free pieces of engine memory by the agent\'s ledger.'),
+  agent_promised_pieces: createMetric('gauge', [], 'Pieces of engine memory that are reserved.'),
+  engine_running: createMetric('gauge', [], 'Requests that the engine reports as running.'),
+  engine_waiting: createMetric('gauge', [], 'Requests that the engine reports as waiting.'),
+  engine_memory_ratio: createMetric('gauge', [], 'Share of its memory that the engine reports as used, from 0 to 1.'),
+  engine_cache_gaps_total: createMetric('counter', [], 'Times that cache events of the engine were missing.'),
+
+  // Both.
+  configuration_version: createMetric('gauge', [], 'Version of the configuration in force.'),
+  configuration_store_failures: createMetric('counter', [], 'Failed reads and broken watches of the configuration in the store.'),
+  configuration_peer_reads: createMetric('counter', [], 'Configurations or changes taken from another process.'),
+  link_bytes: createMetric('gauge', ['purpose', 'direction'], 'Bytes on the links between processes since the start, by purpose (control, work) and direction.'),
+  link_messages: createMetric('gauge', ['purpose', 'direction'], 'Messages on the links between processes since the start, by purpose and direction.')
+} as const satisfies Readonly<Record<string, Metric>>
+
+export type MetricName = keyof typeof metrics
+
+/** Names of the metrics of a kind. */
+type NameOf<Kind extends MetricKind> = {
+  [Name in MetricName]: (typeof metrics)[Name]['kind'] extends Kind ? Name : never
+}[MetricName]
+
+export type CounterName = NameOf<'counter'>
+export type GaugeName = NameOf<'gauge'>
+export type HistogramName = NameOf<'histogram'>
+
+/** The labels that a metric has, each with its value. */
+export type LabelsOf<Name extends MetricName> = Readonly<Record<(typeof metrics)[Name]['labels'][number], string>>
+
 /** Returns the help text of a metric. */
-export function getHelp (name: string): string {
-  return metrics[name]?.help ?? name
+export function getHelp (name: MetricName): string {
+  return metrics[name].help
 }
--- a/src/metrics/prometheus_meter.ts
+++ b/src/metrics/prometheus_meter.ts
@@ -33,15 +33,15 @@
     prometheus.collectDefaultMetrics({ register: this.registry })
   }
 
-  override count (name: string, labels: types.Labels = {}, by = 1): void {
+  override count (name: catalog.CounterName, labels: types.Labels, by = 1): void {
     this.getCounter(name, labels).inc(this.bound(name, labels), by)
   }
 
-  override gauge (name: string, labels: types.Labels, value: number): void {
+  override gauge (name: catalog.GaugeName, labels: types.Labels, value: number): void {
     this.getGauge(name, labels).set(this.bound(name, labels), value)
   }
 
-  override observe (name: string, labels: types.Labels, value: number): void {
+  override observe (name: catalog.HistogramName, labels: types.Labels, value: number): void {
     const bounded = this.bound(name, labels)
     const key = JSON.stringify(bounded)
     const series = this.getHistograms(name, labels)
@@ -54,7 +54,7 @@
   }
 
   /** Returns the value of a quantile in [0, 1], in the histogram's unit, over all label sets. */
-  getQuantile (name: string, quantile: number): number {
+  getQuantile (name: catalog.HistogramName, quantile: number): number {
     const merged = createHistogram()
     for (const { histogram } of this.histograms.get(name)?.values() ?? []) {
       merged.add(histogram)
@@ -67,7 +67,7 @@
     return this.registry.metrics()
   }
 
-  private getCounter (name: string, labels: types.Labels): prometheus.Counter {
+  private getCounter (name: catalog.CounterName, labels: types.Labels): prometheus.Counter {
     let counter = this.counters.get(name)
     if (counter === undefined) {
       counter = new prometheus.Counter({ ...describe(name), labelNames: Object.keys(labels), registers: [this.registry] })
@@ -76,7 +76,7 @@
     return counter
   }
 
-  private getGauge (name: string, labels: types.Labels): prometheus.Gauge {
+  private getGauge (name: catalog.GaugeName, labels: types.Labels): prometheus.Gauge {
     let gauge = this.gauges.get(name)
     if (gauge === undefined) {
       gauge = new prometheus.Gauge({ ...describe(name), labelNames: Object.keys(labels), registers: [this.registry] })
@@ -85,7 +85,7 @@
     return gauge
   }
 
-  private getHistograms (name: string, labels: types.Labels): Map<string, Series> {
+  private getHistograms (name: catalog.HistogramName, labels: types.Labels): Map<string, Series> {
     let series = this.histograms.get(name)
     if (series === undefined) {
       series = new Map()
@@ -96,7 +96,7 @@
   }
 
   /** Registers gauges that read the histograms when they are collected. */
-  private register (name: string, labelNames: readonly string[], series: ReadonlyMap<string, Series>): void {
+  private register (name: catalog.HistogramName, labelNames: readonly string[], series: ReadonlyMap<string, Series>): void {
     const described = describe(name)
     const registers = [this.registry]
     const counts = new prometheus.Gauge({
@@ -144,6 +144,6 @@
   return hdr.build({ bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2 })
 }
 
-function describe (name: string): { name: string, help: string } {
+function describe (name: catalog.MetricName): { name: string, help: string } {
   return { name: `${prefix}${name}`, help: catalog.getHelp(name) }
 }
