Operating page, part of the API page for callers

Cause: nothing told a person on call what to do, nor a caller what to expect.

Change: docs/OPERATING.md with tables made from settings, exit codes, metrics and codes; advice for each code is typed by the table of diagnostics, so that a new code without advice does not compile. API.md begins with the interfaces for callers.

--- a/src/administration/api_page.ts
+++ b/src/administration/api_page.ts
@@ -2,6 +2,7 @@
  * The page docs/API.md, made from the table of routes and the table of diagnostics.
  */
 import * as z from 'zod'
+import * as callerPages from './caller_page.js'
 import * as diagnosticTable from '../contracts/diagnostics.js'
 import * as routes from './route.js'
 import * as tables from './table.js'
@@ -18,8 +19,7 @@
 
 const introduction = `# Administration API
 
-This page is made from the table of routes (\`npm run build && node dist/tools/write_api_page.js\`); a test fails when it is
-out of date. The same table makes \`/admin/v1/openapi.json\`, which has the full schemas.
+Made from the table of routes, as is \`/admin/v1/openapi.json\`, which has the full schemas.
 
 Every entry VM serves the API on its listener \`administration\`. Any entry will do: a change is one transaction of the
 platform's store.
@@ -46,7 +46,7 @@
 
 /** Returns the whole page. */
 export function createApiPage (): string {
-  const parts = [introduction, '## Routes without credential', '', '| route | |', '| --- | --- |']
+  const parts = [callerPages.callerPart, introduction, '## Routes without credential', '', '| route | |', '| --- | --- |']
   for (const { path, summary } of Object.values(tables.openRoutes)) {
     parts.push(`| \`GET ${path}\` | ${summary} |`)
   }
--- a/tests/links/security.test.ts
+++ b/tests/links/security.test.ts
@@ -91,9 +91,9 @@
   })
   test.afterEach(() => listener.close())
 
-  async function call (context: clientLinks.LinkContext): Promise<failures.Result<unknown>> {
+  async function call (context: clientLinks.LinkContext, to = address): Promise<failures.Result<unknown>> {
     const pool = linkPools.createLinkPool(context)
-    const result = await pool.get(address).call('timeline.read', { limit: 1 }, 5_000)
+    const result = await pool.get(to).call('timeline.read', { limit: 1 }, 5_000)
     pool.close()
     return result
   }
@@ -110,6 +110,17 @@
     assert.deepEqual(result.extract(), { events: [] })
   })
 
+  test.it('takes certificates of two authorities while one replaces the other', async () => {
+    const authority = own.certificate + other.certificate
+    const handlers: types.Handlers = { 'timeline.read': async () => failures.succeed({ events: [] }) }
+    const context = createContext('listener', { ...own.issue(), authority })
+    const changing = new listeners.Listener(context, handlers, new types.SessionObserver())
+    const to = await changing.listen({ host: '127.0.0.1', port: 0 })
+    const result = await call(createContext('client', { ...other.issue(), authority }), to)
+    changing.close()
+    assert.deepEqual(result.extract(), { events: [] })
+  })
+
   test.it('refuses a certificate of another authority', async () => {
     await refuse(createContext('client', { ...other.issue(), authority: own.certificate }))
   })
--- a/tools/operating_page.ts
+++ b/tools/operating_page.ts
@@ -3,6 +3,7 @@
  */
 import * as catalog from '../src/metrics/catalog.js'
 import * as cliExitCodes from '../src/cli/exit_code.js'
+import * as codeAdvice from './code_advice.js'
 import * as daemonExitCodes from '../src/daemon/exit_code.js'
 import * as settingsTables from '../src/configuration/settings_table.js'
 
@@ -11,7 +12,8 @@
   'settings-agent': () => listSettings('agent'),
   'exit-codes-daemon': () => listExitCodes(daemonExitCodes.exitCodes),
   'exit-codes-tool': () => listExitCodes(cliExitCodes.exitCodes),
-  metrics: listMetrics
+  metrics: listMetrics,
+  codes: codeAdvice.listAdvice
 }
 
 /** Returns the page with its tables made anew: each stands between `<!-- name -->` and `<!-- /name -->`. */
