Names, kinds and labels of metrics are checked by the compiler

Cause: the annotation of the catalog widened its labels to any text. Seen to fail first: the compiler did not refuse a counter without one of its labels. Change: the annotation is gone; the rows are typed as they are made.

--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -49,7 +49,7 @@
   configuration_peer_reads: createMetric('counter', [], 'Configurations or changes taken from another process.'),
   link_bytes: createMetric('gauge', ['purpose', 'direction'], 'Bytes on the links between processes since the start, by purpose (control, work) and direction.'),
   link_messages: createMetric('gauge', ['purpose', 'direction'], 'Messages on the links between processes since the start, by purpose and direction.')
-} as const satisfies Readonly<Record<string, Metric>>
+} as const
 
 export type MetricName = keyof typeof metrics
 
--- a/tests/metrics/catalog.test.ts
+++ b/tests/metrics/catalog.test.ts
@@ -4,6 +4,7 @@
 import * as test from 'node:test'
 import * as url from 'node:url'
 import * as catalog from '../../src/metrics/catalog.js'
+import * as types from '../../src/metrics/types.js'
 
 const sources = url.fileURLToPath(new URL('../../../src', import.meta.url))
 
@@ -19,4 +20,15 @@
     const unused = Object.keys(catalog.metrics).filter(name => !text.includes(`'${name}'`))
     assert.deepEqual(unused, [])
   })
+
+  test.it('is the only source of names and labels', () => {
+    const meter = new types.SilentMeter() as types.Meter
+    // @ts-expect-error: not in the catalog
+    meter.count('requests_totl', {})
+    // @ts-expect-error: of another kind
+    meter.gauge('requests_total', { workspace: 'a', end: 'answered' }, 1)
+    // @ts-expect-error: a label is missing
+    meter.count('requests_total', { workspace: 'a' })
+    meter.count('requests_total', { workspace: 'a', end: 'answered' })
+  })
 })
