Offer work again to a server whose agent has restarted after a drain

Cause: an entry believed a server to be leaving until its agent reported a load without draining, but asked no leaving server for one; after an agent's graceful restart under the same name, entries never used its server again. Found while reading the drain; ruled out: the agent (a new boot takes work). Change: the belief lasts 2 s and is renewed by the agent's own refusal, which is not_run.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -3,6 +3,7 @@
  */
 import * as agentOptions from './agent_options.js'
 import * as backends from './backend.js'
+import * as configuration from '../contracts/configuration.js'
 import * as documents from '../configuration/document.js'
 import * as engineWatches from './engine_watch.js'
 import * as failures from '../contracts/failure.js'
@@ -57,6 +58,7 @@
   private stopTick: host.Stop = () => {}
   private tickAtMs = Number.POSITIVE_INFINITY
   private isIdle = false
+  private isStopping = false
 
   constructor (private readonly context: AgentContext) {
     super()
@@ -89,13 +91,24 @@
   configure (view: documents.ConfigurationView): void {
     const { settings: agent } = this.context
     this.decide({ kind: 'configure', nowMs: this.nowMs, capacity: agentOptions.createCapacity(agent, view) })
-    if (view.getServer(agent.server)?.state === 'leaving') {
+    this.followState(view.getServer(agent.server)?.state)
+  }
+
+  /** A drain that the configuration asked for ends when it says so; one of the process does not. */
+  private followState (state: configuration.Server['state'] | undefined): void {
+    if (state === 'leaving') {
       this.beginDrain()
+      return
+    }
+    if (state === 'active' && this.gate.load.draining && !this.isStopping) {
+      this.isIdle = false
+      this.decide({ kind: 'undrain', nowMs: this.nowMs })
     }
   }
 
   /** Refuses new work from now on; resolves when the work under way has ended and its frames have arrived. */
   async drain (): Promise<void> {
+    this.isStopping = true
     this.beginDrain()
     if (this.isIdle) {
       return
--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -118,6 +118,8 @@
         return this.scheduler.configure(event.capacity)
       case 'drain':
         return this.drain()
+      case 'undrain':
+        return this.undrain()
       case 'tick':
         return
       default:
@@ -227,6 +229,11 @@
     this.outbox.add({ kind: 'record', draft: { kind: 'process.draining' } })
   }
 
+  private undrain (): void {
+    this.isDraining = false
+    this.isIdleReported = false
+  }
+
   private runDue (nowMs: number): void {
     for (;;) {
       const due = this.due.takeDue(nowMs)
--- a/src/agent/types.ts
+++ b/src/agent/types.ts
@@ -88,6 +88,8 @@
   | { readonly kind: 'cache.changed', readonly nowMs: number, readonly change: CacheChange }
   | { readonly kind: 'configure', readonly nowMs: number, readonly capacity: Capacity }
   | { readonly kind: 'drain', readonly nowMs: number }
+  /** Takes a drain back. */
+  | { readonly kind: 'undrain', readonly nowMs: number }
   | { readonly kind: 'tick', readonly nowMs: number }
 
 /** Prefixes that entered or left the engine's cache. */
--- a/src/entry/offers.ts
+++ b/src/entry/offers.ts
@@ -135,7 +135,7 @@
       this.unanswered.push(candidate)
     }
     if (failure.code === 'server_leaving') {
-      this.servers.picture.noteLeaving(candidate.name)
+      this.servers.picture.noteLeaving(candidate.name, this.surroundings.system.clock.monotonicMs())
       return
     }
     if (failure.verdict !== 'not_run' || failure.code === 'link_lost') {
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -227,7 +227,7 @@
       this.dropPrefill()
     }
     if (failure.code === 'server_leaving') {
-      this.tools.servers.picture.noteLeaving(server)
+      this.tools.servers.picture.noteLeaving(server, this.nowMs)
     }
   }
 
--- a/src/entry/picture.ts
+++ b/src/entry/picture.ts
@@ -28,6 +28,9 @@
 /** How long a server that did not answer is passed over, in milliseconds. */
 const passOverMs = 2000
 
+/** How long a server that says it is leaving is believed before it is asked again, in milliseconds. */
+const leavingMs = 2000
+
 /** Prefixes remembered for each server. */
 const prefixesKept = 4096
 
@@ -40,7 +43,7 @@
   sentPieces: number
   transfers: number
   passedOverUntilMs: number
-  isLeaving: boolean
+  leavingUntilMs: number
   readonly prefixes: Set<string>
 }
 
@@ -55,12 +58,12 @@
     row.sentRequests = 0
     row.sentPromptTokens = 0
     row.sentPieces = 0
-    row.isLeaving = load.draining
+    row.leavingUntilMs = load.draining ? nowMs + leavingMs : 0
   }
 
-  /** The server takes no new work. */
-  noteLeaving (server: string): void {
-    this.getRow(server).isLeaving = true
+  /** The server takes no new work; its agent may restart under the same name later. */
+  noteLeaving (server: string, nowMs: number): void {
+    this.getRow(server).leavingUntilMs = nowMs + leavingMs
   }
 
   /** The server did not answer. */
@@ -135,7 +138,7 @@
     const reported = (load?.running ?? 0) + (load?.queued ?? 0)
     return {
       server,
-      isUsable: server.state === 'active' && !row.isLeaving && row.passedOverUntilMs <= nowMs,
+      isUsable: server.state === 'active' && row.leavingUntilMs <= nowMs && row.passedOverUntilMs <= nowMs,
       running: Math.max(0, reported + row.sentRequests),
       reported,
       pendingPromptTokens: estimatePending(row, server, nowMs),
@@ -173,7 +176,7 @@
     sentPieces: 0,
     transfers: 0,
     passedOverUntilMs: 0,
-    isLeaving: false,
+    leavingUntilMs: 0,
     prefixes: new Set()
   }
 }
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -82,7 +82,7 @@
   ): void {
     const name = this.findName(link)
     if (notification === 'server.leaving' && name !== undefined) {
-      this.picture.noteLeaving(name)
+      this.picture.noteLeaving(name, this.surroundings.system.clock.monotonicMs())
     }
   }
 
--- a/tests/agent/agent.test.ts
+++ b/tests/agent/agent.test.ts
@@ -2,6 +2,7 @@
 import * as test from 'node:test'
 import * as agents from '../../src/agent/agent.js'
 import * as backends from '../../src/agent/backend.js'
+import * as documents from '../../src/configuration/document.js'
 import * as drivers from './gate_driver.js'
 import * as host from '../../src/host/types.js'
 import * as identities from '../../src/contracts/identity.js'
@@ -140,6 +141,24 @@
     assert.equal(isDrained, true)
   })
 
+  test.it('takes work again when the configuration takes the leaving back, but not while its process shuts down', async () => {
+    const fixture = new Fixture()
+    const document = new documents.Document()
+    const setState = (version: number, state: 'active' | 'leaving'): void => {
+      const body = { role: 'service', zone: 'z', agent: { host: '127.0.0.1', port: 1 }, services: ['bookings'], state }
+      const sections = [{ name: 'servers/s1', owner: 'root', version, body }]
+      document.applyChange({ version, operation: `op-${version}`, team: 'root', atMs: 0, sections })
+      fixture.agent.configure(document)
+    }
+    setState(1, 'leaving')
+    assert.equal(fixture.agent.load.draining, true)
+    setState(2, 'active')
+    assert.equal(fixture.agent.load.draining, false)
+    await fixture.agent.drain()
+    setState(3, 'active')
+    assert.equal(fixture.agent.load.draining, true)
+  })
+
   test.it('cancels the work of a session that has expired', async () => {
     const fixture = new Fixture()
     await fixture.start('1')
