--- a/src/daemon/agent_process.ts
+++ b/src/daemon/agent_process.ts
@@ -7,6 +7,7 @@
 import * as applications from '../administration/application.js'
 import * as daemonProcesses from './daemon_process.js'
 import * as fleets from '../administration/fleet.js'
+import * as httpListeners from './http_listener.js'
 import * as identities from '../contracts/identity.js'
 import * as listeners from '../links/listener.js'
 import * as peers from '../configuration/peers.js'
@@ -42,7 +43,7 @@
     replica.start()
     await this.agent.start()
     await this.control.listen(options.control)
-    await listen(this.health, options.health)
+    await httpListeners.listen(this.health, options.health)
     base.ring.record({ kind: 'process.started' })
     base.system.log.info('agent started', { control: identities.formatAddress(options.control) })
   }
@@ -110,13 +111,6 @@
   }
 }
 
-function listen (server: http.Server, address: identities.Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(address.port, address.host, resolve)
-  })
-}
-
 /** Creates the process beside a backend server; nothing is opened before `start`. */
 export function createAgentProcess (
   base: processBases.ProcessBase, options: settings.AgentSettings
--- a/src/daemon/entry_process.ts
+++ b/src/daemon/entry_process.ts
@@ -1,7 +1,6 @@
 /**
  * The process on an entry VM: callers' listener, administration, keepers of allowances and the links.
  */
-import * as http from 'node:http'
 import * as administrationListeners from '../administration/listener.js'
 import * as allowanceClients from '../allowances/client.js'
 import * as allowanceTiming from '../allowances/timing.js'
@@ -12,6 +11,7 @@
 import * as etcdStores from '../host/etcd_store.js'
 import * as fleets from '../administration/fleet.js'
 import * as histories from '../configuration/history.js'
+import * as httpListeners from './http_listener.js'
 import * as identities from '../contracts/identity.js'
 import * as keeperHosts from '../allowances/keeper_host.js'
 import * as linkFleets from './link_fleet.js'
@@ -89,7 +89,7 @@
     await replica.whenReady()
     keepers.start(replica.document.policy.allowanceShards)
     keepers.configurationChanged()
-    await listen(this.entry.server, options.callers)
+    await httpListeners.listen(this.entry.server, options.callers)
     base.system.log.info('ready', { version: replica.version })
   }
 }
@@ -205,13 +205,6 @@
   return { base, options, store, directory, replica, keepers, allowances }
 }
 
-function listen (server: http.Server, address: identities.Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(address.port, address.host, resolve)
-  })
-}
-
 /** Creates the process of an entry VM; nothing is opened before `start`. */
 export async function createEntryProcess (
   base: processBases.ProcessBase, options: settings.EntrySettings
