End the fault tests: a reset during a connection's end never finished

The stuck file was tests/faults/links: all its tests had passed, and the process span at its exit in node::Environment::CleanupHandles, waiting for a handle that never closes. `Socket.resetAndDestroy` while the end of the same socket is still being sent fails inside of libuv (shutdown pending), but Node 20 marks the handle as closing all the same: neither 'close' nor the descriptor's end ever comes. The forwarder between the processes resets connections at any moment. The files that ended had been reported late only because the runner prints in order. Ruled out: a deployment left running, a promise that never settles (no child process was left; 128 s of processor time in the main thread).

Change: the forwarder closes a socket whose end is pending instead of resetting it. A test file of the proofs that does not end within 5 minutes fails by name.

--- a/tests/tools/cut.test.ts
+++ b/tests/tools/cut.test.ts
@@ -3,6 +3,9 @@
 import * as test from 'node:test'
 import * as cuts from '../../tools/cut.js'
 
+/** Time in milliseconds after which a test that waits for ever fails. */
+const hangMs = 30_000
+
 test.describe('Cut', () => {
   let echo: net.Server
   let cut: cuts.Cut
@@ -72,6 +75,15 @@
     socket.destroy()
   })
 
+  test.it('closes a connection whose end is still being sent', { timeout: hangMs }, async () => {
+    const socket = await connect()
+    await ask(socket, 'hello')
+    const closed = new Promise(resolve => socket.once('close', resolve))
+    socket.end()
+    cuts.resetSocket(socket)
+    await closed
+  })
+
   test.it('passes a closed connection on', async () => {
     const socket = await connect()
     await ask(socket, 'hello')
--- a/tools/cut.ts
+++ b/tools/cut.ts
@@ -73,7 +73,7 @@
     near.setNoDelay(true)
     if (this.mode === 'reset') {
       near.on('error', () => {})
-      near.resetAndDestroy()
+      resetSocket(near)
       return
     }
     const far = net.connect({ host: this.target.host, port: this.target.port, noDelay: true, allowHalfOpen: true })
@@ -103,7 +103,7 @@
     if (other.destroyed) {
       this.pairs.delete(pair)
     } else if (!pair.isSilent && closed.errored !== null) {
-      other.resetAndDestroy()
+      resetSocket(other)
     } else if (!pair.isSilent) {
       other.end()
     }
@@ -111,7 +111,19 @@
 
   private reset (pair: Pair): void {
     this.pairs.delete(pair)
-    pair.near.resetAndDestroy()
-    pair.far.resetAndDestroy()
+    resetSocket(pair.near)
+    resetSocket(pair.far)
   }
 }
+
+/**
+ * Resets a connection. One whose end is still being sent is closed instead: Node never finishes its reset, and the
+ * process does not exit.
+ */
+export function resetSocket (socket: net.Socket): void {
+  if (socket.writableEnded && !socket.writableFinished) {
+    socket.destroy()
+    return
+  }
+  socket.resetAndDestroy()
+}
--- a/tools/prove.ts
+++ b/tools/prove.ts
@@ -12,6 +12,8 @@
 
 /** Test files that run at the same time; each starts a deployment of about ten processes. */
 const concurrency = 2
+/** Time in milliseconds after which a test file that has not ended fails. */
+const fileTimeoutMs = 300_000
 const built = url.fileURLToPath(new URL('..', import.meta.url))
 
 interface TestResult {
@@ -32,7 +34,8 @@
 /** Runs the test files and returns a result for every test, also for those of a file that broke off. */
 async function runTests (files: readonly string[], totals: Map<string, number>): Promise<TestResult[]> {
   const results: TestResult[] = []
-  const stream = testRunner.run({ files: files.map(file => path.join(built, 'tests', `${file}.test.js`)), concurrency })
+  const paths = files.map(file => path.join(built, 'tests', `${file}.test.js`))
+  const stream = testRunner.run({ files: paths, concurrency, timeout: fileTimeoutMs })
   const suites = new Map<string, string[]>()
   stream.on('test:start', ({ file = '', nesting, name }) => {
     const names = suites.get(file) ?? []
