Take only a probe's own answer as proof that an idle connection lives

The answer to an earlier heartbeat, delayed by a busy machine, arrived after the connection had fallen silent and was taken for the answer to the probe. The call then went out on a dead connection and was lost (may_have_run). Besides, the test ran on the real clock, with a session lease of 300 ms.

Change: a probe's heartbeat carries a number, and only the answer with this number counts. The tests of idle connections run on a clock that moves only when told to; the others no longer depend on a session lease shorter than a stall of the machine.

--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -41,7 +41,9 @@
 export class Connection {
   private readonly rpc: jsonrpc.JSONRPCClient
   private readonly losses = new Set<() => void>()
-  private readonly hearings = new Set<() => void>()
+  /** Probes by the payload of their heartbeat. */
+  private readonly probes = new Map<string, () => void>()
+  private probeCount = 0
   private heardAtMs: number
   private sentAtMs: number
   private closed = false
@@ -57,7 +59,7 @@
     this.rpc = new jsonrpc.JSONRPCClient(payload => this.send(payload))
     socket.on('message', data => this.receive(data as Buffer))
     socket.on('ping', () => this.hear())
-    socket.on('pong', () => this.hear())
+    socket.on('pong', payload => this.hearAnswer(payload))
     socket.on('close', () => this.finish())
     socket.on('error', () => this.terminate())
   }
@@ -130,13 +132,13 @@
   }
 
   /** Sends a heartbeat, which the other end's library answers. */
-  ping (): void {
+  ping (payload = ''): void {
     if (!this.isOpen) {
       return
     }
     this.sentAtMs = this.context.clock.monotonicMs()
-    this.context.traffic.add('sent', undefined, pingBytes)
-    this.socket.ping()
+    this.context.traffic.add('sent', undefined, pingBytes + payload.length)
+    this.socket.ping(payload)
   }
 
   /** Drops the connection without a closing handshake. */
@@ -150,21 +152,25 @@
     this.finish()
   }
 
-  /** Sends a heartbeat and tells whether anything arrives within `timeoutMs`. */
+  /**
+   * Sends a heartbeat and tells whether its own answer arrives within `timeoutMs`. What was sent earlier may arrive
+   * after the connection has fallen silent.
+   */
   probe (timeoutMs: number): Promise<boolean> {
+    this.probeCount += 1
+    const payload = String(this.probeCount)
     return new Promise(resolve => {
-      const settle = (isHeard: boolean): void => {
+      const settle = (isAnswered: boolean): void => {
         stopTimer()
-        this.hearings.delete(hear)
+        this.probes.delete(payload)
         this.losses.delete(lose)
-        resolve(isHeard)
+        resolve(isAnswered)
       }
-      const hear = (): void => settle(true)
       const lose = (): void => settle(false)
       const stopTimer = this.context.clock.after(timeoutMs, lose)
-      this.hearings.add(hear)
+      this.probes.set(payload, () => settle(true))
       this.losses.add(lose)
-      this.ping()
+      this.ping(payload)
     })
   }
 
@@ -181,12 +187,14 @@
 
   private hear (): void {
     this.heardAtMs = this.context.clock.monotonicMs()
-    for (const hearing of [...this.hearings]) {
-      hearing()
-    }
     this.events.heard()
   }
 
+  private hearAnswer (payload: Buffer): void {
+    this.hear()
+    this.probes.get(payload.toString())?.()
+  }
+
   private receive (data: Buffer): void {
     if (this.closed) {
       return
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -10,11 +10,12 @@
 import * as nodeSystem from '../../src/host/node_system.js'
 import * as protocol from '../../src/contracts/protocol.js'
 import * as traffics from '../../src/links/traffic.js'
+import * as manualClocks from '../support/manual_clock.js'
 import * as types from '../../src/links/types.js'
 import * as work from '../../src/contracts/work.js'
 
 const timing: types.LinkTiming = {
-  connectTimeoutMs: 10_000, heartbeatMs: 20, silenceMs: 100, sessionLeaseMs: 300, idleMs: 60_000, reconnectMs: 10, loadReportsPerSecond: 100
+  connectTimeoutMs: 10_000, heartbeatMs: 20, silenceMs: 100, sessionLeaseMs: 30_000, idleMs: 60_000, reconnectMs: 10, loadReportsPerSecond: 100
 }
 
 /** Longer than any call takes on a busy machine. */
@@ -38,9 +39,12 @@
   }
 }
 
-function createContext (node: string, credential = 'a shared credential', version = 0): clientLinks.LinkContext {
+function createContext (
+  node: string, credential = 'a shared credential', version = 0, clock?: manualClocks.ManualClock
+): clientLinks.LinkContext {
+  const system = nodeSystem.createSilentSystem()
   return {
-    system: nodeSystem.createSilentSystem(),
+    system: clock === undefined ? system : { ...system, clock },
     identity: { node, boot: `${node}-boot`, role: node === 'server' ? 'agent' : 'entry', zone: 'z', region: 'r' },
     credential,
     timing,
@@ -103,13 +107,14 @@
 
 /** Forwards connections on loopback; can swallow what passes without closing anything. */
 class Forwarder {
-  isSilent = false
   private readonly sockets = new Set<net.Socket>()
+  private readonly clients = new Map<net.Socket, net.Socket>()
   private readonly server: net.Server
 
   constructor (target: identities.Address) {
     this.server = net.createServer(inner => {
       const outer = net.connect(target.port, target.host)
+      this.clients.set(outer, inner)
       this.pass(inner, outer)
       this.pass(outer, inner)
     })
@@ -128,6 +133,19 @@
     }
   }
 
+  /** Keeps back what the listener sends next, and silences the connections then; returns what delivers it. */
+  async interceptAnswer (): Promise<() => void> {
+    return await new Promise(resolve => {
+      for (const [outer, inner] of this.clients) {
+        outer.removeAllListeners('data')
+        outer.once('data', data => {
+          this.silence()
+          resolve(() => inner.write(data))
+        })
+      }
+    })
+  }
+
   cut (): void {
     for (const socket of this.sockets) {
       socket.destroy()
@@ -266,11 +284,35 @@
 
   test.describe('a connection that fell silent while idle', () => {
     test.it('is replaced before it is used', async () => {
-      const ends = await connect()
+      const clock = new manualClocks.ManualClock()
+      const ends = await connect(createContext('client', undefined, undefined, clock))
       await ends.link.call('status.read', {}, callTimeoutMs)
-      await timers.setTimeout(2 * timing.heartbeatMs)
+      await clock.advance(2 * timing.heartbeatMs)
       ends.forwarder.silence()
-      const answer = await ends.link.call('status.read', {}, callTimeoutMs)
+      const pending = ends.link.call('status.read', {}, callTimeoutMs)
+      await clock.advance(timing.silenceMs)
+      const answer = await pending
+      const { openings, losses } = ends.linkWatch
+      ends.close()
+      assert.equal(answer.isRight(), true)
+      assert.deepEqual([openings, losses], [[false, true], 0])
+    })
+
+    test.it('is replaced before it is used although an earlier answer comes late', { timeout: callTimeoutMs }, async () => {
+      const clock = new manualClocks.ManualClock()
+      const ends = await connect(createContext('client', undefined, undefined, clock))
+      const release = ends.link.hold()
+      await ends.link.call('status.read', {}, callTimeoutMs)
+      const intercepted = ends.forwarder.interceptAnswer()
+      await clock.advance(timing.heartbeatMs)
+      const deliver = await intercepted
+      release()
+      await clock.advance(2 * timing.heartbeatMs)
+      const pending = ends.link.call('status.read', {}, callTimeoutMs)
+      deliver()
+      await timers.setImmediate()
+      await clock.advance(timing.silenceMs)
+      const answer = await pending
       const { openings, losses } = ends.linkWatch
       ends.close()
       assert.equal(answer.isRight(), true)
