Let an entry that lost its shards take over again: forget its dead lease

Cause: a process that held shards, was frozen and on its return saw its successors' records before it renewed its lease, kept that dead lease for good: nothing renews a lease while no shard is held, and nothing asks for another while there is one. Each take-over that it then tried was refused by the store (lease not found), so the next keeper that died or froze had no successor.

Ruled out: promises given before the freeze, records without successors, a write slot left in flight, a silent watch, hints.

Change: while no shard is held, a lease that may have expired is forgotten, and the next take-over asks for a new one.

--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -205,6 +205,9 @@
 
   private tick (): void {
     this.isLeaseWanted = false
+    if (!this.isAnyHeld()) {
+      this.lease.forgetExpired()
+    }
     this.broadcast({ kind: 'tick', entries: this.context.entries.list() })
     if (this.isLeaseWanted || this.isAnyHeld()) {
       this.lease.maintain()
--- a/src/allowances/process_lease.ts
+++ b/src/allowances/process_lease.ts
@@ -34,6 +34,18 @@
     this.isBusy = false
   }
 
+  /** Forgets a lease that may have expired; for use while no key is bound to it. */
+  forgetExpired (): void {
+    const lease = this.lease
+    if (lease === undefined) {
+      return
+    }
+    const untilMs = lease.sentMs + timings.getBelievedMs(this.timing.leaseTtlMs, this.timing)
+    if (this.clock.monotonicMs() >= untilMs) {
+      this.set(undefined)
+    }
+  }
+
   /** Gives the lease up; keys bound to it disappear. */
   async revoke (): Promise<void> {
     const lease = this.lease
--- a/tests/allowances/keeper_host.test.ts
+++ b/tests/allowances/keeper_host.test.ts
@@ -92,6 +92,19 @@
     assert.ok(fleet.getOvershoot('w') <= 0)
   })
 
+  test.it('takes over again after it was paused and has lost its shards', async () => {
+    const fleet = await createFleet(['a', 'b'])
+    const first = fleet.findServing() as string
+    const second = getOther(fleet, first)
+    for (const [paused, serving] of [[first, second], [second, first]] as const) {
+      fleet.entries.get(paused)?.gate.pause()
+      await fleet.clock.advance(6000)
+      assert.equal(fleet.findServing(), serving)
+      fleet.entries.get(paused)?.gate.resume()
+      await fleet.clock.advance(3000)
+    }
+  })
+
   test.it('settles a take-over whose answer is lost by writing again', async () => {
     const fleet = new fleets.Fleet()
     fleet.addWorkspace('w', 1000, 10_000)
