--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -2,13 +2,9 @@
  * Exit codes of the operators' tool.
  */
 import * as diagnosticTable from '../contracts/diagnostics.js'
+import * as exitCodeContracts from '../contracts/exit_code.js'
 import * as failures from '../contracts/failure.js'
 
-export interface ExitCode {
-  readonly code: number
-  readonly meaning: string
-}
-
 export const exitCodes = {
   done: { code: 0, meaning: 'Done.' },
   defect: { code: 1, meaning: 'A defect of the program.' },
@@ -20,7 +16,7 @@
   unavailable: { code: 7, meaning: 'The administration API cannot be reached, or cannot work now; nothing was changed.' },
   uncertain: { code: 8, meaning: 'The outcome is unknown; the same command with the same --operation settles it.' },
   settings: { code: 9, meaning: 'The settings file is not valid.' }
-} as const satisfies Record<string, ExitCode>
+} as const satisfies Record<string, exitCodeContracts.ExitCode>
 
 /** Returns the exit code for a failure. */
 export function getExitCode (failure: failures.Failure): number {
--- a/src/daemon/exit_code.ts
+++ b/src/daemon/exit_code.ts
@@ -1,11 +1,7 @@
 /**
  * Exit codes of the daemon.
  */
-
-export interface ExitCode {
-  readonly code: number
-  readonly meaning: string
-}
+import * as exitCodeContracts from '../contracts/exit_code.js'
 
 export const exitCodes = {
   drained: { code: 0, meaning: 'Shut down gracefully after SIGTERM or SIGINT.' },
@@ -13,4 +9,4 @@
   settings: { code: 2, meaning: 'The settings, or a file that they name, cannot be read or have mistakes; each is on a line of standard error.' },
   address: { code: 3, meaning: 'An address of the settings cannot be listened on; the log line `cannot start` names it.' },
   forced: { code: 4, meaning: 'A second signal came before the shutdown was done; requests may have been cut.' }
-} as const satisfies Record<string, ExitCode>
+} as const satisfies Record<string, exitCodeContracts.ExitCode>
--- a/src/host/http_machine_list.ts
+++ b/src/host/http_machine_list.ts
@@ -5,19 +5,11 @@
 import * as z from 'zod'
 import * as failures from '../contracts/failure.js'
 import * as host from './types.js'
+import * as machines from '../contracts/machine.js'
 
 /** Largest list that is read, in bytes. */
 const maximumListBytes = 4_194_304
 
-const Machine = z.object({
-  id: z.string().min(1),
-  host: z.string().min(1),
-  zone: z.string().min(1),
-  state: z.enum(['live', 'leaving']),
-  role: z.enum(['entry', 'server']),
-  controlPort: z.number().int().min(1).max(65535)
-}) satisfies z.ZodType<host.Machine>
-
 export class HttpMachineList extends host.MachineList {
   private readonly agent = new undici.Agent({ headersTimeout: 0, bodyTimeout: 0, maxResponseSize: maximumListBytes })
 
@@ -28,7 +20,7 @@
     super()
   }
 
-  override async read (): Promise<failures.Result<readonly host.Machine[]>> {
+  override async read (): Promise<failures.Result<readonly machines.Machine[]>> {
     const controller = new AbortController()
     const stopTimer = this.clock.after(this.timeoutMs, () => controller.abort())
     try {
@@ -39,7 +31,7 @@
       if (answer.statusCode !== 200) {
         return failUnavailable(`status ${answer.statusCode}`)
       }
-      const parsed = z.array(Machine).safeParse(JSON.parse(text))
+      const parsed = z.array(machines.Machine).safeParse(JSON.parse(text))
       return parsed.success ? failures.succeed(parsed.data) : failUnavailable(z.prettifyError(parsed.error))
     } catch (error) {
       return failUnavailable(error instanceof Error ? error.message : String(error))
--- a/src/host/types.ts
+++ b/src/host/types.ts
@@ -3,6 +3,7 @@
  * tests and benches pass their own.
  */
 import * as failures from '../contracts/failure.js'
+import * as machines from '../contracts/machine.js'
 
 /** Stops something that was scheduled or subscribed. Calling it twice is harmless. */
 export type Stop = () => void
@@ -139,21 +140,9 @@
   ): Stop
 }
 
-/** One VM as the platform lists it. The list lags behind reality. */
-export interface Machine {
-  readonly id: string
-  /** IP address. */
-  readonly host: string
-  readonly zone: string
-  readonly state: 'live' | 'leaving'
-  readonly role: 'entry' | 'server'
-  /** Port of the control listener of the process on the VM. */
-  readonly controlPort: number
-}
-
-/** The platform's list of live and leaving VMs. */
+/** The platform's list of live and leaving VMs, which lags behind reality. */
 export abstract class MachineList {
-  abstract read (): Promise<failures.Result<readonly Machine[]>>
+  abstract read (): Promise<failures.Result<readonly machines.Machine[]>>
 }
 
 /** What a process is given at its start. */
--- a/src/machines/directory.ts
+++ b/src/machines/directory.ts
@@ -4,6 +4,7 @@
 import * as allowances from '../allowances/types.js'
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
+import * as machines from '../contracts/machine.js'
 
 /** Where this process stands in the list. */
 export interface Place {
@@ -13,7 +14,7 @@
 }
 
 export class MachineDirectory extends allowances.Entries {
-  private machines: readonly host.Machine[] = []
+  private machines: readonly machines.Machine[] = []
   private isLeaving = false
   private stopReading: host.Stop = () => {}
 
@@ -77,7 +78,7 @@
   }
 }
 
-function createEntryVm (machine: host.Machine): allowances.EntryVm {
+function createEntryVm (machine: machines.Machine): allowances.EntryVm {
   return {
     node: machine.id,
     zone: machine.zone,
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -12,7 +12,7 @@
 import * as fleetProcesses from './fleet_process.js'
 import * as fleetSections from './fleet_sections.js'
 import * as fleetSettings from './fleet_settings.js'
-import * as host from '../src/host/types.js'
+import * as machines from '../src/contracts/machine.js'
 import * as identities from '../src/contracts/identity.js'
 import * as wait from './wait.js'
 
@@ -99,7 +99,7 @@
   }
 
   /** Puts a VM into the list of VMs, or changes its state there. */
-  async listVm (name: string, state: host.Machine['state'] = 'live'): Promise<void> {
+  async listVm (name: string, state: machines.Machine['state'] = 'live'): Promise<void> {
     const machine = this.describeMachine(name, state)
     await this.machines.send('PUT', `/vms/${name}`, machine)
   }
@@ -137,7 +137,7 @@
     return getOrThrow(entry?.addresses.administration ?? server?.addresses.health, id)
   }
 
-  private describeMachine (name: string, state: host.Machine['state']): host.Machine {
+  private describeMachine (name: string, state: machines.Machine['state']): machines.Machine {
     const entry = this.entries.find(candidate => candidate.vm.name === name)
     const vm = entry?.vm ?? this.getServer(name).vm
     const control = entry?.addresses.control ?? this.getServer(name).agentAddress
--- a/tools/operating_page.ts
+++ b/tools/operating_page.ts
@@ -5,6 +5,7 @@
 import * as cliExitCodes from '../src/cli/exit_code.js'
 import * as codeAdvice from './code_advice.js'
 import * as daemonExitCodes from '../src/daemon/exit_code.js'
+import * as exitCodes from '../src/contracts/exit_code.js'
 import * as settingsTables from '../src/configuration/settings_table.js'
 
 const tables: Readonly<Record<string, () => readonly string[]>> = {
@@ -39,7 +40,7 @@
   return lines
 }
 
-function listExitCodes (codes: Readonly<Record<string, { readonly code: number, readonly meaning: string }>>): readonly string[] {
+function listExitCodes (codes: Readonly<Record<string, exitCodes.ExitCode>>): readonly string[] {
   const rows = Object.values(codes).map(({ code, meaning }) => `| ${code} | ${meaning} |`)
   return ['| code | meaning |', '| --- | --- |', ...rows]
 }
