Keep the benchmark of the path from waiting for an end that has passed

Cause: a stream whose first data and end arrive together ended before the benchmark listened for the end; a run then hung until its time limit (seen once: 300 s without a result, load average 6 to 4). Change: the end is listened for before the first data. Conclusion: the benchmark ends on a busy machine too.

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -126,9 +126,10 @@
   if (response.statusCode !== 200) {
     throw new Error(`${response.statusCode} ${await response.body.text()}`)
   }
+  const ended = new Promise(resolve => response.body.once('end', resolve))
   const first = await new Promise<number>(resolve => response.body.once('data', () => resolve(performance.now())))
   response.body.resume()
-  await new Promise(resolve => response.body.once('end', resolve))
+  await ended
   return { firstTokenMs: first - started, totalMs: performance.now() - started }
 }
 
