Watch the shards' keys from the first page of their read

Cause: the keys were read page by page and watched from the revision of the last page: a change of a key of an earlier page in between was never seen. The built client asks for one page, so that it takes a store that pages by itself to lose a change.

Change: the watch begins after the revision of the first page.

Before: the new test saw no event; after: it passes.

--- a/src/allowances/keeper_keys.ts
+++ b/src/allowances/keeper_keys.ts
@@ -44,9 +44,10 @@
     return result.map(commit => commit.succeeded ? wanted : Number(commit.reads[0]?.value ?? wanted))
   }
 
-  /** Reads all keys. Returns the revision of the read. */
+  /** Reads all keys. Returns the revision of the first page: later changes are left to a watch. */
   async load (): Promise<failures.Result<number>> {
     const entries: host.StoreEntry[] = []
+    let revision: number | undefined
     let after: string | undefined
     for (;;) {
       const result = await this.store.readRange({ prefix: records.keyPrefix, after })
@@ -54,11 +55,12 @@
         return failures.fail(result.extract() as failures.Failure)
       }
       const page = result.unsafeCoerce()
+      revision ??= page.revision
       entries.push(...page.entries)
       after = page.entries.at(-1)?.key
       if (!page.more || after === undefined) {
         this.replace(entries)
-        return failures.succeed(page.revision)
+        return failures.succeed(revision)
       }
     }
   }
