Load only the modules of a process's role

Cause: the daemon loaded both roles, and an agent the administration API with its routes, OpenAPI description and editor, because the probes stood in the same module and the replica's base class in the editor's. Change: the probes, the open routes and the answers are modules of their own, as is the replica's base class; the daemon imports its role once it knows it.

--- a/src/administration/api_page.ts
+++ b/src/administration/api_page.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod'
 import * as callerPages from './caller_page.js'
 import * as diagnosticTable from '../contracts/diagnostics.js'
+import * as openRouteTable from './open_route.js'
 import * as routes from './route.js'
 import * as tables from './table.js'
 
@@ -47,7 +48,7 @@
 /** Returns the whole page. */
 export function createApiPage (): string {
   const parts = [callerPages.callerPart, introduction, '## Routes without credential', '', '| route | |', '| --- | --- |']
-  for (const { path, summary } of Object.values(tables.openRoutes)) {
+  for (const { path, summary } of Object.values(openRouteTable.openRoutes)) {
     parts.push(`| \`GET ${path}\` | ${summary} |`)
   }
   parts.push('', `Every other route may also answer: ${formatCodes(tables.commonCodes)}; with a method other than GET: ${formatCodes(tables.bodyCodes)}.`)
--- a/src/administration/application.ts
+++ b/src/administration/application.ts
@@ -5,16 +5,17 @@
 import * as answers from './answers.js'
 import * as changeRequests from '../configuration/change_request.js'
 import * as credentials from '../configuration/credentials.js'
-import * as diagnosticTable from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
-import * as fleets from './fleet.js'
+import * as openRouteTable from './open_route.js'
 import * as openapi from './openapi.js'
+import * as probeApplications from './probe_application.js'
 import * as requests from './request.js'
+import * as responses from './response.js'
 import * as routes from './route.js'
 import * as tables from './table.js'
 
 export interface ApplicationOptions extends routes.Services {
-  readonly probes: fleets.Probes
+  readonly probes: probeApplications.Probes
   /** Whether the configuration of this process is ready to be read. */
   readonly isReady: () => boolean
   /** Largest body of a request. */
@@ -24,41 +25,20 @@
 /** Creates the application; `toNodeHandler` of h3 makes it a handler for `node:http`. */
 export function createApplication (options: ApplicationOptions): h3.H3 {
   const app = new h3.H3({ silent: true })
-  addProbes(app, options.probes)
+  probeApplications.addProbes(app, options.probes)
   const openApi = JSON.stringify(openapi.createDescription())
-  app.get(tables.openRoutes.description.path, () => new Response(openApi, { headers: { 'content-type': 'application/json' } }))
+  app.get(openRouteTable.openRoutes.description.path, () => new Response(openApi, { headers: { 'content-type': 'application/json' } }))
   for (const route of tables.table) {
     const handler = new RouteHandler(route, options)
     app.on(route.method, toPattern(route.path), event => handler.handle(event))
   }
   for (const path of new Set(tables.table.map(route => route.path))) {
-    app.all(toPattern(path), event => refuse(failures.createFailure('not_run', 'method_not_allowed', [event.req.method, path])))
+    app.all(toPattern(path), event => responses.refuse(failures.createFailure('not_run', 'method_not_allowed', [event.req.method, path])))
   }
-  app.all('/**', event => refuse(failures.createFailure('not_run', 'route_unknown', [event.req.method, event.url.pathname])))
+  app.all('/**', event => responses.refuse(failures.createFailure('not_run', 'route_unknown', [event.req.method, event.url.pathname])))
   return app
 }
 
-/** Creates an application of the probes and metrics alone, as an agent has. */
-export function createProbeApplication (probes: fleets.Probes): h3.H3 {
-  const app = new h3.H3({ silent: true })
-  addProbes(app, probes)
-  app.all('/**', event => refuse(failures.createFailure('not_run', 'route_unknown', [event.req.method, event.url.pathname])))
-  return app
-}
-
-function addProbes (app: h3.H3, probes: fleets.Probes): void {
-  const { health, readiness, metrics } = tables.openRoutes
-  app.get(health.path, () => answerProbe(probes.isHealthy()))
-  app.get(readiness.path, () => answerProbe(probes.isReady()))
-  app.get(metrics.path, async () => new Response(await probes.renderMetrics(), {
-    headers: { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' }
-  }))
-}
-
-function answerProbe (isGood: boolean): Response {
-  return new Response(isGood ? 'ok\n' : 'unavailable\n', { status: isGood ? 200 : 503, headers: { 'content-type': 'text/plain' } })
-}
-
 function toPattern (path: string): string {
   return path.replaceAll(/\{(\w+)\}/g, ':$1')
 }
@@ -73,11 +53,11 @@
         return prepared
       }
       const result = await this.route.handle(prepared)
-      return result.caseOf({ Left: refuse, Right: reply => this.respond(reply) })
+      return result.caseOf({ Left: responses.refuse, Right: reply => this.respond(reply) })
     } catch (error) {
       const text = error instanceof Error ? error.message : String(error)
       const verdict = this.route.method === 'GET' ? 'not_run' : 'may_have_run'
-      return refuse(failures.createFailure(verdict, 'internal', [text]))
+      return responses.refuse(failures.createFailure(verdict, 'internal', [text]))
     }
   }
 
@@ -85,17 +65,17 @@
   private async prepare (event: h3.H3Event): Promise<routes.Call | Response> {
     const { options, route } = this
     if (!options.isReady()) {
-      return refuse(failures.createFailure('not_run', 'not_ready', [], 1_000))
+      return responses.refuse(failures.createFailure('not_run', 'not_ready', [], 1_000))
     }
     const credential = requests.readCredential(event.req.headers)
     const operator = credential === undefined ? undefined : options.editor.findOperator(credential)
     if (credential === undefined || operator === undefined) {
-      return refuse(failures.createFailure('not_run', 'operator_unknown'))
+      return responses.refuse(failures.createFailure('not_run', 'operator_unknown'))
     }
     const text = await requests.readText(event.req, options.bodyBytes)
     const read = text.chain(body => requests.parseBody(route, body))
     return read.caseOf<routes.Call | Response>({
-      Left: refuse,
+      Left: responses.refuse,
       Right: body => this.check(event, body, credential, operator)
     })
   }
@@ -109,10 +89,10 @@
     const query = requests.check('query', this.route.query, Object.fromEntries(event.url.searchParams))
     const body = requests.check('body', this.route.body, json)
     if (version.isLeft()) {
-      return refuse(version.swap().unsafeCoerce())
+      return responses.refuse(version.swap().unsafeCoerce())
     }
     if (operation.isLeft()) {
-      return refuse(operation.swap().unsafeCoerce())
+      return responses.refuse(operation.swap().unsafeCoerce())
     }
     if (query.kind === 'refused') {
       return refuseChange(query.refusal)
@@ -124,7 +104,7 @@
     const expectedVersion = version.unsafeCoerce()
     if (this.route.version === 'required' && expectedVersion === undefined) {
       const name = Object.values(params).join('/') || 'policy'
-      return refuse(failures.createFailure('not_run', 'version_missing', [name]))
+      return responses.refuse(failures.createFailure('not_run', 'version_missing', [name]))
     }
     const digest = changeRequests.createDigest([this.route.method, event.url.pathname, query.value, json, expectedVersion])
     return {
@@ -145,7 +125,7 @@
       return refuseChange(reply.refusal)
     }
     const headers: Record<string, string> = reply.version === undefined ? {} : { etag: `"${reply.version}"` }
-    return respondJson(reply.value, reply.status ?? this.route.status, headers)
+    return responses.respondJson(reply.value, reply.status ?? this.route.status, headers)
   }
 }
 
@@ -165,10 +145,6 @@
   }
 }
 
-function refuse (failure: failures.Failure): Response {
-  return respondRefusal({ error: failure }, failure)
-}
-
 function refuseChange ({ failure, mistakes, stale }: changeRequests.Refusal): Response {
   const error: answers.Refusal['error'] = { ...failure }
   if (mistakes.length > 0) {
@@ -177,19 +153,5 @@
   if (stale.length > 0) {
     error.stale = [...stale]
   }
-  return respondRefusal({ error }, failure)
-}
-
-function respondRefusal (refusal: answers.Refusal, failure: failures.Failure): Response {
-  const headers: Record<string, string> = {}
-  if (failure.retryAfterMs !== undefined) {
-    headers['retry-after'] = String(Math.ceil(failure.retryAfterMs / 1000))
-  }
-  const { status } = diagnosticTable.diagnostics[failure.code]
-  return respondJson(refusal, status, status === 401 ? { ...headers, 'www-authenticate': 'Bearer' } : headers)
-}
-
-function respondJson (value: unknown, status: number, headers: Readonly<Record<string, string>>): Response {
-  const standard = { 'content-type': 'application/json', 'cache-control': 'no-store' }
-  return new Response(JSON.stringify(value), { status, headers: { ...standard, ...headers } })
+  return responses.respondRefusal({ error }, failure)
 }
--- a/src/administration/fleet.ts
+++ b/src/administration/fleet.ts
@@ -13,11 +13,3 @@
   /** Returns at most `limit` events of each process, of one request if that is given. */
   abstract readTimeline (request: string | undefined, limit: number): Promise<readonly events.Event[]>
 }
-
-/** State of this process, for the platform's probes and for Prometheus. */
-export abstract class Probes {
-  abstract isHealthy (): boolean
-  abstract isReady (): boolean
-  /** Returns the metrics in the text format of Prometheus. */
-  abstract renderMetrics (): Promise<string>
-}
--- a/src/administration/openapi.ts
+++ b/src/administration/openapi.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod'
 import * as answers from './answers.js'
 import * as diagnosticTable from '../contracts/diagnostics.js'
+import * as openRouteTable from './open_route.js'
 import * as routes from './route.js'
 import * as tables from './table.js'
 
@@ -17,7 +18,7 @@
     paths[route.path] = path
     path[route.method.toLowerCase()] = createOperation(route)
   }
-  for (const { path, summary } of Object.values(tables.openRoutes)) {
+  for (const { path, summary } of Object.values(openRouteTable.openRoutes)) {
     paths[path] = { get: { summary, security: [], responses: { 200: { description: 'OK' } } } }
   }
   return {
--- a/src/configuration/editor.ts
+++ b/src/configuration/editor.ts
@@ -9,7 +9,7 @@
 import * as checks from './checks.js'
 import * as configuration from '../contracts/configuration.js'
 import * as credentials from './credentials.js'
-import * as documents from './document.js'
+import * as currentDocuments from './current_document.js'
 import * as failures from '../contracts/failure.js'
 import * as histories from './history.js'
 import * as host from '../host/types.js'
@@ -23,19 +23,10 @@
 /** Earlier changes listed with a stale edit. */
 const staleHistoryLimit = 20
 
-/** The document of this process, which the editor checks against. */
-export abstract class CurrentDocument {
-  abstract readonly document: documents.Document
-  /** Brings the document to the version or a later one. */
-  abstract reach (version: number): Promise<failures.Result<void>>
-  /** Takes a change that was just accepted, and passes it on. */
-  abstract publish (change: configuration.Change): void
-}
-
 export interface EditorOptions {
   readonly store: host.Store
   readonly clock: host.Clock
-  readonly current: CurrentDocument
+  readonly current: currentDocuments.CurrentDocument
   /** SHA-256 of the administrators' credential, in hexadecimal. */
   readonly administratorHash: string
   /** Takes the events of refused changes. */
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -2,9 +2,9 @@
  * Keeps the document of this process current, from the store and from other processes.
  */
 import * as configuration from '../contracts/configuration.js'
+import * as currentDocuments from './current_document.js'
 import * as decisions from './replica_decisions.js'
 import * as documents from './document.js'
-import * as editors from './editor.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
@@ -37,7 +37,7 @@
 /** Called after the document has moved on, with the names of the sections that changed. */
 export type ChangeListener = (version: number, sections: readonly string[]) => void
 
-export class Replica extends editors.CurrentDocument {
+export class Replica extends currentDocuments.CurrentDocument {
   override readonly document: documents.Document
   /** For the listener of links. */
   readonly handlers: links.Handlers
--- a/src/daemon/agent_process.ts
+++ b/src/daemon/agent_process.ts
@@ -4,13 +4,12 @@
 import * as h3 from 'h3/node'
 import * as http from 'node:http'
 import * as agents from '../agent/agent.js'
-import * as applications from '../administration/application.js'
 import * as daemonProcesses from './daemon_process.js'
-import * as fleets from '../administration/fleet.js'
 import * as httpListeners from './http_listener.js'
 import * as identities from '../contracts/identity.js'
 import * as listeners from '../links/listener.js'
 import * as peers from '../configuration/peers.js'
+import * as probeApplications from '../administration/probe_application.js'
 import * as processBases from './process_base.js'
 import * as replicas from '../configuration/replica.js'
 import * as sessionObservers from '../links/session_observers.js'
@@ -33,7 +32,7 @@
     const observer = new sessionObservers.SessionObservers([agent, replica.sessionObserver])
     this.control = new listeners.Listener(base.linkContext, handlers, observer)
     const probes = new AgentProbes(base, source)
-    this.health = http.createServer(h3.toNodeHandler(applications.createProbeApplication(probes)))
+    this.health = http.createServer(h3.toNodeHandler(probeApplications.createProbeApplication(probes)))
   }
 
   override async start (): Promise<void> {
@@ -89,7 +88,7 @@
   }
 }
 
-class AgentProbes extends fleets.Probes {
+class AgentProbes extends probeApplications.Probes {
   constructor (
     private readonly base: processBases.ProcessBase,
     private readonly source: processBases.StatusSource
--- a/src/daemon/entry_process.ts
+++ b/src/daemon/entry_process.ts
@@ -9,7 +9,6 @@
 import * as editors from '../configuration/editor.js'
 import * as entries from '../entry/entry.js'
 import * as etcdStores from '../host/etcd_store.js'
-import * as fleets from '../administration/fleet.js'
 import * as histories from '../configuration/history.js'
 import * as httpListeners from './http_listener.js'
 import * as identities from '../contracts/identity.js'
@@ -20,6 +19,7 @@
 import * as machineLists from '../host/http_machine_list.js'
 import * as policies from '../entry/policy.js'
 import * as peers from '../configuration/peers.js'
+import * as probeApplications from '../administration/probe_application.js'
 import * as processBases from './process_base.js'
 import * as replicas from '../configuration/replica.js'
 import * as settings from '../contracts/settings.js'
@@ -126,7 +126,7 @@
   }
 }
 
-class EntryProbes extends fleets.Probes {
+class EntryProbes extends probeApplications.Probes {
   constructor (
     private readonly parts: EntryParts,
     private readonly entry: entries.Entry,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,9 +5,7 @@
  * SIGTERM and SIGINT drain; a second one ends at once.
  */
 import * as commander from 'commander'
-import * as agentProcesses from './agent_process.js'
 import * as daemonProcesses from './daemon_process.js'
-import * as entryProcesses from './entry_process.js'
 import * as exitCodeTable from './exit_code.js'
 import * as failures from '../contracts/failure.js'
 import * as nodeSystem from '../host/node_system.js'
@@ -31,9 +29,7 @@
   }
   const system = nodeSystem.createNodeSystem(options.node, options.log)
   const base = new processBases.ProcessBase(system, options, security.toMaybe().extract())
-  const daemon = options.role === 'entry'
-    ? await entryProcesses.createEntryProcess(base, options)
-    : agentProcesses.createAgentProcess(base, options)
+  const daemon = await createDaemon(base, options)
   handleSignals(daemon)
   await daemon.start().catch((error: unknown) => {
     system.log.error('cannot start', { error: String(error) })
@@ -41,6 +37,18 @@
   })
 }
 
+/** Loads the modules of the role, and only those, and creates its process. */
+async function createDaemon (
+  base: processBases.ProcessBase, options: settings.Settings
+): Promise<daemonProcesses.DaemonProcess> {
+  if (options.role === 'entry') {
+    const entryProcesses = await import('./entry_process.js')
+    return entryProcesses.createEntryProcess(base, options)
+  }
+  const agentProcesses = await import('./agent_process.js')
+  return agentProcesses.createAgentProcess(base, options)
+}
+
 function handleSignals (daemon: daemonProcesses.DaemonProcess): void {
   let signals = 0
   const stop = (): void => {
--- a/tests/administration/fixture.ts
+++ b/tests/administration/fixture.ts
@@ -7,6 +7,7 @@
 import * as histories from '../../src/configuration/history.js'
 import * as host from '../../src/host/types.js'
 import * as listeners from '../../src/administration/listener.js'
+import * as probeApplications from '../../src/administration/probe_application.js'
 import * as seededRandoms from '../../src/host/seeded_random.js'
 import * as standinClient from '../support/standin_client.js'
 
@@ -29,7 +30,7 @@
   }
 }
 
-export class KnownProbes extends fleets.Probes {
+export class KnownProbes extends probeApplications.Probes {
   isReadyNow = true
   override isHealthy (): boolean { return true }
   override isReady (): boolean { return this.isReadyNow }
--- a/tests/support/wired_process.ts
+++ b/tests/support/wired_process.ts
@@ -2,6 +2,7 @@
  * A process's configuration over real links and the store stand-in over HTTP, within one program.
  */
 import * as credentials from '../../src/configuration/credentials.js'
+import * as currentDocuments from '../../src/configuration/current_document.js'
 import * as editors from '../../src/configuration/editor.js'
 import * as etcdStores from '../../src/host/etcd_store.js'
 import * as failures from '../../src/contracts/failure.js'
@@ -141,7 +142,7 @@
   }, clock)
 }
 
-function createEditor (store: host.Store, clock: host.Clock, current: editors.CurrentDocument): editors.Editor {
+function createEditor (store: host.Store, clock: host.Clock, current: currentDocuments.CurrentDocument): editors.Editor {
   return new editors.Editor({ store, clock, current, administratorHash: credentials.hashSecret(administratorCredential) })
 }
 
