Make the OpenAPI description when it is first asked for

Cause: every entry made the description at its start, 84 KB of text and 0.7 MB of heap, though hardly any process is ever asked for it. Change: the first call makes it; later calls get the same text.

--- a/src/administration/application.ts
+++ b/src/administration/application.ts
@@ -26,8 +26,11 @@
 export function createApplication (options: ApplicationOptions): h3.H3 {
   const app = new h3.H3({ silent: true })
   probeApplications.addProbes(app, options.probes)
-  const openApi = JSON.stringify(openapi.createDescription())
-  app.get(openRouteTable.openRoutes.description.path, () => new Response(openApi, { headers: { 'content-type': 'application/json' } }))
+  let description: string | undefined
+  app.get(openRouteTable.openRoutes.description.path, () => {
+    description ??= JSON.stringify(openapi.createDescription())
+    return new Response(description, { headers: { 'content-type': 'application/json' } })
+  })
   for (const route of tables.table) {
     const handler = new RouteHandler(route, options)
     app.on(route.method, toPattern(route.path), event => handler.handle(event))
