Promise the first decode slot that is in time, and put the prefill off until then

Cause: an offer was refused when the decode slot would come more than 500 ms (and half of the expected time) after the prefill, although the first token would have been in time: refusals said "within 1900 ms; the predicted time is 913 ms". Every promise counted as taken from now on, so that room free before a later promise was not offered.

Change: an offer says how long the decode may wait (what is left of the first token's target, 900 ms at most); the agent promises the first instant from which on there is always a slot and memory beside what is promised (profile.ts), and says when to ask again if it promises nothing. The entry puts the prefill off so that its KV cache is ready at most 500 ms before the slot, and a decode may wait 0.8 (before: 0.5) of the KV cache's life at one server.

--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -32,15 +32,16 @@
       outbox.fail(event.call, failures.createFailure('not_run', 'memory_exhausted', [options.server]))
       return undefined
     }
-    const waitNowMs = scheduler.predictWaitMs(demand, params.workspace, undefined, nowMs)
-    const waitMs = Math.max(0, waitNowMs - params.expectedInMs)
-    const reservation = this.tryReserve(event, demand, waitMs)
+    const waitMs = this.predictWaitMs(event, demand)
+    const longestWaitMs = this.getLongestWaitMs(event)
+    const reservation = this.tryReserve(event, demand, waitMs, longestWaitMs)
     outbox.succeed(event.call, {
       boot: options.boot,
       waitMs,
       serviceMs: scheduler.getServiceMs(demand, nowMs),
       cachedTokens: Math.min(cachedTokens, params.promptTokens),
       reservation: reservation?.id,
+      retryAfterMs: reservation !== undefined || longestWaitMs === undefined ? undefined : Math.max(1, waitMs - longestWaitMs),
       load: scheduler.getLoad(false)
     })
     return reservation
@@ -70,19 +71,27 @@
     }
   }
 
-  private tryReserve (event: OfferCall, demand: attempts.Demand, waitMs: number): reservations.Reservation | undefined {
+  /** Returns the longest wait for which the offer asks to keep room; `undefined` if it only asks. */
+  private getLongestWaitMs ({ params }: OfferCall): number | undefined {
+    return params.holdMs === undefined ? undefined : params.maximumWaitMs ?? params.holdMs
+  }
+
+  private tryReserve (
+    event: OfferCall, demand: attempts.Demand, waitMs: number, longestWaitMs: number | undefined
+  ): reservations.Reservation | undefined {
     const { params, nowMs, session } = event
-    if (params.holdMs === undefined || waitMs > params.holdMs) {
+    if (params.holdMs === undefined || longestWaitMs === undefined || waitMs > longestWaitMs) {
       return undefined
     }
     this.lastReservation += 1
-    const expectedAtMs = nowMs + params.expectedInMs
+    const expectedAtMs = nowMs + params.expectedInMs + waitMs
     const reservation = {
       id: `${this.parts.options.boot}.${this.lastReservation}`,
       request: params.request,
       workspace: params.workspace,
       session,
       pieces: this.parts.scheduler.countPieces(demand),
+      serviceMs: this.parts.scheduler.getRunMs(demand, nowMs),
       expectedAtMs,
       lapsesAtMs: expectedAtMs + params.holdMs
     }
@@ -91,6 +100,14 @@
     return reservation
   }
 
+  /** Predicts the wait from the expected arrival on: in the queue, or for room that is free of promises. */
+  private predictWaitMs ({ params, nowMs }: OfferCall, demand: attempts.Demand): number {
+    const { scheduler } = this.parts
+    const queuedMs = scheduler.predictWaitMs(demand, params.workspace, undefined, nowMs)
+    const roomMs = params.holdMs === undefined ? undefined : scheduler.predictRoomMs(demand, params.expectedInMs, nowMs)
+    return Math.max(0, (roomMs ?? queuedMs) - params.expectedInMs)
+  }
+
   /** A repeated offer replaces the earlier one, whose answer may have been lost. */
   private releaseRequest (request: string): void {
     for (const reservation of this.parts.scheduler.reservations.listRequest(request)) {
--- a/src/agent/reservations.ts
+++ b/src/agent/reservations.ts
@@ -9,6 +9,8 @@
   readonly session: string
   readonly pieces: number
   readonly expectedAtMs: number
+  /** Expected time from start to end, in milliseconds. */
+  readonly serviceMs: number
   readonly lapsesAtMs: number
 }
 
@@ -33,6 +35,10 @@
     return first
   }
 
+  list (): Iterable<Reservation> {
+    return this.reservations.values()
+  }
+
   get (id: string): Reservation | undefined {
     return this.reservations.get(id)
   }
--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -7,6 +7,7 @@
 import * as ledgers from './memory_ledger.js'
 import * as outputEstimates from './output_estimate.js'
 import * as paces from './pace.js'
+import * as profiles from './profile.js'
 import * as reservations from './reservations.js'
 import * as types from './types.js'
 import * as work from '../contracts/work.js'
@@ -84,7 +85,33 @@
     for (const attempt of this.promised) {
       ahead.pieces += attempt.pieces
     }
-    return Math.max(this.predictPrefillMs(ahead.cost, nowMs), this.predictRoomMs(demand, ahead, nowMs))
+    return Math.max(this.predictPrefillMs(ahead.cost, nowMs), this.predictQueueMs(demand, ahead, nowMs))
+  }
+
+  /** Returns the expected time from start to end of a task on the full server, in milliseconds. */
+  getRunMs (demand: attempts.Demand, nowMs: number): number {
+    return this.forecast.getServiceMs(demand, this.capacity, this.capacity.slots, nowMs)
+  }
+
+  /** Predicts from when on there is room for a task that arrives at an instant, beside what is promised. */
+  predictRoomMs (demand: attempts.Demand, arrivalInMs: number, nowMs: number): number | undefined {
+    const slots = this.getUsableSlots(nowMs)
+    const profile = new profiles.Profile(slots - this.running.size, this.ledger.freePieces)
+    for (const { inMs, pieces } of this.listDepartures(nowMs, false)) {
+      profile.add(inMs, 1, pieces)
+    }
+    for (const { expectedAtMs, serviceMs, pieces } of this.book.list()) {
+      const startInMs = Math.max(0, expectedAtMs - nowMs)
+      profile.add(startInMs, -1, -pieces)
+      profile.add(startInMs + serviceMs, 1, pieces)
+    }
+    for (const attempt of this.promised) {
+      profile.add(0, -1, -attempt.pieces)
+      profile.add(this.getRunMs(attempt.demand, nowMs), 1, attempt.pieces)
+    }
+    const { count, pieces } = this.queue.backlog
+    profile.add(0, -count, -pieces)
+    return profile.findRoom(arrivalInMs, this.countPieces(demand))
   }
 
   enqueue (attempt: attempts.Attempt): void {
@@ -288,7 +315,7 @@
     return Math.max(0, pendingMs - Math.min(elapsedMs, pendingMs) + aheadMs - prefillAheadMs)
   }
 
-  private predictRoomMs (demand: attempts.Demand, ahead: fairQueues.Backlog, nowMs: number): number {
+  private predictQueueMs (demand: attempts.Demand, ahead: fairQueues.Backlog, nowMs: number): number {
     const slots = this.getUsableSlots(nowMs)
     const pieces = this.countPieces(demand)
     const room = { slots: slots - this.running.size, pieces: this.ledger.freePieces }
--- a/src/contracts/work.ts
+++ b/src/contracts/work.ts
@@ -126,8 +126,10 @@
   prefixes: z.array(z.string()).max(512),
   /** In how many milliseconds the task is expected to arrive. */
   expectedInMs: z.number().nonnegative(),
-  /** How long after that the room is kept; absent to ask only. */
-  holdMs: z.number().positive().optional()
+  /** How long after its instant the room is kept; absent to ask only. */
+  holdMs: z.number().positive().optional(),
+  /** Longest wait after the expected arrival for which room is of use; `holdMs` if absent. */
+  maximumWaitMs: z.number().nonnegative().optional()
 })
 export type Offer = z.infer<typeof Offer>
 
@@ -141,6 +143,8 @@
   cachedTokens: Count,
   /** Present when room is kept. */
   reservation: z.string().optional(),
+  /** When to ask again for room that was not kept, in milliseconds. */
+  retryAfterMs: z.number().positive().optional(),
   load: Load
 })
 export type OfferAnswer = z.infer<typeof OfferAnswer>
--- a/src/entry/offers.ts
+++ b/src/entry/offers.ts
@@ -15,6 +15,8 @@
   readonly candidate: planner.Candidate
   readonly link: links.Link
   readonly answer: work.OfferAnswer
+  /** Time from the asking until the server is expected to have room for the task, in milliseconds. */
+  readonly readyInMs: number
   /** Monotonic time until which the room is kept, in milliseconds. */
   readonly keptUntilMs: number
 }
@@ -94,11 +96,15 @@
   private async ask (candidate: planner.Candidate): Promise<void> {
     const link = this.servers.getLink(candidate.server)
     const { expectedInMs, holdMs = 0 } = this.offer
-    const keptUntilMs = this.surroundings.system.clock.monotonicMs() + expectedInMs + holdMs
+    const askedAtMs = this.surroundings.system.clock.monotonicMs()
     const answer = await link.call('work.offer', this.offer, this.surroundings.timing.callTimeoutMs)
     answer.caseOf({
       Left: failure => this.refused(candidate, failure),
-      Right: found => this.answered({ name: candidate.name, candidate, link, answer: found, keptUntilMs })
+      Right: found => {
+        const readyInMs = expectedInMs + found.waitMs
+        const keptUntilMs = askedAtMs + readyInMs + holdMs
+        this.answered({ name: candidate.name, candidate, link, answer: found, readyInMs, keptUntilMs })
+      }
     })
     this.waiting -= 1
     if (this.waiting === 0) {
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -23,7 +23,7 @@
 }
 
 /** Share of a finished prefill's time that one decode server's queue may take; the rest is for another server. */
-const decodeWaitShare = 0.5
+const decodeWaitShare = 0.8
 
 /** Shortest wait that a decode is allowed in its agent's queue, in milliseconds. */
 const minimumDecodeWaitMs = 500
@@ -119,7 +119,8 @@
   private async planDecode (): Promise<failures.Result<offers.Offered>> {
     const source = this.prefilled as prefills.Prefilled
     this.releasePromise()
-    return this.keepPromise(await this.pairing.chooseDecode(source, this.avoided))
+    const decodeWaitMs = source.getRemainingMs(this.nowMs) * decodeWaitShare
+    return this.keepPromise(await this.pairing.chooseDecode({ name: source.name, region: source.region, decodeWaitMs }, this.avoided))
   }
 
   private async planAndPrefill (): Promise<failures.Result<offers.Offered>> {
@@ -133,6 +134,9 @@
     if (promised?.isLeft() === true) {
       return promised
     }
+    if (pair.startDelayMs > 0) {
+      await this.tools.surroundings.system.clock.sleep(pair.startDelayMs)
+    }
     const prefill = await this.prefill(pair)
     if (prefill.isLeft()) {
       this.releasePromise()
--- a/src/entry/prefilled.ts
+++ b/src/entry/prefilled.ts
@@ -4,13 +4,12 @@
 import * as cancels from './cancels.js'
 import * as links from '../links/types.js'
 import * as offers from './offers.js'
-import * as pairings from './pairing.js'
 import * as work from '../contracts/work.js'
 
 /** How long an engine keeps the KV cache of a finished prefill, in milliseconds. */
 const keptMs = 800
 
-export class Prefilled implements pairings.Source {
+export class Prefilled {
   readonly name: string
   readonly region: string
   private readonly link: links.Link
