Refuse a workspace above its fair share first when decode slots are waited for

Cause: promises of decode slots were made in the order of asking. With one workspace at five times its rate, the waits grew to the bound for everybody, and the others were refused as often as the one that flooded.

Change: an offer carries the workspace's weight. Nothing that was promised is taken back.

--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -33,7 +33,8 @@
       return undefined
     }
     const waitMs = this.predictWaitMs(event, demand)
-    const longestWaitMs = this.getLongestWaitMs(event)
+    const waitShare = params.weight === undefined ? 1 : scheduler.getWaitShare(params.workspace, params.weight)
+    const longestWaitMs = this.getLongestWaitMs(event, waitShare)
     const reservation = this.tryReserve(event, demand, waitMs, longestWaitMs)
     outbox.succeed(event.call, {
       boot: options.boot,
@@ -42,6 +43,7 @@
       cachedTokens: Math.min(cachedTokens, params.promptTokens),
       reservation: reservation?.id,
       retryAfterMs: reservation !== undefined || longestWaitMs === undefined ? undefined : Math.max(1, waitMs - longestWaitMs),
+      isAboveShare: reservation === undefined && waitMs <= (this.getLongestWaitMs(event, 1) ?? -1),
       load: scheduler.getLoad(false)
     })
     return reservation
@@ -71,9 +73,9 @@
     }
   }
 
-  /** Returns the longest wait for which the offer asks to keep room; `undefined` if it only asks. */
-  private getLongestWaitMs ({ params }: OfferCall): number | undefined {
-    return params.holdMs === undefined ? undefined : params.maximumWaitMs ?? params.holdMs
+  /** Returns the longest wait for which room is kept; `undefined` if the offer only asks. */
+  private getLongestWaitMs ({ params }: OfferCall, waitShare: number): number | undefined {
+    return params.holdMs === undefined ? undefined : (params.maximumWaitMs ?? params.holdMs) * waitShare
   }
 
   private tryReserve (
@@ -89,6 +91,7 @@
       id: `${this.parts.options.boot}.${this.lastReservation}`,
       request: params.request,
       workspace: params.workspace,
+      weight: params.weight ?? 1,
       session,
       pieces: this.parts.scheduler.countPieces(demand),
       serviceMs: this.parts.scheduler.getRunMs(demand, nowMs),
--- a/src/agent/reservations.ts
+++ b/src/agent/reservations.ts
@@ -6,6 +6,7 @@
   readonly id: string
   readonly request: string
   readonly workspace: string
+  readonly weight: number
   readonly session: string
   readonly pieces: number
   readonly expectedAtMs: number
--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -9,6 +9,7 @@
 import * as paces from './pace.js'
 import * as profiles from './profile.js'
 import * as reservations from './reservations.js'
+import * as shares from './shares.js'
 import * as types from './types.js'
 import * as work from '../contracts/work.js'
 
@@ -114,6 +115,17 @@
     return profile.findRoom(arrivalInMs, this.countPieces(demand))
   }
 
+  /** Returns the part of the longest wait for promised room that a workspace may use, from 0 to 1. */
+  getWaitShare (workspace: string, weight: number): number {
+    const held = new shares.Shares()
+    for (const group of [this.running, this.promised, this.book.list()]) {
+      for (const holder of group) {
+        held.add(holder.workspace, holder.weight)
+      }
+    }
+    return held.getWaitShare(workspace, weight)
+  }
+
   enqueue (attempt: attempts.Attempt): void {
     if (attempt.isPromised) {
       this.promised.add(attempt)
--- a/src/contracts/work.ts
+++ b/src/contracts/work.ts
@@ -118,6 +118,8 @@
 export const Offer = z.object({
   request: RequestId,
   workspace: z.string(),
+  /** The workspace's weight in the fair order; its share of the waits is not bounded if absent. */
+  weight: z.number().positive().optional(),
   kind: z.enum(['prefill', 'decode', 'call']),
   model: z.string(),
   promptTokens: Count,
@@ -145,6 +147,8 @@
   reservation: z.string().optional(),
   /** When to ask again for room that was not kept, in milliseconds. */
   retryAfterMs: z.number().positive().optional(),
+  /** Whether room was not kept only because the workspace holds more than its fair share. */
+  isAboveShare: z.boolean().optional(),
   load: Load
 })
 export type OfferAnswer = z.infer<typeof OfferAnswer>
--- a/src/entry/retry_rules.ts
+++ b/src/entry/retry_rules.ts
@@ -12,7 +12,7 @@
 
 /** Refusals of a further attempt before it was made; they say less than why the last attempt failed. */
 const planningCodes: ReadonlySet<diagnosticTable.DiagnosticCode> = new Set([
-  'no_server', 'target_unreachable'
+  'no_server', 'target_unreachable', 'share_exceeded'
 ] as const)
 
 /** Tells whether another server may do better; `isFromServer` tells that a server has failed, not the planning. */
--- a/tests/agent/gate_promises.test.ts
+++ b/tests/agent/gate_promises.test.ts
@@ -77,6 +77,41 @@
     assert.equal(other.offer('r-now', { expectedInMs: 100, holdMs: 200 }).waitMs, 0)
   })
 
+  test.describe('of a workspace above its fair share', () => {
+    /** Fills ten slots, nine of them for workspace a; the first comes free after 700 ms. */
+    function fill (): drivers.GateDriver {
+      const driver = new drivers.GateDriver({}, { slots: 10, memoryPieces: 100 })
+      for (let index = 0; index < 10; index += 1) {
+        driver.start(`${index}`, { workspace: index < 9 ? 'a' : 'b', maximumTokens: index < 9 ? 100 : 70 })
+      }
+      return driver
+    }
+    const wanted = { expectedInMs: 0, holdMs: 500, maximumWaitMs: 900 } as const
+
+    test.it('is refused first when room is not free at once, with the time until it would be made', () => {
+      const driver = fill()
+      const first = driver.offer('r-a', { ...wanted, workspace: 'a', weight: 1 })
+      assert.deepEqual([first.reservation, first.isAboveShare], [undefined, true])
+      assert.ok((first.retryAfterMs ?? 0) > 0 && (first.retryAfterMs ?? 0) < first.waitMs)
+      const other = driver.offer('r-b', { ...wanted, workspace: 'b', weight: 1 })
+      assert.notEqual(other.reservation, undefined)
+    })
+
+    test.it('follows the weights', () => {
+      const driver = fill()
+      assert.notEqual(driver.offer('r-a', { ...wanted, workspace: 'a', weight: 1_000 }).reservation, undefined)
+    })
+
+    test.it('is made when room is free at once, or nobody else is there', () => {
+      const driver = fill()
+      driver.finish('9')
+      assert.notEqual(driver.offer('r-a', { ...wanted, workspace: 'a', weight: 1 }).reservation, undefined)
+      const alone = new drivers.GateDriver({}, oneSlot)
+      alone.start('running', { maximumTokens: 80 })
+      assert.notEqual(alone.offer('r-1', { ...wanted, weight: 1 }).reservation, undefined)
+    })
+  })
+
   test.it('is replaced when the offer is repeated, given back on request, and ends with its session', () => {
     const driver = new drivers.GateDriver()
     driver.offer('r-1', hold)
