Predict the wait for a prefill by all that is queued

Cause: the prediction counted what goes first in the fair order at that moment. Requests were admitted that could not be in time, promised slots stood idle, and refusals came late.

Change: the wait for the engine's prefill is predicted by the whole queue; about as much overtakes a task as it overtakes.

--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -86,7 +86,7 @@
     for (const attempt of this.promised) {
       ahead.pieces += attempt.pieces
     }
-    return Math.max(this.predictPrefillMs(ahead.cost, nowMs), this.predictQueueMs(demand, ahead, nowMs))
+    return Math.max(this.predictPrefillMs(nowMs), this.predictQueueMs(demand, ahead, nowMs))
   }
 
   /** Returns the expected time from start to end of a task on the full server, in milliseconds. */
@@ -314,7 +314,11 @@
     return this.pendingPrefill * 1000 / this.capacity.prefillTokensPerSecond
   }
 
-  private predictPrefillMs (aheadTokens: number, nowMs: number): number {
+  /**
+   * Predicts the wait for the engine's prefill by all that is queued, whatever its place in the fair order: about as
+   * much as a task overtakes comes later and overtakes it.
+   */
+  private predictPrefillMs (nowMs: number): number {
     if (this.capacity.role !== 'prefill') {
       return 0
     }
@@ -322,7 +326,7 @@
     for (const attempt of this.running) {
       elapsedMs = Math.min(elapsedMs, nowMs - attempt.startedAtMs)
     }
-    const aheadMs = aheadTokens * 1000 / this.capacity.prefillTokensPerSecond
+    const aheadMs = this.queue.backlog.cost * 1000 / this.capacity.prefillTokensPerSecond
     const pendingMs = this.getPendingMs()
     return Math.max(0, pendingMs - Math.min(elapsedMs, pendingMs) + aheadMs - prefillAheadMs)
   }
--- a/tests/agent/gate_queue.test.ts
+++ b/tests/agent/gate_queue.test.ts
@@ -70,6 +70,19 @@
     })
   })
 
+  test.describe('waiting for a prefill', () => {
+    test.it('counts all that is queued, since those behind in the fair order may be overtaken in turn', () => {
+      const driver = new drivers.GateDriver({}, { role: 'prefill', slots: 20, memoryPieces: 100, queueLimit: 50 })
+      for (let index = 0; index < 4; index += 1) {
+        driver.start(`a${index}`, { workspace: 'a', kind: 'prefill', promptTokens: 500 })
+      }
+      const wanted = { kind: 'prefill', promptTokens: 100 } as const
+      const waits = ['a', 'b'].map(workspace => driver.offer(`r-${workspace}`, { ...wanted, workspace }).waitMs)
+      assert.deepEqual(waits, [1_900, 1_900])
+      assert.equal(drivers.getFailure(driver.start('b0', { ...wanted, workspace: 'b', maximumWaitMs: 1_000 })).verdict, 'not_run')
+    })
+  })
+
   test.describe('limit', () => {
     test.it('lets the longest backlog give way, so that a burst hits its own sender', () => {
       const driver = new drivers.GateDriver({}, { ...oneSlot, queueLimit: 4 })
