Split the predictions of waits from the scheduler

Change: what a server holds is in occupancy.ts, the predicted and allowed waits are in waits.ts; no rule is changed.

--- a/src/agent/intake.ts
+++ b/src/agent/intake.ts
@@ -138,7 +138,7 @@
     if (attempt.isPromised) {
       return undefined
     }
-    const waitMs = scheduler.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, event.nowMs)
+    const waitMs = scheduler.waits.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, event.nowMs)
     const { maximumWaitMs } = event.params
     if (waitMs > maximumWaitMs) {
       const details = [Math.round(maximumWaitMs), Math.round(waitMs)]
@@ -166,7 +166,7 @@
   }
 
   private predict (attempt: attempts.Attempt, nowMs: number): number {
-    return this.parts.scheduler.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, nowMs)
+    return this.parts.scheduler.waits.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, nowMs)
   }
 }
 
--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -33,7 +33,7 @@
       return undefined
     }
     const waitMs = this.predictWaitMs(event, demand)
-    const waitShare = params.weight === undefined ? 1 : scheduler.getWaitShare(params.workspace, params.weight)
+    const waitShare = params.weight === undefined ? 1 : scheduler.waits.getWaitShare(params.workspace, params.weight)
     const longestWaitMs = this.getLongestWaitMs(event, waitShare)
     const reservation = this.tryReserve(event, demand, waitMs, longestWaitMs)
     outbox.succeed(event.call, {
@@ -94,7 +94,7 @@
       weight: params.weight ?? 1,
       session,
       pieces: this.parts.scheduler.countPieces(demand),
-      serviceMs: this.parts.scheduler.getRunMs(demand, nowMs),
+      serviceMs: this.parts.scheduler.waits.getRunMs(demand, nowMs),
       expectedAtMs,
       lapsesAtMs: expectedAtMs + params.holdMs
     }
@@ -106,8 +106,8 @@
   /** Predicts the wait from the expected arrival on: in the queue, or for room that is free of promises. */
   private predictWaitMs ({ params, nowMs }: OfferCall, demand: attempts.Demand): number {
     const { scheduler } = this.parts
-    const queuedMs = scheduler.predictWaitMs(demand, params.workspace, undefined, nowMs)
-    const roomMs = params.holdMs === undefined ? undefined : scheduler.predictRoomMs(demand, params.expectedInMs, nowMs)
+    const queuedMs = scheduler.waits.predictWaitMs(demand, params.workspace, undefined, nowMs)
+    const roomMs = params.holdMs === undefined ? undefined : scheduler.waits.predictRoomMs(demand, params.expectedInMs, nowMs)
     return Math.max(0, (roomMs ?? queuedMs) - params.expectedInMs)
   }
 
