Write the messages that one event causes together

Cause: every message between processes was a write of its own. In a profile of the benchmark of the path (one entry, load average 9) writes to sockets were 17 % of the entry's busy time and 14 to 18 % of the agents'. Change: a connection holds its transport back until the event that the process handles is done. Before and after: bench/links, frames passed on, runs taking turns on a busy machine (load average 14 to 9): entry 13.0, 8.1 and then 9.3, 7.0 microseconds a frame; agent 9.7, 7.2 and then 6.4, 5.6. Conclusion: kept; the answers to calls and frames of one event leave in one write.

--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -304,6 +304,7 @@
             }
           }
         })
+      socket.once('upgrade', response => connection.joinWrites(response.socket))
     })
   }
 
--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -2,6 +2,7 @@
  * One WebSocket connection that carries JSON-RPC messages with a stamp on each.
  */
 import * as jsonrpc from 'json-rpc-2.0'
+import * as net from 'node:net'
 import * as ws from 'ws'
 import * as z from 'zod'
 import * as failures from '../contracts/failure.js'
@@ -45,6 +46,7 @@
   private heardAtMs: number
   private sentAtMs: number
   private closed = false
+  private transport: net.Socket | undefined
 
   constructor (
     private readonly socket: ws.WebSocket,
@@ -85,6 +87,11 @@
     return this.socket.bufferedAmount
   }
 
+  /** Has the messages that one event of this process causes written to the transport together. */
+  joinWrites (transport: net.Socket): void {
+    this.transport = transport
+  }
+
   /** Sends a message; drops it when the connection is not open. */
   send (message: jsonrpc.JSONRPCRequest | jsonrpc.JSONRPCResponse): void {
     if (!this.isOpen) {
@@ -93,6 +100,7 @@
     this.sentAtMs = this.context.clock.monotonicMs()
     const text = JSON.stringify({ ...message, stamp: this.context.piggyback.stamp() })
     this.context.traffic.add('sent', 'method' in message ? message.method : undefined, text.length)
+    this.holdWrites()
     this.socket.send(text)
   }
 
@@ -168,6 +176,16 @@
     })
   }
 
+  /** Holds back what is written until the event that this process handles now is done. */
+  private holdWrites (): void {
+    const { transport } = this
+    if (transport === undefined || transport.writableCorked > 0) {
+      return
+    }
+    transport.cork()
+    process.nextTick(() => transport.uncork())
+  }
+
   private finish (): void {
     if (this.closed) {
       return
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -81,7 +81,7 @@
     this.sockets = new ws.WebSocketServer({
       server: this.server, perMessageDeflate: false, maxPayload: connections.maximumMessageBytes
     })
-    this.sockets.on('connection', socket => this.accept(socket))
+    this.sockets.on('connection', (socket, request) => this.accept(socket, request.socket))
     // Errors of the server are passed on here too; `listen` reports them.
     this.sockets.on('error', () => {})
     this.addMethods(handlers)
@@ -140,7 +140,7 @@
     return result.extract()
   }
 
-  private accept (socket: ws.WebSocket): void {
+  private accept (socket: ws.WebSocket, transport: net.Socket): void {
     const { system, piggyback, timing } = this.context
     const challenge = system.random.nextId()
     let session: ListenerSession | undefined
@@ -170,6 +170,7 @@
       },
       closed: () => session?.detach(connection)
     })
+    connection.joinWrites(transport)
     connection.notify('session.challenge', { challenge })
     system.clock.after(timing.connectTimeoutMs, () => {
       if (session === undefined) {
