Send the frames of several attempts in one message

Cause: under a closed loop of 32 callers each token was a message of its own between agent and entry, with its own envelope, stamp and checks: a third of the entry's busy time was spent in receiving messages (profile, load average 9). Change: the frames that become ready for a session in one turn of the loop go out as one work.frames with a list of attempts. Answers of plain services go alone, for they may be large. The order of the frames of an attempt, offsets and acknowledgements are as before.

--- a/bench/link_peer.ts
+++ b/bench/link_peer.ts
@@ -34,6 +34,6 @@
   for (let offset = 0; offset < count; offset += 1) {
     const session = sessions[offset % sessions.length]
     const frame = { kind: 'text', offset, text: ' token', tokens: 1 } as const
-    session?.notify('work.frames', { request: 'r', attempt: 'a', frames: [frame] })
+    session?.notify('work.frames', { attempts: [{ request: 'r', attempt: 'a', frames: [frame] }] })
   }
 }
--- a/src/agent/frame_sender.ts
+++ b/src/agent/frame_sender.ts
@@ -1,5 +1,5 @@
 /**
- * Sends frames: those of one attempt that become ready in the same turn of the loop go out together.
+ * Sends frames: those that become ready for a session in the same turn of the loop go out together.
  */
 import * as attempts from './attempt.js'
 import * as host from '../host/types.js'
@@ -84,8 +84,26 @@
     if (session === undefined) {
       return
     }
-    for (const batch of batches.values()) {
-      session.notify('work.frames', batch)
+    for (const joined of joinBatches(batches.values())) {
+      session.notify('work.frames', { attempts: joined })
     }
   }
 }
+
+/** Joins what goes into one message. An answer of a plain service may be large and goes alone. */
+function joinBatches (batches: Iterable<work.Frames>): work.Frames[][] {
+  const small: work.Frames[] = []
+  const joined: work.Frames[][] = []
+  for (const batch of batches) {
+    if (batch.frames.some(holdsAnswer)) {
+      joined.push([batch])
+    } else {
+      small.push(batch)
+    }
+  }
+  return small.length === 0 ? joined : [small, ...joined]
+}
+
+function holdsAnswer (frame: work.Frame): boolean {
+  return frame.kind === 'finished' && frame.answer !== undefined
+}
--- a/src/contracts/protocol.ts
+++ b/src/contracts/protocol.ts
@@ -137,8 +137,8 @@
 export const notifications = {
   /** The listener's first message on a connection: the text that the client's proof must cover. */
   'session.challenge': z.object({ challenge: z.string().min(16).max(128) }),
-  /** Frames of an attempt, to the session that started it or resumed it last. */
-  'work.frames': work.Frames,
+  /** Frames of attempts, to the session that started them or resumed them last. */
+  'work.frames': work.FrameBatch,
   /** The frames up to an offset have arrived; the agent may forget a finished attempt. */
   'work.acknowledge': work.AttemptKey.extend({ offset: z.number().int().nonnegative() }),
   /** The sender's server takes no new work from now on. */
--- a/src/contracts/work.ts
+++ b/src/contracts/work.ts
@@ -96,9 +96,14 @@
 ])
 export type Frame = z.infer<typeof Frame>
 
+/** Frames of one attempt. */
 export const Frames = AttemptKey.extend({ frames: z.array(Frame).min(1) })
 export type Frames = z.infer<typeof Frames>
 
+/** Frames of several attempts that became ready together. */
+export const FrameBatch = z.object({ attempts: z.array(Frames).min(1) })
+export type FrameBatch = z.infer<typeof FrameBatch>
+
 /** Load of a server as its agent knows it at this moment. */
 export const Load = z.object({
   running: Count,
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -41,14 +41,19 @@
     }
   }
 
-  /** Drops frames of attempts that are over, of other requests, and from other agents. */
   override noticed<Name extends protocol.NotificationName> (
     link: links.Link, name: Name, notice: protocol.Notice<Name>
   ): void {
     if (name !== 'work.frames') {
       return
     }
-    const batch = notice as work.Frames
+    for (const batch of (notice as work.FrameBatch).attempts) {
+      this.pass(link, batch)
+    }
+  }
+
+  /** Drops frames of attempts that are over, of other requests, and from other agents. */
+  private pass (link: links.Link, batch: work.Frames): void {
     const listener = this.listeners.get(batch.attempt)
     if (listener === undefined || listener.key.request !== batch.request || listener.link !== link) {
       return
--- a/tests/agent/agent.test.ts
+++ b/tests/agent/agent.test.ts
@@ -48,7 +48,8 @@
 
   getFrames (): readonly (readonly string[])[] {
     return this.notices.flatMap(({ name, notice }) => {
-      return name === 'work.frames' ? [(notice as protocol.Notice<'work.frames'>).frames.map(frame => frame.kind)] : []
+      const { attempts } = notice as protocol.Notice<'work.frames'>
+      return name === 'work.frames' ? [attempts.flatMap(({ frames }) => frames.map(frame => frame.kind))] : []
     })
   }
 }
@@ -101,6 +102,21 @@
     assert.deepEqual(fixture.session.getFrames(), [['started'], ['text', 'text', 'finished']])
   })
 
+  test.it('joins the frames of several attempts, but sends an answer alone', async () => {
+    const fixture = new Fixture()
+    await fixture.start('1')
+    await fixture.start('2')
+    await manualClocks.settlePromises()
+    fixture.session.notices.length = 0
+    fixture.backend.observer?.progress(1, 'a', 1)
+    fixture.backend.observer?.progress(2, 'b', 1)
+    await manualClocks.settlePromises()
+    fixture.backend.observer?.finished(1, { reason: 'stop' })
+    fixture.backend.observer?.finished(2, { reason: 'answered', answer: { status: 200, headers: {}, body: '' } })
+    await manualClocks.settlePromises()
+    assert.deepEqual(fixture.session.getFrames(), [['text', 'text'], ['finished'], ['finished']])
+  })
+
   test.it('holds frames back while the connection is full', async () => {
     const fixture = new Fixture()
     fixture.session.bufferedBytes = 1e9
--- a/tests/entry/fake_agents.ts
+++ b/tests/entry/fake_agents.ts
@@ -50,6 +50,8 @@
   script: Script = runAtOnce
   waitMs = 0
   serviceMs = 1
+  /** Whether all slots are in use, so that a start that may not wait is refused. */
+  isFull = false
   /** Keeps no room, as a server whose wait is longer than the room would be kept. */
   keepsNothing = false
   readonly calls: { readonly method: protocol.MethodName, readonly params: unknown }[] = []
@@ -83,7 +85,7 @@
   }
 
   send (key: work.AttemptKey, frames: work.Frame[]): void {
-    this.link.deliver('work.frames', { request: key.request, attempt: key.attempt, frames })
+    this.link.deliver('work.frames', { attempts: [{ request: key.request, attempt: key.attempt, frames }] })
   }
 
   /** Cancels everything, as when the entry has not been heard for the session lease; nothing is forgotten. */
@@ -139,6 +141,10 @@
     if (this.tombstones.has(start.attempt)) {
       return failures.fail(failures.createFailure('not_run', 'attempt_cancelled'))
     }
+    if (this.isFull && start.maximumWaitMs === 0) {
+      this.tombstones.add(start.attempt)
+      return failures.fail(failures.createFailure('not_run', 'target_unreachable', [0, 1]))
+    }
     this.reservations.delete(start.reservation ?? '')
     this.attempts.set(start.attempt, { start, state: 'queued', frames: [] })
     queueMicrotask(() => this.script(this, start))
@@ -177,7 +183,8 @@
 }
 
 export class FakeLink extends links.Link {
-  override readonly remote = undefined
+  /** Identity of the agent's life to which the connection was opened, once a test has introduced it. */
+  override remote: identities.Identity | undefined
   override isOpen = true
   holds = 0
 
@@ -186,6 +193,12 @@
     agent.link = this
   }
 
+  /** Tells the entries who the agent is, as an opened connection does. */
+  introduce (): void {
+    const { name: node, boot } = this.agent
+    this.remote = { node, boot, role: 'agent', zone: 'z', region: 'r' }
+  }
+
   override async call<Method extends protocol.MethodName> (
     method: Method, params: protocol.Params<Method>
   ): Promise<failures.Result<protocol.Answer<Method>>> {
