Start a call of a plain service at once where a server has room

Cause: a plain call crossed the link twice, for the offer and for the start; in the trace the offer took 0.6 of 3.9 ms. Change: an unclaimed call is started at the chosen server without an offer when the connection is open and less than half of its slots were in use when last heard of; the start may not wait (maximumWaitMs 0), so that the agent runs it at once or refuses it as not_run and remembers that. After a refusal servers are asked as before.

--- a/src/entry/planner.ts
+++ b/src/entry/planner.ts
@@ -32,6 +32,12 @@
   readonly serviceMs: number
 }
 
+/** A plain service's server that could take a call. */
+export interface ServiceCandidate extends Candidate {
+  /** Share of its slots in use. */
+  readonly fill: number
+}
+
 /** Most time that the prospect of cached prefixes may add to a request's way, in milliseconds. */
 const maximumDetourMs = 250
 
@@ -88,12 +94,13 @@
 }
 
 /** Ranks servers of a plain service by the share of their slots in use, and by zone. */
-export function rankServices (standings: ReadonlyMap<string, pictures.Standing>, place: Place): Candidate[] {
-  const candidates: Candidate[] = []
+export function rankServices (standings: ReadonlyMap<string, pictures.Standing>, place: Place): ServiceCandidate[] {
+  const candidates: ServiceCandidate[] = []
   for (const [name, { server, running }] of standings) {
     const wayMs = getZoneCost(server, place)
-    const costMs = running / server.slots * fullServiceMs + wayMs
-    candidates.push({ name, server, costMs, wayMs, waitMs: 0, serviceMs: 0 })
+    const fill = running / server.slots
+    const costMs = fill * fullServiceMs + wayMs
+    candidates.push({ name, server, costMs, wayMs, waitMs: 0, serviceMs: 0, fill })
   }
   return candidates.sort(byCost)
 }
@@ -102,9 +109,9 @@
  * Picks up to two of the ranked candidates: at random among those near the best, then likewise among the rest.
  * `nextUnit` returns numbers in [0, 1).
  */
-export function pickTwo (ranked: readonly Candidate[], nextUnit: () => number): Candidate[] {
+export function pickTwo<Ranked extends Candidate> (ranked: readonly Ranked[], nextUnit: () => number): Ranked[] {
   const rest = [...ranked]
-  const picked: Candidate[] = []
+  const picked: Ranked[] = []
   while (picked.length < 2 && rest.length > 0) {
     const ties = countNearTies(rest)
     const [candidate] = rest.splice(Math.floor(nextUnit() * ties), 1)
--- a/src/entry/service_run.ts
+++ b/src/entry/service_run.ts
@@ -5,6 +5,7 @@
 import * as claimSessions from './claim_session.js'
 import * as documents from '../configuration/document.js'
 import * as failures from '../contracts/failure.js'
+import * as links from '../links/types.js'
 import * as offers from './offers.js'
 import * as passages from './passage.js'
 import * as planner from './planner.js'
@@ -29,6 +30,16 @@
   readonly isReplay: boolean
 }
 
+/** Where an attempt goes. */
+interface Target {
+  readonly name: string
+  readonly link: links.Link
+  readonly boot: string
+}
+
+/** Share of a server's slots in use below which a call is started there without asking before. */
+const directShare = 0.5
+
 /** What calls share besides. */
 export interface Tools extends passages.Tools, claimSessions.Tools {}
 
@@ -78,10 +89,15 @@
   }
 
   private async tryOnce (): Promise<failures.Result<Outcome>> {
+    const direct = await this.tryDirectly()
+    if (direct !== undefined) {
+      return direct
+    }
     const chosen = await this.chooseServer()
     if (chosen.isLeft() || this.isAborted) {
       return failures.fail(chosen.caseOf({ Left: failure => failure, Right: createAborted }))
     }
+    const { match } = this.order
     const offered = chosen.extract() as offers.Offered
     const attempt = this.tools.surroundings.system.random.nextId()
     const refusal = await this.claim?.take(offered, attempt)
@@ -92,17 +108,47 @@
     if (replay !== undefined) {
       return failures.succeed({ answer: replay, isReplay: true })
     }
-    return await this.call(offered, attempt)
+    const target = { name: offered.name, link: offered.link, boot: offered.answer.boot }
+    return await this.call(target, attempt, match.timeoutMs)
   }
 
-  private async chooseServer (): Promise<failures.Result<offers.Offered>> {
-    const { match, request, workspace } = this.order
+  /**
+   * Starts the call at a server that seems to have room, which refuses it unless it runs at once. Returns
+   * `undefined` when no server does, or the server refused: then nothing has run, and servers are asked.
+   */
+  private async tryDirectly (): Promise<failures.Result<Outcome> | undefined> {
+    const target = this.tries === 1 && this.claim === undefined ? this.findIdle() : undefined
+    if (target === undefined) {
+      return undefined
+    }
+    const result = await this.call(target, this.tools.surroundings.system.random.nextId(), 0)
+    return result.caseOf({
+      Left: failure => failure.verdict === 'not_run' ? undefined : result,
+      Right: () => result
+    })
+  }
+
+  /** Returns a server to which a connection is open and which was far from full when last heard of. */
+  private findIdle (): Target | undefined {
+    const [candidate] = this.pickCandidates()
+    if (candidate === undefined || candidate.fill >= directShare) {
+      return undefined
+    }
+    const link = this.tools.servers.getLink(candidate.server)
+    const boot = link.remote?.boot
+    return boot === undefined || !link.isOpen ? undefined : { name: candidate.name, link, boot }
+  }
+
+  private pickCandidates (): planner.ServiceCandidate[] {
     const { identity, system } = this.tools.surroundings
-    const purpose = { role: 'service' as const, subject: match.service, region: identity.region }
+    const purpose = { role: 'service' as const, subject: this.order.match.service, region: identity.region }
     const standings = this.tools.servers.listStandings(purpose, this.avoided)
-    const ranked = planner.rankServices(standings, identity)
-    const picked = planner.pickTwo(ranked, () => system.random.nextUnit())
-    return await this.tools.offers.choose(picked, {
+    return planner.pickTwo(planner.rankServices(standings, identity), () => system.random.nextUnit())
+  }
+
+  private async chooseServer (): Promise<failures.Result<offers.Offered>> {
+    const { match, request, workspace } = this.order
+    return await this.tools.offers.choose(this.pickCandidates(), {
       request,
       workspace,
       kind: 'call',
@@ -114,27 +160,29 @@
     }, offered => offered.answer.waitMs + offered.candidate.costMs)
   }
 
-  private async call (offered: offers.Offered, attempt: string): Promise<failures.Result<Outcome>> {
+  /** Makes an attempt that waits at most `maximumWaitMs` milliseconds in its agent's queue. */
+  private async call (target: Target, attempt: string, maximumWaitMs: number): Promise<failures.Result<Outcome>> {
     if (this.isAborted) {
       return failures.fail(createAborted())
     }
     const { match } = this.order
+    const { name: server, link } = target
     this.attempt = new attemptRuns.Attempt(this.tools, {
-      server: offered.name,
-      link: offered.link,
-      start: this.createStart(offered, attempt),
+      server,
+      link,
+      start: this.createStart(target.boot, attempt, maximumWaitMs),
       isRepeatable: match.route.idempotent,
       onText: () => {}
     })
-    const stopTimer = this.watchTime(offered.name, this.attempt)
+    const stopTimer = this.watchTime(server, this.attempt)
     const burden = { promptTokens: 0, pieces: 0 }
-    this.tools.servers.picture.noteSent(offered.name, burden)
+    this.tools.servers.picture.noteSent(server, burden)
     const result = await this.attempt.run()
     stopTimer()
-    this.tools.servers.picture.noteEnded(offered.name, burden)
+    this.tools.servers.picture.noteEnded(server, burden)
     this.attempt = undefined
-    result.ifLeft(() => this.avoided.add(offered.name))
-    return result.chain(frame => this.takeAnswer(offered.name, frame))
+    result.ifLeft(() => this.avoided.add(server))
+    return result.chain(frame => this.takeAnswer(server, frame))
   }
 
   private takeAnswer (server: string, frame: attemptRuns.FinishedFrame): failures.Result<Outcome> {
@@ -149,19 +197,20 @@
   private watchTime (server: string, attempt: attemptRuns.Attempt): () => void {
     const { system, timing } = this.tools.surroundings
     const limitMs = this.order.match.timeoutMs + timing.callTimeoutMs
-    const failure = failures.createFailure('may_have_run', 'link_timeout', [server, limitMs])
-    return system.clock.after(limitMs, () => attempt.abandon(failure))
+    return system.clock.after(limitMs, () => {
+      attempt.abandon(failures.createFailure('may_have_run', 'link_timeout', [server, limitMs]))
+    })
   }
 
-  private createStart (offered: offers.Offered, attempt: string): work.Start {
-    const { call, match, request, weight, workspace } = this.order
+  private createStart (boot: string, attempt: string, maximumWaitMs: number): work.Start {
+    const { call, request, weight, workspace } = this.order
     return {
       request,
       attempt,
-      boot: offered.answer.boot,
+      boot,
       workspace,
       weight,
-      maximumWaitMs: match.timeoutMs,
+      maximumWaitMs,
       task: { kind: 'call', call }
     }
   }
--- a/tests/entry/calls.test.ts
+++ b/tests/entry/calls.test.ts
@@ -72,6 +72,70 @@
     })
   })
 
+  test.describe('at servers that seem to have room', () => {
+    test.beforeEach(() => {
+      for (const link of world.pool.list()) {
+        link.introduce()
+      }
+    })
+    const countOffers = (): number =>
+      world.listAgents('service').reduce((sum, agent) => sum + agent.listParams('work.offer').length, 0)
+    const listWaits = (): number[] => world.listStarts('service').map(({ start }) => start.maximumWaitMs)
+
+    test.it('start without an offer, and only at once', async () => {
+      assert.equal((await fixture.send(booking)).status, 200)
+      assert.equal(countOffers(), 0)
+      assert.deepEqual(listWaits(), [0])
+    })
+
+    test.it('are offered to all after a refusal, and run once', async () => {
+      for (const agent of world.listAgents('service')) {
+        agent.isFull = true
+      }
+      assert.equal((await fixture.send(booking)).status, 200)
+      assert.ok(countOffers() > 0)
+      const starts = world.listStarts('service')
+      const refused = starts.filter(({ agent, start }) => agent.tombstones.has(start.attempt))
+      assert.deepEqual([starts.length, refused.length, refused[0]?.start.maximumWaitMs], [2, 1, 0])
+    })
+
+    test.it('are offered to all when the agent has restarted', async () => {
+      for (const agent of world.listAgents('service')) {
+        agent.restart('boot2')
+      }
+      assert.equal((await fixture.send(booking)).status, 200)
+      const boots = world.listStarts('service').map(({ start }) => start.boot)
+      assert.deepEqual(boots.sort(), ['boot1', 'boot2'])
+    })
+
+    test.it('are not tried elsewhere when the agent cannot be asked', async () => {
+      world.setScript('service', () => {})
+      world.lose('service', 'work.start', 'answer')
+      world.lose('service', 'work.cancel', 'call')
+      const answered = fixture.send(booking)
+      await fixture.until(() => world.listAgents('service').some(agent => agent.listParams('work.cancel').length > 0))
+      await world.clock.advance(2100)
+      assert.equal(fixtures.readFailure(await answered)[2], 'may_have_run')
+      assert.equal(world.listStarts('service').length, 1)
+    })
+
+    test.it('are offered when half of the slots were in use', async () => {
+      const load = { ...fakes.createLoad(), running: 10 }
+      for (const link of world.pool.list()) {
+        for (const observer of world.pool.observers) {
+          observer.loadReported(link, load)
+        }
+      }
+      assert.equal((await fixture.send(booking)).status, 200)
+      assert.ok(countOffers() > 0)
+    })
+
+    test.it('are offered when they carry an Idempotency-Key, whose claim names the boot that answered', async () => {
+      assert.equal((await fixture.send({ ...booking, headers: { 'idempotency-key': 'k1' } })).status, 200)
+      assert.ok(countOffers() > 0)
+    })
+  })
+
   test.describe('that may not be repeated', () => {
     test.it('are tried elsewhere when the agent says that they have not run', async () => {
       world.lose('service', 'work.start', 'call', 1)
