Take an engine's text in the turn of the loop that reads it

Cause: two asynchronous iterators stood between the engine's connection and the decision, several turns of promises for each token (profile of the decode agent). Change: the stream's data events feed the reader; an exception there ends the stream as broken, as before.

--- a/src/agent/completion_run.ts
+++ b/src/agent/completion_run.ts
@@ -1,6 +1,8 @@
 /**
  * One completion on an engine: the request, its stream, and the resumption of a stream that broke.
  */
+import * as stream from 'node:stream'
+import * as stringDecoder from 'node:string_decoder'
 import * as undici from 'undici'
 import * as backends from './backend.js'
 import * as errors from './http_errors.js'
@@ -109,15 +111,15 @@
     return { origin, method, path: '/v1/completions', headers, body: JSON.stringify(messages.createBody(this.task)), signal }
   }
 
-  private async read (body: AsyncIterable<Buffer>, isStream: boolean): Promise<Outcome> {
+  private async read (body: stream.Readable, isStream: boolean): Promise<Outcome> {
     let whole = ''
-    for await (const part of decodeText(body)) {
+    await readText(body, part => {
       if (isStream) {
         this.reader.readPart(part)
       } else {
         whole += part
       }
-    }
+    })
     if (!isStream) {
       this.reader.readWhole(whole)
     }
@@ -170,9 +172,10 @@
 }
 
 async function readError (body: AsyncIterable<Buffer>): Promise<readers.EngineError> {
+  const decoder = new stringDecoder.StringDecoder('utf8')
   let text = ''
-  for await (const part of decodeText(body)) {
-    text += part
+  for await (const part of body) {
+    text += decoder.write(part)
     if (text.length > maximumErrorLength) {
       break
     }
@@ -182,11 +185,22 @@
   return reader.error ?? { code: '', message: 'the engine gave no reason' }
 }
 
-/** Decodes UTF-8, also where a character is split between two parts. */
-async function * decodeText (body: AsyncIterable<Buffer>): AsyncGenerator<string> {
-  const decoder = new TextDecoder()
-  for await (const part of body) {
-    yield decoder.decode(part, { stream: true })
-  }
-  yield decoder.decode()
+/**
+ * Passes text on in the turn of the loop in which it arrives. Decodes UTF-8, also where a character is split
+ * between two parts. Rejects when the body breaks off.
+ */
+function readText (body: stream.Readable, take: (part: string) => void): Promise<void> {
+  const decoder = new stringDecoder.StringDecoder('utf8')
+  return new Promise((resolve, reject) => {
+    body.on('data', (part: Buffer) => {
+      try {
+        take(decoder.write(part))
+      } catch (error) {
+        body.destroy(error as Error)
+      }
+    })
+    body.once('end', () => resolve())
+    body.once('error', reject)
+    body.once('close', () => reject(new Error('the body was closed')))
+  })
 }
