--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -185,6 +185,21 @@
       await fixture.untilIdle()
     })
 
+    test.it('has its slot given back, and no prefill started, while its prefill is put off', async () => {
+      for (const agent of world.listAgents('decode')) {
+        agent.waitMs = 800
+      }
+      const request = fixture.open({ path: '/v1/completions' })
+      request.on('error', () => {})
+      request.end('{"model":"m","prompt":"Hi"}')
+      await fixture.until(() => world.listAgents('decode').every(agent => agent.listParams('work.offer').length > 0))
+      await world.clock.advance(100)
+      request.destroy()
+      await fixture.untilIdle()
+      await world.clock.advance(1_000)
+      assert.deepEqual(world.listStarts(''), [])
+    })
+
     test.it('leaves the rest to the agent once the session lease is over', async () => {
       world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, started))
       const request = fixture.open({ path: '/v1/completions' })
