Take the decode server that keeps room before one with a shorter wait that keeps none

Cause: of two decode servers the one with the shorter wait was taken, even if it kept no room because the workspace was above its share there, while the other had promised a slot in time.

Change: a decode server that keeps no room comes last. Since a workspace then needs to be above its share at both servers asked, the wait that it may use shrinks by the sixth power of the excess (before: the fourth).

--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -11,6 +11,14 @@
 
 type OfferCall = types.CallOf<'work.offer'>
 
+/** Longest waits for room that is kept, in milliseconds. */
+interface Bounds {
+  /** By the time at which the task is of use. */
+  readonly longestMs: number
+  /** By what the workspace holds of its fair share; at most the other. */
+  readonly fairMs: number
+}
+
 export class Promises {
   private lastReservation = 0
 
@@ -33,17 +41,17 @@
       return undefined
     }
     const waitMs = this.predictWaitMs(event, demand)
-    const waitShare = params.weight === undefined ? 1 : scheduler.waits.getWaitShare(params.workspace, params.weight)
-    const longestWaitMs = this.getLongestWaitMs(event, waitShare)
-    const reservation = this.tryReserve(event, demand, waitMs, longestWaitMs)
+    const bounds = this.getBounds(event)
+    const reservation = waitMs <= bounds.fairMs ? this.reserve(event, demand, waitMs) : undefined
+    const isRefused = params.holdMs !== undefined && reservation === undefined
     outbox.succeed(event.call, {
       boot: options.boot,
       waitMs,
       serviceMs: scheduler.getServiceMs(demand, nowMs),
       cachedTokens: Math.min(cachedTokens, params.promptTokens),
       reservation: reservation?.id,
-      retryAfterMs: reservation !== undefined || longestWaitMs === undefined ? undefined : Math.max(1, waitMs - longestWaitMs),
-      isAboveShare: reservation === undefined && waitMs <= (this.getLongestWaitMs(event, 1) ?? -1),
+      retryAfterMs: isRefused ? Math.max(1, waitMs - bounds.fairMs) : undefined,
+      isAboveShare: isRefused ? waitMs <= bounds.longestMs : undefined,
       load: scheduler.getLoad(false)
     })
     return reservation
@@ -73,18 +81,17 @@
     }
   }
 
-  /** Returns the longest wait for which room is kept; `undefined` if the offer only asks. */
-  private getLongestWaitMs ({ params }: OfferCall, waitShare: number): number | undefined {
-    return params.holdMs === undefined ? undefined : (params.maximumWaitMs ?? params.holdMs) * waitShare
+  /** Returns how long an offer may wait for room that is kept; an offer that only asks gets none. */
+  private getBounds ({ params }: OfferCall): Bounds {
+    const { holdMs, workspace, weight } = params
+    const longestMs = holdMs === undefined ? -1 : params.maximumWaitMs ?? holdMs
+    const waitShare = weight === undefined ? 1 : this.parts.scheduler.waits.getWaitShare(workspace, weight)
+    return { longestMs, fairMs: longestMs * waitShare }
   }
 
-  private tryReserve (
-    event: OfferCall, demand: attempts.Demand, waitMs: number, longestWaitMs: number | undefined
-  ): reservations.Reservation | undefined {
+  private reserve (event: OfferCall, demand: attempts.Demand, waitMs: number): reservations.Reservation {
     const { params, nowMs, session } = event
-    if (params.holdMs === undefined || longestWaitMs === undefined || waitMs > longestWaitMs) {
-      return undefined
-    }
+    const { holdMs = 0 } = params
     this.lastReservation += 1
     const expectedAtMs = nowMs + params.expectedInMs + waitMs
     const reservation = {
@@ -96,7 +103,7 @@
       pieces: this.parts.scheduler.countPieces(demand),
       serviceMs: this.parts.scheduler.waits.getRunMs(demand, nowMs),
       expectedAtMs,
-      lapsesAtMs: expectedAtMs + params.holdMs
+      lapsesAtMs: expectedAtMs + holdMs
     }
     this.parts.scheduler.reservations.add(reservation)
     this.record('reservation.made', reservation)
--- a/src/agent/shares.ts
+++ b/src/agent/shares.ts
@@ -12,7 +12,7 @@
 /** Slots above that which still count as within it, since a share of few slots is less than one request. */
 const toleratedSlots = 1
 /** Power of the excess by which the part of the wait shrinks. */
-const steepness = 4
+const steepness = 6
 
 export class Shares {
   private readonly holders = new Map<string, Holder>()
--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -41,6 +41,9 @@
 /** Longest that a prefill is put off, or its KV cache waits, for a decode slot, in milliseconds. */
 const longestSlotWaitMs = 900
 
+/** Cost of a decode server that keeps no room, in milliseconds. */
+const noRoomMs = 60_000
+
 /** Shortest time that room is kept beyond the expected instant, in milliseconds. */
 const minimumHoldMs = 500
 
@@ -288,9 +291,10 @@
   return answer.waitMs + answer.serviceMs + candidate.wayMs
 }
 
-/** A fuller decode server takes longer for each step. */
+/** A fuller decode server takes longer for each step; one that keeps no room comes last. */
 function getDecodeCost ({ answer, candidate }: offers.Offered): number {
   const { queued, running, slots } = answer.load
   const fill = slots === 0 ? 1 : (running + queued) / slots
-  return answer.waitMs + (1 + fill) * answer.serviceMs + candidate.wayMs
+  const refusedMs = answer.reservation === undefined ? noRoomMs : 0
+  return refusedMs + answer.waitMs + (1 + fill) * answer.serviceMs + candidate.wayMs
 }
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -324,6 +324,16 @@
       await fixture.untilIdle()
     })
 
+    test.it('is taken where it is kept, even if another server that keeps none has the shorter wait', async () => {
+      const [first, second] = world.listAgents('decode') as [fakes.FakeAgent, fakes.FakeAgent]
+      first.keepsNothing = true
+      first.waitMs = 100
+      second.waitMs = 400
+      assert.equal((await fixture.complete({})).status, 200)
+      assert.deepEqual(world.listStarts('decode').map(({ agent }) => agent.name), [second.name])
+      await fixture.untilIdle()
+    })
+
     test.it('is refused with a code of its own to a workspace above its share', async () => {
       for (const agent of world.listAgents('decode')) {
         agent.keepsNothing = true
