Keep the events of the time line without their common fields

Cause: each of the 20,000 events in the ring was a copy with node, role, boot, sequence, tick and wall time. Change: the ring keeps the draft, and tick and wall time as numbers in typed arrays; the event is put together when it is read.

--- a/src/timeline/ring.ts
+++ b/src/timeline/ring.ts
@@ -35,7 +35,9 @@
 }
 
 export class EventRing extends types.Recorder {
-  private readonly slots: events.Event[] = []
+  private readonly drafts: events.EventDraft[] = []
+  private readonly ticks: Float64Array
+  private readonly wallTimes: Float64Array
   private sequence = 0
 
   /** `capacity` is the number of events kept. */
@@ -46,21 +48,17 @@
     private readonly capacity: number
   ) {
     super()
+    this.ticks = new Float64Array(capacity)
+    this.wallTimes = new Float64Array(capacity)
   }
 
+  /** Takes an event over; the draft must not be changed afterwards. */
   override record (draft: events.EventDraft): void {
-    const { node, role, boot } = this.identity
     const slot = this.sequence % this.capacity
     this.sequence += 1
-    this.slots[slot] = {
-      ...draft,
-      node,
-      role,
-      boot,
-      sequence: this.sequence,
-      tick: this.lamport.advance(),
-      wallMs: this.clock.wallMs()
-    }
+    this.drafts[slot] = draft
+    this.ticks[slot] = this.lamport.advance()
+    this.wallTimes[slot] = this.clock.wallMs()
   }
 
   /** Returns the matching events, oldest first. */
@@ -80,10 +78,23 @@
   private * listNewestFirst (): Generator<events.Event> {
     const oldest = Math.max(0, this.sequence - this.capacity)
     for (let index = this.sequence - 1; index >= oldest; index -= 1) {
-      const event = this.slots[index % this.capacity]
+      const event = this.createEvent(index)
       if (event !== undefined) {
         yield event
       }
     }
   }
+
+  /** Returns the event at an index that counts from the start of the process. */
+  private createEvent (index: number): events.Event | undefined {
+    const slot = index % this.capacity
+    const draft = this.drafts[slot]
+    const tick = this.ticks[slot]
+    const wallMs = this.wallTimes[slot]
+    if (draft === undefined || tick === undefined || wallMs === undefined) {
+      return undefined
+    }
+    const { node, role, boot } = this.identity
+    return { ...draft, node, role, boot, sequence: index + 1, tick, wallMs }
+  }
 }
