Load HDR histograms without the library's WebAssembly version

Cause: the entry point of hdr-histogram-js also loads its WebAssembly version, the log reader and the compression that they need. Change: the meter takes the histograms from the modules that hold them. The test of the loaded modules checks that the entry point stays out.

--- a/src/metrics/prometheus_meter.ts
+++ b/src/metrics/prometheus_meter.ts
@@ -1,7 +1,10 @@
 /**
  * Counters, gauges and HDR histograms of a process, as Prometheus text.
+ *
+ * The histograms are taken from their own modules: the library's entry point also loads its WebAssembly version.
  */
-import * as hdr from 'hdr-histogram-js'
+import * as histogramFactories from 'hdr-histogram-js/dist/JsHistogramFactory.js'
+import * as histograms from 'hdr-histogram-js/dist/JsHistogram.js'
 import * as prometheus from 'prom-client'
 import * as catalog from './catalog.js'
 import * as types from './types.js'
@@ -16,9 +19,16 @@
 /** Histograms count in thousandths of their unit. */
 const histogramScale = 1000
 
+/** Values below are not told apart; in scaled units. */
+const lowestValue = 1
+/** Range of an empty histogram, which grows by itself; in scaled units. */
+const initialHighestValue = 2
+const significantDigits = 2
+const bucketBits = 32
+
 interface Series {
   readonly labels: types.Labels
-  readonly histogram: hdr.Histogram
+  readonly histogram: histograms.JsHistogram
 }
 
 export class PrometheusMeter extends types.Meter {
@@ -133,15 +143,18 @@
   }
 }
 
-function setQuantiles (values: prometheus.Gauge, labels: types.Labels, histogram: hdr.Histogram): void {
+function setQuantiles (values: prometheus.Gauge, labels: types.Labels, histogram: histograms.JsHistogram): void {
   for (const quantile of quantiles) {
     const value = histogram.getValueAtPercentile(quantile * 100) / histogramScale
     values.set({ ...labels, quantile: String(quantile) }, value)
   }
 }
 
-function createHistogram (): hdr.Histogram {
-  return hdr.build({ bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2 })
+function createHistogram (): histograms.JsHistogram {
+  const Int32Histogram = histogramFactories.constructorFromBucketSize(bucketBits)
+  const histogram = new Int32Histogram(lowestValue, initialHighestValue, significantDigits)
+  histogram.autoResize = true
+  return histogram
 }
 
 function describe (name: catalog.MetricName): { name: string, help: string } {
--- a/tests/daemon/import_graph.test.ts
+++ b/tests/daemon/import_graph.test.ts
@@ -34,7 +34,7 @@
     })
 
     test.it('are no libraries of entries or of the operators\' tool', () => {
-      assert.deepEqual(listUnwanted('daemon/agent_process', /^(commander|xxhash-wasm|yaml)$/), [])
+      assert.deepEqual(listUnwanted('daemon/agent_process', /^(commander|hdr-histogram-js|xxhash-wasm|yaml)$/), [])
     })
   })
 
@@ -48,7 +48,7 @@
 
     test.it('are no engine client and no operators\' tool', () => {
       assert.deepEqual(listUnwanted('daemon/entry_process',
-        /^(agent|cli)\/|^(commander|eventsource-parser|parse-prometheus-text-format|yaml)$/), [])
+        /^(agent|cli)\/|^(commander|eventsource-parser|hdr-histogram-js|parse-prometheus-text-format|yaml)$/), [])
     })
   })
 })
