Free engine memory within 2 s of the death or silence of an entry

Cause: agents kept the work of an entry that was killed, frozen or cut off for the session lease of 4 s, checked once a second; the target is 2 s after the callers are gone. Ruled out: a shorter lease only after a connection that ended in order, which does nothing for a frozen entry or a silent connection.

Change: session lease 1.5 s (was 4), silence limit 600 ms (1.5 s), heartbeats 250 ms (500). Sessions are checked every tenth of a second and end when two checks in a row find the lease over, so that an agent which was paused itself reads what has arrived first; likewise a late heartbeat of a client replaces no connection. A silent connection is replaced at once. Where the other end talks, a heartbeat is an unasked pong, which costs no answer. Cancels that cannot be delivered are repeated for twice the lease: an agent's lease may end up to 0.2 s after it, and a cancel given up before that was lost if the link came back in between. The wait for frames is a constant of its own (3 s, as before). The stand-in engine records when its memory became empty, and the tests compare that with the time at which the callers were gone.

The new unit tests of pauses fail without the second look and without the check for a late heartbeat.

Tests changed: the entry's unit tests take the lease from the settings in place of 4000, and expect cancels to be kept for twice the lease, which is stricter.

Cuts and pauses of entries longer than the lease now end streams sooner than before (1.5 s in place of 4 s).

--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -34,9 +34,9 @@
 
 export const Timing = z.strictObject({
   connectTimeoutMs: milliseconds(1_000, 'Longest time to open a connection between processes'),
-  heartbeatMs: milliseconds(500, 'Period of heartbeats on links with work under way'),
-  silenceMs: milliseconds(1_500, 'Silence after which a connection is replaced'),
-  sessionLeaseMs: milliseconds(4_000, 'How long an agent keeps the work of an entry it does not hear'),
+  heartbeatMs: milliseconds(250, 'Period of heartbeats on links with work under way'),
+  silenceMs: milliseconds(600, 'Silence after which a connection is replaced'),
+  sessionLeaseMs: milliseconds(1_500, 'How long an agent keeps the work of an entry it does not hear'),
   idleMs: milliseconds(60_000, 'Idle time after which a connection is closed'),
   reconnectMs: milliseconds(100, 'Pause before connecting again'),
   loadReportsPerSecond: count(20, 'Loads asked for, over all links with work under way (1/s)'),
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -37,6 +37,9 @@
 /** Frames after which the agent is told how far they have arrived. */
 const acknowledgePeriodFrames = 32
 
+/** Time without frames after which the agent is asked for them, in milliseconds. */
+const quietLimitMs = 3_000
+
 /** How long repeatable work without any output waits for its link to open again, in milliseconds. */
 const reopenGraceMs = 300
 
@@ -260,7 +263,7 @@
   /** Asks for frames when none have come for a while, so that a dropped last frame is not waited for. */
   private restartQuietTimer (): void {
     this.stopQuietTimer?.()
-    this.stopQuietTimer = this.clock.after(2 * this.timing.silenceMs, () => {
+    this.stopQuietTimer = this.clock.after(quietLimitMs, () => {
       this.restartQuietTimer()
       this.resume()
     })
--- a/src/entry/cancels.ts
+++ b/src/entry/cancels.ts
@@ -1,6 +1,6 @@
 /**
  * Cancels, repeated until each agent has confirmed. They outlive the request, its connection and the link's
- * connection; once an agent cannot be reached for the session lease, it cancels by itself.
+ * connection; once an agent cannot be reached for twice the session lease, it has cancelled by itself.
  */
 import * as judgement from './judgement.js'
 import * as links from '../links/types.js'
@@ -10,6 +10,9 @@
 /** Stands for every frame that an attempt may have. */
 const everyOffset = Number.MAX_SAFE_INTEGER
 
+/** Session leases after which an agent that could not be reached has certainly let go. */
+const leasesUntilGone = 2
+
 interface Pending {
   readonly link: links.Link
   readonly cancel: work.Cancel
@@ -78,7 +81,7 @@
     }
     const nowMs = this.surroundings.system.clock.monotonicMs()
     item.unreachableSinceMs ??= nowMs
-    return nowMs - item.unreachableSinceMs >= this.surroundings.timing.sessionLeaseMs
+    return nowMs - item.unreachableSinceMs >= leasesUntilGone * this.surroundings.timing.sessionLeaseMs
   }
 }
 
--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -25,6 +25,8 @@
 
 /** Heartbeats sent during a session lease on a connection on which the other end talks. */
 const beatsPerLease = 4
+/** Periods of heartbeats after which a late one shows that this process itself was paused. */
+const pausedBeats = 2
 /** Share of the silence limit within which a connection that was idle must answer before it is replaced. */
 const probeShare = 1 / 8
 
@@ -38,6 +40,7 @@
   private remoteIdentity: identities.Identity | undefined
   private holds = 0
   private busySinceMs = 0
+  private beatAtMs = 0
   private stopped = false
   private stopBeat: host.Stop | undefined
 
@@ -195,10 +198,11 @@
   }
 
   private startBeat (): void {
-    if (this.stopped) {
+    if (this.stopped || this.stopBeat !== undefined) {
       return
     }
-    this.stopBeat ??= this.context.system.clock.every(this.context.timing.heartbeatMs, () => this.beat())
+    this.beatAtMs = this.context.system.clock.monotonicMs()
+    this.stopBeat = this.context.system.clock.every(this.context.timing.heartbeatMs, () => this.beat())
   }
 
   private endBeat (): void {
@@ -207,24 +211,31 @@
   }
 
   private beat (): void {
+    const now = this.context.system.clock.monotonicMs()
+    const wasPaused = now - this.beatAtMs > pausedBeats * this.context.timing.heartbeatMs
+    this.beatAtMs = now
     const connection = this.connection
     if (connection === undefined || !connection.isOpen) {
       this.beatWithoutConnection()
       return
     }
-    const now = this.context.system.clock.monotonicMs()
     if (this.holds === 0) {
       this.closeIfIdle(connection, now)
       return
     }
     const silentSinceMs = Math.max(connection.lastHeardMs, this.busySinceMs)
-    if (now - silentSinceMs > this.context.timing.silenceMs) {
+    // After a pause of this process, what has arrived meanwhile is read before the next heartbeat.
+    if (!wasPaused && now - silentSinceMs > this.context.timing.silenceMs) {
       connection.terminate()
+      this.open()
       return
     }
-    const isOverdue = now - connection.lastSentMs >= this.context.timing.sessionLeaseMs / beatsPerLease
-    if (isOverdue || now - connection.lastHeardMs >= this.context.timing.heartbeatMs) {
+    if (now - connection.lastHeardMs >= this.context.timing.heartbeatMs) {
       connection.ping()
+      return
+    }
+    if (now - connection.lastSentMs >= this.context.timing.sessionLeaseMs / beatsPerLease) {
+      connection.pong()
     }
   }
 
--- a/src/links/connection.ts
+++ b/src/links/connection.ts
@@ -13,7 +13,7 @@
 /** Largest message in bytes. */
 export const maximumMessageBytes = 16 * 1024 * 1024
 
-/** Size of a WebSocket ping from a client. */
+/** Size of a WebSocket ping or pong from a client. */
 const pingBytes = 6
 
 /** Code of JSON-RPC errors that carry a failure in their data. */
@@ -141,6 +141,16 @@
     this.socket.ping(payload)
   }
 
+  /** Sends a heartbeat that the other end does not answer. */
+  pong (): void {
+    if (!this.isOpen) {
+      return
+    }
+    this.sentAtMs = this.context.clock.monotonicMs()
+    this.context.traffic.add('sent', undefined, pingBytes)
+    this.socket.pong()
+  }
+
   /** Drops the connection without a closing handshake. */
   terminate (): void {
     this.socket.terminate()
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -16,11 +16,13 @@
 import * as types from './types.js'
 
 /** How often sessions are checked against their lease, as a share of it. */
-const leaseChecksPerLease = 4
+const leaseChecksPerLease = 15
 
 class ListenerSession extends types.Session {
   private connection: connections.Connection | undefined
   private heardAtMs = 0
+  /** Whether the last check found the lease over. */
+  isOverdue = false
   hasExpired = false
 
   constructor (override readonly id: string, override readonly remote: identities.Identity) {
@@ -258,9 +260,12 @@
   private checkLeases (): void {
     const now = this.context.system.clock.monotonicMs()
     for (const session of [...this.sessions.values()]) {
-      if (now - session.lastHeardMs >= this.context.timing.sessionLeaseMs) {
+      const isOverdue = now - session.lastHeardMs >= this.context.timing.sessionLeaseMs
+      // What arrived while this process was paused is read between two checks, so that its own pause ends no session.
+      if (isOverdue && session.isOverdue) {
         this.expire(session)
       }
+      session.isOverdue = isOverdue
     }
   }
 
--- a/standins/engine_core.ts
+++ b/standins/engine_core.ts
@@ -42,7 +42,7 @@
     private readonly getFaults: () => engineOptions.EngineFaults
   ) {
     this.orders = new engineOrders.Orders(clock, options, getFaults)
-    this.memory = new engineMemory.PieceMemory(options.memoryPieces)
+    this.memory = new engineMemory.PieceMemory(options.memoryPieces, clock)
     this.cacheLog = new enginePrefixCache.CacheLog(clock)
     this.prefixCache = new enginePrefixCache.PrefixCache(options.prefixCachePieces, this.cacheLog)
     this.outLink = new engineLink.SharedLink(clock, () => getFaults().stallTransfers ? 0 : getFaults().linkBytesPerSecond)
--- a/standins/engine_memory.ts
+++ b/standins/engine_memory.ts
@@ -1,6 +1,7 @@
 /**
  * Memory of an engine, in pieces, with its holders.
  */
+import * as host from '../src/host/types.js'
 
 /** Pieces held for one request or one exported KV cache. */
 export class Holding {
@@ -32,8 +33,12 @@
   private readonly holdings = new Set<Holding>()
   private used = 0
   private peak = 0
+  /** When the last piece was given back, on the wall clock in milliseconds; `undefined` while any is held. */
+  private emptySinceMs: number | undefined
 
-  constructor (readonly total: number) {}
+  constructor (readonly total: number, private readonly clock: host.Clock) {
+    this.emptySinceMs = clock.wallMs()
+  }
 
   get free (): number {
     return this.total - this.used
@@ -53,6 +58,11 @@
   noteUse (pieces: number): void {
     this.used += pieces
     this.peak = Math.max(this.peak, this.used)
+    if (this.used > 0) {
+      this.emptySinceMs = undefined
+    } else {
+      this.emptySinceMs ??= this.clock.wallMs()
+    }
   }
 
   remove (holding: Holding): void {
@@ -61,6 +71,6 @@
 
   describe (): object {
     const holders = [...this.holdings].map(holding => ({ label: holding.label, pieces: holding.pieces }))
-    return { total: this.total, used: this.used, peak: this.peak, holders }
+    return { total: this.total, used: this.used, peak: this.peak, emptySinceMs: this.emptySinceMs, holders }
   }
 }
--- a/tests/entry/attempts.test.ts
+++ b/tests/entry/attempts.test.ts
@@ -3,10 +3,12 @@
 import * as failures from '../../src/contracts/failure.js'
 import * as fakes from './fake_agents.js'
 import * as fixtures from './fixture.js'
+import * as settings from '../../src/contracts/settings.js'
 import * as work from '../../src/contracts/work.js'
 import * as worlds from './world.js'
 
 const text = (offset: number, value: string): work.Frame => ({ kind: 'text', offset, text: value, tokens: 1 })
+const { sessionLeaseMs } = settings.Timing.parse({})
 const started: work.Frame = { kind: 'started', offset: 0 }
 
 test.describe('attempts', { timeout: 60_000 }, () => {
@@ -83,7 +85,7 @@
       agent.link.cut()
       agent.emit(start.attempt, text(2, 'b'))
       agent.emit(start.attempt, fakes.createStop(3))
-      await world.clock.advance(3900)
+      await world.clock.advance(sessionLeaseMs - 100)
       agent.link.reopen()
       assert.equal(fixtures.readStream((await answered).body), 'ab')
       assert.equal(world.listStarts('decode').length, 1)
@@ -94,7 +96,7 @@
       const { answered, agent, start } = await startQuietDecode()
       agent.emit(start.attempt, text(1, 'a'))
       agent.link.cut()
-      await world.clock.advance(4000)
+      await world.clock.advance(sessionLeaseMs)
       const { body } = await answered
       assert.match(body, /event: error\ndata: .*"code":"stream_interrupted","verdict":"ran"/)
       assert.doesNotMatch(body, /\[DONE\]/)
@@ -176,7 +178,7 @@
       await fixture.until(() => agent.listParams('work.cancel').length === 1)
       await world.clock.advance(500)
       agent.link.cut()
-      await world.clock.advance(3000)
+      await world.clock.advance(2 * sessionLeaseMs - 100)
       assert.equal(fixture.entry.getFigures()['cancelsUnconfirmed'], 1)
       world.endLosses()
       agent.link.reopen()
@@ -185,7 +187,7 @@
       await fixture.untilIdle()
     })
 
-    test.it('leaves the rest to the agent once the session lease is over', async () => {
+    test.it('leaves the rest to the agent once the session lease is certainly over', async () => {
       world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, started))
       const request = fixture.open({ path: '/v1/completions' })
       request.on('error', () => {})
@@ -195,7 +197,7 @@
       agent.link.cut()
       request.destroy()
       await fixture.until(() => fixture.entry.getFigures()['cancelsUnconfirmed'] === 1)
-      await world.clock.advance(3900)
+      await world.clock.advance(2 * sessionLeaseMs - 100)
       assert.equal(fixture.entry.getFigures()['cancelsUnconfirmed'], 1)
       await world.clock.advance(300)
       assert.equal(fixture.entry.getFigures()['cancelsUnconfirmed'], 0)
--- a/tests/entry/faults.test.ts
+++ b/tests/entry/faults.test.ts
@@ -8,6 +8,7 @@
 import * as fixtures from './fixture.js'
 import * as host from '../../src/host/types.js'
 import * as random from '../../src/host/seeded_random.js'
+import * as settings from '../../src/contracts/settings.js'
 import * as serviceRuns from '../../src/entry/service_run.js'
 import * as sinks from '../../src/entry/sinks.js'
 import * as types from '../../src/entry/types.js'
@@ -15,7 +16,7 @@
 import * as worlds from './world.js'
 
 const words = ['a', 'b', 'c', 'd', 'e']
-const sessionLeaseMs = 4000
+const sessionLeaseMs = settings.Timing.parse({}).sessionLeaseMs
 
 /** Longest time from one frame to the next, in milliseconds. */
 const longestStepMs = 600
--- a/tests/faults/deployment.ts
+++ b/tests/faults/deployment.ts
@@ -225,6 +225,21 @@
     return this.waitFor('engines hold nothing', async () => await this.countHeldPieces() === 0, releaseLimitMs)
   }
 
+  /**
+   * Waits until the engines hold nothing, and checks by the times that they recorded that this was at most as long
+   * as the target allows after the callers were gone at `goneAtMs` on the wall clock.
+   */
+  async assertReleased (goneAtMs: number): Promise<void> {
+    let releasedAtMs: number | undefined
+    await this.waitFor('engines hold nothing', async () => {
+      releasedAtMs = await this.findReleaseMs()
+      return releasedAtMs !== undefined
+    })
+    const tookMs = Math.max(0, (releasedAtMs ?? goneAtMs) - goneAtMs)
+    console.log(`released ${tookMs} ms after the callers were gone`)
+    assert.ok(tookMs <= releaseLimitMs, `memory was held for ${tookMs} ms`)
+  }
+
   /** Waits until every caller has its answer, and returns what became of all requests. */
   async gather (): Promise<Counts> {
     const answers = await Promise.all(this.admissions.map(async admission => {
@@ -283,6 +298,19 @@
     return runs
   }
 
+  /** When the last engine gave its last piece back, on the wall clock in milliseconds; `undefined` while one holds any. */
+  private async findReleaseMs (): Promise<number | undefined> {
+    let releasedAtMs = 0
+    for (const server of this.listEngines()) {
+      const emptySinceMs: number | undefined = (await server.standin.readState(true)).memory.emptySinceMs
+      if (emptySinceMs === undefined) {
+        return undefined
+      }
+      releasedAtMs = Math.max(releasedAtMs, emptySinceMs)
+    }
+    return releasedAtMs
+  }
+
   private listEngines (): fleets.Fleet['servers'] {
     return this.fleet.servers.filter(({ vm, standin }) => vm.role !== 'service' && standin.process.isRunning)
   }
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -57,6 +57,7 @@
 /** Waits for calls of an observer. */
 class SessionWatch extends types.SessionObserver {
   readonly sessions: types.Session[] = []
+  expiries = 0
   private expiredOnce: () => void = () => {}
   readonly expiry = new Promise<void>(resolve => {
     this.expiredOnce = resolve
@@ -67,6 +68,7 @@
   }
 
   override expired (): void {
+    this.expiries += 1
     this.expiredOnce()
   }
 }
@@ -282,6 +284,22 @@
     })
   })
 
+  test.describe('a client that was paused past the silence limit', () => {
+    test.it('keeps a connection whose messages it has yet to read', async () => {
+      const clock = new manualClocks.ManualClock()
+      const ends = await connect(createContext('client', undefined, undefined, clock))
+      ends.link.hold()
+      await ends.link.call('status.read', {}, callTimeoutMs)
+      clock.pause(2 * timing.silenceMs)
+      await clock.advance(0)
+      await ends.link.call('status.read', {}, callTimeoutMs)
+      await clock.advance(timing.heartbeatMs)
+      const { openings, losses } = ends.linkWatch
+      ends.close()
+      assert.deepEqual([openings, losses], [[false], 0])
+    })
+  })
+
   test.describe('a connection that fell silent while idle', () => {
     test.it('is replaced before it is used', async () => {
       const clock = new manualClocks.ManualClock()
@@ -330,6 +348,32 @@
     })
   })
 
+  test.describe('a listener that was paused past the session lease', () => {
+    test.it('keeps a session whose messages it has yet to read', async () => {
+      const clock = new manualClocks.ManualClock()
+      const client = createContext('client', undefined, undefined, new manualClocks.ManualClock())
+      const ends = await connect(client, createContext('server', undefined, undefined, clock))
+      await ends.link.call('status.read', {}, callTimeoutMs)
+      clock.pause(timing.sessionLeaseMs)
+      await clock.advance(0)
+      await ends.link.call('status.read', {}, callTimeoutMs)
+      await clock.advance(timing.sessionLeaseMs / 2)
+      ends.close()
+      assert.equal(ends.sessionWatch.expiries, 0)
+    })
+
+    test.it('ends a session that stays silent', async () => {
+      const clock = new manualClocks.ManualClock()
+      const client = createContext('client', undefined, undefined, new manualClocks.ManualClock())
+      const ends = await connect(client, createContext('server', undefined, undefined, clock))
+      await ends.link.call('status.read', {}, callTimeoutMs)
+      clock.pause(timing.sessionLeaseMs)
+      await clock.advance(timing.sessionLeaseMs / 2)
+      ends.close()
+      assert.equal(ends.sessionWatch.expiries, 1)
+    })
+  })
+
   test.describe('loads', () => {
     test.it('are asked for on links with work under way', async () => {
       const ends = await connect()
--- a/tests/support/manual_clock.ts
+++ b/tests/support/manual_clock.ts
@@ -39,6 +39,11 @@
     this.wallOffsetMs += byMs
   }
 
+  /** Moves time on without running the timers, as when the process is paused. */
+  pause (byMs: number): void {
+    this.nowMs += byMs
+  }
+
   /** Moves time on, running the timers that come due, and lets promises settle between them. */
   async advance (byMs: number): Promise<void> {
     const untilMs = this.nowMs + byMs
--- a/tests/support/wired_process.ts
+++ b/tests/support/wired_process.ts
@@ -22,7 +22,7 @@
 export const administratorCredential = 'administrator-credential'
 
 const timing: links.LinkTiming = {
-  connectTimeoutMs: 1_000, heartbeatMs: 500, silenceMs: 1_500, sessionLeaseMs: 4_000, idleMs: 60_000, reconnectMs: 50, loadReportsPerSecond: 20
+  connectTimeoutMs: 1_000, heartbeatMs: 250, silenceMs: 600, sessionLeaseMs: 1_500, idleMs: 60_000, reconnectMs: 50, loadReportsPerSecond: 20
 }
 
 export interface WiredOptions {
