--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -38,6 +38,9 @@
 /** Frames after which the agent is told how far they have arrived. */
 const acknowledgePeriodFrames = 32
 
+/** Time without frames after which the agent is asked for them, in milliseconds. */
+const quietLimitMs = 3_000
+
 /** How long repeatable work without any output waits for its link to open again, in milliseconds. */
 const reopenGraceMs = 300
 
@@ -58,7 +61,7 @@
     super()
     this.key = { request: course.start.request, attempt: course.start.attempt }
     this.link = course.link
-    this.quiet = new quietWatches.QuietWatch(this.clock, 2 * this.timing.silenceMs, () => this.resume())
+    this.quiet = new quietWatches.QuietWatch(this.clock, quietLimitMs, () => this.resume())
   }
 
   /** Runs the attempt to its end. A failure's verdict is `not_run` only by the agent's word. */
@@ -262,7 +265,7 @@
 
   /** Acknowledges the last frame once the request has gone on, so that its next step does not wait for it. */
   private acknowledgeLast (): void {
-    setImmediate(() => this.acknowledge())
+    this.clock.after(0, () => this.acknowledge())
   }
 
   private giveUp (cause: failures.Failure): void {
