--- a/bench/path.ts
+++ b/bench/path.ts
@@ -1,8 +1,9 @@
 /**
- * What the product adds to a request: latency against direct calls of the stand-ins in the same run, processor
- * time per request and token, and what idle processes cost.
+ * What the product adds to a request: latency against direct calls of the stand-ins in the same run, and bare round
+ * trips between two processes beside it; processor time per request and token, and what idle processes cost.
  */
 import * as undici from 'undici'
+import * as echoes from './support/echo.js'
 import * as fleetProcesses from '../tools/fleet_process.js'
 import * as fleets from '../tools/fleet.js'
 import * as operators from '../tools/operator.js'
@@ -55,8 +56,10 @@
   const through = new Caller(fleet.entries[0]?.callersUrl ?? '', headers)
   const [prefill, decode, service] = fleet.servers
   const direct = new DirectCaller(prefill?.standin.url ?? '', decode?.standin.url ?? '', service?.standin.url ?? '')
-  await alternate(direct, through, warmUps)
-  const latencies = await alternate(direct, through, samples)
+  const echo = await echoes.Echo.start()
+  await alternate(direct, through, echo, warmUps)
+  const latencies = await alternate(direct, through, echo, samples)
+  echo.stop()
   const load = await measureLoad(fleet, through)
   const idle = await measureIdle(fleet)
   return { latencies, load, idle }
@@ -147,17 +150,19 @@
   return performance.now() - started
 }
 
-/** Takes turns between the two ways, so that both see the same machine. */
-async function alternate (direct: Way, through: Way, count: number): Promise<object> {
+/** Takes turns between the two ways and bare round trips, so that all see the same machine. */
+async function alternate (direct: Way, through: Way, echo: echoes.Echo, count: number): Promise<object> {
   const firstTokens = { direct: [] as number[], through: [] as number[] }
   const calls = { direct: [] as number[], through: [] as number[] }
+  const echoMs: number[] = []
   for (let index = 0; index < count; index += 1) {
     firstTokens.direct.push((await direct.complete(2)).firstTokenMs)
     firstTokens.through.push((await through.complete(2)).firstTokenMs)
     calls.direct.push(await direct.call())
     calls.through.push(await through.call())
+    echoMs.push(await echo.measure())
   }
-  return { firstTokenMs: compare(firstTokens), plainCallMs: compare(calls) }
+  return { firstTokenMs: compare(firstTokens), plainCallMs: compare(calls), bareRoundTripMs: summarize(echoMs) }
 }
 
 function compare (times: { readonly direct: number[], readonly through: number[] }): object {
