Find pending frames and histograms by cheaper keys

Cause: for each token the agent joined the names of request and attempt to a key, and the entry wrote the labels of a histogram as JSON (3 % of the agent's and 1 % of the entry's busy time in the profile). Change: frames are found by the attempt's own identity object; one key of the labels serves both look-ups.

--- a/src/agent/frame_sender.ts
+++ b/src/agent/frame_sender.ts
@@ -1,7 +1,6 @@
 /**
  * Sends frames: those that become ready for a session in the same turn of the loop go out together.
  */
-import * as attempts from './attempt.js'
 import * as host from '../host/types.js'
 import * as links from '../links/types.js'
 import * as work from '../contracts/work.js'
@@ -9,8 +8,11 @@
 /** Pause before a session whose connection is full is tried again, in milliseconds. */
 const retryMs = 20
 
+/** Frames by the identity of their attempt, which each attempt keeps as one object. */
+type Batches = Map<work.AttemptKey, work.Frames>
+
 export class FrameSender {
-  private readonly pending = new Map<string, Map<string, work.Frames>>()
+  private readonly pending = new Map<string, Batches>()
   private isPlanned = false
   private isRetryPlanned = false
 
@@ -23,17 +25,16 @@
 
   add (session: string, id: work.AttemptKey, frame: work.Frame): void {
     const batches = this.getBatches(session)
-    const key = attempts.createKey(id)
-    const batch = batches.get(key)
+    const batch = batches.get(id)
     if (batch === undefined) {
-      batches.set(key, { ...id, frames: [frame] })
+      batches.set(id, { ...id, frames: [frame] })
     } else {
       batch.frames.push(frame)
     }
     this.plan()
   }
 
-  private getBatches (session: string): Map<string, work.Frames> {
+  private getBatches (session: string): Batches {
     let batches = this.pending.get(session)
     if (batches === undefined) {
       batches = new Map()
@@ -80,7 +81,7 @@
   }
 
   /** Frames to a session that has gone are dropped; the gate keeps them for a resumption. */
-  private send (session: links.Session | undefined, batches: ReadonlyMap<string, work.Frames>): void {
+  private send (session: links.Session | undefined, batches: Batches): void {
     if (session === undefined) {
       return
     }
--- a/src/metrics/prometheus_meter.ts
+++ b/src/metrics/prometheus_meter.ts
@@ -43,7 +43,7 @@
 
   override observe (name: catalog.HistogramName, labels: types.Labels, value: number): void {
     const bounded = this.bound(name, labels)
-    const key = JSON.stringify(bounded)
+    const key = createKey(bounded)
     const series = this.getHistograms(name, labels)
     let found = series.get(key)
     if (found === undefined) {
@@ -121,7 +121,7 @@
       known = new Set()
       this.labelSets.set(name, known)
     }
-    const key = Object.values(labels).join('\n')
+    const key = createKey(labels)
     if (known.has(key)) {
       return labels
     }
@@ -133,6 +133,11 @@
   }
 }
 
+/** Joins the values of labels, which every caller of one metric gives in the same order. */
+function createKey (labels: types.Labels): string {
+  return Object.values(labels).join('\n')
+}
+
 function setQuantiles (values: prometheus.Gauge, labels: types.Labels, histogram: hdr.Histogram): void {
   for (const quantile of quantiles) {
     const value = histogram.getValueAtPercentile(quantile * 100) / histogramScale
