--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -84,14 +84,20 @@
     this.runDue(event.nowMs)
     this.dispatch(event)
     if (event.kind !== 'backend.progress' && event.kind !== 'work.acknowledge') {
-      this.runner.startNext(event.nowMs)
-      this.planRecheck(event.nowMs)
+      this.startNext(event.nowMs)
+    }
+    if (this.intake.answerAdmission(event.nowMs)) {
+      this.startNext(event.nowMs)
     }
-    this.intake.answerAdmission(event.nowMs)
     this.reportIdle()
     return this.outbox.take()
   }
 
+  private startNext (nowMs: number): void {
+    this.runner.startNext(nowMs)
+    this.planRecheck(nowMs)
+  }
+
   private dispatch (event: types.GateEvent): void {
     switch (event.kind) {
       case 'work.offer':
--- a/src/agent/intake.ts
+++ b/src/agent/intake.ts
@@ -49,25 +49,29 @@
     outbox.fail(event.call, isKept ? failure : failures.withVerdict(failure, 'may_have_run'))
   }
 
-  /** Answers the start admitted in this decision, once it is known whether it runs. */
-  answerAdmission (nowMs: number): void {
+  /**
+   * Answers the start admitted in this decision, once it is known whether it runs. Returns whether it was taken back,
+   * so that others may start in its place.
+   */
+  answerAdmission (nowMs: number): boolean {
     const { outbox } = this.parts
     const admission = this.admission
     this.admission = undefined
     if (admission === undefined) {
-      return
+      return false
     }
     const { attempt, call } = admission
     if (attempt.state === 'running') {
       outbox.succeed(call, { state: 'running', waitMs: 0 })
-      return
+      return false
     }
     if (attempt.deadlineMs <= nowMs) {
       outbox.fail(call, this.retract(attempt, nowMs))
-      return
+      return true
     }
     outbox.record('attempt.queued', attempt)
     outbox.succeed(call, { state: 'queued', waitMs: this.predict(attempt, nowMs) })
+    return false
   }
 
   /** Refuses an attempt that has waited as long as it may. */
--- a/tests/agent/differential.test.ts
+++ b/tests/agent/differential.test.ts
@@ -35,7 +35,7 @@
   },
   { weight: 8, arbitrary: fc.record({ kind: fc.constant('cancel' as const), attempt: Attempt, session: Session, mode: fc.constantFrom('always' as const, 'unless_started' as const) }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('resume' as const), attempt: Attempt, session: Session, offset: fc.integer({ min: 0, max: 4 }) }) },
-  { weight: 4, arbitrary: fc.record({ kind: fc.constant('offer' as const), attempt: Attempt, session: Session, inMs: fc.constantFrom(0, 100, 700), holdMs: fc.constantFrom(undefined, 100, 400) }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('offer' as const), attempt: Attempt, session: Session, workspace: fc.constantFrom('a', 'b', 'c'), inMs: fc.constantFrom(0, 100, 700), holdMs: fc.constantFrom(undefined, 100, 400), maximumWaitMs: fc.constantFrom(undefined, 300, 2_000, 9_000), others: fc.constantFrom(0, 0, 6) }) },
   { weight: 24, arbitrary: fc.record({ kind: fc.constant('progress' as const), order: fc.integer({ min: 1, max: 12 }), tokens: fc.integer({ min: 1, max: 40 }) }) },
   { weight: 16, arbitrary: fc.record({ kind: fc.constantFrom('finish' as const, 'fail' as const, 'lose' as const, 'confirm' as const), order: fc.integer({ min: 1, max: 12 }) }) },
   { weight: 12, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.constantFrom(0, 1, 99, 500, 2_000) }) },
@@ -77,7 +77,7 @@
       case 'resume':
         return this.call('work.resume', { ...this.createId(step.attempt), boot: drivers.boot, offset: step.offset }, step.session)
       case 'offer':
-        return this.call('work.offer', this.createOffer(step), step.session)
+        return this.offer(step)
       case 'progress':
         return this.apply({ kind: 'backend.progress', nowMs, order: step.order, text: 'x', tokens: step.tokens })
       case 'finish': {
@@ -147,20 +147,42 @@
 
   private createStart (step: Extract<Step, { readonly kind: 'start' }>): work.Start {
     const { attempt, workspace, boot, prompt, maximum, waitMs, usesReservation } = step
-    const weight = workspace === 'a' ? 2 : 1
-    const change = { ...this.createId(attempt), workspace, weight, boot, maximumWaitMs: waitMs }
+    const change = { ...this.createId(attempt), workspace, weight: getWeight(workspace), boot, maximumWaitMs: waitMs }
     const reservation = usesReservation ? this.reservation : undefined
     return drivers.createStart('', { ...change, promptTokens: prompt, maximumTokens: maximum, kind: this.role, reservation })
   }
 
+  /** Offers for one request, and for others of the same workspace. */
+  private offer (step: Extract<Step, { readonly kind: 'offer' }>): void {
+    const offer = this.createOffer(step)
+    for (let other = 0; other < step.others; other += 1) {
+      this.call('work.offer', { ...offer, request: `${step.workspace}${other}` }, step.session)
+    }
+    this.call('work.offer', offer, step.session)
+  }
+
   private createOffer (step: Extract<Step, { readonly kind: 'offer' }>): work.Offer {
     const { request } = this.createId(step.attempt)
     return {
-      request, workspace: 'a', kind: this.role, model: 'm', promptTokens: 150, maximumTokens: 100, prefixes: [], expectedInMs: step.inMs, holdMs: step.holdMs
+      request,
+      workspace: step.workspace,
+      weight: getWeight(step.workspace),
+      kind: this.role,
+      model: 'm',
+      promptTokens: 150,
+      maximumTokens: 100,
+      prefixes: [],
+      expectedInMs: step.inMs,
+      holdMs: step.holdMs,
+      maximumWaitMs: step.maximumWaitMs
     }
   }
 }
 
+function getWeight (workspace: string): number {
+  return workspace === 'a' ? 2 : 1
+}
+
 function compare (role: 'prefill' | 'decode', parameters: fc.Parameters<[Step[]]>): void {
   const steps = fc.array(Step, { minLength: 1, maxLength: 60, size: 'max' })
   fc.assert(fc.property(steps, generated => new Comparison(role).run(generated)), { ...parameters, includeErrorInReport: true })
--- a/tests/agent/naive_gate.ts
+++ b/tests/agent/naive_gate.ts
@@ -1,7 +1,7 @@
 /**
  * A naive gate that forgets nothing and searches everything: it follows a real gate event by event and throws
- * when an action breaks a rule. What it leaves open are refusals by predicted wait, and whether a slot is kept
- * free while reservations exist.
+ * when an action breaks a rule. What it leaves open are predicted waits and refusals by them, and whether a slot is
+ * kept free while reservations exist.
  */
 import * as assert from 'node:assert/strict'
 import * as attempts from '../../src/agent/attempt.js'
@@ -33,12 +33,20 @@
 
 type Named = work.AttemptKey
 
+interface Reservation {
+  readonly request: string
+  readonly workspace: string
+  readonly weight: number
+  readonly session: string
+  readonly lapsesAtMs: number
+}
+
 export class NaiveGate {
   readonly records = new Map<string, Record>()
   private readonly tombstones = new Set<string>()
   private readonly refused = new Set<string>()
   private readonly sessions = new Set<string>()
-  private readonly reservations = new Map<string, { readonly request: string, readonly session: string, readonly lapsesAtMs: number }>()
+  private readonly reservations = new Map<string, Reservation>()
   private readonly counters = new Map<string, number>()
   private holders: Record[] = []
   private floor = 0
@@ -267,10 +275,42 @@
         this.reservations.delete(id)
       }
     }
+    this.checkOffered(event.params, answer)
     if (answer.reservation !== undefined) {
-      const lapsesAtMs = this.nowMs + event.params.expectedInMs + answer.waitMs + (event.params.holdMs ?? 0)
-      this.reservations.set(answer.reservation, { request: event.params.request, session: event.session, lapsesAtMs })
+      const { request, workspace, weight = 1, expectedInMs, holdMs = 0 } = event.params
+      const lapsesAtMs = this.nowMs + expectedInMs + answer.waitMs + holdMs
+      this.reservations.set(answer.reservation, { request, workspace, weight, session: event.session, lapsesAtMs })
+    }
+  }
+
+  /** Room is kept if it comes within the part of the longest wait that the workspace may use. */
+  private checkOffered (offer: work.Offer, answer: work.OfferAnswer): void {
+    const { waitMs, reservation, retryAfterMs, isAboveShare } = answer
+    if (offer.holdMs === undefined) {
+      assert.deepEqual([reservation, retryAfterMs, isAboveShare], [undefined, undefined, undefined])
+      return
+    }
+    const longestMs = offer.maximumWaitMs ?? offer.holdMs
+    const fairMs = longestMs * (offer.weight === undefined ? 1 : this.getWaitShare(offer.workspace, offer.weight))
+    if (waitMs <= fairMs) {
+      assert.notEqual(reservation, undefined, 'no room is kept for a short wait')
+      return
     }
+    assert.deepEqual([reservation, isAboveShare], [undefined, waitMs <= longestMs])
+    assert.equal(retryAfterMs, Math.max(1, waitMs - fairMs))
+  }
+
+  private getWaitShare (workspace: string, weight: number): number {
+    const holders = [
+      ...this.holders.filter(record => record.hasSlot).map(record => record.start),
+      ...this.listQueued().filter(record => record.isPromised).map(record => record.start),
+      ...this.reservations.values()
+    ]
+    const own = holders.filter(holder => holder.workspace === workspace).length
+    const weights = new Map([[workspace, weight], ...holders.map(holder => [holder.workspace, holder.weight] as const)])
+    const sum = [...weights.values()].reduce((total, one) => total + one, 0)
+    const fair = (holders.length + 1) * weight / sum
+    return Math.min(1, ((fair * 1.5 + 1) / (own + 1)) ** 6)
   }
 
   private cancel (cancel: work.Cancel): work.CancelAnswer {
