Expect running outputs to end by what was seen of their distribution

Cause: an attempt past the mean output was expected to run until its bound. Where callers ask for more tokens than they get, slots were promised too late, and requests refused that would have been in time.

Change: an agent keeps the distribution of outputs as a share of the bound. For promises, a running attempt frees its slot in four parts, at the quantiles of the outputs that reach the same share. Outputs that always reach the bound give the same promises as before.

What is refused in the first seconds, before 32 outputs were seen, is left.

--- a/src/agent/forecast.ts
+++ b/src/agent/forecast.ts
@@ -61,6 +61,16 @@
     const bound = attempt.outputTokens < expected ? expected : demand.maximumTokens
     return Math.max(0, bound - attempt.outputTokens) * this.pace.getStepMs(running, nowMs)
   }
+
+  /** Returns the times after which a running attempt ends, equally likely. */
+  listRemainingMs (attempt: attempts.Attempt, capacity: types.Capacity, running: number, nowMs: number): readonly number[] {
+    const { demand, outputTokens } = attempt
+    if (demand.kind !== 'decode') {
+      return [this.getRemainingMs(attempt, capacity, running, nowMs, false)]
+    }
+    const stepMs = this.pace.getStepMs(running, nowMs)
+    return this.estimate.listRemaining(demand.model, demand.maximumTokens, outputTokens).map(tokens => tokens * stepMs)
+  }
 }
 
 /**
--- a/src/agent/output_estimate.ts
+++ b/src/agent/output_estimate.ts
@@ -1,11 +1,13 @@
 /**
  * Expected output of requests, learnt per model as a share of the tokens that were asked for.
  */
+import * as outputSpreads from './output_spread.js'
 
 interface Statistics {
   samples: number
   mean: number
   variance: number
+  readonly spread: outputSpreads.OutputSpread
 }
 
 /** Outputs seen before the estimate is used instead of the bound. */
@@ -22,9 +24,12 @@
     const share = Math.min(1, outputTokens / maximumTokens)
     const known = this.models.get(model)
     if (known === undefined) {
-      this.models.set(model, { samples: 1, mean: share, variance: 0 })
+      const spread = new outputSpreads.OutputSpread()
+      spread.observe(share)
+      this.models.set(model, { samples: 1, mean: share, variance: 0, spread })
       return
     }
+    known.spread.observe(share)
     known.samples += 1
     const weight = Math.max(newestWeight, 1 / known.samples)
     const difference = share - known.mean
@@ -41,6 +46,12 @@
     return Math.max(1, known.mean * maximumTokens)
   }
 
+  /** Returns after how many further tokens equally likely parts of the outputs of this length end. */
+  listRemaining (model: string, maximumTokens: number, outputTokens: number): readonly number[] {
+    const ends = this.models.get(model)?.spread.listEnds(outputTokens / maximumTokens) ?? [1]
+    return ends.map(end => Math.max(0, end * maximumTokens - outputTokens))
+  }
+
   /** Returns a number of output tokens that is rarely exceeded. */
   getCautious (model: string, maximumTokens: number): number {
     const known = this.models.get(model)
--- a/src/agent/waits.ts
+++ b/src/agent/waits.ts
@@ -31,8 +31,8 @@
   predictRoomMs (demand: attempts.Demand, arrivalInMs: number, nowMs: number): number | undefined {
     const slots = this.getUsableSlots(nowMs)
     const profile = new profiles.Profile(slots - this.state.running.size, this.state.ledger.freePieces)
-    for (const { inMs, pieces } of this.state.listDepartures(nowMs, false)) {
-      profile.add(inMs, 1, pieces)
+    for (const attempt of this.state.running) {
+      this.addEnds(profile, attempt, nowMs)
     }
     for (const { expectedAtMs, serviceMs, pieces } of this.state.book.list()) {
       const startInMs = Math.max(0, expectedAtMs - nowMs)
@@ -48,6 +48,16 @@
     return profile.findRoom(arrivalInMs, this.state.countPieces(demand))
   }
 
+  /** Adds what a running attempt frees, in parts at the times at which it is equally likely to end. */
+  private addEnds (profile: profiles.Profile, attempt: attempts.Attempt, nowMs: number): void {
+    const { forecast, capacity, running } = this.state
+    const ends = forecast.listRemainingMs(attempt, capacity, running.size, nowMs)
+    const pieces = attempt.holding?.expected ?? 0
+    for (const inMs of ends) {
+      profile.add(inMs, 1 / ends.length, pieces / ends.length)
+    }
+  }
+
   /** Returns the part of the longest wait for promised room that a workspace may use, from 0 to 1. */
   getWaitShare (workspace: string, weight: number): number {
     const held = new shares.Shares()
--- /dev/null
+++ b/tests/agent/output_spread.test.ts
@@ -0,0 +1,43 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as drivers from './gate_driver.js'
+import * as spreads from '../../src/agent/output_spread.js'
+
+function createSpread (shares: readonly number[]): spreads.OutputSpread {
+  const spread = new spreads.OutputSpread()
+  for (let round = 0; round < 32; round += 1) {
+    for (const share of shares) {
+      spread.observe(share)
+    }
+  }
+  return spread
+}
+
+test.describe('OutputSpread', () => {
+  test.it('expects the bound until enough was seen, or when all outputs reach it', () => {
+    assert.deepEqual(new spreads.OutputSpread().listEnds(0), [1])
+    assert.deepEqual(createSpread([1]).listEnds(0.3), [1, 1, 1, 1])
+  })
+
+  test.it('gives equally likely ends of the outputs that are at least as long', () => {
+    const spread = createSpread([0.1, 0.3, 0.5, 0.7])
+    const round = (from: number): number[] => spread.listEnds(from).map(end => Math.round(end * 10) / 10)
+    assert.deepEqual(round(0), [0.1, 0.3, 0.5, 0.7])
+    assert.deepEqual(round(0.4), [0.5, 0.5, 0.7, 0.7])
+    assert.deepEqual(round(0.9), [1])
+  })
+
+  test.it('lets a slot be promised where some of the running outputs are likely to end, long before their bound', () => {
+    const driver = new drivers.GateDriver({}, { slots: 4, memoryPieces: 100, queueLimit: 50 })
+    for (let index = 0; index < 40; index += 1) {
+      driver.start(`seen${index}`, { maximumTokens: 200 })
+      driver.progress(`seen${index}`, 'x', index % 2 === 0 ? 20 : 60)
+      driver.finish(`seen${index}`)
+    }
+    for (let index = 0; index < 4; index += 1) {
+      driver.start(`${index}`, { maximumTokens: 200 })
+    }
+    const { waitMs } = driver.offer('r', { holdMs: 100, maximumWaitMs: 2_000 })
+    assert.ok(waitMs > 150 && waitMs < 250, `${waitMs}`)
+  })
+})
