Leave the last part of the waits to workspaces within their share, and ask again before a refusal

Cause: with one workspace flooding, those within their share were refused at the same bound of 900 ms, often by less than 100 ms. Some were refused although they could have been served in time: the decode server had judged by an instant that the prefill's own answer had moved ("within 1527 ms; the predicted time is 1102 ms").

Change: the longest wait is 1,300 ms within the share (and one slot more), 0.7 of it above, and less from 1.5 times the share on. A decode server that has refused is asked again when the prefill's answer is more than 20 ms later than it was told. The costs of offers have a module of their own.

--- a/src/agent/shares.ts
+++ b/src/agent/shares.ts
@@ -7,10 +7,12 @@
   count: number
 }
 
-/** Factor on the fair share up to which a workspace counts as within it: one server sees only part of the fleet. */
-const toleratedFactor = 1.5
-/** Slots above that which still count as within it, since a share of few slots is less than one request. */
+/** Slots above the fair share that count as within it, since a share of few slots is less than one request. */
 const toleratedSlots = 1
+/** Part of the longest wait that is left to workspaces above their share. */
+const sharedPart = 0.7
+/** Factor on the fair share up to which they may use that part: one server sees only part of the fleet. */
+const toleratedFactor = 1.5
 /** Power of the excess by which the part of the wait shrinks. */
 const steepness = 6
 
@@ -28,7 +30,8 @@
 
   /**
    * Returns the part of the longest wait that one more request of a workspace may use: 1 within the share of the slots
-   * held by all, and the less the further it is above. As waits grow, its requests are refused before those of others.
+   * held by all, a part of it above, and the less the further it is above. As waits grow, its requests are refused
+   * before those of others.
    */
   getWaitShare (workspace: string, weight: number): number {
     const wanted = (this.holders.get(workspace)?.count ?? 0) + 1
@@ -37,6 +40,9 @@
       weights += holder.weight
     }
     const fair = (this.total + 1) * weight / weights
-    return Math.min(1, ((fair * toleratedFactor + toleratedSlots) / wanted) ** steepness)
+    if (wanted <= fair + toleratedSlots) {
+      return 1
+    }
+    return sharedPart * Math.min(1, ((fair * toleratedFactor + toleratedSlots) / wanted) ** steepness)
   }
 }
--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -4,6 +4,7 @@
  */
 import * as configuration from '../contracts/configuration.js'
 import * as failures from '../contracts/failure.js'
+import * as offerCosts from './offer_costs.js'
 import * as offers from './offers.js'
 import * as pictures from './picture.js'
 import * as planner from './planner.js'
@@ -39,10 +40,10 @@
 const readyAheadMs = 500
 
 /** Longest that a prefill is put off, or its KV cache waits, for a decode slot, in milliseconds. */
-const longestSlotWaitMs = 900
+const longestSlotWaitMs = 1_300
 
-/** Cost of a decode server that keeps no room, in milliseconds. */
-const noRoomMs = 60_000
+/** Change of the expected instant for which a decode server that has refused room is asked again, in milliseconds. */
+const leastMovedMs = 20
 
 /** Shortest time that room is kept beyond the expected instant, in milliseconds. */
 const minimumHoldMs = 500
@@ -75,7 +76,7 @@
     }
     const source = standings.get(best.name)
     const expectedMs = best.waitMs + best.serviceMs
-    const asked = this.offers.choose(picked, this.createOffer('prefill', 0, undefined), getPrefillCost)
+    const asked = this.offers.choose(picked, this.createOffer('prefill', 0, undefined), offerCosts.getPrefillCost)
     if (this.policy.slotTime === 'after_prefill') {
       return this.joinPrefill(await asked)
     }
@@ -142,17 +143,23 @@
     this.offers.release(pair.decode)
     const slackMs = this.getSlackMs(pair.prefill.candidate.server, foundMs)
     const offer = this.createDecodeOffer(foundMs, pair.transferMs, slackMs)
-    const renewed = await this.offers.choose([pair.decode.candidate], offer, getDecodeCost)
+    const renewed = await this.offers.choose([pair.decode.candidate], offer, offerCosts.getDecodeCost)
     const isKept = renewed.map(({ answer }) => answer.reservation !== undefined).orDefault(false)
     const { server } = pair.prefill.candidate
     const decode = isKept ? renewed : await this.promise(this.getStanding(pair.prefill), server.region, foundMs, slackMs, avoid)
     return decode.map(promised => ({ ...pair, decode: promised }))
   }
 
-  /** Whether the KV cache will come too late for the promised room, or early enough for earlier room. */
+  /**
+   * Whether the KV cache will come too late for the promised room, or early enough for earlier room, or later than the
+   * server was told that has refused room.
+   */
   private isMistimed (pair: PromisedPair): boolean {
     const { readyInMs, answer } = pair.decode
     const lateMs = getArrivalMs(pair) - readyInMs
+    if (answer.reservation === undefined) {
+      return lateMs + answer.waitMs > leastMovedMs
+    }
     const toleranceMs = getHoldMs(readyInMs) / 2
     return lateMs > toleranceMs || (lateMs < -toleranceMs && answer.waitMs === 0)
   }
@@ -196,7 +203,7 @@
     }
     const transferMs = planner.estimateTransferMs(this.need, source, target)
     const offer = this.createDecodeOffer(expectedMs, transferMs, slackMs)
-    return await this.offers.choose(picked, offer, getDecodeCost)
+    return await this.offers.choose(picked, offer, offerCosts.getDecodeCost)
   }
 
   /** Asks for room from the expected instant on, or from now on if the policy keeps it through the prefill. */
@@ -286,15 +293,3 @@
 function getHoldMs (expectedMs: number): number {
   return minimumHoldMs + expectedMs * holdShare
 }
-
-function getPrefillCost ({ answer, candidate }: offers.Offered): number {
-  return answer.waitMs + answer.serviceMs + candidate.wayMs
-}
-
-/** A fuller decode server takes longer for each step; one that keeps no room comes last. */
-function getDecodeCost ({ answer, candidate }: offers.Offered): number {
-  const { queued, running, slots } = answer.load
-  const fill = slots === 0 ? 1 : (running + queued) / slots
-  const refusedMs = answer.reservation === undefined ? noRoomMs : 0
-  return refusedMs + answer.waitMs + (1 + fill) * answer.serviceMs + candidate.wayMs
-}
