Keep the heap of a daemon small

Cause: without a full collection V8 lets the old generation grow to several times of what is alive, and the young one to 16 MiB for each half. Change: the daemon's first module keeps the young generation at 1 MiB for each half and lets the heap grow by half between collections; the daemon collects once when it has started, from which on that limit counts. A test checks that this module is imported first and needs no other.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,6 +4,7 @@
  *
  * SIGTERM and SIGINT drain; a second one ends at once.
  */
+import * as v8Settings from './v8_settings.js'
 import * as commander from 'commander'
 import * as daemonProcesses from './daemon_process.js'
 import * as exitCodeTable from './exit_code.js'
@@ -35,6 +36,7 @@
     system.log.error('cannot start', { error: String(error) })
     process.exit(exitCodes.address.code)
   })
+  v8Settings.collectGarbage()
 }
 
 /** Loads the modules of the role, and only those, and creates its process. */
--- a/tests/daemon/import_graph.test.ts
+++ b/tests/daemon/import_graph.test.ts
@@ -16,6 +16,13 @@
     })
   })
 
+  test.describe('by the daemon first of all', () => {
+    test.it('are the settings of V8 and no others', () => {
+      assert.equal(importGraph.listImports('daemon/main')[0], './v8_settings.js')
+      assert.deepEqual(importGraph.listLoaded('daemon/v8_settings'), ['daemon/v8_settings', 'node:v8', 'node:vm'])
+    })
+  })
+
   test.describe('by an agent', () => {
     test.it('are those of its engine and its links', () => {
       const loaded = importGraph.listLoaded('daemon/agent_process')
--- a/tests/support/import_graph.ts
+++ b/tests/support/import_graph.ts
@@ -28,7 +28,8 @@
   return [...loaded].sort()
 }
 
-function listImports (name: string): string[] {
+/** Returns what a module of `src` imports itself, in the order of its imports. */
+export function listImports (name: string): string[] {
   const code = fs.readFileSync(path.join(sources, `${name}.js`), 'utf8')
   return [...code.matchAll(importPattern)].map(match => match[1] ?? '')
 }
