Fault tests of pairs of faults

Cause: failures were tried alone; the requirement is alone and in pairs.

The tests of pairs and of memory of callers that are gone are rows of the table of proofs.

Conclusion: five of the many pairs are covered.

--- a/tools/proof_table.ts
+++ b/tools/proof_table.ts
@@ -30,28 +30,33 @@
 const store = (...names: readonly string[]): ProofTest[] => list('store', 'The platform\'s store', names)
 const retries = (...names: readonly string[]): ProofTest[] => list('retries', 'Calls that may not be repeated', names)
 const drains = (...names: readonly string[]): ProofTest[] => list('drains', 'Graceful shutdown', names)
+const release = (...names: readonly string[]): ProofTest[] => list('release', 'Memory of callers that are gone', names)
+const pairs = (...names: readonly string[]): ProofTest[] => list('pairs', 'Two faults at once', names)
 const allowances = (...names: readonly string[]): ProofTest[] => list('allowances', 'Rate and burst over all entries', names)
 
 export const points: readonly Point[] = [
   {
     title: 'No engine memory stays held by requests whose callers are gone',
     mechanism: 'Cancels repeated until the agent confirms them; tombstones; the session lease of a dead or frozen entry',
-    faults: 'callers leaving in the queue, in prefill, in a stalled transfer and in decode; an entry killed or frozen; connections cut or silent',
+    faults: 'callers leaving in the queue, in prefill, in a stalled transfer and in decode; an entry killed or frozen; connections cut or silent; in pairs: with the store down, with callers that leave, two entries frozen',
     tests: [
       ...callers('during prefill', 'in the queue', 'during a stalled transfer', 'during decode', 'all at once'),
       ...crashes('an entry killed', 'an entry frozen past its session lease'),
-      ...links('that stay cut', 'that are silent for callers')
+      ...links('that stay cut', 'that are silent for callers'),
+      ...release('is free 2 s after their entry was killed', 'is free 2 s after their entry froze', 'is free 2 s after they left over'),
+      ...pairs('the store down and an entry killed', 'silent connections and callers', 'one entry frozen after the other')
     ],
     properties: ['no memory held after the entry left'],
-    unproved: 'After the death or silence of an entry memory is free after the session lease, which is longer than 2 s'
+    unproved: 'How soon memory is free after the death of an agent'
   },
   {
     title: 'No request is answered twice',
     mechanism: 'Frames carry request, attempt and offset; what does not fit is dropped',
-    faults: 'connections reset and silent, once and twice; an agent, an engine or an entry killed; an entry frozen',
+    faults: 'connections reset and silent, once and twice; an agent, an engine or an entry killed; an entry frozen; two entries frozen one after the other',
     tests: [
       ...links('that are reset', 'that fall silent for good', 'that fall silent twice'),
-      ...crashes('an agent killed', 'an engine killed', 'an entry frozen past its session lease')
+      ...crashes('an agent killed', 'an engine killed', 'an entry frozen past its session lease'),
+      ...pairs('one entry frozen after the other')
     ],
     properties: ['no second answer', 'no attempt starts twice'],
     unproved: 'Frames duplicated by the network below TCP'
@@ -91,11 +96,12 @@
   {
     title: 'A caller gets the whole answer to its own request',
     mechanism: 'Offsets, resumption by a session that outlives its connection, an explicit error when the answer cannot be whole',
-    faults: 'connections reset and silent; an agent and an engine killed; two workspaces at once',
+    faults: 'connections reset and silent; an agent and an engine killed; two workspaces at once; in pairs: the store down with an entry or a prefill server killed, silent connections with callers that leave',
     tests: [
       ...path('streams the whole text', 'answers whole and as chat', 'gives each of two workspaces'),
       ...links('that are reset', 'that fall silent for good', 'that fall silent twice', 'that fell silent while idle'),
-      ...crashes('an agent killed', 'an engine killed')
+      ...crashes('an agent killed', 'an engine killed'),
+      ...pairs('the store down and an entry killed', 'silent connections and callers', 'a prefill server killed and the store down')
     ],
     properties: ['no second answer'],
     unproved: 'A connection that falls silent less than a heartbeat\'s period after its last use: the first request may be refused as not_run. Whether a non-streamed answer survives the death of its engine: it is refused'
@@ -145,8 +151,11 @@
   {
     title: 'An accepted configuration is in force everywhere within seconds and never reverts',
     mechanism: 'One transaction per change, an operation id, versions on every message, peers as a source',
-    faults: 'lost answers; racing operators through two entries; one without the right; the store down just after a change, with an entry replaced and stale reads',
-    tests: store('that loses the answer', 'takes one of several', 'takes nothing from a team', 'that goes down just after'),
+    faults: 'lost answers; racing operators through two entries; both at once; one without the right; the store down just after a change, with an entry replaced and stale reads',
+    tests: [
+      ...store('that loses the answer', 'takes one of several', 'takes nothing from a team', 'that goes down just after'),
+      ...pairs('lost answers of the store')
+    ],
     properties: ['a version never goes back', 'an accepted change is kept, a refused one is not there', 'not ready with an old version'],
     unproved: 'An entry cut off from the store and from all peers for longer than 10 s'
   }
