Measure the delay of the event loop as a signal of overload

Cause: the signal of overload was requests in flight alone; the delay of the event loop was a hook that nothing fed.

--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -25,6 +25,8 @@
   stalledCallerMs: milliseconds(10_000, 'Longest time for a caller to take what was sent'),
   stalledCallerBytes: bytes(262_144, 'Most bytes waiting for one caller'),
   requestsInFlight: count(2_000, 'Requests in flight in one entry'),
+  loopDelayMs: z.number().int().nonnegative().default(0)
+    .describe('Smoothed delay of the event loop from which on an entry refuses new requests; 0 for none (ms)'),
   requestTimeoutMs: milliseconds(300_000, 'Longest time for one request'),
   attemptsKept: count(50_000, 'Finished and cancelled attempts an agent remembers'),
   attemptsKeptMs: milliseconds(120_000, 'How long an agent remembers them'),
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -117,10 +117,10 @@
   }
 }
 
-/** Creates an entry; `overloadSignal` counts requests in flight if left out. */
+/** Creates an entry; `overloadSignal` is what the limits ask for if left out. */
 export function createEntry (
   surroundings: types.Surroundings,
-  overloadSignal: overload.OverloadSignal = new overload.InFlightSignal(surroundings.limits.requestsInFlight)
+  overloadSignal = overload.createOverloadSignal(surroundings.limits, surroundings.system.clock)
 ): Entry {
   return new Entry(surroundings, createTools(surroundings), overloadSignal)
 }
--- a/src/entry/overload.ts
+++ b/src/entry/overload.ts
@@ -1,6 +1,13 @@
 /**
- * The signal by which an entry refuses work that it could not serve in time.
+ * The signals by which an entry refuses work that it could not serve in time.
  */
+import * as host from '../host/types.js'
+import * as settings from '../contracts/settings.js'
+
+/** Period of the timer whose lateness is measured, in milliseconds. */
+const periodMs = 20
+/** Weight of the newest lateness in the smoothed delay. */
+const newestWeight = 1 / 8
 
 /** Tells whether new requests are too many for this process. */
 export abstract class OverloadSignal {
@@ -19,13 +26,52 @@
   }
 }
 
-/** Reads the delay of the event loop, in milliseconds, from wherever it is measured. */
+/** Measures how late the event loop runs a periodic timer, smoothed over some tens of periods. */
 export class LoopDelaySignal extends OverloadSignal {
-  constructor (private readonly limitMs: number, private readonly readDelayMs: () => number) {
+  private delayMs = 0
+  private dueMs: number
+  private stopTimer: host.Stop
+
+  /** `limitMs` is the smoothed delay from which on the process is overloaded, in milliseconds. */
+  constructor (private readonly limitMs: number, private readonly clock: host.Clock) {
     super()
+    this.dueMs = clock.monotonicMs() + periodMs
+    this.stopTimer = clock.after(periodMs, () => this.measure())
   }
 
   override isOverloaded (): boolean {
-    return this.readDelayMs() >= this.limitMs
+    return this.delayMs >= this.limitMs
+  }
+
+  stop (): void {
+    this.stopTimer()
+  }
+
+  private measure (): void {
+    const nowMs = this.clock.monotonicMs()
+    const lateMs = Math.max(0, nowMs - this.dueMs)
+    this.delayMs += (lateMs - this.delayMs) * newestWeight
+    this.dueMs = nowMs + periodMs
+    this.stopTimer = this.clock.after(periodMs, () => this.measure())
+  }
+}
+
+/** Either of two signals. */
+class EitherSignal extends OverloadSignal {
+  constructor (private readonly one: OverloadSignal, private readonly other: OverloadSignal) {
+    super()
+  }
+
+  override isOverloaded (inFlight: number): boolean {
+    return this.one.isOverloaded(inFlight) || this.other.isOverloaded(inFlight)
+  }
+}
+
+/** Creates the signal that the limits ask for; it measures until the process ends. */
+export function createOverloadSignal (limits: settings.Limits, clock: host.Clock): OverloadSignal {
+  const inFlight = new InFlightSignal(limits.requestsInFlight)
+  if (limits.loopDelayMs === 0) {
+    return inFlight
   }
+  return new EitherSignal(inFlight, new LoopDelaySignal(limits.loopDelayMs, clock))
 }
