Give the opening of a connection a module of its own

Change: connection_attempt.ts connects and proves, link_context.ts holds what links share. Nothing else changes.

--- a/bench/links.ts
+++ b/bench/links.ts
@@ -3,6 +3,7 @@
  */
 import * as childProcess from 'node:child_process'
 import * as clientLinks from '../src/links/client_link.js'
+import * as linkContexts from '../src/links/link_context.js'
 import * as identities from '../src/contracts/identity.js'
 import * as slopes from './support/slope.js'
 import * as support from './support/link_context.js'
@@ -48,7 +49,7 @@
 
 async function openLinks (
   address: identities.Address, count: number, observer: types.LinkObserver
-): Promise<{ links: clientLinks.ClientLink[], context: clientLinks.LinkContext }> {
+): Promise<{ links: clientLinks.ClientLink[], context: linkContexts.LinkContext }> {
   const context = support.createContext('entry')
   const links: clientLinks.ClientLink[] = []
   for (let index = 0; index < count; index += 1) {
--- a/bench/support/link_context.ts
+++ b/bench/support/link_context.ts
@@ -1,7 +1,7 @@
 /**
  * Link contexts for benchmarks.
  */
-import * as clientLinks from '../../src/links/client_link.js'
+import * as linkContexts from '../../src/links/link_context.js'
 import * as identities from '../../src/contracts/identity.js'
 import * as nodeSystem from '../../src/host/node_system.js'
 import * as piggybacks from '../../src/daemon/process_piggyback.js'
@@ -15,7 +15,7 @@
 }
 
 /** Creates the context of a process with the standard timing. */
-export function createContext (role: identities.Role): clientLinks.LinkContext {
+export function createContext (role: identities.Role): linkContexts.LinkContext {
   return {
     system: nodeSystem.createSilentSystem(),
     identity: { node: `bench-${role}`, boot: 'bench', role, zone: 'z', region: 'r' },
--- a/src/daemon/process_base.ts
+++ b/src/daemon/process_base.ts
@@ -2,7 +2,7 @@
  * What every process of the system has: identity, links, time line and metrics.
  */
 import * as fs from 'node:fs/promises'
-import * as clientLinks from '../links/client_link.js'
+import * as linkContexts from '../links/link_context.js'
 import * as events from '../contracts/events.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
@@ -28,7 +28,7 @@
 
 export class ProcessBase {
   readonly identity: identities.Identity
-  readonly linkContext: clientLinks.LinkContext
+  readonly linkContext: linkContexts.LinkContext
   readonly links: links.LinkPool
   readonly meter = new meters.PrometheusMeter()
   readonly piggyback: piggybacks.ProcessPiggyback
--- a/src/links/client_link.ts
+++ b/src/links/client_link.ts
@@ -2,27 +2,15 @@
  * The client's end of a session: opens a connection when there is something to say, replaces one that was
  * lost or has gone silent, and closes one that is idle.
  */
-import * as ws from 'ws'
+import * as connectionAttempts from './connection_attempt.js'
 import * as connections from './connection.js'
-import * as credentials from './credential.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
+import * as linkContexts from './link_context.js'
 import * as protocol from '../contracts/protocol.js'
-import * as traffics from './traffic.js'
 import * as types from './types.js'
 
-/** What the links of a process share. */
-export interface LinkContext {
-  readonly system: host.System
-  readonly identity: identities.Identity
-  readonly credential: string
-  readonly timing: types.LinkTiming
-  readonly piggyback: types.Piggyback
-  readonly traffic: traffics.Traffic
-  readonly security: types.Security | undefined
-}
-
 /** Heartbeats sent during a session lease on a connection on which the other end talks. */
 const beatsPerLease = 4
 /** Periods of heartbeats after which a late one shows that this process itself was paused. */
@@ -46,7 +34,7 @@
 
   constructor (
     override readonly address: identities.Address,
-    private readonly context: LinkContext,
+    private readonly context: linkContexts.LinkContext,
     private readonly observer: types.LinkObserver
   ) {
     super()
@@ -163,7 +151,7 @@
   }
 
   private async connect (): Opening {
-    const attempt = new ConnectionAttempt(this.address, this.context, this.session, {
+    const attempt = new connectionAttempts.ConnectionAttempt(this.address, this.context, this.session, {
       requested: () => {},
       heard: () => {},
       noticed: (name, notice) => this.observer.noticed(this, name, notice as never),
@@ -260,112 +248,3 @@
     return failures.createFailure('not_run', 'link_lost', [identities.formatAddress(this.address)])
   }
 }
-
-interface Opened {
-  readonly connection: connections.Connection
-  readonly identity: identities.Identity
-  readonly resumed: boolean
-}
-
-/** One try to connect and to open the session. */
-class ConnectionAttempt {
-  private readonly peer: string
-
-  constructor (
-    address: identities.Address,
-    private readonly context: LinkContext,
-    private readonly session: string,
-    private readonly events: connections.ConnectionEvents
-  ) {
-    this.peer = identities.formatAddress(address)
-  }
-
-  open (): Promise<failures.Result<Opened>> {
-    return new Promise(resolve => {
-      const stopTimer = this.context.system.clock.after(this.context.timing.connectTimeoutMs, () => {
-        connection.terminate()
-      })
-      const settle = (result: failures.Result<Opened>): void => {
-        stopTimer()
-        resolve(result)
-      }
-      const socket = this.createSocket()
-      let isOpened = false
-      const connection = new connections.Connection(
-        socket, createConnectionContext(this.context), this.peer, {
-          ...this.events,
-          noticed: (name, notice) => {
-            if (name !== 'session.challenge') {
-              this.events.noticed(name, notice)
-              return
-            }
-            const { challenge } = notice as protocol.Notice<'session.challenge'>
-            this.introduce(connection, challenge).then(result => {
-              settle(result)
-              isOpened = result.isRight()
-              if (!isOpened) {
-                connection.terminate()
-              }
-            })
-          },
-          closed: () => {
-            settle(failures.fail(this.createLoss()))
-            if (isOpened) {
-              this.events.closed()
-            }
-          }
-        })
-      socket.once('upgrade', response => connection.joinWrites(response.socket))
-    })
-  }
-
-  private createSocket (): ws.WebSocket {
-    const { security } = this.context
-    const scheme = security === undefined ? 'ws' : 'wss'
-    const options: ws.ClientOptions = {
-      perMessageDeflate: false,
-      maxPayload: connections.maximumMessageBytes,
-      handshakeTimeout: this.context.timing.connectTimeoutMs
-    }
-    if (security !== undefined) {
-      Object.assign(options, { ca: security.authority, cert: security.certificate, key: security.key })
-      // Certificates are issued to the deployment, not to host names: VMs are replaced and have IP addresses only.
-      options.checkServerIdentity = (() => undefined) as unknown as ws.ClientOptions['checkServerIdentity']
-    }
-    return new ws.WebSocket(`${scheme}://${this.peer}/`, options)
-  }
-
-  private async introduce (
-    connection: connections.Connection, challenge: string
-  ): Promise<failures.Result<Opened>> {
-    const { identity, credential, system, timing } = this.context
-    const ownChallenge = system.random.nextId()
-    const proof = credentials.createProof(credential, { side: 'client', challenge, session: this.session, identity })
-    const params = { session: this.session, identity, challenge: ownChallenge, proof }
-    const result = await connection.call('session.open', params, timing.connectTimeoutMs)
-    return result
-      .chain(answer => this.check(connection, answer, ownChallenge))
-      .mapLeft(failure => failures.withVerdict(failure, 'not_run'))
-  }
-
-  private check (
-    connection: connections.Connection, answer: protocol.Answer<'session.open'>, challenge: string
-  ): failures.Result<Opened> {
-    const claim: credentials.Claim = {
-      side: 'listener', challenge, session: this.session, identity: answer.identity
-    }
-    if (!credentials.isValidProof(this.context.credential, claim, answer.proof)) {
-      return failures.fail(failures.createFailure('not_run', 'credential_invalid', [this.peer]))
-    }
-    return failures.succeed({ connection, identity: answer.identity, resumed: answer.resumed })
-  }
-
-  private createLoss (): failures.Failure {
-    return failures.createFailure('not_run', 'link_lost', [this.peer])
-  }
-}
-
-/** Returns the part of a link context that connections need. */
-export function createConnectionContext (context: LinkContext): connections.ConnectionContext {
-  return { clock: context.system.clock, piggyback: context.piggyback, traffic: context.traffic }
-}
--- a/src/links/link_pool.ts
+++ b/src/links/link_pool.ts
@@ -2,6 +2,7 @@
  * The links of a process by address.
  */
 import * as clientLinks from './client_link.js'
+import * as linkContexts from './link_context.js'
 import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
 import * as protocol from '../contracts/protocol.js'
@@ -52,7 +53,7 @@
   private readonly stopAsking: host.Stop
   private asked = 0
 
-  constructor (private readonly context: clientLinks.LinkContext) {
+  constructor (private readonly context: linkContexts.LinkContext) {
     super()
     const periodMs = millisecondsPerSecond / context.timing.loadReportsPerSecond
     this.stopAsking = context.system.clock.every(periodMs, () => this.askNextLoad())
@@ -95,6 +96,6 @@
 }
 
 /** Creates the links of a process; nothing is opened before the first use. */
-export function createLinkPool (context: clientLinks.LinkContext): types.LinkPool {
+export function createLinkPool (context: linkContexts.LinkContext): types.LinkPool {
   return new ProcessLinkPool(context)
 }
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -6,7 +6,7 @@
 import * as jsonrpc from 'json-rpc-2.0'
 import * as net from 'node:net'
 import * as ws from 'ws'
-import * as clientLinks from './client_link.js'
+import * as linkContexts from './link_context.js'
 import * as connections from './connection.js'
 import * as credentials from './credential.js'
 import * as failures from '../contracts/failure.js'
@@ -75,7 +75,7 @@
   private stopChecks: host.Stop = () => {}
 
   constructor (
-    private readonly context: clientLinks.LinkContext,
+    private readonly context: linkContexts.LinkContext,
     handlers: types.Handlers,
     private readonly observer: types.SessionObserver
   ) {
@@ -146,7 +146,7 @@
     const { system, piggyback, timing } = this.context
     const challenge = system.random.nextId()
     let session: ListenerSession | undefined
-    const context = clientLinks.createConnectionContext(this.context)
+    const context = linkContexts.createConnectionContext(this.context)
     const connection: connections.Connection = new connections.Connection(socket, context, 'peer', {
       requested: request => {
         if (request.method === 'session.open') {
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -2,7 +2,7 @@
 import * as net from 'node:net'
 import * as test from 'node:test'
 import * as timers from 'node:timers/promises'
-import * as clientLinks from '../../src/links/client_link.js'
+import * as linkContexts from '../../src/links/link_context.js'
 import * as failures from '../../src/contracts/failure.js'
 import * as identities from '../../src/contracts/identity.js'
 import * as linkPools from '../../src/links/link_pool.js'
@@ -41,7 +41,7 @@
 
 function createContext (
   node: string, credential = 'a shared credential', version = 0, clock?: manualClocks.ManualClock
-): clientLinks.LinkContext {
+): linkContexts.LinkContext {
   const system = nodeSystem.createSilentSystem()
   return {
     system: clock === undefined ? system : { ...system, clock },
--- a/tests/links/security.test.ts
+++ b/tests/links/security.test.ts
@@ -4,7 +4,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as test from 'node:test'
-import * as clientLinks from '../../src/links/client_link.js'
+import * as linkContexts from '../../src/links/link_context.js'
 import * as failures from '../../src/contracts/failure.js'
 import * as linkPools from '../../src/links/link_pool.js'
 import * as listeners from '../../src/links/listener.js'
@@ -53,7 +53,7 @@
   }
 }
 
-function createContext (node: string, security: types.Security | undefined, credential = 'a shared credential'): clientLinks.LinkContext {
+function createContext (node: string, security: types.Security | undefined, credential = 'a shared credential'): linkContexts.LinkContext {
   return {
     system: nodeSystem.createSilentSystem(),
     identity: { node, boot: 'b', role: 'entry', zone: 'z', region: 'r' },
@@ -91,14 +91,14 @@
   })
   test.afterEach(() => listener.close())
 
-  async function call (context: clientLinks.LinkContext, to = address): Promise<failures.Result<unknown>> {
+  async function call (context: linkContexts.LinkContext, to = address): Promise<failures.Result<unknown>> {
     const pool = linkPools.createLinkPool(context)
     const result = await pool.get(to).call('timeline.read', { limit: 1 }, 5_000)
     pool.close()
     return result
   }
 
-  async function refuse (context: clientLinks.LinkContext): Promise<failures.Failure> {
+  async function refuse (context: linkContexts.LinkContext): Promise<failures.Failure> {
     const failure = (await call(context)).swap().unsafeCoerce()
     assert.equal(failure.verdict, 'not_run')
     assert.equal(calls, 0)
