--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -10,75 +10,24 @@
 import * as connections from './connection.js'
 import * as credentials from './credential.js'
 import * as failures from '../contracts/failure.js'
-import * as host from '../host/types.js'
 import * as identities from '../contracts/identity.js'
 import * as protocol from '../contracts/protocol.js'
+import * as sessions from './sessions.js'
 import * as types from './types.js'
 
-/** How often sessions are checked against their lease, as a share of it. */
-const leaseChecksPerLease = 15
-
-class ListenerSession extends types.Session {
-  private connection: connections.Connection | undefined
-  private heardAtMs = 0
-  /** Whether the last check found the lease over. */
-  isOverdue = false
-  hasExpired = false
-
-  constructor (override readonly id: string, override readonly remote: identities.Identity) {
-    super()
-  }
-
-  override get isOpen (): boolean {
-    return this.connection?.isOpen ?? false
-  }
-
-  override get bufferedBytes (): number {
-    return this.connection?.bufferedBytes ?? 0
-  }
-
-  get lastHeardMs (): number {
-    return Math.max(this.heardAtMs, this.connection?.lastHeardMs ?? 0)
-  }
-
-  override notify<Name extends protocol.NotificationName> (name: Name, notice: protocol.Notice<Name>): void {
-    this.connection?.notify(name, notice)
-  }
-
-  /** Moves the session to a newer connection. */
-  attach (connection: connections.Connection): void {
-    const previous = this.connection
-    this.connection = connection
-    previous?.terminate()
-  }
-
-  /** Forgets the connection if it is still the session's. */
-  detach (connection: connections.Connection): void {
-    if (this.connection !== connection) {
-      return
-    }
-    this.heardAtMs = connection.lastHeardMs
-    this.connection = undefined
-  }
-
-  close (): void {
-    this.connection?.close()
-  }
-}
-
 /** Accepts sessions on one address. */
 export class Listener {
-  private readonly sessions = new Map<string, ListenerSession>()
+  private readonly sessions: sessions.Sessions
   private readonly sockets: ws.WebSocketServer
   private readonly server: http.Server
-  private readonly rpc = new jsonrpc.JSONRPCServer<ListenerSession>()
-  private stopChecks: host.Stop = () => {}
+  private readonly rpc = new jsonrpc.JSONRPCServer<sessions.ListenerSession>()
 
   constructor (
     private readonly context: linkContexts.LinkContext,
     handlers: types.Handlers,
     private readonly observer: types.SessionObserver
   ) {
+    this.sessions = new sessions.Sessions(context.system.clock, context.timing.sessionLeaseMs, observer)
     this.server = createServer(context.security)
     this.sockets = new ws.WebSocketServer({
       server: this.server, perMessageDeflate: false, maxPayload: connections.maximumMessageBytes
@@ -95,20 +44,16 @@
       this.server.once('error', reject)
       this.server.listen(address.port, address.host, resolve)
     })
-    const periodMs = this.context.timing.sessionLeaseMs / leaseChecksPerLease
-    this.stopChecks = this.context.system.clock.every(periodMs, () => this.checkLeases())
+    this.sessions.start()
     return { host: address.host, port: (this.server.address() as net.AddressInfo).port }
   }
 
   listSessions (): readonly types.Session[] {
-    return [...this.sessions.values()]
+    return this.sessions.list()
   }
 
   close (): void {
-    this.stopChecks()
-    for (const session of this.sessions.values()) {
-      session.close()
-    }
+    this.sessions.close()
     for (const socket of this.sockets.clients) {
       socket.terminate()
     }
@@ -125,11 +70,14 @@
       const handler = handlers['session.heartbeat'] as Handler | undefined
       return handler === undefined ? {} : this.run('session.heartbeat', handler, params, session)
     })
-    this.rpc.addMethod('session.close', (_, session) => this.expire(session))
+    this.rpc.addMethod('session.close', (_, session) => {
+      this.sessions.expire(session)
+      return {}
+    })
   }
 
   private async run (
-    name: protocol.MethodName, handler: Handler, params: unknown, session: ListenerSession
+    name: protocol.MethodName, handler: Handler, params: unknown, session: sessions.ListenerSession
   ): Promise<unknown> {
     const parsed = protocol.methods[name].params.safeParse(params)
     if (!parsed.success) {
@@ -145,7 +93,7 @@
   private accept (socket: ws.WebSocket, transport: net.Socket): void {
     const { system, piggyback, timing } = this.context
     const challenge = system.random.nextId()
-    let session: ListenerSession | undefined
+    let session: sessions.ListenerSession | undefined
     const context = linkContexts.createConnectionContext(this.context)
     const connection: connections.Connection = new connections.Connection(socket, context, 'peer', {
       requested: request => {
@@ -157,7 +105,7 @@
       },
       heard: () => {
         if (session !== undefined) {
-          this.revive(session)
+          this.sessions.revive(session)
         }
       },
       noticed: (name, notice) => {
@@ -184,7 +132,7 @@
   /** Opens or takes up a session; a proof that is not valid ends the connection. */
   private open (
     connection: connections.Connection, request: jsonrpc.JSONRPCRequest, challenge: string
-  ): ListenerSession | undefined {
+  ): sessions.ListenerSession | undefined {
     const parsed = protocol.SessionOpen.safeParse(request.params)
     if (!parsed.success) {
       this.refuse(connection, request, failures.createFailure('not_run', 'message_invalid', ['session.open', '']))
@@ -195,26 +143,14 @@
       this.refuse(connection, request, failures.createFailure('not_run', 'credential_invalid', [identity.node]))
       return undefined
     }
-    const known = this.findSession(id, identity)
-    const session = known ?? new ListenerSession(id, identity)
-    this.sessions.set(id, session)
+    const known = this.sessions.find(id, identity)
+    const session = known ?? new sessions.ListenerSession(id, identity)
     session.attach(connection)
     this.welcome(connection, request, parsed.data, known !== undefined)
-    this.revive(session)
-    if (known === undefined) {
-      this.observer.opened(session)
-    }
+    this.sessions.admit(session)
     return session
   }
 
-  private findSession (id: string, identity: identities.Identity): ListenerSession | undefined {
-    const known = this.sessions.get(id)
-    if (known === undefined || known.remote.boot !== identity.boot || known.hasExpired) {
-      return undefined
-    }
-    return known
-  }
-
   private welcome (
     connection: connections.Connection, request: jsonrpc.JSONRPCRequest,
     params: protocol.Params<'session.open'>, resumed: boolean
@@ -230,7 +166,7 @@
   }
 
   private answer (
-    connection: connections.Connection, request: jsonrpc.JSONRPCRequest, session: ListenerSession | undefined
+    connection: connections.Connection, request: jsonrpc.JSONRPCRequest, session: sessions.ListenerSession | undefined
   ): void {
     if (session === undefined) {
       this.refuse(connection, request, failures.createFailure('not_run', 'session_unknown'))
@@ -248,38 +184,6 @@
   ): void {
     connection.send(createErrorResponse(request.id ?? null, new FailureError(failure)))
   }
-
-  /** A session that was heard again after its lease starts anew, without its former work. */
-  private revive (session: ListenerSession): void {
-    if (!session.hasExpired) {
-      return
-    }
-    session.hasExpired = false
-    this.observer.opened(session)
-  }
-
-  private checkLeases (): void {
-    const now = this.context.system.clock.monotonicMs()
-    for (const session of [...this.sessions.values()]) {
-      const isOverdue = now - session.lastHeardMs >= this.context.timing.sessionLeaseMs
-      // What arrived while this process was paused is read between two checks, so that its own pause ends no session.
-      if (isOverdue && session.isOverdue) {
-        this.expire(session)
-      }
-      session.isOverdue = isOverdue
-    }
-  }
-
-  private expire (session: ListenerSession): Record<string, never> {
-    if (!session.isOpen) {
-      this.sessions.delete(session.id)
-    }
-    if (!session.hasExpired) {
-      session.hasExpired = true
-      this.observer.expired(session)
-    }
-    return {}
-  }
 }
 
 type Handler = (params: unknown, session: types.Session) => Promise<failures.Result<unknown>>
