Keep the refund of a charge from repaying later debt

Cause: tokens counted by an engine above the bound were added to the newest segment of the bucket, also while that held an open charge. A refund of that charge then repaid the debt as well. Change: the debt gets a segment of its own unless the newest one has no open charge. Before and after: new test in bucket.test.ts. Burst 100, rate 1 per ms, charges of 10 and 80 at 0 ms, at 50 ms the first settled with 40 used and the second with 0: without the change the test fails, with it the level is 70. Conclusion: debt counts in every window that begins after the charge whose refund came later.

--- a/src/allowances/bucket.ts
+++ b/src/allowances/bucket.ts
@@ -146,7 +146,7 @@
 
   private addDebt (tokens: number): void {
     const newest = this.segments.at(-1)
-    if (newest === undefined) {
+    if (newest === undefined || newest.open > 0) {
       this.segments.push({ first: this.charges + 1, deficit: tokens, open: 0 })
       return
     }
--- a/tests/allowances/bucket.test.ts
+++ b/tests/allowances/bucket.test.ts
@@ -127,4 +127,13 @@
       }), { seed: 20261203, numRuns: 1000 })
     })
   })
+
+  test.it('repays no debt with the refund of an earlier charge', () => {
+    const bucket = new buckets.Bucket(allowance, 0, 100)
+    const first = bucket.tryCharge(10, 0) as number
+    const second = bucket.tryCharge(80, 0) as number
+    bucket.settle(first, 10, 40, 50)
+    bucket.settle(second, 80, 0, 50)
+    assert.equal(bucket.getLevel(50), 70)
+  })
 })
