--- a/models/allowance.pml
+++ b/models/allowance.pml
@@ -16,6 +16,14 @@
  *   NO_COMPARE      the store does not compare the record's revision
  *   ANY_BOOT        after a lapse the promise of a restarted successor counts
  *   NO_OUTWAIT      a new holder decides at once, and an entry accepts a grant at any time
+ *
+ * With P_SHARES each member has a share, which at most one member may use at any time: the holder while it has the
+ * full right or has been lent the share, else the member itself. Seeded faults of the shares:
+ *   NO_RESERVE      a new holder does not keep clear of the shares of the others
+ *   NO_BASE         the time of a share counts without the promises of the successors
+ *   WHILE_PROMISED  a successor uses its share in spite of its promise
+ *   STILL_LENT      a holder goes on with a share after the promise has ended
+ *   ALWAYS_FREE     a successor lends its share while an earlier holder may still use it
  */
 #ifndef MEMBERS
 #define MEMBERS 3
@@ -31,6 +39,9 @@
 #endif
 #define PROMISE LEASE
 #define GRANT 1
+#ifndef SHARE
+#define SHARE 2
+#endif
 
 #ifdef WHILE_ACQUIRING
 #define MAY_PROMISE(o) true
@@ -56,6 +67,18 @@
 #define IS_RECORD(k) (term == m[k].trying - 1)
 #endif
 
+#ifdef ALWAYS_FREE
+#define IS_UNLENT(o) true
+#else
+#define IS_UNLENT(o) (m[o].earlier == 0)
+#endif
+
+#ifdef WHILE_PROMISED
+#define MAY_USE_OWN(k) true
+#else
+#define MAY_USE_OWN(k) (m[k].promised == 0)
+#endif
+
 /* The store. */
 byte holder = 0;
 byte term = 1;
@@ -74,6 +97,14 @@
   byte belief[MEMBERS];     /* clock steps left of each successor's promise */
   byte asking[MEMBERS];     /* clock steps left of a promise under way, counted from its request */
   bool bound[MEMBERS];      /* the successor's present process has promised during this right */
+#ifdef P_SHARES
+  byte told;                /* clock steps for which a successor has been told that it may use its share */
+  byte earlier;             /* clock steps for which a holder of an earlier term may use this member's share */
+  byte lent[MEMBERS];       /* clock steps for which each share is lent to this holder */
+  byte base[MEMBERS];       /* clock steps left of the shares' time, counted from each successor's promise */
+  byte reserve[MEMBERS];    /* clock steps after which the share of another has ended by itself, 0 for none such */
+  bool armed[MEMBERS];      /* another may use its share unless it has lent it */
+#endif
 };
 Member m[MEMBERS];
 byte restarts;
@@ -117,6 +148,143 @@
   fi
 }
 
+#ifdef P_SHARES
+/* Returns how long the shares of a holder's term may be used: the least time of all successors. */
+inline get_base (k, result) {
+  byte z;
+  result = SHARE;
+#ifndef NO_BASE
+  z = 0;
+  do
+  :: z < MEMBERS ->
+     if
+     :: z != k && m[k].base[z] < result -> result = m[k].base[z]
+     :: else -> skip
+     fi;
+     z++
+  :: else -> break
+  od;
+#endif
+  z = 0
+}
+
+/* A successor tells whether its share is free, and is told for how long it may use it. */
+inline lend (k, o) {
+  if
+  :: m[o].known < m[k].own ->
+     m[o].told = 0;
+     if
+     :: m[o].promised > m[o].earlier -> m[o].earlier = m[o].promised
+     :: else -> skip
+     fi
+  :: else -> skip
+  fi;
+  if
+  :: m[k].lent[o] > 0 ->
+     get_base(k, left);
+     if
+     :: left > 0 -> m[o].told = left; m[k].armed[o] = true; m[k].reserve[o] = 0
+     :: else -> skip
+     fi;
+     left = 0
+  :: else -> skip
+  fi
+}
+
+inline note_lent (k, o) {
+  if
+  :: IS_UNLENT(o) ->
+     m[k].lent[o] = m[k].asking[o];
+     m[k].base[o] = SHARE - (PROMISE - m[k].asking[o])
+  :: else -> skip
+  fi
+}
+
+/* A new holder keeps clear of all shares until they are lent to it, or have ended. */
+inline reserve_shares (k) {
+  byte r;
+  r = 0;
+  do
+  :: r < MEMBERS ->
+     m[k].lent[r] = 0; m[k].base[r] = 0;
+#ifndef NO_RESERVE
+     m[k].armed[r] = true; m[k].reserve[r] = SHARE;
+#endif
+     r++
+  :: else -> break
+  od;
+  m[k].told = 0; r = 0
+}
+
+inline forget_shares (k) {
+  byte f;
+  f = 0;
+  do
+  :: f < MEMBERS -> m[k].lent[f] = 0; m[k].base[f] = 0; m[k].reserve[f] = 0; m[k].armed[f] = false; f++
+  :: else -> break
+  od;
+  m[k].told = 0; f = 0
+}
+
+inline tick_shares (k) {
+  byte t;
+  DOWN(m[k].told); DOWN(m[k].earlier);
+  t = 0;
+  do
+  :: t < MEMBERS ->
+#ifndef STILL_LENT
+     DOWN(m[k].lent[t]);
+#endif
+     DOWN(m[k].base[t]);
+     if
+     :: m[k].reserve[t] == 1 -> m[k].armed[t] = false
+     :: else -> skip
+     fi;
+     DOWN(m[k].reserve[t]);
+     t++
+  :: else -> break
+  od;
+  t = 0
+}
+
+/* At most one member may use the share of each. */
+inline check_shares () {
+  byte c;
+  byte s;
+  byte users;
+  byte time;
+  bool holds;
+  s = 0;
+  do
+  :: s < MEMBERS ->
+     c = 0; users = 0;
+     do
+     :: c < MEMBERS ->
+        holds = false; time = 0;
+        if
+        :: m[c].own > 0 ->
+           has_right(c, holds);
+           get_base(c, time);
+           if
+           :: c == s && (holds || time > 0) -> users++
+           :: c != s && holds && !(m[c].armed[s] && m[c].lent[s] == 0) -> users++
+           :: c != s && !holds && time > 0 && m[c].lent[s] > 0 -> users++
+           :: else -> skip
+           fi
+        :: m[c].own == 0 && c == s && MAY_USE_OWN(c) && m[c].told > 0 -> users++
+        :: else -> skip
+        fi;
+        c++
+     :: else -> break
+     od;
+     assert(users <= 1);
+     s++
+  :: else -> break
+  od;
+  c = 0; s = 0; users = 0; holds = false; time = 0
+}
+#endif
+
 inline tick () {
   byte x;
   byte y;
@@ -130,6 +298,9 @@
      :: y < MEMBERS -> DOWN(m[x].belief[y]); DOWN(m[x].asking[y]); y++
      :: else -> break
      od;
+#ifdef P_SHARES
+     tick_shares(x);
+#endif
      x++
   :: else -> break
   od;
@@ -155,6 +326,9 @@
 #if MEMBERS > 2
   m[k].bound[2] = false;
 #endif
+#ifdef P_SHARES
+  reserve_shares(k);
+#endif
 #ifndef NO_OUTWAIT
   m[k].wait = GRANT
 #endif
@@ -176,7 +350,14 @@
      fi
   :: else ->
      if
-     :: m[k].trying = 0; m[k].writing = false; m[k].known = term
+     :: m[k].trying = 0; m[k].writing = false;
+#ifdef P_SHARES
+        if
+        :: m[k].known < term -> m[k].told = 0
+        :: else -> skip
+        fi;
+#endif
+        m[k].known = term
      :: skip
      fi
   fi
@@ -190,10 +371,16 @@
  * it. With FROM_ANSWER it arrives one step later and counts from there.
  */
 inline promise (k, o) {
+#ifdef P_SHARES
+  lend(k, o);
+#endif
   m[o].promised = PROMISE; m[o].known = m[k].own;
   has_right(k, right);
   if
   :: IS_CONTINUOUS(k, o) ->
+#ifdef P_SHARES
+     note_lent(k, o);
+#endif
 #ifdef FROM_ANSWER
      m[k].belief[o] = PROMISE + 1;
 #else
@@ -208,6 +395,9 @@
 
 proctype member (byte k) {
   bool right;
+#ifdef P_SHARES
+  byte left;
+#endif
 end:
   do
   /* The holder renews its lease; answers may be lost. */
@@ -256,6 +446,9 @@
 #endif
        m[k].own = 0; m[k].leaseBelief = 0; m[k].renewing = 0;
        m[k].trying = 0; m[k].writing = false; m[k].known = 0;
+#ifdef P_SHARES
+       forget_shares(k); m[k].earlier = PROMISE;
+#endif
 #ifdef NO_GRACE
        m[k].promised = 0
 #else
@@ -319,6 +512,9 @@
   :: atomic {
 #ifdef P_RIGHTS
        check_rights();
+#endif
+#ifdef P_SHARES
+       check_shares();
 #endif
        tick() }
   od
--- a/src/allowances/bucket.ts
+++ b/src/allowances/bucket.ts
@@ -100,6 +100,16 @@
     this.current = allowance
   }
 
+  /** Takes on another allowance, and counts so many tokens as charged now, or as given back if negative. */
+  resize (allowance: configuration.Allowance, tokens: number, nowMs: number): void {
+    this.change(allowance, nowMs)
+    if (tokens > 0) {
+      this.addDebt(tokens)
+    } else {
+      this.repay(this.segments.length - 1, -tokens)
+    }
+  }
+
   private refill (nowMs: number): void {
     const elapsedMs = nowMs - this.updatedMs
     if (elapsedMs <= 0) {
--- a/src/allowances/client.ts
+++ b/src/allowances/client.ts
@@ -2,6 +2,7 @@
  * Charges requests at the keepers of their workspaces' shards, in this process or another.
  */
 import * as chargeAnswers from './charge_answer.js'
+import * as deciders from './deciders.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as keeperHosts from './keeper_host.js'
@@ -27,7 +28,15 @@
   readonly timing: timings.KeeperTiming
 }
 
+interface Reply {
+  readonly answer: chargeAnswers.ChargeAnswer
+  /** Who has answered; `undefined` for this process. */
+  readonly from: records.Member | undefined
+}
+
 export class FleetAllowances extends types.Allowances {
+  private readonly deciders = new deciders.Deciders()
+
   constructor (private readonly context: ClientContext) {
     super()
   }
@@ -46,12 +55,12 @@
   private async chargeUntil (charge: types.Charge, deadlineMs: number): Promise<failures.Result<types.Grant>> {
     const { clock, timing } = this.context
     for (;;) {
-      const answer = await this.ask(charge)
-      const decided = answer === undefined ? undefined : this.conclude(charge, answer)
+      const reply = await this.ask(charge)
+      const decided = reply === undefined ? undefined : this.conclude(charge, reply)
       if (decided !== undefined) {
         return decided
       }
-      const pauseMs = Math.max(answer?.retryAfterMs ?? 0, timing.retryMs)
+      const pauseMs = Math.max(reply?.answer.retryAfterMs ?? 0, timing.retryMs)
       if (clock.monotonicMs() + pauseMs >= deadlineMs) {
         this.settle(charge, 0)
         return failures.fail(createUnavailable(charge, timing.leaseTtlMs))
@@ -60,41 +69,49 @@
     }
   }
 
-  /** Asks the keeper once; `undefined` if no answer came in time to be valid. */
-  private async ask (charge: types.Charge): Promise<chargeAnswers.ChargeAnswer | undefined> {
+  /** Asks the keeper, or one of its successors, once; `undefined` if no answer came in time to be valid. */
+  private async ask (charge: types.Charge): Promise<Reply | undefined> {
     const { keepers, clock, timing } = this.context
     const shard = this.getShard(charge.workspace)
     if (shard === undefined) {
       return undefined
     }
     const request = { charge: charge.id, workspace: charge.workspace, shard, tokens: charge.tokens }
-    if (keepers.isKeeper(shard)) {
-      return keepers.answerCharge(request)
+    if (keepers.isKeeper(shard) || keepers.isDeciding(shard)) {
+      return { answer: keepers.answerCharge(request), from: undefined }
     }
-    const keeper = keepers.findKeeper(shard)
-    if (keeper === undefined) {
+    const members = keepers.listDeciders(shard)
+    const from = this.deciders.choose(shard, members)
+    if (from === undefined) {
       return undefined
     }
     const sentMs = clock.monotonicMs()
-    const call = this.context.links.get(keeper.address).call('allowance.charge', request, timing.grantTtlMs)
+    const call = this.context.links.get(from.address).call('allowance.charge', request, timing.grantTtlMs)
     const result = await timeouts.limitCall(call, timing.grantTtlMs, clock)
-    if (clock.monotonicMs() - sentMs >= timing.grantTtlMs) {
+    const isLate = clock.monotonicMs() - sentMs >= timing.grantTtlMs
+    const answer = isLate ? undefined : result?.caseOf({ Left: () => undefined, Right: value => value })
+    if (answer === undefined) {
+      this.deciders.skip(shard, members)
       return undefined
     }
-    return result?.caseOf({ Left: () => undefined, Right: answer => this.noteAnswer(shard, answer) })
+    this.noteAnswer(shard, answer)
+    return { answer, from }
   }
 
-  private noteAnswer (shard: number, answer: chargeAnswers.ChargeAnswer): chargeAnswers.ChargeAnswer {
+  private noteAnswer (shard: number, answer: chargeAnswers.ChargeAnswer): void {
     if (answer.keeper !== undefined) {
       this.context.keepers.noteKeeper(shard, answer.term, answer.keeper)
     }
-    return answer
+    if (answer.reason === 'not_keeper' || answer.reason === 'not_yet') {
+      this.deciders.reset(shard)
+    }
   }
 
   /** Returns the outcome that an answer decides, or `undefined` if the keeper must be asked again. */
-  private conclude (charge: types.Charge, answer: chargeAnswers.ChargeAnswer): failures.Result<types.Grant> | undefined {
+  private conclude (charge: types.Charge, reply: Reply): failures.Result<types.Grant> | undefined {
+    const { answer, from } = reply
     if (answer.granted) {
-      return failures.succeed(this.createGrant(charge))
+      return failures.succeed(this.createGrant(charge, from))
     }
     const workspace = charge.workspace
     switch (answer.reason) {
@@ -111,7 +128,7 @@
     }
   }
 
-  private createGrant (charge: types.Charge): types.Grant {
+  private createGrant (charge: types.Charge, from: records.Member | undefined): types.Grant {
     let isSettled = false
     return {
       charge,
@@ -121,16 +138,19 @@
         }
         isSettled = true
         this.context.recorder.record({ kind: 'grant.settled', workspace: charge.workspace, details: { usedTokens } })
-        this.settle(charge, usedTokens)
+        this.settle(charge, usedTokens, from)
       }
     }
   }
 
-  /** Sends a settlement until a keeper has it, or a few times; the keeper counts the bound if none arrives. */
-  private async settle (charge: types.Charge, usedTokens: number): Promise<void> {
+  /**
+   * Sends a settlement until it has arrived, or a few times; the bound counts if it never does. A keeper may have
+   * changed since the charge, while a share is settled only where it was charged.
+   */
+  private async settle (charge: types.Charge, usedTokens: number, from?: records.Member): Promise<void> {
     const { clock, timing, meter } = this.context
     for (let attempt = 0; attempt < settlementAttempts; attempt += 1) {
-      if (await this.trySettle(charge, usedTokens)) {
+      if (await this.trySettle(charge, usedTokens, from)) {
         return
       }
       await clock.sleep(timing.renewMs)
@@ -138,19 +158,21 @@
     meter.count('allowance_settlements_lost_total', {})
   }
 
-  private async trySettle (charge: types.Charge, usedTokens: number): Promise<boolean> {
+  private async trySettle (charge: types.Charge, usedTokens: number, from?: records.Member): Promise<boolean> {
     const { keepers, timing, clock } = this.context
     const shard = this.getShard(charge.workspace)
     if (shard === undefined) {
       return false
     }
     const settlement = { charge: charge.id, workspace: charge.workspace, shard, usedTokens }
-    if (keepers.isKeeper(shard)) {
+    if (keepers.isKeeper(shard) || keepers.isDeciding(shard)) {
       keepers.answerSettlement(settlement)
       return true
     }
     const keeper = keepers.findKeeper(shard)
-    return keeper !== undefined && await this.sendSettlement(keeper, settlement, clock, timing)
+    const isSuccessors = keepers.listDeciders(shard).slice(1).some(member => member.node === from?.node)
+    const to = isSuccessors ? from : keeper
+    return to !== undefined && await this.sendSettlement(to, settlement, clock, timing)
   }
 
   private async sendSettlement (
--- a/src/allowances/floors.ts
+++ b/src/allowances/floors.ts
@@ -65,12 +65,13 @@
   }
 
   /** Chooses new floors for the buckets that need one. Returns whether there is something new to send. */
-  update (views: Iterable<BucketView>): boolean {
+  update (views: Iterable<BucketView>, mayRaise = true): boolean {
     const next = this.sequence + 1
     let isChanged = false
     for (const view of views) {
       const floor = this.chooseFloor(view)
-      if (floor !== undefined) {
+      const latest = this.floors.get(view.workspace)?.at(-1)?.tokens ?? Number.POSITIVE_INFINITY
+      if (floor !== undefined && (mayRaise || floor < latest)) {
         this.append(view.workspace, { sequence: next, tokens: floor })
         isChanged = true
       }
--- a/src/allowances/keeper.ts
+++ b/src/allowances/keeper.ts
@@ -13,10 +13,12 @@
   readonly floors: ReadonlyMap<string, number>
   /** Whether a workspace without a floor has certainly never been charged. */
   readonly isComplete: boolean
+  /** Part of the floors that buckets start with. */
+  readonly part: number
 }
 
-export const emptyInheritance: Inheritance = { floors: new Map(), isComplete: false }
-export const firstInheritance: Inheritance = { floors: new Map(), isComplete: true }
+export const emptyInheritance: Inheritance = { floors: new Map(), isComplete: false, part: 1 }
+export const firstInheritance: Inheritance = { floors: new Map(), isComplete: true, part: 1 }
 
 /** Tells how low the level of a workspace's bucket may go now. */
 export type ReserveOf = (workspace: string) => number
@@ -40,17 +42,29 @@
 
 export class Keeper {
   private readonly buckets = new Map<string, buckets.Bucket>()
+  /** The allowances as a whole. */
+  private readonly allowances = new Map<string, configuration.Allowance>()
   /** Charges by identifier, oldest first. */
   private readonly open = new Map<string, OpenCharge>()
   /** When each settled charge was settled, oldest first. */
   private readonly tombstones = new Map<string, number>()
+  /** Part of its floor that a bucket not yet made would have now, refill left out. */
+  private untouchedPart: number
 
-  /** The term's buckets count refill from `startedMs` on. */
+  /** Buckets hold this part of the allowances, and count refill from `startedMs` on. */
   constructor (
-    private readonly startedMs: number,
+    private startedMs: number,
     private readonly inheritance: Inheritance,
-    private readonly timing: timings.KeeperTiming
-  ) {}
+    private readonly timing: timings.KeeperTiming,
+    private currentPart = 1
+  ) {
+    this.untouchedPart = inheritance.part
+  }
+
+  /** Part of each allowance that the buckets hold. */
+  get part (): number {
+    return this.currentPart
+  }
 
   get openCharges (): number {
     return this.open.size
@@ -60,12 +74,12 @@
     return this.buckets.keys()
   }
 
-  /** Returns the inherited floors of workspaces that this process has no allowance for yet. */
+  /** Returns the levels of workspaces that this process has no allowance for yet. */
   listUnclaimedFloors (): ReadonlyMap<string, number> {
     const unclaimed = new Map<string, number>()
     for (const [workspace, floor] of this.inheritance.floors) {
       if (!this.buckets.has(workspace)) {
-        unclaimed.set(workspace, floor)
+        unclaimed.set(workspace, floor * this.untouchedPart)
       }
     }
     return unclaimed
@@ -77,13 +91,40 @@
 
   /** Takes on the allowance of a workspace of the shard; one not seen before gets its bucket. */
   setAllowance (workspace: string, allowance: configuration.Allowance, nowMs: number): void {
-    const bucket = this.buckets.get(workspace)
-    if (bucket === undefined) {
+    const known = this.allowances.get(workspace)
+    this.allowances.set(workspace, allowance)
+    if (known === undefined) {
       this.buckets.set(workspace, this.createBucket(workspace, allowance))
       return
     }
-    if (!isSameAllowance(bucket.allowance, allowance)) {
-      bucket.change(allowance, nowMs)
+    if (!isSameAllowance(known, allowance)) {
+      this.buckets.get(workspace)?.change(scale(allowance, this.currentPart), nowMs)
+    }
+  }
+
+  /** Returns the burst of a workspace's whole allowance. */
+  getBurst (workspace: string): number {
+    return this.allowances.get(workspace)?.burstTokens ?? 0
+  }
+
+  /**
+   * Changes the part of the allowances that the buckets hold. A part given away takes its part of the floor with
+   * it, at which another process may start; a part taken on comes without tokens.
+   */
+  setPart (part: number, nowMs: number, reserveOf: ReserveOf): void {
+    const added = part - this.currentPart
+    if (added === 0) {
+      return
+    }
+    this.currentPart = part
+    this.untouchedPart = Math.max(0, Math.min(this.untouchedPart, this.untouchedPart + added))
+    this.startedMs = Math.max(this.startedMs, nowMs)
+    for (const [workspace, bucket] of this.buckets) {
+      const allowance = this.allowances.get(workspace) as configuration.Allowance
+      const reserve = reserveOf(workspace)
+      const floor = Number.isFinite(reserve) ? reserve : allowance.burstTokens
+      const debt = added > 0 ? added * allowance.burstTokens : added * (allowance.burstTokens - floor)
+      bucket.resize(scale(allowance, part), debt, nowMs)
     }
   }
 
@@ -122,7 +163,7 @@
   }
 
   private chargeBucket (bucket: buckets.Bucket, charge: types.Charge, nowMs: number, reserve: number): Decision {
-    const burstTokens = bucket.allowance.burstTokens
+    const burstTokens = this.getBurst(charge.workspace)
     if (charge.tokens > burstTokens) {
       return { kind: 'exceeds_burst', burstTokens }
     }
@@ -136,12 +177,9 @@
   }
 
   private createBucket (workspace: string, allowance: configuration.Allowance): buckets.Bucket {
-    const floor = this.inheritance.floors.get(workspace)
-    if (floor !== undefined) {
-      return new buckets.Bucket(allowance, this.startedMs, Math.min(floor, allowance.burstTokens))
-    }
-    const level = this.inheritance.isComplete ? allowance.burstTokens : 0
-    return new buckets.Bucket(allowance, this.startedMs, level)
+    const unknown = this.inheritance.isComplete ? allowance.burstTokens : 0
+    const floor = Math.min(this.inheritance.floors.get(workspace) ?? unknown, allowance.burstTokens)
+    return new buckets.Bucket(scale(allowance, this.currentPart), this.startedMs, floor * this.untouchedPart)
   }
 
   private expire (nowMs: number): void {
@@ -160,6 +198,10 @@
   }
 }
 
+function scale (allowance: configuration.Allowance, part: number): configuration.Allowance {
+  return { tokensPerSecond: allowance.tokensPerSecond * part, burstTokens: allowance.burstTokens * part }
+}
+
 function isSameAllowance (one: configuration.Allowance, other: configuration.Allowance): boolean {
   return one.tokensPerSecond === other.tokensPerSecond && one.burstTokens === other.burstTokens
 }
--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -130,6 +130,19 @@
     return this.shards[shard]?.getStartMs(this.context.clock.monotonicMs()) !== undefined
   }
 
+  /** Whether this process decides charges of the shard now, as its keeper or with its share. */
+  isDeciding (shard: number): boolean {
+    return this.shards[shard]?.isDeciding(this.context.clock.monotonicMs()) ?? false
+  }
+
+  /** Returns who may decide charges of a shard, the keeper first, as far as this process knows. */
+  listDeciders (shard: number): readonly records.Member[] {
+    const keeper = this.findKeeper(shard)
+    const successors = this.shards[shard]?.record?.successors ?? []
+    const known = new Set([this.context.entries.self.node, keeper?.node])
+    return keeper === undefined ? [] : [keeper, ...successors.filter(member => !known.has(member.node))]
+  }
+
   /** Answers a charge, of this process or another. */
   answerCharge (request: ChargeRequest): chargeAnswers.ChargeAnswer {
     const shard = this.shards[request.shard]
@@ -266,10 +279,10 @@
     this.accept(shard, { kind: 'answer', node: outgoing.to.node, sentMs, answer })
   }
 
-  private report (shard: number, change: 'acquired' | 'extended' | 'lost', term: number): void {
+  private report (shard: number, change: 'acquired' | 'extended' | 'shared' | 'lost', term: number): void {
     this.context.recorder.record({ kind: `keeper.${change}`, details: { shard, term } })
     this.context.meter.count('allowance_keeper_changes_total', { change })
-    if (change === 'acquired') {
+    if (change === 'acquired' || change === 'shared') {
       this.fillShard(shard)
     }
   }
--- a/src/allowances/record.ts
+++ b/src/allowances/record.ts
@@ -19,7 +19,9 @@
   holder: Member,
   holderBoot: identities.Identity.shape.boot,
   /** The only entries that may take over; any entry may when the list is empty. */
-  successors: z.array(Member).max(1024)
+  successors: z.array(Member).max(1024),
+  /** Processes that are not named any more and may still use a share of the allowances. */
+  former: z.array(Member).max(1024).optional()
 })
 export type TermRecord = z.infer<typeof TermRecord>
 
--- a/src/allowances/right.ts
+++ b/src/allowances/right.ts
@@ -48,13 +48,17 @@
     return nowMs < this.getUntilMs()
   }
 
+  /** Returns the latest time until which anything may be used after the last contact with the store. */
+  getExtensionUntilMs (): number {
+    return this.storeContactMs + timings.getBelievedMs(this.timing.maximumExtensionMs, this.timing)
+  }
+
   /** The earliest end of the promises; without named successors anyone may take over, so nothing is promised. */
   private getPromisedUntilMs (): number {
     if (this.required.length === 0) {
       return Number.NEGATIVE_INFINITY
     }
-    const maximumMs = timings.getBelievedMs(this.timing.maximumExtensionMs, this.timing)
-    let untilMs = this.storeContactMs + maximumMs
+    let untilMs = this.getExtensionUntilMs()
     for (const node of this.required) {
       untilMs = Math.min(untilMs, this.promises.get(node) ?? Number.NEGATIVE_INFINITY)
     }
--- a/src/allowances/shard.ts
+++ b/src/allowances/shard.ts
@@ -6,6 +6,7 @@
 import * as eligibility from './eligibility.js'
 import * as keepers from './keeper.js'
 import * as records from './record.js'
+import * as shareUsers from './share_user.js'
 import * as shardTypes from './shard_types.js'
 import * as succession from './succession.js'
 import * as takeOvers from './take_over.js'
@@ -24,9 +25,13 @@
   private releasedTerm = 0
   private isLeaving = false
   private isExtended = false
+  private readonly share: shareUsers.ShareUser
+  /** Actions of calls that return none. */
+  private late: readonly shardTypes.Action[] = []
 
   constructor (private readonly owner: shardTypes.ShardOwner, nowMs: number) {
     this.view = { stored: undefined, isHeld: true, vacantSinceMs: nowMs }
+    this.share = new shareUsers.ShareUser(owner.shard, owner.succession, owner.timing)
   }
 
   /** The keeper's state while this process is the keeper, whether or not it may decide at this moment. */
@@ -45,6 +50,7 @@
   }
 
   accept (event: shardTypes.Event, nowMs: number): readonly shardTypes.Action[] {
+    this.own?.sync(nowMs)
     switch (event.kind) {
       case 'observed':
         return this.observe(event.stored, event.isHeld, nowMs)
@@ -65,12 +71,32 @@
 
   /** Answers a holder that asks this process not to take the shard over. */
   answerPromise (request: succession.PromiseRequest, nowMs: number): succession.PromiseAnswer {
+    if (this.owner.succession.isCurrent(request)) {
+      this.yieldTo(request.term, nowMs)
+    }
     return this.owner.succession.answer(request, nowMs, this.own === undefined && !this.isAcquiring)
   }
 
+  /** Gives up what this process uses of the shard, to the holder of a term. */
+  private yieldTo (term: number, nowMs: number): void {
+    this.share.end(nowMs)
+    if (this.own !== undefined && term > this.own.record.term) {
+      this.late = this.lose(this.own)
+    }
+  }
+
   /** Decides a charge; `undefined` if this process cannot. */
   charge (charge: types.Charge, nowMs: number): keepers.Decision | undefined {
-    return this.own?.isServing(nowMs) === true ? this.own.charge(charge, nowMs) : undefined
+    this.own?.sync(nowMs)
+    if (this.own === undefined) {
+      return this.share.charge(charge, nowMs)
+    }
+    return this.own.isServing(nowMs) ? this.own.charge(charge, nowMs) : undefined
+  }
+
+  /** Whether this process would decide a charge now, as the keeper or with its share. */
+  isDeciding (nowMs: number): boolean {
+    return this.own === undefined ? this.share.isServing(nowMs) : this.own.isServing(nowMs)
   }
 
   /** Returns how long until this process can decide charges, or `undefined` if it is not the keeper. */
@@ -82,10 +108,14 @@
   }
 
   settle (id: string, usedTokens: number, nowMs: number): void {
+    this.own?.sync(nowMs)
+    this.share.settle(id, usedTokens, nowMs)
     this.own?.keeper.settle(id, usedTokens, nowMs)
   }
 
   setAllowance (workspace: string, allowance: configuration.Allowance, nowMs: number): void {
+    this.own?.sync(nowMs)
+    this.share.setAllowance(workspace, allowance, nowMs)
     this.own?.keeper.setAllowance(workspace, allowance, nowMs)
   }
 
@@ -147,6 +177,17 @@
   }
 
   private tick (entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
+    const late = this.late
+    this.late = []
+    return [...late, ...this.updateShare(nowMs), ...this.advance(entries, nowMs)]
+  }
+
+  private updateShare (nowMs: number): readonly shardTypes.Action[] {
+    const hasBegun = this.own === undefined && this.share.update(nowMs)
+    return hasBegun ? [{ kind: 'report', change: 'shared', term: this.record?.term ?? 0 }] : []
+  }
+
+  private advance (entries: readonly types.EntryVm[], nowMs: number): readonly shardTypes.Action[] {
     if (this.slot.current !== undefined) {
       return [...this.sendWrite(), ...this.createRequests(nowMs)]
     }
@@ -174,7 +215,8 @@
     if (this.lease === undefined) {
       return [{ kind: 'want_lease' }]
     }
-    return this.write(takeOvers.createTakeOver(this.view, candidate))
+    const isReleased = this.owner.succession.isReleased(shard, this.view.stored?.record.term ?? 0)
+    return this.write(takeOvers.createTakeOver(this.view, candidate, isReleased))
   }
 
   /** Returns a record that names this process although it holds nothing: a late effect of an abandoned write. */
@@ -189,8 +231,8 @@
       return this.continueRelease(own, nowMs)
     }
     const actions: shardTypes.Action[] = [...this.reportExtension(own, nowMs)]
-    const { self } = this.owner
-    const write = upkeep.planWrite(own, { self, entries, hasLease: this.lease !== undefined, nowMs })
+    const { self, timing } = this.owner
+    const write = upkeep.planWrite(own, { self, entries, hasLease: this.lease !== undefined, nowMs, timing })
     if (write !== undefined) {
       own.expect(write.record.successors)
       actions.push(...this.write(write))
@@ -250,10 +292,10 @@
       return this.finishRelease(stored, nowMs)
     }
     const actions = this.own === undefined ? this.begin(write, stored, nowMs) : []
-    this.own?.adopt(stored)
     if (write.holder === 'put') {
       this.bindLease(holderLease)
     }
+    this.own?.adopt(stored)
     this.view = { stored, isHeld: true, vacantSinceMs: nowMs }
     this.owner.succession.noteTerm(this.owner.shard, stored.record.term)
     return [...actions, ...this.createRequests(nowMs)]
@@ -274,7 +316,10 @@
       ? keepers.firstInheritance
       : this.owner.succession.getInheritance(shard, write.record.term - 1)
     const waitMs = isFirst ? 0 : timings.getOutwaitMs(timing.grantTtlMs, timing)
-    this.own = new tenures.Tenure({ shard, stored, startedMs: nowMs, serveFromMs: nowMs + waitMs, inheritance }, timing)
+    const takenOver = isFirst ? undefined : { hasUsedShare: this.share.isActive }
+    this.share.end(nowMs)
+    this.own = new tenures.Tenure(
+      { shard, stored, startedMs: nowMs, serveFromMs: nowMs + waitMs, inheritance, takenOver }, timing)
     return [{ kind: 'report', change: 'acquired', term: stored.record.term }]
   }
 
--- a/src/allowances/shard_types.ts
+++ b/src/allowances/shard_types.ts
@@ -42,7 +42,7 @@
   | { readonly kind: 'write', readonly write: Write, readonly leaseId: string | undefined }
   | { readonly kind: 'want_lease' }
   | { readonly kind: 'promise', readonly outgoing: tenures.Outgoing }
-  | { readonly kind: 'report', readonly change: 'acquired' | 'extended' | 'lost', readonly term: number }
+  | { readonly kind: 'report', readonly change: 'acquired' | 'extended' | 'shared' | 'lost', readonly term: number }
 
 /** What a process knows about itself. */
 export interface ShardOwner {
--- a/src/allowances/succession.ts
+++ b/src/allowances/succession.ts
@@ -18,7 +18,19 @@
   untilMs: number
   /** Term of the holder to whom the promise was given. */
   promisedTerm: number
+  /** The share may be lent to the holder of an earlier term until then. */
+  earlierUntilMs: number
   floors: HeldFloors | undefined
+  /** When a use of the share has ended; floors announced before are not taken. */
+  usedUntilMs: number
+  share: Share | undefined
+  /** Shares of records up to this revision are given up. */
+  forgoneRevision: number
+}
+
+interface Share {
+  readonly term: number
+  readonly untilMs: number
 }
 
 interface HeldFloors {
@@ -52,21 +64,75 @@
   answer (request: PromiseRequest, nowMs: number, mayPromise: boolean): PromiseAnswer {
     const promises = this.getShard(request.shard)
     if (request.term < promises.term || !this.isMeant(request)) {
-      return { promised: false, term: promises.term, boot: this.boot, sequence: 0 }
+      return { promised: false, term: promises.term, boot: this.boot, sequence: 0, atMs: nowMs, free: false, forgone: false }
     }
     promises.term = request.term
-    const answer = { term: promises.term, boot: this.boot, sequence: applyFloors(promises, request) }
+    const isFree = mayPromise && this.isUnlent(promises, request.term, nowMs)
+    const answer = { term: promises.term, boot: this.boot, atMs: nowMs, forgone: false, free: false }
+    if (request.forgo) {
+      forgo(promises, request.revision)
+      return { ...answer, promised: false, sequence: 0, forgone: isFree }
+    }
+    const sequence = applyFloors(promises, request)
     if (request.released) {
       release(promises, request.term)
-      return { promised: true, ...answer }
+      return { ...answer, sequence, promised: true }
     }
     if (!mayPromise || request.term <= promises.releasedTerm) {
-      return { promised: false, ...answer }
+      return { ...answer, sequence, promised: false }
     }
+    this.promise(promises, request, nowMs)
+    return { ...answer, sequence, promised: true, free: isFree }
+  }
+
+  /** Whether a request would have an effect. */
+  isCurrent (request: PromiseRequest): boolean {
+    return request.term >= this.getShard(request.shard).term && this.isMeant(request)
+  }
+
+  /** Returns since when this process may use its share, or `undefined` if it may not now. */
+  getShareFromMs (shard: number, nowMs: number): number | undefined {
+    const promises = this.getShard(shard)
+    const share = promises.share
+    const isValid = share !== undefined && share.term === promises.term && share.term > promises.releasedTerm
+    const fromMs = this.getPromisedUntilMs(shard)
+    return isValid && nowMs >= fromMs && nowMs < share.untilMs ? fromMs : undefined
+  }
+
+  /** Returns what is known of the buckets of the present term. */
+  getKnownFloors (shard: number): keepers.Inheritance {
+    return this.getInheritance(shard, this.getShard(shard).term)
+  }
+
+  /** Forgets the floors, of which a part has been used until now. */
+  dropFloors (shard: number, nowMs: number): void {
+    const promises = this.getShard(shard)
+    promises.floors = undefined
+    promises.usedUntilMs = nowMs
+  }
+
+  /** Whether the holder of a term has said that it has stopped. */
+  isReleased (shard: number, term: number): boolean {
+    return term <= this.getShard(shard).releasedTerm
+  }
+
+  private promise (promises: ShardPromises, request: PromiseRequest, nowMs: number): void {
     const untilMs = nowMs + timings.getOutwaitMs(request.forMs, this.timing)
     promises.untilMs = Math.max(promises.untilMs, untilMs)
     promises.promisedTerm = request.term
-    return { promised: true, ...answer }
+    if (request.toBoot === this.boot && request.shareMs > 0 && request.revision > promises.forgoneRevision) {
+      const shareUntilMs = request.echoMs + timings.getBelievedMs(request.shareMs, this.timing)
+      promises.share = { term: request.term, untilMs: shareUntilMs }
+    }
+  }
+
+  /** Whether no holder of an earlier term may still use the share of this process. */
+  private isUnlent (promises: ShardPromises, term: number, nowMs: number): boolean {
+    if (term > promises.promisedTerm) {
+      promises.earlierUntilMs = Math.max(promises.earlierUntilMs, promises.untilMs)
+    }
+    const inheritedMs = this.startedMs + timings.getOutwaitMs(this.timing.promiseMs, this.timing)
+    return nowMs >= Math.max(promises.earlierUntilMs, inheritedMs)
   }
 
   /** Returns the time before which this process must not take the shard over. */
@@ -81,7 +147,7 @@
     if (floors === undefined || floors.term !== endedTerm || floors.sequence === 0) {
       return keepers.emptyInheritance
     }
-    return { floors: new Map(floors.tokens), isComplete: true }
+    return { floors: new Map(floors.tokens), isComplete: true, part: 1 }
   }
 
   private isMeant (request: PromiseRequest): boolean {
@@ -93,17 +159,31 @@
     if (known !== undefined) {
       return known
     }
-    const fresh = { term: 0, releasedTerm: 0, untilMs: 0, promisedTerm: 0, floors: undefined }
+    const fresh = createPromises()
     this.shards.set(shard, fresh)
     return fresh
   }
 }
 
+function createPromises (): ShardPromises {
+  return {
+    term: 0,
+    releasedTerm: 0,
+    untilMs: 0,
+    promisedTerm: 0,
+    earlierUntilMs: 0,
+    floors: undefined,
+    usedUntilMs: Number.NEGATIVE_INFINITY,
+    share: undefined,
+    forgoneRevision: 0
+  }
+}
+
 /** Applies an announcement if it follows on what is held. Returns the number of the announcement held then. */
 function applyFloors (promises: ShardPromises, request: PromiseRequest): number {
   const held = promises.floors?.term === request.term ? promises.floors : undefined
   const sequence = held?.sequence ?? 0
-  if (request.sequence <= sequence || request.base > sequence) {
+  if (request.sequence <= sequence || request.base > sequence || request.echoMs < promises.usedUntilMs) {
     return sequence
   }
   const tokens = request.base === 0 ? new Map<string, number>() : held?.tokens ?? new Map<string, number>()
@@ -114,6 +194,11 @@
   return request.sequence
 }
 
+function forgo (promises: ShardPromises, revision: number): void {
+  promises.forgoneRevision = Math.max(promises.forgoneRevision, revision)
+  promises.share = undefined
+}
+
 function release (promises: ShardPromises, term: number): void {
   promises.releasedTerm = Math.max(promises.releasedTerm, term)
   if (promises.promisedTerm <= term) {
--- a/src/allowances/take_over.ts
+++ b/src/allowances/take_over.ts
@@ -6,19 +6,37 @@
 import * as records from './record.js'
 import * as shardTypes from './shard_types.js'
 
-/** Returns the write for the next term after the one in view. */
-export function createTakeOver (view: eligibility.ShardView, candidate: eligibility.Candidate): shardTypes.Write {
+/**
+ * Returns the write for the next term after the one in view. `isReleased` tells that the earlier holder has said
+ * that it has stopped.
+ */
+export function createTakeOver (
+  view: eligibility.ShardView, candidate: eligibility.Candidate, isReleased: boolean
+): shardTypes.Write {
   const earlier = view.stored
   const { self, boot } = candidate
   const record: records.TermRecord = {
     term: (earlier?.record.term ?? 0) + 1,
     holder: { node: self.node, address: self.address },
     holderBoot: boot,
-    successors: createSuccessors(earlier?.record, candidate)
+    successors: createSuccessors(earlier?.record, candidate),
+    former: createFormer(earlier?.record, candidate, isReleased)
   }
   return { record, expectedRevision: earlier?.revision ?? 0, holder: 'put' }
 }
 
+/** The earlier holder may still use its share, and so may those that could before it. */
+function createFormer (
+  earlier: records.TermRecord | undefined, candidate: eligibility.Candidate, isReleased: boolean
+): records.Member[] {
+  if (earlier === undefined) {
+    return []
+  }
+  const former = earlier.former ?? []
+  const all = isReleased ? former : [...former, earlier.holder]
+  return all.filter(member => member.node !== candidate.self.node)
+}
+
 /** A new holder starts with the successors of the old one, less itself; the old holder's VM may be gone. */
 function createSuccessors (
   earlier: records.TermRecord | undefined, candidate: eligibility.Candidate
--- a/src/allowances/tenure.ts
+++ b/src/allowances/tenure.ts
@@ -3,10 +3,12 @@
  * the successors.
  */
 import * as floors from './floors.js'
+import * as formerMembers from './former.js'
 import * as keepers from './keeper.js'
 import * as placement from './placement.js'
 import * as records from './record.js'
 import * as rights from './right.js'
+import * as shareParts from './share_parts.js'
 import * as succession from './succession.js'
 import * as timings from './timing.js'
 import * as types from './types.js'
@@ -27,6 +29,8 @@
 
 interface Peer {
   boot: string | undefined
+  /** The peer's time in its last answer. */
+  answeredAtMs: number
   /** Boot whose promise has counted last. */
   promisedBoot: string | undefined
   isInFlight: boolean
@@ -43,6 +47,8 @@
   /** Charges are decided from this time on. */
   readonly serveFromMs: number
   readonly inheritance: keepers.Inheritance
+  /** How this process has come to the shard; without it, nobody has ever had a share. */
+  readonly takenOver?: { readonly hasUsedShare: boolean }
 }
 
 export class Tenure {
@@ -58,14 +64,25 @@
   private readonly ledger = new floors.FloorLedger()
   private readonly peers = new Map<string, Peer>()
   private required: readonly records.Member[] = []
+  private readonly former: formerMembers.FormerMembers
+  private readonly parts: shareParts.ShareParts
+  private syncedMs: number
 
   constructor (private readonly start: TenureStart, private readonly timing: timings.KeeperTiming) {
-    this.stored = start.stored
-    this.forgivenMs = start.startedMs
+    const { stored, startedMs, inheritance } = start
+    this.stored = stored
+    this.syncedMs = startedMs
+    this.forgivenMs = startedMs
     this.serveFromMs = start.serveFromMs
     this.right = new rights.Right(timing)
-    this.keeper = new keepers.Keeper(start.startedMs, start.inheritance, timing)
-    this.adopt(start.stored)
+    this.former = new formerMembers.FormerMembers(timing)
+    const { successors, former } = stored.record
+    const others = start.takenOver === undefined ? [] : [...successors, ...former ?? []]
+    this.parts = new shareParts.ShareParts(others.map(member => member.node), startedMs, timing)
+    const part = 1 - timing.shareOfAllowance * others.length
+    const inheritedPart = start.takenOver?.hasUsedShare === true ? part - timing.shareOfAllowance : part
+    this.keeper = new keepers.Keeper(startedMs, { ...inheritance, part: inheritedPart }, timing, part)
+    this.adoptMembers(stored.record)
   }
 
   get record (): records.TermRecord {
@@ -77,13 +94,35 @@
   }
 
   isServing (nowMs: number): boolean {
-    return !this.isStopped && nowMs >= this.serveFromMs && this.right.isHeld(nowMs)
+    const hasPart = this.right.isHeld(nowMs) || nowMs < this.getShareUntilMs()
+    return !this.isStopped && nowMs >= this.serveFromMs && hasPart
+  }
+
+  /** Brings the buckets to the part of the allowances that this keeper may use now. Called before all else. */
+  sync (nowMs: number): void {
+    this.syncedMs = Math.max(this.syncedMs, nowMs)
+    for (const node of this.former.expire(this.syncedMs)) {
+      this.parts.remove(node)
+    }
+    this.applyParts()
   }
 
   /** Takes over the record as the store is known to hold it. */
   adopt (stored: records.StoredRecord): void {
+    const told = this.record.successors
     this.stored = stored
-    this.setRequired(stored.record.successors)
+    for (const { node } of this.required) {
+      if (stored.record.successors.some(member => member.node === node)) {
+        continue
+      }
+      if (told.some(member => member.node === node)) {
+        this.parts.recall(node)
+      } else {
+        this.parts.remove(node)
+      }
+    }
+    this.applyParts()
+    this.adoptMembers(stored.record)
   }
 
   /** Also counts successors of a write whose outcome is open. */
@@ -94,10 +133,12 @@
 
   /** Decides a charge. `isFloorReached` tells that new floors should be sent at once. */
   charge (charge: types.Charge, nowMs: number): keepers.Decision {
-    const reserveOf = (workspace: string): number => this.ledger.getReserve(workspace)
+    const isWhole = this.right.isHeld(nowMs)
+    const part = this.keeper.part - (isWhole ? 0 : this.timing.shareOfAllowance)
+    const reserveOf = (workspace: string): number => part > 0 ? part * this.ledger.getReserve(workspace) : 0
     const decision = this.keeper.charge(charge, nowMs, reserveOf)
     if (decision.kind === 'floor_reached') {
-      this.ledger.update(this.listViews(nowMs, charge))
+      this.ledger.update(this.listViews(nowMs, charge), isWhole)
     }
     return decision
   }
@@ -105,7 +146,7 @@
   /** Chooses new floors where levels have moved far enough. */
   updateFloors (nowMs: number): void {
     if (this.required.length > 0) {
-      this.ledger.update(this.listViews(nowMs))
+      this.ledger.update(this.listViews(nowMs), this.right.isHeld(nowMs))
     }
   }
 
@@ -117,10 +158,10 @@
       if (!peer.isInFlight && this.isDue(member.node, peer, nowMs)) {
         peer.isInFlight = true
         peer.sentMs = nowMs
-        outgoing.push({ to: member, request: this.createRequest(member.node, peer) })
+        outgoing.push({ to: member, request: this.createRequest(member.node, peer, nowMs) })
       }
     }
-    return outgoing
+    return [...outgoing, ...this.createForgoRequests(nowMs)]
   }
 
   /** Takes note of a successor's answer, or of its failing to answer. */
@@ -134,6 +175,11 @@
     peer.failures = 0
     const isSameBoot = peer.boot === answer.boot
     peer.boot = answer.boot
+    peer.answeredAtMs = answer.atMs
+    if (this.former.has(node)) {
+      this.noteForgone(node, sentMs, answer)
+      return
+    }
     this.ledger.acknowledge(node, isSameBoot ? answer.sequence : 0)
     if (answer.promised && this.isStopped && isSameBoot) {
       peer.knowsRelease = true
@@ -141,6 +187,28 @@
     if (answer.promised && !this.isStopped && this.isContinuous(peer, answer.boot, nowMs)) {
       peer.promisedBoot = answer.boot
       this.right.notePromise(node, sentMs)
+      this.noteLent(node, sentMs, answer, nowMs)
+    }
+  }
+
+  /** A share that is lent comes without tokens; floors are lowered to what is left before others are announced. */
+  private noteLent (node: string, sentMs: number, answer: succession.PromiseAnswer, nowMs: number): void {
+    const untilMs = sentMs + timings.getBelievedMs(this.timing.promiseMs, this.timing)
+    if (!answer.free || nowMs >= untilMs || !this.required.some(member => member.node === node)) {
+      return
+    }
+    const isBack = this.parts.has(node) && !this.parts.isLent(node, nowMs)
+    this.parts.lend(node, untilMs)
+    if (isBack) {
+      this.applyParts()
+      this.updateFloors(nowMs)
+    }
+  }
+
+  private noteForgone (node: string, sentMs: number, answer: succession.PromiseAnswer): void {
+    if (answer.forgone && this.former.free(node, sentMs)) {
+      this.parts.remove(node)
+      this.applyParts()
     }
   }
 
@@ -162,9 +230,17 @@
     })
   }
 
+  /** Returns those that the record should list as former members, if it names these successors. */
+  chooseFormer (successors: readonly records.Member[]): readonly records.Member[] {
+    const nodes = new Set(successors.map(member => member.node))
+    return [...this.former.list(), ...this.record.successors.filter(member => !nodes.has(member.node))]
+  }
+
   /** Returns the successors that the record should name. */
   chooseSuccessors (self: types.EntryVm, entries: readonly types.EntryVm[]): readonly records.Member[] {
-    const usable = entries.filter(entry => entry.state === 'live' && this.isAnswering(entry.node))
+    const usable = entries.filter(entry => {
+      return entry.state === 'live' && this.isAnswering(entry.node) && !this.former.has(entry.node)
+    })
     const named = new Set(this.record.successors.map(member => member.node))
     const kept = usable.filter(entry => named.has(entry.node))
     const ranked = placement.chooseSuccessors(this.start.shard, self, usable, this.timing.successors)
@@ -186,6 +262,11 @@
     }
   }
 
+  private adoptMembers (record: records.TermRecord): void {
+    this.former.adopt(record.former ?? [], this.syncedMs)
+    this.setRequired(record.successors)
+  }
+
   private setRequired (members: readonly records.Member[]): void {
     this.required = members
     const nodes = members.map(member => member.node)
@@ -214,7 +295,40 @@
     return isUrgent || nowMs - peer.sentMs >= periodMs
   }
 
-  private createRequest (node: string, peer: Peer): succession.PromiseRequest {
+  private getShareUntilMs (): number {
+    return this.parts.getUntilMs(this.right, this.required.map(member => member.node))
+  }
+
+  /** Applies what has changed until now; the right and the shares must be as they were, or have changed now. */
+  private applyParts (): void {
+    for (const step of this.parts.advance(this.right, this.syncedMs)) {
+      this.keeper.setPart(step.part, step.atMs, workspace => this.ledger.getReserve(workspace))
+    }
+  }
+
+  private createForgoRequests (nowMs: number): readonly Outgoing[] {
+    const outgoing: Outgoing[] = []
+    for (const member of this.isStopped ? [] : this.former.list()) {
+      const peer = this.getPeer(member.node)
+      if (!peer.isInFlight && nowMs - peer.sentMs >= this.timing.renewMs) {
+        peer.isInFlight = true
+        peer.sentMs = nowMs
+        const plain = { sequence: 0, base: 0, floors: [], toBoot: undefined, shareMs: 0, forgo: true }
+        outgoing.push({ to: member, request: { ...this.createRequest(member.node, peer, nowMs), ...plain } })
+      }
+    }
+    return outgoing
+  }
+
+  /** Returns for how long a successor may be told that it may use its share; 0 unless that is sure to be known. */
+  private getShareMs (node: string, peer: Peer, nowMs: number): number {
+    const isNamed = this.record.successors.some(member => member.node === node)
+    const isPromised = peer.boot === peer.promisedBoot && this.parts.isLent(node, nowMs)
+    const mayTell = isNamed && isPromised && !this.isStopped
+    return mayTell ? Math.max(0, this.getShareUntilMs() - nowMs) : 0
+  }
+
+  private createRequest (node: string, peer: Peer, nowMs: number): succession.PromiseRequest {
     const announcement = peer.boot === undefined
       ? { sequence: 0, base: 0, floors: [] }
       : this.ledger.send(node)
@@ -228,7 +342,11 @@
       base: announcement.base,
       floors: [...announcement.floors],
       toBoot: peer.boot,
-      released: this.isStopped
+      released: this.isStopped,
+      revision: this.revision,
+      shareMs: this.getShareMs(node, peer, nowMs),
+      echoMs: peer.answeredAtMs,
+      forgo: false
     }
   }
 
@@ -253,6 +371,7 @@
     }
     const fresh = {
       boot: undefined,
+      answeredAtMs: 0,
       promisedBoot: undefined,
       isInFlight: false,
       sentMs: Number.NEGATIVE_INFINITY,
--- a/src/allowances/timing.ts
+++ b/src/allowances/timing.ts
@@ -27,6 +27,10 @@
   readonly tombstoneMs: number
   /** Successors named by a keeper, at most. */
   readonly successors: number
+  /** Part of rate and burst that each process with a share may use by itself. The same in all processes. */
+  readonly shareOfAllowance: number
+  /** How long a share may be used after the last contact of all who have one, in milliseconds. The same in all processes. */
+  readonly shareMs: number
 }
 
 export const defaultTiming: KeeperTiming = {
@@ -41,7 +45,9 @@
   clockDrift: 0.002,
   chargeKeptMs: 600_000,
   tombstoneMs: 30_000,
-  successors: 4
+  successors: 4,
+  shareOfAllowance: 0.05,
+  shareMs: 600_000
 }
 
 /** Returns how long a right of `ttlMs` may be believed by the one who holds it. */
--- a/src/contracts/events.ts
+++ b/src/contracts/events.ts
@@ -14,7 +14,7 @@
   'cancel.sent', 'cancel.confirmed', 'cancel.tombstone',
   'transfer.started', 'transfer.finished', 'transfer.failed',
   'configuration.changed', 'configuration.refused',
-  'keeper.acquired', 'keeper.extended', 'keeper.lost'
+  'keeper.acquired', 'keeper.extended', 'keeper.shared', 'keeper.lost'
 ])
 export type EventKind = z.infer<typeof EventKind>
 
--- a/src/contracts/protocol.ts
+++ b/src/contracts/protocol.ts
@@ -74,7 +74,15 @@
   /** Boot of the successor that the floors are meant for; another boot takes nothing from the request. */
   toBoot: z.string().optional(),
   /** Whether the holder has stopped: its right has ended and earlier promises to it are void. */
-  released: z.boolean().default(false)
+  released: z.boolean().default(false),
+  /** Revision of the holder's record in the store. */
+  revision: z.number().int().nonnegative().default(0),
+  /** How long the successor may use its share, counted from `echoMs`, once its promise has ended, in milliseconds. */
+  shareMs: z.number().nonnegative().default(0),
+  /** The time `atMs` of an earlier answer of the successor. */
+  echoMs: z.number().default(0),
+  /** Whether the process is asked to give up what it holds of the shard, and promises nothing. */
+  forgo: z.boolean().default(false)
 })
 
 export const KeeperPromise = z.object({
@@ -83,7 +91,13 @@
   term: z.number().int().nonnegative(),
   boot: z.string(),
   /** Announcement of floors that the successor holds for the holder's term; 0 for none. */
-  sequence: z.number().int().nonnegative().default(0)
+  sequence: z.number().int().nonnegative().default(0),
+  /** Monotonic time of the answer in the successor's process, in milliseconds. */
+  atMs: z.number().default(0),
+  /** Whether the process uses nothing of the shard, has lent nothing to an earlier holder, and will not before its promise ends. */
+  free: z.boolean().default(false),
+  /** Whether the process has given up what it held of the shard, as asked. */
+  forgone: z.boolean().default(false)
 })
 
 /** Asks for the configuration after a version. */
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -29,7 +29,7 @@
   allowance_charges_total: createMetric('counter', ['outcome'], 'Charges that this entry decided as a keeper, by outcome.'),
   allowance_settlements_lost_total: createMetric('counter', [], 'Settlements that reached no keeper; the charged bound counts as used.'),
   allowance_shards_kept: createMetric('gauge', [], 'Shards of allowances that this entry keeps.'),
-  allowance_keeper_changes_total: createMetric('counter', ['change'], 'Shards acquired, extended without the store, and lost.'),
+  allowance_keeper_changes_total: createMetric('counter', ['change'], 'Shards acquired, extended without the store, served by this entry\'s share only, and lost.'),
 
   // Agents.
   agent_events_total: createMetric('counter', ['kind', 'workspace'], 'Events of the agent\'s time line by kind.'),
--- a/tests/allowances/fleet.ts
+++ b/tests/allowances/fleet.ts
@@ -200,8 +200,10 @@
   private observeDecisions (): void {
     const decide = this.keepers.answerCharge.bind(this.keepers)
     this.keepers.answerCharge = request => {
+      const isShare = !this.keepers.isKeeper(request.shard)
       const answer = decide(request)
       if (answer.granted) {
+        this.fleet.grantsOfShares += isShare ? 1 : 0
         this.fleet.noteDecision(request.charge, `${this.boot} ${answer.term}`)
       }
       return answer
@@ -232,6 +234,8 @@
   readonly bytesOfMethod = new Map<string, number>()
   readonly bytesOfNode = new Map<string, number>()
   readonly messagesOfNode = new Map<string, number>()
+  /** Charges granted by processes without the full right. */
+  grantsOfShares = 0
   private readonly decisions = new Map<string, { readonly keeper: string, readonly atMs: number }>()
   private boots = 0
   private charges = 0
--- a/tests/allowances/shard.test.ts
+++ b/tests/allowances/shard.test.ts
@@ -27,7 +27,19 @@
 }
 
 const request = {
-  shard: 0, term: 1, holder: 'a', holderBoot: 'a-1', forMs: 3000, floors: [], sequence: 0, base: 0, released: false
+  shard: 0,
+  term: 1,
+  holder: 'a',
+  holderBoot: 'a-1',
+  forMs: 3000,
+  floors: [],
+  sequence: 0,
+  base: 0,
+  released: false,
+  revision: 0,
+  shareMs: 0,
+  echoMs: 0,
+  forgo: false
 }
 const entries = ['a', 'b', 'c'].map(createVm)
 
@@ -48,7 +60,7 @@
 }
 
 function answer (boot: string): succession.PromiseAnswer {
-  return { promised: true, term: 1, boot, sequence: 0 }
+  return { promised: true, term: 1, boot, sequence: 0, atMs: 0, free: true, forgone: false }
 }
 
 test.describe('Shard', () => {
--- /dev/null
+++ b/tests/allowances/share_parts.test.ts
@@ -0,0 +1,118 @@
+import * as assert from 'node:assert/strict'
+import * as keepers from '../../src/allowances/keeper.js'
+import * as rights from '../../src/allowances/right.js'
+import * as shareParts from '../../src/allowances/share_parts.js'
+import * as shareUsers from '../../src/allowances/share_user.js'
+import * as succession from '../../src/allowances/succession.js'
+import * as test from 'node:test'
+import * as timings from '../../src/allowances/timing.js'
+
+const timing = { ...timings.defaultTiming, clockDrift: 0, shareOfAllowance: 0.25, shareMs: 20_000 }
+const allowance = { tokensPerSecond: 100, burstTokens: 1000 }
+
+test.describe('ShareParts', () => {
+  test.it('tell when each share and the full right have ended', () => {
+    const right = new rights.Right(timing)
+    right.noteLease(0)
+    const parts = new shareParts.ShareParts([], 0, timing)
+    parts.lend('b', 2000)
+    parts.lend('c', 9000)
+    assert.deepEqual(parts.advance(right, 8000).map(({ atMs, part }) => [atMs, part]), [[2000, 0.75], [3000, 0.5], [8000, 0.5]])
+    assert.deepEqual(parts.advance(right, 9500).at(-1), { atMs: 9500, part: 0.25 })
+    parts.lend('b', 12_500)
+    assert.equal(parts.advance(right, 9500).at(-1)?.part, 0.5)
+  })
+
+  test.it('count the time of shares from the earliest of the last promises', () => {
+    const right = new rights.Right(timing)
+    right.noteLease(0)
+    const parts = new shareParts.ShareParts(['c'], 0, timing)
+    parts.lend('b', 5000)
+    assert.equal(parts.getUntilMs(right, ['b']), 22_000)
+    assert.equal(parts.getUntilMs(right, ['b', 'c']), Number.NEGATIVE_INFINITY)
+    assert.equal(parts.getUntilMs(right, []), Number.NEGATIVE_INFINITY)
+  })
+})
+
+test.describe('The part of a keeper', () => {
+  test.it('takes its part of the floor with it, and comes back without tokens', () => {
+    const keeper = new keepers.Keeper(0, keepers.firstInheritance, timing)
+    keeper.setAllowance('w', allowance, 0)
+    keeper.charge({ id: '1', workspace: 'w', tokens: 400 }, 0, () => 0)
+    keeper.setPart(0.75, 1000, () => 200)
+    assert.equal(keeper.getBucket('w')?.getLevel(1000), 650)
+    assert.equal(keeper.getBucket('w')?.getLevel(2000), 725)
+    keeper.setPart(1, 2000, () => 200)
+    assert.equal(keeper.getBucket('w')?.getLevel(2000), 725)
+    assert.equal(keeper.getBucket('w')?.getLevel(9000), 1000)
+  })
+
+  test.it('begins without the part that has been used', () => {
+    const keeper = new keepers.Keeper(0, { floors: new Map([['w', 400]]), isComplete: true, part: 0.5 }, timing, 0.75)
+    keeper.setPart(1, 0, () => 0)
+    keeper.setAllowance('w', allowance, 0)
+    assert.equal(keeper.getBucket('w')?.getLevel(0), 200)
+  })
+})
+
+test.describe('The share of a successor', () => {
+  const request = {
+    ...{ shard: 0, term: 1, holder: 'a', holderBoot: 'a-1', forMs: 3000, floors: [], sequence: 0, base: 0 },
+    ...{ released: false, revision: 5, shareMs: 20_000, echoMs: 3000, forgo: false, toBoot: 'b-1' }
+  }
+  const floor = { workspace: 'w', tokens: 400 }
+
+  function createSuccessor (): succession.Succession {
+    const successor = new succession.Succession('b-1', 0, timing)
+    successor.answer({ ...request, floors: [floor], sequence: 1 }, 4000, true)
+    return successor
+  }
+
+  test.it('is used from the end of its promise until its time has passed', () => {
+    const successor = createSuccessor()
+    assert.equal(successor.getShareFromMs(0, 6999), undefined)
+    assert.equal(successor.getShareFromMs(0, 7000), 7000)
+    assert.equal(successor.getShareFromMs(0, 22_999), 7000)
+    assert.equal(successor.getShareFromMs(0, 23_000), undefined)
+    successor.noteTerm(0, 2)
+    assert.equal(successor.getShareFromMs(0, 7000), undefined)
+  })
+
+  test.it('holds its part of the floor, which is not taken twice', () => {
+    const successor = createSuccessor()
+    const share = new shareUsers.ShareUser(0, successor, timing)
+    assert.equal(share.update(7000), true)
+    share.setAllowance('w', allowance, 7000)
+    assert.equal(share.charge({ id: '1', workspace: 'w', tokens: 100 }, 7000)?.kind, undefined)
+    assert.equal(share.charge({ id: '1', workspace: 'w', tokens: 110 }, 7400)?.kind, 'granted')
+    assert.equal(share.charge({ id: '2', workspace: 'w', tokens: 10 }, 7400)?.kind, 'exhausted')
+    share.end(8000)
+    const again = { ...request, floors: [floor], sequence: 2 }
+    assert.equal(successor.answer(again, 8000, true).sequence, 0)
+    assert.equal(successor.answer({ ...again, echoMs: 8000 }, 8100, true).sequence, 2)
+  })
+
+  test.it('is not free while the holder of an earlier term may use it', () => {
+    const successor = createSuccessor()
+    assert.equal(successor.answer({ ...request, term: 2 }, 6999, true).free, false)
+    assert.equal(successor.answer({ ...request, term: 2, forgo: true }, 6999, true).forgone, false)
+    assert.equal(successor.answer({ ...request, term: 2 }, 7000, true).free, true)
+    assert.equal(successor.answer({ ...request, term: 2, forgo: true }, 7000, false).forgone, false)
+    assert.equal(successor.answer({ ...request, term: 2, forgo: true }, 7000, true).forgone, true)
+  })
+
+  test.it('once given up is not given back by a late request', () => {
+    const successor = createSuccessor()
+    successor.answer({ ...request, revision: 6, forgo: true }, 4000, true)
+    successor.answer(request, 4000, true)
+    assert.equal(successor.getShareFromMs(0, 8000), undefined)
+    successor.answer({ ...request, revision: 7 }, 4000, true)
+    assert.equal(successor.getShareFromMs(0, 8000), 7000)
+  })
+
+  test.it('is lent by no process that has just started', () => {
+    const successor = new succession.Succession('b-1', 0, timing)
+    assert.equal(successor.answer(request, 2999, true).free, false)
+    assert.equal(successor.answer(request, 3000, true).free, true)
+  })
+})
--- a/tests/allowances/succession.test.ts
+++ b/tests/allowances/succession.test.ts
@@ -17,6 +17,10 @@
     sequence: 0,
     base: 0,
     released: false,
+    revision: 0,
+    shareMs: 0,
+    echoMs: 0,
+    forgo: false,
     ...change
   }
 }
--- a/tools/model_checks.ts
+++ b/tools/model_checks.ts
@@ -26,9 +26,12 @@
 
 const twoMembers = ['MEMBERS=2']
 const threeMembers = ['MEMBERS=3', 'MAX_TERM=2', 'P_RIGHTS']
+const threeShares = ['MEMBERS=3', 'MAX_TERM=2', 'RESTARTS=0', 'P_SHARES']
 
 export const modelChecks: readonly ModelCheck[] = [
   { model: 'allowance', property: 'never two rights, 3 members', defines: threeMembers, isLarge: true },
+  { model: 'allowance', property: 'never two users of a share, 3 members', defines: threeShares, isLarge: true },
+  ...check('allowance', 'never two users of a share, 3 members', threeShares, ['ALWAYS_FREE']).slice(1),
   ...check('allowance', 'never two rights, 3 members', threeMembers, ['ANY_PROMISE']).slice(1),
   ...check('attempt', 'no attempt starts twice', ['P_STARTS'], ['NO_BOOT_CHECK', 'GUESSED', 'NO_REPEAT_CHECK']),
   ...check('attempt', 'no start after the verdict not_run', ['P_NOT_RUN'], ['NO_TOMBSTONE']),
@@ -38,6 +41,9 @@
   ...check('allowance', 'never two rights, 2 members', [...twoMembers, 'P_RIGHTS'], [
     'FROM_ANSWER', 'NO_PROMISE', 'NO_GRACE', 'WHILE_ACQUIRING', 'ASSUME_REFUSED', 'NO_COMPARE'
   ]),
+  ...check('allowance', 'never two users of a share, 2 members', [...twoMembers, 'P_SHARES'], [
+    'NO_RESERVE', 'NO_BASE', 'WHILE_PROMISED', 'STILL_LENT'
+  ]),
   ...check('allowance', 'never two rights, finer time', [...twoMembers, 'LEASE=2', 'P_RIGHTS'], []),
   ...check('configuration', 'a version never goes back', ['P_FORWARD'], ['TAKE_LOWER']),
   ...check('configuration', 'an accepted change is kept, a refused one is not there', ['P_KEPT'], ['NO_COMPARE', 'ASSUME_LOST']),
