Measure the agent's gate and fair queue: npm run bench:decisions

Cause: the decisions of an agent had no slopes in docs/CAPACITY.md. Change: the offer, the start with its cancel, and the fair queue are measured by waiting requests and by workspaces; bench:slopes prints them too. Before and after: not measured before.

--- /dev/null
+++ b/bench/decision_slopes.ts
@@ -0,0 +1,15 @@
+/**
+ * Prints the cost of every decision with its fitted line; `--json` prints the points too.
+ */
+import * as process from 'node:process'
+import * as agentDecisions from './agent_decisions.js'
+import * as decisions from './decisions.js'
+
+const measured = [...decisions.measureDecisions(), ...agentDecisions.measureAgentDecisions()]
+if (process.argv.includes('--json')) {
+  console.log(JSON.stringify(measured, undefined, 2))
+} else {
+  for (const slope of measured) {
+    console.log(decisions.formatSlope(slope))
+  }
+}
--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -28,6 +28,11 @@
   return { figure, unit, against, ...slopes.fitLine(points), points }
 }
 
+/** Returns a slope as one line of text. */
+export function formatSlope ({ figure, unit, against, slope, intercept }: Slope): string {
+  return `${figure}: ${intercept.toFixed(2)} ${unit} + ${slope.toFixed(4)} ${unit} for each of the ${against}`
+}
+
 function createServer (index: number): configuration.Server {
   return configuration.Server.parse({
     role: index % 3 === 0 ? 'prefill' : 'decode',
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -6,6 +6,7 @@
 import * as os from 'node:os'
 import * as url from 'node:url'
 import * as util from 'node:util'
+import * as agentDecisions from './agent_decisions.js'
 import * as decisions from './decisions.js'
 
 const execute = util.promisify(childProcess.execFile)
@@ -22,14 +23,14 @@
 }
 
 function print (slopes: readonly decisions.Slope[]): void {
-  for (const { figure, unit, against, slope, intercept } of slopes) {
-    console.log(`${figure}: ${intercept.toFixed(2)} ${unit} + ${slope.toFixed(4)} ${unit} for each of the ${against}`)
+  for (const slope of slopes) {
+    console.log(decisions.formatSlope(slope))
   }
 }
 
 async function main (): Promise<void> {
   const before = os.loadavg()[0]
-  const measured = decisions.measureDecisions()
+  const measured = [...decisions.measureDecisions(), ...agentDecisions.measureAgentDecisions()]
   const links = await runProgram('./links.js')
   const configuration = await runProgram('./configuration.js', '--json')
   const machine = { cores: os.availableParallelism(), loadAverageBefore: before, loadAverageAfter: os.loadavg()[0] }
