Order what a process knows of a shard by the revision of the store

Cause: the answer to a refused write and the events of the watch come over different connections. An answer that named a holder and arrived after the event of this holder's end marked the shard as held for good, so that nobody took it over; a frozen process reads both at once, in any order. Only the record had a revision to compare, and the end of a holder does not change the record.

Change: watches, reads and answers carry the revision of the store as of which they hold; an earlier one does not replace a later one (shard_view.ts).

--- a/src/allowances/eligibility.ts
+++ b/src/allowances/eligibility.ts
@@ -6,21 +6,13 @@
  */
 import * as placement from './placement.js'
 import * as records from './record.js'
+import * as shardViews from './shard_view.js'
 import * as timings from './timing.js'
 import * as types from './types.js'
 
 /** Pause between the candidates for one shard, so that they do not all write at once, in milliseconds. */
 const staggerMs = 300
 
-/** A shard as the store shows it. */
-export interface ShardView {
-  readonly stored: records.StoredRecord | undefined
-  /** Whether the holder key exists. */
-  readonly isHeld: boolean
-  /** Since when this process has seen the same record without a holder key, in milliseconds. */
-  readonly vacantSinceMs: number
-}
-
 export interface Candidate {
   readonly shard: number
   readonly self: types.EntryVm
@@ -34,7 +26,7 @@
 }
 
 /** Returns the earliest time at which the candidate may try, or `undefined` while the shard is held. */
-export function getTakeOverMs (view: ShardView, candidate: Candidate): number | undefined {
+export function getTakeOverMs (view: shardViews.ShardView, candidate: Candidate): number | undefined {
   if (view.isHeld) {
     return undefined
   }
--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -213,7 +213,7 @@
   }
 
   private show (shard: number, keys: keeperKeys.ShardKeys): void {
-    this.accept(shard, { kind: 'observed', stored: keys.stored, isHeld: keys.isHeld })
+    this.accept(shard, { kind: 'observed', sighting: { ...keys } })
   }
 
   private tick (): void {
--- a/src/allowances/keeper_keys.ts
+++ b/src/allowances/keeper_keys.ts
@@ -17,10 +17,13 @@
 export interface ShardKeys {
   stored: records.StoredRecord | undefined
   isHeld: boolean
+  /** Revision of the store up to which the keys are known. */
+  storeRevision: number
 }
 
 export class KeeperKeys {
   private readonly shards = new Map<number, ShardKeys>()
+  private loadedRevision = 0
 
   constructor (private readonly store: host.Store, private readonly boot: string) {}
 
@@ -29,7 +32,7 @@
     if (known !== undefined) {
       return known
     }
-    const fresh = { stored: undefined, isHeld: false }
+    const fresh = { stored: undefined, isHeld: false, storeRevision: this.loadedRevision }
     this.shards.set(shard, fresh)
     return fresh
   }
@@ -59,7 +62,7 @@
       entries.push(...page.entries)
       after = page.entries.at(-1)?.key
       if (!page.more || after === undefined) {
-        this.replace(entries)
+        this.replace(entries, revision)
         return failures.succeed(revision)
       }
     }
@@ -71,7 +74,7 @@
       if (event.kind === 'put') {
         this.put(event.entry)
       } else {
-        this.remove(event.key)
+        this.remove(event.key, event.modRevision)
       }
     }
   }
@@ -105,11 +108,9 @@
     }
   }
 
-  private replace (entries: readonly host.StoreEntry[]): void {
-    for (const keys of this.shards.values()) {
-      keys.isHeld = false
-      keys.stored = undefined
-    }
+  private replace (entries: readonly host.StoreEntry[], revision: number): void {
+    this.loadedRevision = revision
+    this.shards.clear()
     for (const entry of entries) {
       this.put(entry)
     }
@@ -121,6 +122,7 @@
       return
     }
     const keys = this.get(parsed.shard)
+    keys.storeRevision = Math.max(keys.storeRevision, entry.modRevision)
     if (parsed.kind === 'holder') {
       keys.isHeld = true
       return
@@ -128,12 +130,13 @@
     keys.stored = parseStored(entry)
   }
 
-  private remove (key: string): void {
+  private remove (key: string, revision: number): void {
     const parsed = records.parseKey(key)
     if (parsed === undefined) {
       return
     }
     const keys = this.get(parsed.shard)
+    keys.storeRevision = Math.max(keys.storeRevision, revision)
     if (parsed.kind === 'holder') {
       keys.isHeld = false
       return
@@ -144,11 +147,13 @@
 
 function createOutcome (write: shardTypes.Write, commit: host.StoreCommit): shardTypes.Outcome {
   if (commit.succeeded) {
-    return { kind: 'written', revision: write.holder === 'delete' ? write.expectedRevision : commit.revision }
+    const revision = write.holder === 'delete' ? write.expectedRevision : commit.revision
+    return { kind: 'written', revision, storeRevision: commit.revision }
   }
   const [term, holder] = commit.reads
   const stored = term === undefined ? undefined : parseStored(term)
-  return { kind: 'refused', stored, holderLease: holder === undefined ? undefined : parseLease(holder.value) }
+  const holderLease = holder === undefined ? undefined : parseLease(holder.value)
+  return { kind: 'refused', stored, holderLease, storeRevision: commit.revision }
 }
 
 function parseStored (entry: host.StoreEntry): records.StoredRecord | undefined {
--- a/src/allowances/shard.ts
+++ b/src/allowances/shard.ts
@@ -8,6 +8,7 @@
 import * as records from './record.js'
 import * as shareUsers from './share_user.js'
 import * as shardTypes from './shard_types.js'
+import * as shardViews from './shard_view.js'
 import * as succession from './succession.js'
 import * as takeOvers from './take_over.js'
 import * as tenures from './tenure.js'
@@ -17,8 +18,15 @@
 import * as verdicts from '../contracts/verdict.js'
 import * as writeSlots from './write_slot.js'
 
+/** The record of a write of this process, as the store has it. */
+interface Found {
+  readonly stored: records.StoredRecord
+  readonly holderLease: string | undefined
+  readonly storeRevision: number
+}
+
 export class Shard {
-  private view: eligibility.ShardView
+  private readonly latest: shardViews.LatestView
   private lease: shardTypes.ProcessLease | undefined
   private own: tenures.Tenure | undefined
   private readonly slot = new writeSlots.WriteSlot()
@@ -30,7 +38,7 @@
   private late: readonly shardTypes.Action[] = []
 
   constructor (private readonly owner: shardTypes.ShardOwner, nowMs: number) {
-    this.view = { stored: undefined, isHeld: true, vacantSinceMs: nowMs }
+    this.latest = new shardViews.LatestView(nowMs)
     this.share = new shareUsers.ShareUser(owner.shard, owner.succession, owner.timing)
   }
 
@@ -53,7 +61,7 @@
     this.own?.sync(nowMs)
     switch (event.kind) {
       case 'observed':
-        return this.observe(event.stored, event.isHeld, nowMs)
+        return this.observe(event.sighting, nowMs)
       case 'lease':
         return this.noteLease(event.lease)
       case 'outcome':
@@ -125,16 +133,14 @@
     return outgoing.map(one => ({ kind: 'promise', outgoing: one }))
   }
 
-  private observe (stored: records.StoredRecord | undefined, isHeld: boolean, nowMs: number): readonly shardTypes.Action[] {
-    if (stored !== undefined && stored.revision < (this.view.stored?.revision ?? 0)) {
-      return []
-    }
-    const isSame = stored?.revision === this.view.stored?.revision && isHeld === this.view.isHeld
-    if (!isSame) {
-      this.view = { stored, isHeld, vacantSinceMs: nowMs }
-    }
-    if (stored !== undefined) {
-      this.owner.succession.noteTerm(this.owner.shard, stored.record.term)
+  private get view (): shardViews.ShardView {
+    return this.latest.current
+  }
+
+  private observe (sighting: shardViews.Sighting, nowMs: number): readonly shardTypes.Action[] {
+    this.latest.note(sighting, nowMs)
+    if (sighting.stored !== undefined) {
+      this.owner.succession.noteTerm(this.owner.shard, sighting.stored.record.term)
     }
     return this.checkOwn()
   }
@@ -277,28 +283,27 @@
         this.own?.adopt({ record: this.own.record, revision: this.own.revision })
         return []
       case 'written':
-        return this.noteWritten(write, { record: write.record, revision: outcome.revision }, leaseId, nowMs)
+        return this.noteWritten(write, createFound(write, leaseId, outcome), nowMs)
       case 'refused':
-        return this.noteRefused(write, outcome.stored, outcome.holderLease, nowMs)
+        return this.noteRefused(write, outcome, nowMs)
       default:
         return verdicts.assertNever(outcome)
     }
   }
 
-  private noteWritten (
-    write: shardTypes.Write, stored: records.StoredRecord, holderLease: string | undefined, nowMs: number
-  ): readonly shardTypes.Action[] {
+  private noteWritten (write: shardTypes.Write, found: Found, nowMs: number): readonly shardTypes.Action[] {
+    const { stored, holderLease, storeRevision } = found
     if (write.holder === 'delete') {
-      return this.finishRelease(stored, nowMs)
+      this.latest.note({ stored, isHeld: false, storeRevision }, nowMs)
+      return this.finishRelease(stored)
     }
     const actions = this.own === undefined ? this.begin(write, stored, nowMs) : []
     if (write.holder === 'put') {
       this.bindLease(holderLease)
     }
     this.own?.adopt(stored)
-    this.view = { stored, isHeld: true, vacantSinceMs: nowMs }
-    this.owner.succession.noteTerm(this.owner.shard, stored.record.term)
-    return [...actions, ...this.createRequests(nowMs)]
+    const sighting = { stored, isHeld: holderLease !== undefined, storeRevision }
+    return [...actions, ...this.observe(sighting, nowMs), ...this.createRequests(nowMs)]
   }
 
   private bindLease (leaseId: string | undefined): void {
@@ -324,16 +329,15 @@
   }
 
   /** An earlier attempt of the same write may have succeeded; then the record carries its mark. */
-  private noteRefused (
-    write: shardTypes.Write, stored: records.StoredRecord | undefined, holderLease: string | undefined, nowMs: number
-  ): readonly shardTypes.Action[] {
+  private noteRefused (write: shardTypes.Write, outcome: shardTypes.Refusal, nowMs: number): readonly shardTypes.Action[] {
+    const { stored, holderLease, storeRevision } = outcome
     if (stored !== undefined && stored.record.term === write.record.term && this.isOwnRecord(stored.record)) {
       if (write.holder === 'delete' && holderLease !== undefined) {
         return this.write({ ...write, expectedRevision: stored.revision })
       }
-      return this.noteWritten(write, stored, holderLease, nowMs)
+      return this.noteWritten(write, { stored, holderLease, storeRevision }, nowMs)
     }
-    return this.observe(stored, holderLease !== undefined, nowMs)
+    return this.observe({ stored, isHeld: holderLease !== undefined, storeRevision }, nowMs)
   }
 
   private noteAnswer (
@@ -375,10 +379,14 @@
     return this.write({ record: own.record, expectedRevision: own.revision, holder: 'delete' })
   }
 
-  private finishRelease (stored: records.StoredRecord, nowMs: number): readonly shardTypes.Action[] {
+  private finishRelease (stored: records.StoredRecord): readonly shardTypes.Action[] {
     this.releasedTerm = stored.record.term
-    this.view = { stored, isHeld: false, vacantSinceMs: nowMs }
     const own = this.own
     return own === undefined ? [] : this.lose(own)
   }
 }
+
+function createFound (write: shardTypes.Write, leaseId: string | undefined, outcome: shardTypes.Success): Found {
+  const { revision, storeRevision } = outcome
+  return { stored: { record: write.record, revision }, holderLease: leaseId, storeRevision }
+}
--- a/src/allowances/shard_types.ts
+++ b/src/allowances/shard_types.ts
@@ -2,6 +2,7 @@
  * What the shards of allowances exchange with the process around them.
  */
 import * as records from './record.js'
+import * as shardViews from './shard_view.js'
 import * as succession from './succession.js'
 import * as tenures from './tenure.js'
 import * as timings from './timing.js'
@@ -22,16 +23,32 @@
   readonly holder: 'put' | 'keep' | 'delete'
 }
 
+/** A write was made. */
+export interface Success {
+  readonly kind: 'written'
+  /** Revision of the record since then. */
+  readonly revision: number
+  readonly storeRevision: number
+}
+
+/** A write was refused; what the keys were at a revision of the store. */
+export interface Refusal {
+  readonly kind: 'refused'
+  readonly stored: records.StoredRecord | undefined
+  /** Lease of the holder key. */
+  readonly holderLease: string | undefined
+  readonly storeRevision: number
+}
+
 export type Outcome =
-  | { readonly kind: 'written', readonly revision: number }
-  /** Refused, with the keys as they are now; `holderLease` is the lease of the holder key. */
-  | { readonly kind: 'refused', readonly stored: records.StoredRecord | undefined, readonly holderLease: string | undefined }
+  | Success
+  | Refusal
   /** Certainly without effect. */
   | { readonly kind: 'not_run' }
   | { readonly kind: 'unknown' }
 
 export type Event =
-  | { readonly kind: 'observed', readonly stored: records.StoredRecord | undefined, readonly isHeld: boolean }
+  | { readonly kind: 'observed', readonly sighting: shardViews.Sighting }
   | { readonly kind: 'lease', readonly lease: ProcessLease | undefined }
   | { readonly kind: 'outcome', readonly write: Write, readonly leaseId: string | undefined, readonly outcome: Outcome }
   | { readonly kind: 'answer', readonly node: string, readonly sentMs: number, readonly answer: succession.PromiseAnswer | undefined }
--- a/src/allowances/take_over.ts
+++ b/src/allowances/take_over.ts
@@ -5,13 +5,14 @@
 import * as placement from './placement.js'
 import * as records from './record.js'
 import * as shardTypes from './shard_types.js'
+import * as shardViews from './shard_view.js'
 
 /**
  * Returns the write for the next term after the one in view. `isReleased` tells that the earlier holder has said
  * that it has stopped.
  */
 export function createTakeOver (
-  view: eligibility.ShardView, candidate: eligibility.Candidate, isReleased: boolean
+  view: shardViews.ShardView, candidate: eligibility.Candidate, isReleased: boolean
 ): shardTypes.Write {
   const earlier = view.stored
   const { self, boot } = candidate
--- a/tests/allowances/shard.test.ts
+++ b/tests/allowances/shard.test.ts
@@ -47,7 +47,7 @@
 function startTakeOver (): { shard: shards.Shard, write: shardTypes.Write } {
   const shard = createShard('b', -10_000)
   shard.accept({ kind: 'lease', lease: { id: '1', sentMs: 0 } }, 0)
-  shard.accept({ kind: 'observed', stored: { record: createRecord(['b']), revision: 5 }, isHeld: false }, 0)
+  shard.accept({ kind: 'observed', sighting: { stored: { record: createRecord(['b']), revision: 5 }, isHeld: false, storeRevision: 5 } }, 0)
   const [action] = shard.accept({ kind: 'tick', entries }, 0)
   assert.equal(action?.kind, 'write')
   return { shard, write: (action as { write: shardTypes.Write }).write }
@@ -71,7 +71,7 @@
     assert.equal(shard.answerPromise(request, 100).promised, false)
     const [again] = shard.accept({ kind: 'tick', entries }, 200)
     assert.deepEqual(again, { kind: 'write', write, leaseId: '1' })
-    const refused = { kind: 'refused', stored: { record: createRecord(['b', 'c']), revision: 6 }, holderLease: '9' } as const
+    const refused = { kind: 'refused', stored: { record: createRecord(['b', 'c']), revision: 6 }, holderLease: '9', storeRevision: 6 } as const
     shard.accept({ kind: 'outcome', write, leaseId: '1', outcome: refused }, 300)
     assert.equal(shard.answerPromise(request, 300).promised, true)
   })
@@ -80,16 +80,30 @@
     const { shard, write } = startTakeOver()
     shard.accept({ kind: 'outcome', write, leaseId: '1', outcome: { kind: 'unknown' } }, 100)
     shard.accept({ kind: 'tick', entries }, 200)
-    const outcome = { kind: 'refused', stored: { record: write.record, revision: 6 }, holderLease: '1' } as const
+    const outcome = { kind: 'refused', stored: { record: write.record, revision: 6 }, holderLease: '1', storeRevision: 6 } as const
     shard.accept({ kind: 'outcome', write, leaseId: '1', outcome }, 300)
     assert.equal(shard.tenure?.leaseId, '1')
     assert.equal(shard.getStartMs(300), timing.grantTtlMs)
   })
 
+  test.it('takes over although a refusal arrives after the end of the holder that it names', () => {
+    const { shard, write } = startTakeOver()
+    const stored = { record: createRecord(['b'], { term: 2, holder: { node: 'c', address: createVm('c').address } }), revision: 6 }
+    const observe = (isHeld: boolean, storeRevision: number): void => {
+      shard.accept({ kind: 'observed', sighting: { stored, isHeld, storeRevision } }, 100)
+    }
+    observe(true, 6)
+    observe(false, 8)
+    const refused = { kind: 'refused', stored, holderLease: '9', storeRevision: 7 } as const
+    shard.accept({ kind: 'outcome', write, leaseId: '1', outcome: refused }, 200)
+    const [action] = shard.accept({ kind: 'tick', entries }, 20_000)
+    assert.deepEqual([action?.kind, (action as { write?: shardTypes.Write }).write?.expectedRevision], ['write', 6])
+  })
+
   test.it('leaves a shard alone that names other successors', () => {
     const shard = createShard('c', -10_000)
     shard.accept({ kind: 'lease', lease: { id: '1', sentMs: 0 } }, 0)
-    shard.accept({ kind: 'observed', stored: { record: createRecord(['b']), revision: 5 }, isHeld: false }, 0)
+    shard.accept({ kind: 'observed', sighting: { stored: { record: createRecord(['b']), revision: 5 }, isHeld: false, storeRevision: 5 } }, 0)
     assert.deepEqual(shard.accept({ kind: 'tick', entries }, 3_000_000), [])
     assert.equal(shard.accept({ kind: 'tick', entries }, 3_700_000)[0]?.kind, 'write')
   })
