Keep a keeper's view of the shares in a module of its own

Change: the shares of the others and the part that they leave go to keeper_shares.ts; no change of behaviour.

--- a/src/allowances/tenure.ts
+++ b/src/allowances/tenure.ts
@@ -3,12 +3,11 @@
  * the successors.
  */
 import * as floors from './floors.js'
-import * as formerMembers from './former.js'
+import * as keeperShares from './keeper_shares.js'
 import * as keepers from './keeper.js'
 import * as placement from './placement.js'
 import * as records from './record.js'
 import * as rights from './right.js'
-import * as shareParts from './share_parts.js'
 import * as succession from './succession.js'
 import * as timings from './timing.js'
 import * as types from './types.js'
@@ -64,24 +63,20 @@
   private readonly ledger = new floors.FloorLedger()
   private readonly peers = new Map<string, Peer>()
   private required: readonly records.Member[] = []
-  private readonly former: formerMembers.FormerMembers
-  private readonly parts: shareParts.ShareParts
-  private syncedMs: number
+  private readonly shares: keeperShares.KeeperShares
 
   constructor (private readonly start: TenureStart, private readonly timing: timings.KeeperTiming) {
     const { stored, startedMs, inheritance } = start
     this.stored = stored
-    this.syncedMs = startedMs
     this.forgivenMs = startedMs
     this.serveFromMs = start.serveFromMs
     this.right = new rights.Right(timing)
-    this.former = new formerMembers.FormerMembers(timing)
-    const { successors, former } = stored.record
-    const others = start.takenOver === undefined ? [] : [...successors, ...former ?? []]
-    this.parts = new shareParts.ShareParts(others.map(member => member.node), startedMs, timing)
+    const others = start.takenOver === undefined ? [] : keeperShares.listOthers(stored.record)
     const part = 1 - timing.shareOfAllowance * others.length
     const inheritedPart = start.takenOver?.hasUsedShare === true ? part - timing.shareOfAllowance : part
     this.keeper = new keepers.Keeper(startedMs, { ...inheritance, part: inheritedPart }, timing, part)
+    const context = { right: this.right, keeper: this.keeper, floorOf: this.getFloor, timing }
+    this.shares = new keeperShares.KeeperShares(context, others, startedMs)
     this.adoptMembers(stored.record)
   }
 
@@ -94,34 +89,20 @@
   }
 
   isServing (nowMs: number): boolean {
-    const hasPart = this.right.isHeld(nowMs) || nowMs < this.getShareUntilMs()
+    const hasPart = this.right.isHeld(nowMs) || nowMs < this.shares.getUntilMs()
     return !this.isStopped && nowMs >= this.serveFromMs && hasPart
   }
 
   /** Brings the buckets to the part of the allowances that this keeper may use now. Called before all else. */
   sync (nowMs: number): void {
-    this.syncedMs = Math.max(this.syncedMs, nowMs)
-    for (const node of this.former.expire(this.syncedMs)) {
-      this.parts.remove(node)
-    }
-    this.applyParts()
+    this.shares.sync(nowMs)
   }
 
   /** Takes over the record as the store is known to hold it. */
   adopt (stored: records.StoredRecord): void {
     const told = this.record.successors
     this.stored = stored
-    for (const { node } of this.required) {
-      if (stored.record.successors.some(member => member.node === node)) {
-        continue
-      }
-      if (told.some(member => member.node === node)) {
-        this.parts.recall(node)
-      } else {
-        this.parts.remove(node)
-      }
-    }
-    this.applyParts()
+    this.shares.recallOthers(stored.record, told)
     this.adoptMembers(stored.record)
   }
 
@@ -135,7 +116,7 @@
   charge (charge: types.Charge, nowMs: number): keepers.Decision {
     const isWhole = this.right.isHeld(nowMs)
     const part = this.keeper.part - (isWhole ? 0 : this.timing.shareOfAllowance)
-    const reserveOf = (workspace: string): number => part > 0 ? part * this.ledger.getReserve(workspace) : 0
+    const reserveOf = (workspace: string): number => part > 0 ? part * this.getFloor(workspace) : 0
     const decision = this.keeper.charge(charge, nowMs, reserveOf)
     if (decision.kind === 'floor_reached') {
       this.ledger.update(this.listViews(nowMs, charge), isWhole)
@@ -176,8 +157,8 @@
     const isSameBoot = peer.boot === answer.boot
     peer.boot = answer.boot
     peer.answeredAtMs = answer.atMs
-    if (this.former.has(node)) {
-      this.noteForgone(node, sentMs, answer)
+    if (this.shares.isFormer(node)) {
+      this.shares.noteForgone(node, sentMs, answer)
       return
     }
     this.ledger.acknowledge(node, isSameBoot ? answer.sequence : 0)
@@ -187,28 +168,9 @@
     if (answer.promised && !this.isStopped && this.isContinuous(peer, answer.boot, nowMs)) {
       peer.promisedBoot = answer.boot
       this.right.notePromise(node, sentMs)
-      this.noteLent(node, sentMs, answer, nowMs)
-    }
-  }
-
-  /** A share that is lent comes without tokens; floors are lowered to what is left before others are announced. */
-  private noteLent (node: string, sentMs: number, answer: succession.PromiseAnswer, nowMs: number): void {
-    const untilMs = sentMs + timings.getBelievedMs(this.timing.promiseMs, this.timing)
-    if (!answer.free || nowMs >= untilMs || !this.required.some(member => member.node === node)) {
-      return
-    }
-    const isBack = this.parts.has(node) && !this.parts.isLent(node, nowMs)
-    this.parts.lend(node, untilMs)
-    if (isBack) {
-      this.applyParts()
-      this.updateFloors(nowMs)
-    }
-  }
-
-  private noteForgone (node: string, sentMs: number, answer: succession.PromiseAnswer): void {
-    if (answer.forgone && this.former.free(node, sentMs)) {
-      this.parts.remove(node)
-      this.applyParts()
+      if (this.shares.noteLent(node, sentMs, answer, nowMs)) {
+        this.updateFloors(nowMs)
+      }
     }
   }
 
@@ -233,13 +195,13 @@
   /** Returns those that the record should list as former members, if it names these successors. */
   chooseFormer (successors: readonly records.Member[]): readonly records.Member[] {
     const nodes = new Set(successors.map(member => member.node))
-    return [...this.former.list(), ...this.record.successors.filter(member => !nodes.has(member.node))]
+    return [...this.shares.listFormer(), ...this.record.successors.filter(member => !nodes.has(member.node))]
   }
 
   /** Returns the successors that the record should name. */
   chooseSuccessors (self: types.EntryVm, entries: readonly types.EntryVm[]): readonly records.Member[] {
     const usable = entries.filter(entry => {
-      return entry.state === 'live' && this.isAnswering(entry.node) && !this.former.has(entry.node)
+      return entry.state === 'live' && this.isAnswering(entry.node) && !this.shares.isFormer(entry.node)
     })
     const named = new Set(this.record.successors.map(member => member.node))
     const kept = usable.filter(entry => named.has(entry.node))
@@ -262,8 +224,10 @@
     }
   }
 
+  private readonly getFloor = (workspace: string): number => this.ledger.getReserve(workspace)
+
   private adoptMembers (record: records.TermRecord): void {
-    this.former.adopt(record.former ?? [], this.syncedMs)
+    this.shares.setFormer(record.former ?? [])
     this.setRequired(record.successors)
   }
 
@@ -271,6 +235,7 @@
     this.required = members
     const nodes = members.map(member => member.node)
     this.right.setRequired(nodes)
+    this.shares.setRequired(nodes)
     this.ledger.setSuccessors(nodes)
   }
 
@@ -295,20 +260,9 @@
     return isUrgent || nowMs - peer.sentMs >= periodMs
   }
 
-  private getShareUntilMs (): number {
-    return this.parts.getUntilMs(this.right, this.required.map(member => member.node))
-  }
-
-  /** Applies what has changed until now; the right and the shares must be as they were, or have changed now. */
-  private applyParts (): void {
-    for (const step of this.parts.advance(this.right, this.syncedMs)) {
-      this.keeper.setPart(step.part, step.atMs, workspace => this.ledger.getReserve(workspace))
-    }
-  }
-
   private createForgoRequests (nowMs: number): readonly Outgoing[] {
     const outgoing: Outgoing[] = []
-    for (const member of this.isStopped ? [] : this.former.list()) {
+    for (const member of this.isStopped ? [] : this.shares.listFormer()) {
       const peer = this.getPeer(member.node)
       if (!peer.isInFlight && nowMs - peer.sentMs >= this.timing.renewMs) {
         peer.isInFlight = true
@@ -323,9 +277,9 @@
   /** Returns for how long a successor may be told that it may use its share; 0 unless that is sure to be known. */
   private getShareMs (node: string, peer: Peer, nowMs: number): number {
     const isNamed = this.record.successors.some(member => member.node === node)
-    const isPromised = peer.boot === peer.promisedBoot && this.parts.isLent(node, nowMs)
+    const isPromised = peer.boot === peer.promisedBoot && this.shares.isLent(node, nowMs)
     const mayTell = isNamed && isPromised && !this.isStopped
-    return mayTell ? Math.max(0, this.getShareUntilMs() - nowMs) : 0
+    return mayTell ? Math.max(0, this.shares.getUntilMs() - nowMs) : 0
   }
 
   private createRequest (node: string, peer: Peer, nowMs: number): succession.PromiseRequest {
