--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -11,6 +11,14 @@
 
 type OfferCall = types.CallOf<'work.offer'>
 
+/** Longest waits for room that is kept, in milliseconds. */
+interface Bounds {
+  /** By the time at which the task is of use. */
+  readonly longestMs: number
+  /** By what the workspace holds of its fair share; at most the other. */
+  readonly fairMs: number
+}
+
 export class Promises {
   private lastReservation = 0
 
@@ -32,15 +40,18 @@
       outbox.fail(event.call, failures.createFailure('not_run', 'memory_exhausted', [options.server]))
       return undefined
     }
-    const waitNowMs = scheduler.predictWaitMs(demand, params.workspace, undefined, nowMs)
-    const waitMs = Math.max(0, waitNowMs - params.expectedInMs)
-    const reservation = this.tryReserve(event, demand, waitMs)
+    const waitMs = this.predictWaitMs(event, demand)
+    const bounds = this.getBounds(event)
+    const reservation = waitMs <= bounds.fairMs ? this.reserve(event, demand, waitMs) : undefined
+    const isRefused = params.holdMs !== undefined && reservation === undefined
     outbox.succeed(event.call, {
       boot: options.boot,
       waitMs,
       serviceMs: scheduler.getServiceMs(demand, nowMs),
       cachedTokens: Math.min(cachedTokens, params.promptTokens),
       reservation: reservation?.id,
+      retryAfterMs: isRefused ? Math.max(1, waitMs - bounds.fairMs) : undefined,
+      isAboveShare: isRefused ? waitMs <= bounds.longestMs : undefined,
       load: scheduler.getLoad(false)
     })
     return reservation
@@ -70,27 +81,43 @@
     }
   }
 
-  private tryReserve (event: OfferCall, demand: attempts.Demand, waitMs: number): reservations.Reservation | undefined {
+  /** Returns how long an offer may wait for room that is kept; an offer that only asks gets none. */
+  private getBounds ({ params }: OfferCall): Bounds {
+    const { holdMs, workspace, weight } = params
+    const longestMs = holdMs === undefined ? -1 : params.maximumWaitMs ?? holdMs
+    const waitShare = weight === undefined ? 1 : this.parts.scheduler.waits.getWaitShare(workspace, weight)
+    return { longestMs, fairMs: longestMs * waitShare }
+  }
+
+  private reserve (event: OfferCall, demand: attempts.Demand, waitMs: number): reservations.Reservation {
     const { params, nowMs, session } = event
-    if (params.holdMs === undefined || waitMs > params.holdMs) {
-      return undefined
-    }
+    const { holdMs = 0 } = params
     this.lastReservation += 1
-    const expectedAtMs = nowMs + params.expectedInMs
+    const expectedAtMs = nowMs + params.expectedInMs + waitMs
     const reservation = {
       id: `${this.parts.options.boot}.${this.lastReservation}`,
       request: params.request,
       workspace: params.workspace,
+      weight: params.weight ?? 1,
       session,
       pieces: this.parts.scheduler.countPieces(demand),
+      serviceMs: this.parts.scheduler.waits.getRunMs(demand, nowMs),
       expectedAtMs,
-      lapsesAtMs: expectedAtMs + params.holdMs
+      lapsesAtMs: expectedAtMs + holdMs
     }
     this.parts.scheduler.reservations.add(reservation)
     this.record('reservation.made', reservation)
     return reservation
   }
 
+  /** Predicts the wait from the expected arrival on: in the queue, or for room that is free of promises. */
+  private predictWaitMs ({ params, nowMs }: OfferCall, demand: attempts.Demand): number {
+    const { scheduler } = this.parts
+    const queuedMs = scheduler.waits.predictWaitMs(demand, params.workspace, undefined, nowMs)
+    const roomMs = params.holdMs === undefined ? undefined : scheduler.waits.predictRoomMs(demand, params.expectedInMs, nowMs)
+    return Math.max(0, (roomMs ?? queuedMs) - params.expectedInMs)
+  }
+
   /** A repeated offer replaces the earlier one, whose answer may have been lost. */
   private releaseRequest (request: string): void {
     for (const reservation of this.parts.scheduler.reservations.listRequest(request)) {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,10 +4,9 @@
  *
  * SIGTERM and SIGINT drain; a second one ends at once.
  */
+import * as v8Settings from './v8_settings.js'
 import * as commander from 'commander'
-import * as agentProcesses from './agent_process.js'
 import * as daemonProcesses from './daemon_process.js'
-import * as entryProcesses from './entry_process.js'
 import * as exitCodeTable from './exit_code.js'
 import * as failures from '../contracts/failure.js'
 import * as nodeSystem from '../host/node_system.js'
@@ -31,14 +30,25 @@
   }
   const system = nodeSystem.createNodeSystem(options.node, options.log)
   const base = new processBases.ProcessBase(system, options, security.toMaybe().extract())
-  const daemon = options.role === 'entry'
-    ? await entryProcesses.createEntryProcess(base, options)
-    : agentProcesses.createAgentProcess(base, options)
+  const daemon = await createDaemon(base, options)
   handleSignals(daemon)
   await daemon.start().catch((error: unknown) => {
     system.log.error('cannot start', { error: String(error) })
     process.exit(exitCodes.address.code)
   })
+  v8Settings.collectGarbage()
+}
+
+/** Loads the modules of the role, and only those, and creates its process. */
+async function createDaemon (
+  base: processBases.ProcessBase, options: settings.Settings
+): Promise<daemonProcesses.DaemonProcess> {
+  if (options.role === 'entry') {
+    const entryProcesses = await import('./entry_process.js')
+    return entryProcesses.createEntryProcess(base, options)
+  }
+  const agentProcesses = await import('./agent_process.js')
+  return agentProcesses.createAgentProcess(base, options)
 }
 
 function handleSignals (daemon: daemonProcesses.DaemonProcess): void {
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -9,6 +9,7 @@
 import * as host from '../host/types.js'
 import * as judgement from './judgement.js'
 import * as links from '../links/types.js'
+import * as quietWatches from './quiet_watch.js'
 import * as types from './types.js'
 import * as verdicts from '../contracts/verdict.js'
 import * as work from '../contracts/work.js'
@@ -37,6 +38,9 @@
 /** Frames after which the agent is told how far they have arrived. */
 const acknowledgePeriodFrames = 32
 
+/** Time without frames after which the agent is asked for them, in milliseconds. */
+const quietLimitMs = 3_000
+
 /** How long repeatable work without any output waits for its link to open again, in milliseconds. */
 const reopenGraceMs = 300
 
@@ -46,7 +50,8 @@
   private readonly window = new frameWindows.FrameWindow()
   private readonly stops: host.Stop[] = []
   private stopLostTimer: host.Stop | undefined
-  private stopQuietTimer: host.Stop | undefined
+  /** Asks for frames when none have come for a while, so that a dropped last frame is not waited for. */
+  private readonly quiet: quietWatches.QuietWatch
   private resolve: ((result: failures.Result<FinishedFrame>) => void) | undefined
   private isAccepted = false
   private isResuming = false
@@ -56,6 +61,7 @@
     super()
     this.key = { request: course.start.request, attempt: course.start.attempt }
     this.link = course.link
+    this.quiet = new quietWatches.QuietWatch(this.clock, quietLimitMs, () => this.resume())
   }
 
   /** Runs the attempt to its end. A failure's verdict is `not_run` only by the agent's word. */
@@ -83,7 +89,7 @@
       return
     }
     const intake = this.window.accept(frames)
-    this.restartQuietTimer()
+    this.quiet.heard()
     for (const frame of intake.frames) {
       this.takeFrame(frame)
     }
@@ -131,7 +137,7 @@
 
   private accept (): void {
     this.isAccepted = true
-    this.restartQuietTimer()
+    this.quiet.heard()
     if (!this.link.isOpen) {
       this.lost()
     }
@@ -234,11 +240,11 @@
         this.course.onText(frame)
         return
       case 'finished':
-        this.acknowledge()
+        this.acknowledgeLast()
         this.end(failures.succeed(frame))
         return
       case 'failed':
-        this.acknowledge()
+        this.acknowledgeLast()
         this.end(failures.fail(frame.failure))
         return
       default:
@@ -257,13 +263,9 @@
     this.link.notify('work.acknowledge', { ...this.key, offset: this.window.next })
   }
 
-  /** Asks for frames when none have come for a while, so that a dropped last frame is not waited for. */
-  private restartQuietTimer (): void {
-    this.stopQuietTimer?.()
-    this.stopQuietTimer = this.clock.after(2 * this.timing.silenceMs, () => {
-      this.restartQuietTimer()
-      this.resume()
-    })
+  /** Acknowledges the last frame once the request has gone on, so that its next step does not wait for it. */
+  private acknowledgeLast (): void {
+    this.clock.after(0, () => this.acknowledge())
   }
 
   private giveUp (cause: failures.Failure): void {
@@ -285,7 +287,7 @@
       stop()
     }
     this.stopLostTimer?.()
-    this.stopQuietTimer?.()
+    this.quiet.stop()
     this.record(result.isRight() ? 'attempt.finished' : 'attempt.failed')
     resolve?.(result)
   }
