Test that a call which may not wait runs at once or never

Cause: entries now start calls that may not wait; the gate's refusal of them was tested for decodes only. Change: a test of the gate with one slot: refused while it is taken, refused again after it is free, never launched. Conclusion: the gate behaves so already.

--- a/tests/agent/gate_queue.test.ts
+++ b/tests/agent/gate_queue.test.ts
@@ -55,6 +55,17 @@
       assert.deepEqual([driver.getFrames('2'), driver.gate.figures.unsettled], [[], 0])
     })
 
+    test.it('runs a call that may not wait at once or never', () => {
+      const driver = new drivers.GateDriver({}, { role: 'service', slots: 1, memoryPieces: 0 })
+      const call = { kind: 'call', maximumWaitMs: 0 } as const
+      assert.equal(driver.start('1', call).unsafeCoerce().state, 'running')
+      assert.equal(drivers.getFailure(driver.start('2', call)).verdict, 'not_run')
+      driver.finish('1', { reason: 'answered' })
+      assert.equal(drivers.getFailure(driver.start('2', call)).verdict, 'not_run')
+      assert.equal(driver.isLaunched('2'), false)
+      assert.equal(driver.start('3', call).unsafeCoerce().state, 'running')
+    })
+
     test.it('refuses a start in the same decision when its slot is kept for another', () => {
       const driver = new drivers.GateDriver({}, { slots: 3, betweenTokensTargetMs: 28 })
       driver.start('1', { maximumTokens: 1_000 })
