--- a/src/agent/intake.ts
+++ b/src/agent/intake.ts
@@ -49,25 +49,29 @@
     outbox.fail(event.call, isKept ? failure : failures.withVerdict(failure, 'may_have_run'))
   }
 
-  /** Answers the start admitted in this decision, once it is known whether it runs. */
-  answerAdmission (nowMs: number): void {
+  /**
+   * Answers the start admitted in this decision, once it is known whether it runs. Returns whether it was taken back,
+   * so that others may start in its place.
+   */
+  answerAdmission (nowMs: number): boolean {
     const { outbox } = this.parts
     const admission = this.admission
     this.admission = undefined
     if (admission === undefined) {
-      return
+      return false
     }
     const { attempt, call } = admission
     if (attempt.state === 'running') {
       outbox.succeed(call, { state: 'running', waitMs: 0 })
-      return
+      return false
     }
     if (attempt.deadlineMs <= nowMs) {
       outbox.fail(call, this.retract(attempt, nowMs))
-      return
+      return true
     }
     outbox.record('attempt.queued', attempt)
     outbox.succeed(call, { state: 'queued', waitMs: this.predict(attempt, nowMs) })
+    return false
   }
 
   /** Refuses an attempt that has waited as long as it may. */
@@ -138,7 +142,7 @@
     if (attempt.isPromised) {
       return undefined
     }
-    const waitMs = scheduler.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, event.nowMs)
+    const waitMs = scheduler.waits.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, event.nowMs)
     const { maximumWaitMs } = event.params
     if (waitMs > maximumWaitMs) {
       const details = [Math.round(maximumWaitMs), Math.round(waitMs)]
@@ -166,7 +170,7 @@
   }
 
   private predict (attempt: attempts.Attempt, nowMs: number): number {
-    return this.parts.scheduler.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, nowMs)
+    return this.parts.scheduler.waits.predictWaitMs(attempt.demand, attempt.workspace, attempt.weight, nowMs)
   }
 }
 
--- a/src/contracts/protocol.ts
+++ b/src/contracts/protocol.ts
@@ -74,7 +74,15 @@
   /** Boot of the successor that the floors are meant for; another boot takes nothing from the request. */
   toBoot: z.string().optional(),
   /** Whether the holder has stopped: its right has ended and earlier promises to it are void. */
-  released: z.boolean().default(false)
+  released: z.boolean().default(false),
+  /** Revision of the holder's record in the store. */
+  revision: z.number().int().nonnegative().default(0),
+  /** How long the successor may use its share, counted from `echoMs`, once its promise has ended, in milliseconds. */
+  shareMs: z.number().nonnegative().default(0),
+  /** The time `atMs` of an earlier answer of the successor. */
+  echoMs: z.number().default(0),
+  /** Whether the process is asked to give up what it holds of the shard, and promises nothing. */
+  forgo: z.boolean().default(false)
 })
 
 export const KeeperPromise = z.object({
@@ -83,7 +91,13 @@
   term: z.number().int().nonnegative(),
   boot: z.string(),
   /** Announcement of floors that the successor holds for the holder's term; 0 for none. */
-  sequence: z.number().int().nonnegative().default(0)
+  sequence: z.number().int().nonnegative().default(0),
+  /** Monotonic time of the answer in the successor's process, in milliseconds. */
+  atMs: z.number().default(0),
+  /** Whether the process uses nothing of the shard, has lent nothing to an earlier holder, and will not before its promise ends. */
+  free: z.boolean().default(false),
+  /** Whether the process has given up what it held of the shard, as asked. */
+  forgone: z.boolean().default(false)
 })
 
 /** Asks for the configuration after a version. */
@@ -137,8 +151,8 @@
 export const notifications = {
   /** The listener's first message on a connection: the text that the client's proof must cover. */
   'session.challenge': z.object({ challenge: z.string().min(16).max(128) }),
-  /** Frames of an attempt, to the session that started it or resumed it last. */
-  'work.frames': work.Frames,
+  /** Frames of attempts, to the session that started them or resumed them last. */
+  'work.frames': work.FrameBatch,
   /** The frames up to an offset have arrived; the agent may forget a finished attempt. */
   'work.acknowledge': work.AttemptKey.extend({ offset: z.number().int().nonnegative() }),
   /** The sender's server takes no new work from now on. */
