Refuse settings whose session lease a silent connection would outlast

Cause: with the shorter lease, an operator who lengthens heartbeats or the silence limit alone would lose the streams over every connection that falls silent, with nothing said.

Change: the schema of the times asks for a session lease of at least the silence limit and three heartbeats (1350 ms with the standard values, against 1500); the mistake is told like any other in the settings file.

Before: the new test (lease of 2000 ms, silence limit of 800 and heartbeats of 500) did not end within 60 s, since the daemon started. After: "expected at least 2300, found 2000"; unit tests 511 of 511.

--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -32,11 +32,25 @@
 })
 export type Limits = z.infer<typeof Limits>
 
+/** Periods of heartbeats that may pass besides the silence limit until a silent connection is replaced. */
+const beatsUntilReplaced = 3
+
+/** A session must outlast a silent connection, or the streams over it would end with it. */
+function checkLease (payload: z.core.ParsePayload<{ heartbeatMs: number, silenceMs: number, sessionLeaseMs: number }>): void {
+  const { heartbeatMs, silenceMs, sessionLeaseMs } = payload.value
+  const minimum = silenceMs + beatsUntilReplaced * heartbeatMs
+  if (sessionLeaseMs < minimum) {
+    payload.issues.push({
+      code: 'too_small', origin: 'number', minimum, inclusive: true, input: sessionLeaseMs, path: ['sessionLeaseMs']
+    })
+  }
+}
+
 export const Timing = z.strictObject({
   connectTimeoutMs: milliseconds(1_000, 'Longest time to open a connection between processes'),
   heartbeatMs: milliseconds(250, 'Period of heartbeats on links with work under way'),
   silenceMs: milliseconds(600, 'Silence after which a connection is replaced'),
-  sessionLeaseMs: milliseconds(1_500, 'How long an agent keeps the work of an entry it does not hear'),
+  sessionLeaseMs: milliseconds(1_500, 'How long an agent keeps the work of an entry it does not hear; at least silenceMs and three times heartbeatMs'),
   idleMs: milliseconds(60_000, 'Idle time after which a connection is closed'),
   reconnectMs: milliseconds(100, 'Pause before connecting again'),
   loadReportsPerSecond: count(20, 'Loads asked for, over all links with work under way (1/s)'),
@@ -45,7 +59,7 @@
   drainTimeoutMs: milliseconds(300_000, 'Longest graceful shutdown'),
   storeTimeoutMs: milliseconds(1_500, 'Longest wait for the store'),
   machineListMs: milliseconds(2_000, 'Period of reading the list of VMs')
-})
+}).check(checkLease)
 export type Timing = z.infer<typeof Timing>
 
 const Common = z.strictObject({
--- a/tests/daemon/main.test.ts
+++ b/tests/daemon/main.test.ts
@@ -66,6 +66,12 @@
       ]))
     })
 
+    test.it('include a session lease that a silent connection would outlast', async () => {
+      const settings = { ...await createAgent(), timing: { heartbeatMs: 500, silenceMs: 800, sessionLeaseMs: 2_000 } }
+      const errors = await fail(settings, exitCodes.settings.code)
+      assert.match(errors, /at "timing.sessionLeaseMs": expected at least 2300, found 2000/)
+    })
+
     test.it('name a role that does not exist', async () => {
       assert.match(await fail({ role: 'clerk' }, exitCodes.settings.code), /at "role": expected one of entry, agent, found "clerk"/)
     })
