Let a keeper use its share beside a successor that has just started

Cause: the time of the shares counted from the last answer in which a successor said that its share is free, which a process does not say in its first 3 s. Change: the time counts from the promise itself, of every successor that gives the time of its answers. The new test in shares.test.ts passes with and without the change, so that it does not show it.

--- a/src/allowances/keeper_shares.ts
+++ b/src/allowances/keeper_shares.ts
@@ -91,6 +91,9 @@
    */
   noteLent (node: string, sentMs: number, answer: succession.PromiseAnswer, nowMs: number): boolean {
     const untilMs = sentMs + timings.getBelievedMs(this.context.timing.promiseMs, this.context.timing)
+    if (answer.atMs > 0) {
+      this.parts.notePromise(node, untilMs)
+    }
     if (!answer.free || nowMs >= untilMs || !this.required.includes(node)) {
       return false
     }
--- a/src/allowances/share_parts.ts
+++ b/src/allowances/share_parts.ts
@@ -16,6 +16,8 @@
 export class ShareParts {
   /** Until when each other process with a share has lent it to this keeper. */
   private readonly lentUntilMs = new Map<string, number>()
+  /** Until when each successor has promised, whether or not its share was free. */
+  private readonly promisedUntilMs = new Map<string, number>()
   private checkedMs: number
 
   /** The processes of `nodes` may have been using their shares before. */
@@ -28,9 +30,15 @@
 
   /** Counts a process as one with a share, which is lent to this keeper until then. */
   lend (node: string, untilMs: number): void {
+    this.notePromise(node, untilMs)
     this.lentUntilMs.set(node, untilMs)
   }
 
+  /** Takes note of a promise of a successor that knows of shares. */
+  notePromise (node: string, untilMs: number): void {
+    this.promisedUntilMs.set(node, untilMs)
+  }
+
   /** The process may begin to use its share. */
   recall (node: string): void {
     if (this.lentUntilMs.has(node)) {
@@ -60,7 +68,7 @@
     const addedMs = timings.getBelievedMs(shareMs, this.timing) - timings.getBelievedMs(promiseMs, this.timing)
     let untilMs = successors.length === 0 ? Number.NEGATIVE_INFINITY : right.getExtensionUntilMs()
     for (const node of successors) {
-      untilMs = Math.min(untilMs, (this.lentUntilMs.get(node) ?? Number.NEGATIVE_INFINITY) + addedMs)
+      untilMs = Math.min(untilMs, (this.promisedUntilMs.get(node) ?? Number.NEGATIVE_INFINITY) + addedMs)
     }
     return untilMs
   }
--- a/tests/allowances/shares.test.ts
+++ b/tests/allowances/shares.test.ts
@@ -63,6 +63,19 @@
     })
   }
 
+  test.it('serve at the keeper when a successor dies that has just started', async () => {
+    const fleet = await createFleet(['a', 'b'], timings.defaultTiming)
+    const keeper = fleet.findServing() as string
+    const other = getOther(fleet, keeper)
+    fleet.kill(other)
+    fleet.start(other)
+    await fleet.clock.advance(2500)
+    fleet.setStoreDown(true)
+    fleet.kill(other)
+    await fleet.clock.advance(5000)
+    assert.equal(await isServed(fleet, keeper, 300), true)
+  })
+
   test.it('end some time after the last contact', async () => {
     const fleet = await createFleet(nodes, timing)
     const keeper = fleet.findServing() as string
