Let a keeper use its own share after its last contact with the store

A keeper's own share counted from the promises of all successors alone. A successor that has just restarted has promised nothing yet, and is named again only after 3 s; when it died again while the store was down, the keeper had neither its right nor its share, and refused everything (keeper_unavailable).

Change: a keeper may use its own share for shareMs after its last contact with the store as well: nobody had taken over before that contact, and whoever takes over later keeps clear of the share for as long. Shares that successors have lent still need the promises of all.

--- a/src/allowances/keeper_shares.ts
+++ b/src/allowances/keeper_shares.ts
@@ -72,6 +72,11 @@
     return this.parts.getUntilMs(this.context.right, this.required)
   }
 
+  /** Returns until when this keeper may use its own share. */
+  getOwnUntilMs (): number {
+    return this.parts.getOwnUntilMs(this.context.right, this.required)
+  }
+
   isFormer (node: string): boolean {
     return this.former.has(node)
   }
@@ -113,7 +118,7 @@
   /** Applies what has changed until now; the right and the shares must be as they were, or have changed now. */
   private apply (): void {
     const { right, keeper, floorOf } = this.context
-    for (const step of this.parts.advance(right, this.syncedMs)) {
+    for (const step of this.parts.advance(right, this.required, this.syncedMs)) {
       keeper.setPart(step.part, step.atMs, floorOf)
     }
   }
--- a/src/allowances/right.ts
+++ b/src/allowances/right.ts
@@ -48,6 +48,11 @@
     return nowMs < this.getUntilMs()
   }
 
+  /** When the lease was last granted or renewed, by the sending of the request; nobody had taken over before. */
+  getContactMs (): number {
+    return this.storeContactMs
+  }
+
   /** Returns the latest time until which anything may be used after the last contact with the store. */
   getExtensionUntilMs (): number {
     return this.storeContactMs + timings.getBelievedMs(this.timing.maximumExtensionMs, this.timing)
--- a/src/allowances/share_parts.ts
+++ b/src/allowances/share_parts.ts
@@ -73,20 +73,33 @@
     return untilMs
   }
 
+  /**
+   * Returns the time until which the keeper may use its own share: also so long after its last contact with the store,
+   * since nobody had taken over before.
+   */
+  getOwnUntilMs (right: rights.Right, successors: readonly string[]): number {
+    const ownMs = right.getContactMs() + timings.getBelievedMs(this.timing.shareMs, this.timing)
+    return Math.max(ownMs, this.getUntilMs(right, successors))
+  }
+
   /** Returns the changes since the last call, in the order of time. The right must be as it was since then. */
-  advance (right: rights.Right, nowMs: number): readonly Step[] {
-    const ends = [right.getUntilMs(), ...this.lentUntilMs.values()]
+  advance (right: rights.Right, successors: readonly string[], nowMs: number): readonly Step[] {
+    const lentEndMs = this.getUntilMs(right, successors)
+    const ends = [right.getUntilMs(), lentEndMs, ...this.lentUntilMs.values()]
     const times = ends.filter(endMs => endMs > this.checkedMs && endMs < nowMs).sort((one, other) => one - other)
     this.checkedMs = Math.max(this.checkedMs, nowMs)
-    return [...times, this.checkedMs].map(atMs => ({ atMs, part: this.getPart(right, atMs) }))
+    return [...times, this.checkedMs].map(atMs => ({ atMs, part: this.getPart(right, lentEndMs, atMs) }))
   }
 
-  private getPart (right: rights.Right, nowMs: number): number {
+  private getPart (right: rights.Right, lentEndMs: number, nowMs: number): number {
     let lent = 0
     for (const node of this.lentUntilMs.keys()) {
       lent += this.isLent(node, nowMs) ? 1 : 0
     }
     const share = this.timing.shareOfAllowance
-    return right.isHeld(nowMs) ? 1 - share * (this.lentUntilMs.size - lent) : share * (1 + lent)
+    if (right.isHeld(nowMs)) {
+      return 1 - share * (this.lentUntilMs.size - lent)
+    }
+    return nowMs < lentEndMs ? share * (1 + lent) : share
   }
 }
--- a/src/allowances/tenure.ts
+++ b/src/allowances/tenure.ts
@@ -89,7 +89,7 @@
   }
 
   isServing (nowMs: number): boolean {
-    const hasPart = this.right.isHeld(nowMs) || nowMs < this.shares.getUntilMs()
+    const hasPart = this.right.isHeld(nowMs) || nowMs < this.shares.getOwnUntilMs()
     return !this.isStopped && nowMs >= this.serveFromMs && hasPart
   }
 
--- a/tests/allowances/shares.test.ts
+++ b/tests/allowances/shares.test.ts
@@ -76,6 +76,21 @@
     assert.equal(await isServed(fleet, keeper, 300), true)
   })
 
+  test.it('serve at the keeper when the only successor dies again soon after its restart', async () => {
+    const fleet = await createFleet(['a', 'b'], timings.defaultTiming)
+    const keeper = fleet.findServing() as string
+    const other = getOther(fleet, keeper)
+    fleet.kill(other)
+    await fleet.clock.advance(4000)
+    fleet.start(other)
+    await fleet.clock.advance(1500)
+    fleet.setStoreDown(true)
+    fleet.kill(other)
+    await fleet.clock.advance(5000)
+    assert.equal(await isServed(fleet, keeper, 300), true)
+    assert.equal(await isServed(fleet, keeper, 5000), false)
+  })
+
   test.it('end some time after the last contact', async () => {
     const fleet = await createFleet(nodes, timing)
     const keeper = fleet.findServing() as string
