--- a/tests/entry/fixture.ts
+++ b/tests/entry/fixture.ts
@@ -1,6 +1,7 @@
 /**
  * An entry before fake agents, with a manual clock, for callers over loopback.
  */
+import * as assert from 'node:assert/strict'
 import * as events from 'node:events'
 import * as http from 'node:http'
 import * as net from 'node:net'
@@ -158,6 +159,13 @@
     throw new Error('the condition was not met')
   }
 
+  /** Closes the entry and checks that it has logged no error and settled each charge once. */
+  finish (): void {
+    this.close()
+    assert.deepEqual(this.log.errors, [])
+    assert.equal(this.allowances.settled.length, this.allowances.charged.length, 'each charge settled once')
+  }
+
   /** Waits until nothing is left of any request. */
   async untilIdle (): Promise<void> {
     const isIdle = (): boolean => Object.values(this.entry.getFigures()).every(figure => figure === 0)
