Let the tests share what they repeat

Every test keeps its assertions; a silent connection is now also checked to go on with its session, as a cut one was.

--- a/tests/agent/gate_driver.ts
+++ b/tests/agent/gate_driver.ts
@@ -89,6 +89,15 @@
     this.apply({ kind: 'backend.progress', nowMs: this.nowMs, order: this.getOrder(attempt), text, tokens })
   }
 
+  /** Lets the attempts 1 and 2 generate a token in each of some steps of equal length. */
+  runSteps (steps: number, stepMs: number): void {
+    for (let step = 0; step < steps; step += 1) {
+      this.nowMs += stepMs
+      this.progress('1')
+      this.progress('2')
+    }
+  }
+
   finish (attempt: string, completion: types.Completion = { reason: 'stop' }): void {
     this.apply({ kind: 'backend.finished', nowMs: this.nowMs, order: this.getOrder(attempt), completion })
   }
--- a/tests/agent/gate_memory.test.ts
+++ b/tests/agent/gate_memory.test.ts
@@ -4,11 +4,15 @@
 
 const prefill = { role: 'prefill', slots: 4 } as const
 
-function runSteps (driver: drivers.GateDriver, steps: number, stepMs: number): void {
-  for (let step = 0; step < steps; step += 1) {
-    driver.nowMs += stepMs
-    driver.progress('1')
-    driver.progress('2')
+/** Starts five attempts after a history that used a tenth of the bound on the output. */
+function startAfterShortOutputs (driver: drivers.GateDriver): void {
+  for (let index = 0; index < 40; index += 1) {
+    driver.start(`warm-${index}`, { promptTokens: 100, maximumTokens: 400 })
+    driver.progress(`warm-${index}`, 'x', 40)
+    driver.finish(`warm-${index}`)
+  }
+  for (const attempt of ['1', '2', '3', '4', '5']) {
+    driver.start(attempt, { promptTokens: 100, maximumTokens: 400 })
   }
 }
 
@@ -32,28 +36,14 @@
 
     test.it('learns how much of the bound is used, and admits more', () => {
       const driver = new drivers.GateDriver({}, { slots: 20, memoryPieces: 10 })
-      for (let index = 0; index < 40; index += 1) {
-        driver.start(`warm-${index}`, { promptTokens: 100, maximumTokens: 400 })
-        driver.progress(`warm-${index}`, 'x', 40)
-        driver.finish(`warm-${index}`)
-      }
-      for (const attempt of ['1', '2', '3', '4', '5']) {
-        driver.start(attempt, { promptTokens: 100, maximumTokens: 400 })
-      }
+      startAfterShortOutputs(driver)
       assert.equal(driver.isLaunched('5'), true)
       assert.equal(driver.gate.figures.expected, 10)
     })
 
     test.it('never counts more than there is when outputs outgrow what was expected', () => {
       const driver = new drivers.GateDriver({}, { slots: 20, memoryPieces: 10 })
-      for (let index = 0; index < 40; index += 1) {
-        driver.start(`warm-${index}`, { promptTokens: 100, maximumTokens: 400 })
-        driver.progress(`warm-${index}`, 'x', 40)
-        driver.finish(`warm-${index}`)
-      }
-      for (const attempt of ['1', '2', '3', '4', '5']) {
-        driver.start(attempt, { promptTokens: 100, maximumTokens: 400 })
-      }
+      startAfterShortOutputs(driver)
       for (const attempt of ['1', '2', '3', '4', '5']) {
         driver.progress(attempt, 'x', 400)
         assert.ok(driver.gate.figures.held <= 10)
@@ -102,11 +92,7 @@
       const driver = new drivers.GateDriver({}, { slots: 3, betweenTokensTargetMs: 28 })
       driver.start('1', { maximumTokens: 1_000 })
       driver.start('2', { maximumTokens: 100 })
-      for (let step = 0; step < 30; step += 1) {
-        driver.nowMs += 40
-        driver.progress('1')
-        driver.progress('2')
-      }
+      driver.runSteps(30, 40)
       driver.finish('2')
       driver.start('3')
       assert.equal(driver.isLaunched('3'), false)
@@ -121,7 +107,7 @@
       driver.start('1', { maximumTokens: 1_000 })
       driver.start('2', { maximumTokens: 1_000 })
       const { reservation } = driver.offer('r-4', { expectedInMs: 1_000, holdMs: 5_000 })
-      runSteps(driver, 30, 40)
+      driver.runSteps(30, 40)
       driver.finish('2')
       assert.ok(driver.offer('r-3').waitMs > 0)
       driver.start('3')
@@ -133,8 +119,8 @@
       const driver = new drivers.GateDriver({}, { slots: 3, memoryPieces: 100, betweenTokensTargetMs: 28 })
       driver.start('1', { maximumTokens: 1_000 })
       driver.start('2', { maximumTokens: 1_000 })
-      runSteps(driver, 30, 25)
-      runSteps(driver, 1, 400)
+      driver.runSteps(30, 25)
+      driver.runSteps(1, 400)
       driver.finish('2')
       driver.start('3')
       assert.equal(driver.isLaunched('3'), true)
--- a/tests/agent/gate_queue.test.ts
+++ b/tests/agent/gate_queue.test.ts
@@ -70,11 +70,7 @@
       const driver = new drivers.GateDriver({}, { slots: 3, betweenTokensTargetMs: 28 })
       driver.start('1', { maximumTokens: 1_000 })
       driver.start('2', { maximumTokens: 100 })
-      for (let step = 0; step < 30; step += 1) {
-        driver.nowMs += 40
-        driver.progress('1')
-        driver.progress('2')
-      }
+      driver.runSteps(30, 40)
       driver.finish('2')
       assert.equal(drivers.getFailure(driver.start('3', { maximumWaitMs: 0 })).verdict, 'not_run')
       assert.deepEqual([driver.getFrames('3'), driver.gate.figures.unsettled], [[], 2])
--- /dev/null
+++ b/tests/allowances/promise_request.ts
@@ -0,0 +1,24 @@
+/**
+ * A keeper's request for a promise, for the tests of those who answer it.
+ */
+import * as succession from '../../src/allowances/succession.js'
+
+/** Creates the request of the holder `a` in term 1, with changes. */
+export function createRequest (change: Partial<succession.PromiseRequest> = {}): succession.PromiseRequest {
+  return {
+    shard: 0,
+    term: 1,
+    holder: 'a',
+    holderBoot: 'a-1',
+    forMs: 3000,
+    floors: [],
+    sequence: 0,
+    base: 0,
+    released: false,
+    revision: 0,
+    shareMs: 0,
+    echoMs: 0,
+    forgo: false,
+    ...change
+  }
+}
--- a/tests/allowances/shard.test.ts
+++ b/tests/allowances/shard.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as keepers from '../../src/allowances/keeper.js'
+import * as promiseRequests from './promise_request.js'
 import * as records from '../../src/allowances/record.js'
 import * as shards from '../../src/allowances/shard.js'
 import * as shardTypes from '../../src/allowances/shard_types.js'
@@ -26,21 +27,7 @@
   return new shards.Shard({ shard: 0, self: createVm(node), boot: `${node}-1`, succession: successions, timing }, startedMs)
 }
 
-const request = {
-  shard: 0,
-  term: 1,
-  holder: 'a',
-  holderBoot: 'a-1',
-  forMs: 3000,
-  floors: [],
-  sequence: 0,
-  base: 0,
-  released: false,
-  revision: 0,
-  shareMs: 0,
-  echoMs: 0,
-  forgo: false
-}
+const request = promiseRequests.createRequest()
 const entries = ['a', 'b', 'c'].map(createVm)
 
 /** Brings a successor to the point at which it writes its take-over. */
--- a/tests/allowances/share_parts.test.ts
+++ b/tests/allowances/share_parts.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as keepers from '../../src/allowances/keeper.js'
+import * as promiseRequests from './promise_request.js'
 import * as rights from '../../src/allowances/right.js'
 import * as shareParts from '../../src/allowances/share_parts.js'
 import * as shareUsers from '../../src/allowances/share_user.js'
@@ -65,10 +66,7 @@
 })
 
 test.describe('The share of a successor', () => {
-  const request = {
-    ...{ shard: 0, term: 1, holder: 'a', holderBoot: 'a-1', forMs: 3000, floors: [], sequence: 0, base: 0 },
-    ...{ released: false, revision: 5, shareMs: 20_000, echoMs: 3000, forgo: false, toBoot: 'b-1' }
-  }
+  const request = promiseRequests.createRequest({ revision: 5, shareMs: 20_000, echoMs: 3000, toBoot: 'b-1' })
   const floor = { workspace: 'w', tokens: 400 }
 
   function createSuccessor (): succession.Succession {
--- a/tests/allowances/succession.test.ts
+++ b/tests/allowances/succession.test.ts
@@ -1,30 +1,12 @@
 import * as assert from 'node:assert/strict'
 import * as fleets from './fleet.js'
+import * as promiseRequests from './promise_request.js'
 import * as succession from '../../src/allowances/succession.js'
 import * as test from 'node:test'
 import * as timings from '../../src/allowances/timing.js'
 
 const timing = { ...timings.defaultTiming, clockDrift: 0 }
 
-function createRequest (change: Partial<succession.PromiseRequest> = {}): succession.PromiseRequest {
-  return {
-    shard: 0,
-    term: 1,
-    holder: 'a',
-    holderBoot: 'a-1',
-    forMs: 3000,
-    floors: [],
-    sequence: 0,
-    base: 0,
-    released: false,
-    revision: 0,
-    shareMs: 0,
-    echoMs: 0,
-    forgo: false,
-    ...change
-  }
-}
-
 async function createFleet (): Promise<fleets.Fleet> {
   const fleet = new fleets.Fleet()
   fleet.addWorkspace('w', 10, 10_000)
@@ -49,17 +31,17 @@
 test.describe('Succession', () => {
   test.it('keeps a promise, counted from its receipt', () => {
     const successor = new succession.Succession('b-1', 0, timing)
-    assert.equal(successor.answer(createRequest(), 5000, true).promised, true)
+    assert.equal(successor.answer(promiseRequests.createRequest(), 5000, true).promised, true)
     assert.equal(successor.getPromisedUntilMs(0), 8000)
   })
 
   test.it('promises nothing while it takes over, nor to an earlier term, nor after the release', () => {
     const successor = new succession.Succession('b-1', 0, timing)
-    assert.equal(successor.answer(createRequest(), 5000, false).promised, false)
-    successor.answer(createRequest({ term: 3, released: true }), 5000, true)
-    assert.equal(successor.answer(createRequest({ term: 2 }), 5000, true).promised, false)
-    assert.equal(successor.answer(createRequest({ term: 3 }), 5000, true).promised, false)
-    assert.equal(successor.answer(createRequest({ term: 4 }), 5000, true).promised, true)
+    assert.equal(successor.answer(promiseRequests.createRequest(), 5000, false).promised, false)
+    successor.answer(promiseRequests.createRequest({ term: 3, released: true }), 5000, true)
+    assert.equal(successor.answer(promiseRequests.createRequest({ term: 2 }), 5000, true).promised, false)
+    assert.equal(successor.answer(promiseRequests.createRequest({ term: 3 }), 5000, true).promised, false)
+    assert.equal(successor.answer(promiseRequests.createRequest({ term: 4 }), 5000, true).promised, true)
   })
 
   test.it('keeps the promises that an earlier process of the VM may have given', () => {
@@ -71,7 +53,7 @@
 
     test.it('belong to one term and one boot', () => {
       const successor = new succession.Succession('b-2', 0, timing)
-      const late = createRequest({ sequence: 1, floors: [floor], toBoot: 'b-1' })
+      const late = promiseRequests.createRequest({ sequence: 1, floors: [floor], toBoot: 'b-1' })
       assert.equal(successor.answer(late, 0, true).promised, false)
       assert.equal(successor.getInheritance(0, 1).isComplete, false)
       successor.answer({ ...late, toBoot: 'b-2' }, 0, true)
@@ -81,9 +63,9 @@
 
     test.it('are not replaced by older ones, nor changed by a difference to others', () => {
       const successor = new succession.Succession('b-1', 0, timing)
-      successor.answer(createRequest({ sequence: 2, floors: [floor] }), 0, true)
-      successor.answer(createRequest({ sequence: 1, floors: [{ ...floor, tokens: 90 }] }), 0, true)
-      const answer = successor.answer(createRequest({ sequence: 5, base: 4, floors: [{ ...floor, tokens: 80 }] }), 0, true)
+      successor.answer(promiseRequests.createRequest({ sequence: 2, floors: [floor] }), 0, true)
+      successor.answer(promiseRequests.createRequest({ sequence: 1, floors: [{ ...floor, tokens: 90 }] }), 0, true)
+      const answer = successor.answer(promiseRequests.createRequest({ sequence: 5, base: 4, floors: [{ ...floor, tokens: 80 }] }), 0, true)
       assert.equal(answer.sequence, 2)
       assert.equal(successor.getInheritance(0, 1).floors.get('w'), 50)
     })
--- a/tests/entry/calls.test.ts
+++ b/tests/entry/calls.test.ts
@@ -28,6 +28,18 @@
 
   const booking = { path: '/bookings', body: '{"slot":1}' }
 
+  /** Loses the answer of a start and all cancels: the call must be started once, with an unknown outcome. */
+  async function checkUnknownOutcome (): Promise<void> {
+    world.setScript('service', () => {})
+    world.lose('service', 'work.start', 'answer')
+    world.lose('service', 'work.cancel', 'call')
+    const answered = fixture.send(booking)
+    await fixture.until(() => world.listAgents('service').some(agent => agent.listParams('work.cancel').length > 0))
+    await world.clock.advance(2100)
+    assert.equal(fixtures.readFailure(await answered)[2], 'may_have_run')
+    assert.equal(world.listStarts('service').length, 1)
+  }
+
   test.describe('what passes', () => {
     test.it('holds no key, cookie or hop-by-hop header, and the entry\'s request id', async () => {
       const headers = {
@@ -108,16 +120,7 @@
       assert.deepEqual(boots.sort(), ['boot1', 'boot2'])
     })
 
-    test.it('are not tried elsewhere when the agent cannot be asked', async () => {
-      world.setScript('service', () => {})
-      world.lose('service', 'work.start', 'answer')
-      world.lose('service', 'work.cancel', 'call')
-      const answered = fixture.send(booking)
-      await fixture.until(() => world.listAgents('service').some(agent => agent.listParams('work.cancel').length > 0))
-      await world.clock.advance(2100)
-      assert.equal(fixtures.readFailure(await answered)[2], 'may_have_run')
-      assert.equal(world.listStarts('service').length, 1)
-    })
+    test.it('are not tried elsewhere when the agent cannot be asked', checkUnknownOutcome)
 
     test.it('are offered when half of the slots were in use', async () => {
       const load = { ...fakes.createLoad(), running: 10 }
@@ -149,16 +152,7 @@
       assert.deepEqual(agent.notices[0], { name: 'work.acknowledge', notice })
     })
 
-    test.it('are not tried again when the agent cannot be asked', async () => {
-      world.setScript('service', () => {})
-      world.lose('service', 'work.start', 'answer')
-      world.lose('service', 'work.cancel', 'call')
-      const answered = fixture.send(booking)
-      await fixture.until(() => world.listAgents('service').some(agent => agent.listParams('work.cancel').length > 0))
-      await world.clock.advance(2100)
-      assert.equal(fixtures.readFailure(await answered)[2], 'may_have_run')
-      assert.equal(world.listStarts('service').length, 1)
-    })
+    test.it('are not tried again when the agent cannot be asked', checkUnknownOutcome)
 
     test.it('go on when they have started, though the start\'s answer was lost', async () => {
       world.lose('service', 'work.start', 'answer')
--- a/tests/links/links.test.ts
+++ b/tests/links/links.test.ts
@@ -212,6 +212,18 @@
   return { link: pool.get(await forwarder.listen()), linkWatch, sessionWatch, forwarder, close }
 }
 
+/** Breaks a connection with work under way: another must replace it, and the session go on. */
+async function checkReplaced (breakOff: (forwarder: Forwarder) => void): Promise<void> {
+  const ends = await connect()
+  ends.link.hold()
+  await ends.link.call('status.read', {}, callTimeoutMs)
+  breakOff(ends.forwarder)
+  await ends.linkWatch.until(() => ends.linkWatch.openings.length === 2)
+  ends.close()
+  assert.deepEqual(ends.linkWatch.openings, [false, true])
+  assert.equal(ends.sessionWatch.sessions.length, 1)
+}
+
 test.describe('Link', () => {
   test.describe('call', () => {
     test.it('returns the answer of the other end', async () => {
@@ -261,26 +273,13 @@
 
   test.describe('a cut connection', () => {
     test.it('is replaced while work is under way, and the session goes on', async () => {
-      const ends = await connect()
-      ends.link.hold()
-      await ends.link.call('status.read', {}, callTimeoutMs)
-      ends.forwarder.cut()
-      await ends.linkWatch.until(() => ends.linkWatch.openings.length === 2)
-      ends.close()
-      assert.deepEqual(ends.linkWatch.openings, [false, true])
-      assert.equal(ends.sessionWatch.sessions.length, 1)
+      await checkReplaced(forwarder => forwarder.cut())
     })
   })
 
   test.describe('a silent connection', () => {
     test.it('is replaced while work is under way, and the session goes on', async () => {
-      const ends = await connect()
-      ends.link.hold()
-      await ends.link.call('status.read', {}, callTimeoutMs)
-      ends.forwarder.silence()
-      await ends.linkWatch.until(() => ends.linkWatch.openings.length === 2)
-      ends.close()
-      assert.deepEqual(ends.linkWatch.openings, [false, true])
+      await checkReplaced(forwarder => forwarder.silence())
     })
   })
 
