Take out what nothing calls, and compute nothing that is not used

Cause: read once more as a whole. The overload signal set its own timer beside Clock.every and had a stop that nothing called. The client of the allowances asked the same two questions in two places. The time of a prompt on an idle server was worked out in four places. An offer that asks for no room had the shares of all workspaces counted, and one that gets room had a second wait predicted; neither was used.

Change: the methods are gone; Clock.every, KeeperHost.isDecider and planner.getUnloadedMs serve instead; the two computations are left out where their result is not used. bench/overload has the signals and rates of both tables in docs/DECISIONS.md again; it was not run again. Behaviour is as before.

--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -15,10 +15,10 @@
 const signals = {
   inFlight: {},
   inFlightLow: { requestsInFlight: 250 },
-  loopDelay15: { loopDelayMs: 15 },
+  loopDelay10: { loopDelayMs: 10 },
   loopDelay30: { loopDelayMs: 30 }
 } as const
-const requestsPerSecond = [350, 500, 700, 900]
+const requestsPerSecond = [150, 250, 350, 500, 700, 900]
 const callerProcesses = 4
 const seconds = 6
 const workspace = 'bench'
--- a/src/agent/attempt.ts
+++ b/src/agent/attempt.ts
@@ -85,10 +85,6 @@
     this.session = arrival.session
     this.task = arrival.task
   }
-
-  get isEnded (): boolean {
-    return this.state === 'finished' || this.state === 'cancelled'
-  }
 }
 
 /** Returns a text that identifies one attempt at one request. */
--- a/src/agent/fair_queue.ts
+++ b/src/agent/fair_queue.ts
@@ -52,11 +52,6 @@
     return this.total
   }
 
-  /** Workspaces that the queue remembers. */
-  get laneCount (): number {
-    return this.lanes.size
-  }
-
   add (item: Item): void {
     const lane = this.getLane(item)
     if (lane.items.size === 0) {
--- a/src/agent/promises.ts
+++ b/src/agent/promises.ts
@@ -19,6 +19,9 @@
   readonly fairMs: number
 }
 
+/** Bounds of an offer that asks for no room: no wait is short enough. */
+const noBounds: Bounds = { longestMs: -1, fairMs: -1 }
+
 export class Promises {
   private lastReservation = 0
 
@@ -84,7 +87,10 @@
   /** Returns how long an offer may wait for room that is kept; an offer that only asks gets none. */
   private getBounds ({ params }: OfferCall): Bounds {
     const { holdMs, workspace, weight } = params
-    const longestMs = holdMs === undefined ? -1 : params.maximumWaitMs ?? holdMs
+    if (holdMs === undefined) {
+      return noBounds
+    }
+    const longestMs = params.maximumWaitMs ?? holdMs
     const waitShare = weight === undefined ? 1 : this.parts.scheduler.waits.getWaitShare(workspace, weight)
     return { longestMs, fairMs: longestMs * waitShare }
   }
@@ -113,9 +119,9 @@
   /** Predicts the wait from the expected arrival on: in the queue, or for room that is free of promises. */
   private predictWaitMs ({ params, nowMs }: OfferCall, demand: attempts.Demand): number {
     const { scheduler } = this.parts
-    const queuedMs = scheduler.waits.predictWaitMs(demand, params.workspace, undefined, nowMs)
     const roomMs = params.holdMs === undefined ? undefined : scheduler.waits.predictRoomMs(demand, params.expectedInMs, nowMs)
-    return Math.max(0, (roomMs ?? queuedMs) - params.expectedInMs)
+    const readyMs = roomMs ?? scheduler.waits.predictWaitMs(demand, params.workspace, undefined, nowMs)
+    return Math.max(0, readyMs - params.expectedInMs)
   }
 
   /** A repeated offer replaces the earlier one, whose answer may have been lost. */
--- a/src/allowances/client.ts
+++ b/src/allowances/client.ts
@@ -77,7 +77,7 @@
       return undefined
     }
     const request = { charge: charge.id, workspace: charge.workspace, shard, tokens: charge.tokens }
-    if (keepers.isKeeper(shard) || keepers.isDeciding(shard)) {
+    if (keepers.isDecider(shard)) {
       return { answer: keepers.answerCharge(request), from: undefined }
     }
     const members = keepers.listDeciders(shard)
@@ -165,7 +165,7 @@
       return false
     }
     const settlement = { charge: charge.id, workspace: charge.workspace, shard, usedTokens }
-    if (keepers.isKeeper(shard) || keepers.isDeciding(shard)) {
+    if (keepers.isDecider(shard)) {
       keepers.answerSettlement(settlement)
       return true
     }
--- a/src/allowances/keeper_host.ts
+++ b/src/allowances/keeper_host.ts
@@ -130,9 +130,9 @@
     return this.shards[shard]?.getStartMs(this.context.clock.monotonicMs()) !== undefined
   }
 
-  /** Whether this process decides charges of the shard now, as its keeper or with its share. */
-  isDeciding (shard: number): boolean {
-    return this.shards[shard]?.isDeciding(this.context.clock.monotonicMs()) ?? false
+  /** Whether charges of the shard are answered here: by its keeper, if only about to decide, or with a share. */
+  isDecider (shard: number): boolean {
+    return this.isKeeper(shard) || (this.shards[shard]?.isDeciding(this.context.clock.monotonicMs()) ?? false)
   }
 
   /** Returns who may decide charges of a shard, the keeper first, as far as this process knows. */
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -49,10 +49,6 @@
     return this.values[name] ?? ''
   }
 
-  findArgument (name: string): string | undefined {
-    return this.values[name]
-  }
-
   getText (name: string): string | undefined {
     const value = this.options[name]
     return typeof value === 'string' ? value : undefined
--- a/src/configuration/replica_decisions.ts
+++ b/src/configuration/replica_decisions.ts
@@ -79,11 +79,6 @@
     return this.ready
   }
 
-  /** Highest version that anybody is known to have. */
-  get highestVersion (): number {
-    return Math.max(this.highest, this.version)
-  }
-
   decide (event: ReplicaEvent, nowMs: number): readonly ReplicaAction[] {
     const actions: ReplicaAction[] = []
     this.take(event, nowMs, actions)
--- a/src/entry/overload.ts
+++ b/src/entry/overload.ts
@@ -26,33 +26,27 @@
   }
 }
 
-/** Measures how late the event loop runs a periodic timer, smoothed over some tens of periods. */
+/** Measures how late the event loop runs a periodic timer, smoothed over some periods, until the process ends. */
 export class LoopDelaySignal extends OverloadSignal {
   private delayMs = 0
   private dueMs: number
-  private stopTimer: host.Stop
 
   /** `limitMs` is the smoothed delay from which on the process is overloaded, in milliseconds. */
   constructor (private readonly limitMs: number, private readonly clock: host.Clock) {
     super()
     this.dueMs = clock.monotonicMs() + periodMs
-    this.stopTimer = clock.after(periodMs, () => this.measure())
+    clock.every(periodMs, () => this.measure())
   }
 
   override isOverloaded (): boolean {
     return this.delayMs >= this.limitMs
   }
 
-  stop (): void {
-    this.stopTimer()
-  }
-
   private measure (): void {
     const nowMs = this.clock.monotonicMs()
     const lateMs = Math.max(0, nowMs - this.dueMs)
     this.delayMs += (lateMs - this.delayMs) * newestWeight
     this.dueMs = nowMs + periodMs
-    this.stopTimer = this.clock.after(periodMs, () => this.measure())
   }
 }
 
@@ -67,7 +61,7 @@
   }
 }
 
-/** Creates the signal that the limits ask for; it measures until the process ends. */
+/** Creates the signal that the limits ask for. */
 export function createOverloadSignal (limits: settings.Limits, clock: host.Clock): OverloadSignal {
   const inFlight = new InFlightSignal(limits.requestsInFlight)
   if (limits.loopDelayMs === 0) {
--- a/src/entry/pairing.ts
+++ b/src/entry/pairing.ts
@@ -169,7 +169,7 @@
 
   /** Returns how much later than expected the decode may start for the first token to be in time. */
   private getSlackMs (server: configuration.Server, expectedMs: number): number {
-    const unloadedMs = this.need.promptTokens / server.prefillTokensPerSecond * 1000
+    const unloadedMs = planner.getUnloadedMs(server, this.need.promptTokens)
     const dueMs = planner.getFirstTokenDeadlineMs(this.job.model.firstTokenTargetMs, unloadedMs)
     const elapsedMs = this.nowMs - this.job.receivedAtMs
     const leftMs = dueMs - elapsedMs - expectedMs - this.job.model.betweenTokensTargetMs - reserveMs
@@ -230,7 +230,7 @@
     if (!this.policy.refusesLate) {
       return undefined
     }
-    const unloadedMs = this.need.promptTokens / prefill.candidate.server.prefillTokensPerSecond * 1000 + transferMs
+    const unloadedMs = planner.getUnloadedMs(prefill.candidate.server, this.need.promptTokens) + transferMs
     return planner.checkAdmission({
       prefillWaitMs: prefill.answer.waitMs,
       prefillServiceMs: prefill.answer.serviceMs,
--- a/src/entry/passage.ts
+++ b/src/entry/passage.ts
@@ -288,7 +288,7 @@
 
   private getPrefillWaitMs (pair: pairings.Pair): number {
     const { answer, candidate } = pair.prefill
-    const unloadedMs = this.job.generation.promptTokens / candidate.server.prefillTokensPerSecond * 1000 + pair.transferMs
+    const unloadedMs = planner.getUnloadedMs(candidate.server, this.job.generation.promptTokens) + pair.transferMs
     const dueMs = planner.getFirstTokenDeadlineMs(this.job.model.firstTokenTargetMs, unloadedMs)
     const leftMs = dueMs - (this.nowMs - this.job.receivedAtMs)
     return Math.max(answer.waitMs, leftMs - answer.serviceMs - pair.transferMs)
--- a/src/entry/planner.ts
+++ b/src/entry/planner.ts
@@ -56,6 +56,11 @@
 /** Cost for each piece of memory that is missing, in milliseconds. */
 const missingPieceMs = 50
 
+/** Returns the time that a prompt takes on an idle server, in milliseconds. */
+export function getUnloadedMs (server: configuration.Server, promptTokens: number): number {
+  return promptTokens / server.prefillTokensPerSecond * 1000
+}
+
 /** Ranks prefill servers by wait, service and zone; a cached prefix counts up to the bounded detour. */
 export function rankPrefills (
   picture: pictures.Picture, standings: ReadonlyMap<string, pictures.Standing>, need: Need, place: Place
@@ -66,7 +71,7 @@
     const cached = picture.countPrefixes(name, need.prefixes) * need.model.pieceTokens
     const savedMs = Math.min(cached, need.promptTokens) / rate * 1000
     const waitMs = pendingPromptTokens / rate * 1000
-    const fullMs = need.promptTokens / rate * 1000
+    const fullMs = getUnloadedMs(server, need.promptTokens)
     const wayMs = getZoneCost(server, place)
     const costMs = waitMs + fullMs - Math.min(savedMs, maximumDetourMs) + wayMs
     candidates.push({ name, server, costMs, wayMs, waitMs, serviceMs: fullMs - savedMs })
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -48,10 +48,6 @@
     return { host: address.host, port: (this.server.address() as net.AddressInfo).port }
   }
 
-  listSessions (): readonly types.Session[] {
-    return this.sessions.list()
-  }
-
   close (): void {
     this.sessions.close()
     for (const socket of this.sockets.clients) {
--- a/src/links/sessions.ts
+++ b/src/links/sessions.ts
@@ -72,10 +72,6 @@
     this.stopChecks = this.clock.every(this.leaseMs / leaseChecksPerLease, () => this.checkLeases())
   }
 
-  list (): readonly types.Session[] {
-    return [...this.sessions.values()]
-  }
-
   close (): void {
     this.stopChecks()
     for (const session of this.sessions.values()) {
--- a/src/machines/directory.ts
+++ b/src/machines/directory.ts
@@ -45,16 +45,6 @@
     return entries
   }
 
-  /** Tells whether the list names a VM as leaving. */
-  isListedLeaving (node: string): boolean {
-    for (const machine of this.machines) {
-      if (machine.id === node) {
-        return machine.state === 'leaving'
-      }
-    }
-    return false
-  }
-
   /** Reads the list once and then every `periodMs` milliseconds. */
   async start (periodMs: number): Promise<void> {
     this.stopReading = this.system.clock.every(periodMs, () => this.refresh())
--- a/src/metrics/prometheus_meter.ts
+++ b/src/metrics/prometheus_meter.ts
@@ -63,15 +63,6 @@
     found.histogram.recordValue(Math.max(0, Math.round(value * histogramScale)))
   }
 
-  /** Returns the value of a quantile in [0, 1], in the histogram's unit, over all label sets. */
-  getQuantile (name: catalog.HistogramName, quantile: number): number {
-    const merged = createHistogram()
-    for (const { histogram } of this.histograms.get(name)?.values() ?? []) {
-      merged.add(histogram)
-    }
-    return merged.getValueAtPercentile(quantile * 100) / histogramScale
-  }
-
   /** Returns everything as Prometheus text. */
   render (): Promise<string> {
     return this.registry.metrics()
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -66,10 +66,6 @@
     return getOrThrow(this.processes.get(id), id)
   }
 
-  getEntry (name: string): fleetNodes.EntryNode {
-    return getOrThrow(this.entries.find(entry => entry.vm.name === name), name)
-  }
-
   getServer (name: string): fleetNodes.ServerNode {
     return getOrThrow(this.servers.find(server => server.vm.name === name), name)
   }
@@ -104,10 +100,6 @@
     await this.machines.send('PUT', `/vms/${name}`, machine)
   }
 
-  async unlistVm (name: string): Promise<void> {
-    await this.machines.send('DELETE', `/vms/${name}`, {})
-  }
-
   /** Waits until every daemon answers on the path of its health listener. */
   async waitForDaemons (check: 'healthz' | 'readyz', deadlineMs: number): Promise<void> {
     const daemons = [...this.entries, ...this.servers].map(node => node.process.id)
--- a/tools/fleet_process.ts
+++ b/tools/fleet_process.ts
@@ -58,11 +58,6 @@
     })
   }
 
-  /** Resolves when the process has ended. */
-  waitForEnd (): Promise<void> {
-    return this.ended
-  }
-
   /** Ends the process at once, also when it is frozen. */
   kill (): Promise<void> {
     this.child?.kill('SIGKILL')
