--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 const importedByName = 'ImportDeclaration:not([specifiers.length=0]):not(:has(ImportNamespaceSpecifier))'
 
 export default [
-  ...neostandard.default({ ts: true, ignores: ['dist/**', 'node_modules/**', 'models/build/**'] }),
+  ...neostandard.default({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'models/build/**'] }),
   {
     rules: {
       'no-redeclare': 'off',
--- a/src/contracts/diagnostics.ts
+++ b/src/contracts/diagnostics.ts
@@ -31,6 +31,7 @@
   body_too_large: row('caller', 413, 'The body exceeds the limit of {0} bytes.'),
   body_too_slow: row('caller', 408, 'The body did not arrive within {0} ms.'),
   headers_invalid: row('caller', 400, 'The headers are not acceptable: {0}.'),
+  headers_too_large: row('caller', 431, 'The head of the request exceeds the limit of {0} bytes.'),
   model_unknown: row('caller', 404, 'The model "{0}" does not exist.'),
   route_unknown: row('caller', 404, 'There is no route for {0} {1}.'),
   method_not_allowed: row('caller', 405, 'The method {0} is not allowed on {1}.'),
--- /dev/null
+++ b/src/gateway/allowance_share.ts
@@ -0,0 +1,133 @@
+/**
+ * Allowances of workspaces over all gateways, without a call for a request.
+ *
+ * Every gateway keeps a bucket for each workspace and tells the others the total that it has admitted. A gateway
+ * that is not heard is assumed to use its even share of the rate, so that gateways that are cut off from each
+ * other stay within the allowance together.
+ */
+import * as routing from '../contracts/routing.js'
+
+/** Silence after which a gateway's use is assumed instead of heard, in milliseconds; a few missed exchanges. */
+const silenceMs = 700
+
+interface Bucket {
+  level: number
+  updatedMs: number
+  admitted: number
+}
+
+interface Peer {
+  boot: string
+  heardMs: number
+  readonly admitted: Map<string, number>
+}
+
+export type AllowanceVerdict =
+  | { readonly kind: 'admitted' }
+  | { readonly kind: 'refused', readonly retryAfterMs: number }
+
+export class AllowanceShare {
+  private readonly buckets = new Map<string, Bucket>()
+  private readonly peers = new Map<string, Peer>()
+
+  /** Returns what a request counts for in its workspace's unit. */
+  static measure (workspace: routing.RoutedWorkspace, tokens: number | undefined): number {
+    return workspace.unit === 'requests' ? 1 : tokens ?? workspace.plainTokens
+  }
+
+  /** Names the other gateways of the deployment; state of all others is dropped. */
+  setPeers (names: readonly string[], nowMs: number): void {
+    for (const name of this.peers.keys()) {
+      if (!names.includes(name)) {
+        this.peers.delete(name)
+      }
+    }
+    for (const name of names) {
+      if (!this.peers.has(name)) {
+        this.peers.set(name, { boot: '', heardMs: nowMs, admitted: new Map() })
+      }
+    }
+  }
+
+  /** Takes in the totals that another gateway has admitted in this life. */
+  hear (name: string, boot: string, admitted: Readonly<Record<string, number>>, nowMs: number): void {
+    const peer = this.peers.get(name) ?? { boot, heardMs: nowMs, admitted: new Map<string, number>() }
+    this.peers.set(name, peer)
+    const isFirst = peer.boot === ''
+    if (peer.boot !== boot) {
+      peer.boot = boot
+      peer.admitted.clear()
+    }
+    peer.heardMs = nowMs
+    for (const [workspace, total] of Object.entries(admitted)) {
+      const before = peer.admitted.get(workspace)
+      peer.admitted.set(workspace, total)
+      const bucket = this.buckets.get(workspace)
+      // What a gateway admitted before it was first heard is not known to fall into the current window.
+      if (bucket !== undefined && !(isFirst && before === undefined)) {
+        bucket.level -= Math.max(0, total - (before ?? 0))
+      }
+    }
+  }
+
+  /** Charges a request, or tells when the workspace may come back. */
+  charge (workspace: routing.RoutedWorkspace, units: number, nowMs: number): AllowanceVerdict {
+    if (workspace.rate <= 0) {
+      return { kind: 'admitted' }
+    }
+    const bucket = this.refill(workspace, nowMs)
+    // A request above the burst is let in from a full bucket and leaves a debt.
+    const needed = Math.min(units, workspace.burst)
+    if (bucket.level < needed) {
+      const missing = needed - bucket.level
+      return { kind: 'refused', retryAfterMs: Math.ceil(missing / workspace.rate * 1000) }
+    }
+    bucket.level -= units
+    bucket.admitted += units
+    return { kind: 'admitted' }
+  }
+
+  /** Gives back what was charged for a request that never ran. */
+  refund (workspace: string, units: number): void {
+    const bucket = this.buckets.get(workspace)
+    if (bucket !== undefined) {
+      bucket.level += units
+      bucket.admitted -= units
+    }
+  }
+
+  /** Returns the totals that this gateway has admitted in this life. */
+  listAdmitted (): Record<string, number> {
+    const admitted: Record<string, number> = {}
+    for (const [workspace, bucket] of this.buckets) {
+      admitted[workspace] = Math.round(bucket.admitted)
+    }
+    return admitted
+  }
+
+  private refill (workspace: routing.RoutedWorkspace, nowMs: number): Bucket {
+    const gateways = this.peers.size + 1
+    const found = this.buckets.get(workspace.name)
+    if (found === undefined) {
+      // A gateway that has just started does not know what was used before: it begins with its part of the burst.
+      const created = { level: workspace.burst / gateways, updatedMs: nowMs, admitted: 0 }
+      this.buckets.set(workspace.name, created)
+      return created
+    }
+    const elapsedMs = Math.max(0, nowMs - found.updatedMs)
+    found.updatedMs = nowMs
+    const heard = gateways - this.countSilent(nowMs)
+    found.level = Math.min(workspace.burst, found.level + elapsedMs / 1000 * workspace.rate * heard / gateways)
+    return found
+  }
+
+  private countSilent (nowMs: number): number {
+    let silent = 0
+    for (const peer of this.peers.values()) {
+      if (nowMs - peer.heardMs > silenceMs) {
+        silent += 1
+      }
+    }
+    return silent
+  }
+}
--- /dev/null
+++ b/src/gateway/caller_reply.ts
@@ -0,0 +1,110 @@
+/**
+ * The answer to a caller: the server's bytes, or a failure of the gateway's own.
+ */
+import type * as buffer from 'node:buffer'
+import type * as http from 'node:http'
+import * as diagnostics from '../contracts/diagnostics.js'
+import * as failures from '../contracts/failure.js'
+import * as types from './types.js'
+
+/** Bytes that may wait for a caller that does not read before the server is paused. */
+const waitingBytes = 131_072
+
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
+const badGateway = 502
+
+export class CallerReply {
+  readonly gone = new AbortController()
+  private isDone = false
+
+  constructor (
+    private readonly response: http.ServerResponse,
+    private readonly dialect: types.Dialect,
+    private readonly arrival: types.Arrival | undefined,
+    private readonly mayStay: () => boolean
+  ) {
+    response.on('close', () => {
+      if (!this.isDone) {
+        this.gone.abort()
+      }
+    })
+    response.on('error', () => {})
+  }
+
+  get isGone (): boolean {
+    return this.gone.signal.aborted
+  }
+
+  get hasStarted (): boolean {
+    return this.response.headersSent
+  }
+
+  /** Starts the server's answer. */
+  start (status: number, rawHeaders: readonly string[]): void {
+    if (!this.isGone) {
+      this.response.writeHead(status, this.withConnection(this.dialect.selectReturned(rawHeaders)))
+      this.response.flushHeaders()
+    }
+  }
+
+  /** Returns false when the caller reads too slowly. */
+  write (chunk: buffer.Buffer): boolean {
+    if (this.isGone) {
+      return true
+    }
+    this.response.write(chunk)
+    return this.response.writableLength < waitingBytes
+  }
+
+  /** Calls back once when the caller has read what waits. */
+  whenDrained (action: () => void): void {
+    this.response.once('drain', action)
+  }
+
+  end (): void {
+    this.isDone = true
+    this.response.end()
+  }
+
+  /** Gives the server's whole answer. */
+  answer (status: number, rawHeaders: readonly string[], body: buffer.Buffer): void {
+    if (this.isGone) {
+      return
+    }
+    this.start(status, rawHeaders)
+    this.isDone = true
+    this.response.end(body)
+  }
+
+  /** Breaks an answer off, so that it cannot pass for a whole one. */
+  abort (): void {
+    this.isDone = true
+    this.response.destroy()
+  }
+
+  /**
+   * Ends the request with a failure of the gateway's own. A status that promises that the request has not run is
+   * given only with the verdict `not_run`.
+   */
+  fail (failure: failures.Failure): number {
+    const stated = diagnostics.diagnostics[failure.code].status
+    const status = notRunStatuses.has(stated) && failure.verdict !== 'not_run' ? badGateway : stated
+    if (this.isGone || this.isDone) {
+      return status
+    }
+    if (this.response.headersSent) {
+      this.abort()
+      return status
+    }
+    const body = JSON.stringify({ error: { code: failure.code, message: failure.message, verdict: failure.verdict } })
+    const headers = [...this.dialect.writeFailure(this.arrival, failure.retryAfterMs), 'Content-Length', String(Buffer.byteLength(body))]
+    this.response.writeHead(status, this.withConnection(headers))
+    this.isDone = true
+    this.response.end(body)
+    return status
+  }
+
+  private withConnection (rawHeaders: readonly string[]): string[] {
+    return this.mayStay() ? [...rawHeaders] : [...rawHeaders, 'Connection', 'close']
+  }
+}
--- /dev/null
+++ b/src/gateway/connection.ts
@@ -0,0 +1,187 @@
+/**
+ * One connection to a server, over which requests go one after another.
+ */
+import type * as net from 'node:net'
+import * as buffer from 'node:buffer'
+import * as undici from 'undici'
+import * as types from './types.js'
+
+/** Longest time to open a connection, in milliseconds: several round trips between zones and one lost packet. */
+const connectTimeoutMs = 450
+/** Idle time after which a connection is closed where the server names none, in milliseconds. */
+const standardIdleMs = 30_000
+/** Time by which a connection is closed before the server would, in milliseconds. */
+const idleMarginMs = 500
+/** Longest time that a server's hint is followed, in milliseconds. */
+const longestIdleMs = 600_000
+/** Largest head of a server's answer, in bytes. */
+const answerHeadBytes = 65_536
+
+/** `unsent`: no byte of the request left; `lost`: the server may have run it. */
+export type TransportFailure = { readonly kind: 'unsent' | 'lost', readonly reason: string }
+
+/** Follows one answer. Exactly one of `ended` and `failed` is called, last. */
+export abstract class AnswerObserver {
+  abstract started (status: number, rawHeaders: readonly string[]): void
+  abstract received (chunk: buffer.Buffer): void
+  /** `isClean` tells whether the connection may be used again. */
+  abstract ended (isClean: boolean): void
+  abstract failed (failure: TransportFailure): void
+}
+
+/** A send under way. */
+export interface Sending {
+  /** Closes the connection, so that the server drops the request. */
+  abort (): void
+  pause (): void
+  resume (): void
+}
+
+export class ServerConnection {
+  lastUsedMs = 0
+  isBroken = false
+  private readonly client: undici.Client
+  private wasReset = false
+
+  constructor (address: string) {
+    const connect = undici.buildConnector({ timeout: connectTimeoutMs, keepAlive: true })
+    this.client = new undici.Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: standardIdleMs,
+      keepAliveTimeoutThreshold: idleMarginMs,
+      keepAliveMaxTimeout: longestIdleMs,
+      maxHeaderSize: answerHeadBytes,
+      connect: (options, callback) => {
+        connect(options, (error, socket) => {
+          if (error !== null) {
+            callback(error, null)
+            return
+          }
+          this.watch(socket)
+          callback(null, socket)
+        })
+      }
+    })
+    this.client.on('disconnect', () => {
+      this.isBroken = true
+    })
+  }
+
+  send (request: types.OutgoingRequest, observer: AnswerObserver): Sending {
+    const handler = new AnswerHandler(observer, () => this.wasReset)
+    this.client.dispatch({
+      method: request.method as undici.Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers as string[],
+      body: request.body ?? null
+    }, handler)
+    return {
+      abort: () => {
+        this.isBroken = true
+        handler.abort()
+        this.close()
+      },
+      pause: () => handler.pause(),
+      resume: () => handler.resume()
+    }
+  }
+
+  close (): void {
+    this.isBroken = true
+    this.client.destroy().catch(() => {})
+  }
+
+  /** Learns of resets before the HTTP client, which takes a reset for the end of an answer without a length. */
+  private watch (socket: net.Socket): void {
+    socket.on('error', () => {
+      this.wasReset = true
+      this.isBroken = true
+    })
+    socket.on('end', () => {
+      this.isBroken = true
+    })
+  }
+}
+
+class AnswerHandler implements undici.Dispatcher.DispatchHandler {
+  private controller: undici.Dispatcher.DispatchController | undefined
+  private isAborted = false
+  private isDone = false
+  private hasFraming = false
+  private mayStay = true
+
+  constructor (private readonly observer: AnswerObserver, private readonly wasReset: () => boolean) {}
+
+  abort (): void {
+    this.isAborted = true
+    this.controller?.abort(new Error('aborted'))
+  }
+
+  pause (): void {
+    this.controller?.pause()
+  }
+
+  resume (): void {
+    this.controller?.resume()
+  }
+
+  onRequestStart (controller: undici.Dispatcher.DispatchController): void {
+    this.controller = controller
+    if (this.isAborted) {
+      controller.abort(new Error('aborted'))
+    }
+  }
+
+  onResponseStart (controller: undici.Dispatcher.DispatchController, status: number): void {
+    if (status < 200) {
+      return
+    }
+    const rawHeaders = decodeHeaders(controller.rawHeaders)
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+      const name = (rawHeaders[index] as string).toLowerCase()
+      if (name === 'content-length' || name === 'transfer-encoding') {
+        this.hasFraming = true
+      }
+      if (name === 'connection' && /close/i.test(rawHeaders[index + 1] as string)) {
+        this.mayStay = false
+      }
+    }
+    this.observer.started(status, rawHeaders)
+  }
+
+  onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: buffer.Buffer): void {
+    this.observer.received(chunk)
+  }
+
+  onResponseEnd (): void {
+    if (this.isDone) {
+      return
+    }
+    this.isDone = true
+    if (!this.hasFraming && this.wasReset()) {
+      this.observer.failed({ kind: 'lost', reason: 'reset before the end of an answer without a length' })
+      return
+    }
+    this.observer.ended(this.hasFraming && this.mayStay)
+  }
+
+  onResponseError (_controller: undici.Dispatcher.DispatchController | undefined, error: Error): void {
+    if (this.isDone) {
+      return
+    }
+    this.isDone = true
+    const code = (error as { readonly code?: unknown }).code
+    const reason = typeof code === 'string' ? code : error.message
+    this.observer.failed({ kind: this.controller === undefined ? 'unsent' : 'lost', reason })
+  }
+}
+
+function decodeHeaders (raw: unknown): string[] {
+  const headers: string[] = []
+  for (const part of raw as readonly (buffer.Buffer | string)[]) {
+    headers.push(typeof part === 'string' ? part : part.toString('latin1'))
+  }
+  return headers
+}
--- /dev/null
+++ b/src/gateway/context.ts
@@ -0,0 +1,33 @@
+/**
+ * What the parts of a gateway share.
+ */
+import type * as allowances from './allowance_share.js'
+import type * as choices from './plain_choice.js'
+import type * as connectionPools from './connection_pool.js'
+import type * as directories from './directory.js'
+import type * as fleets from './engine_fleet.js'
+import type * as healths from './server_health.js'
+import type * as host from '../host/types.js'
+import type * as metrics from '../metrics/types.js'
+import type * as retries from './retry_share.js'
+import type * as rooms from './room_queue.js'
+import type * as settings from './settings.js'
+import type * as tables from './routing_table.js'
+import type * as types from './types.js'
+
+export interface GatewayContext {
+  readonly system: host.System
+  readonly settings: settings.GatewaySettings
+  readonly meter: metrics.Meter
+  readonly dialect: types.Dialect
+  readonly pool: connectionPools.ConnectionPool
+  readonly health: healths.ServerHealth
+  readonly directory: directories.Directory
+  readonly plainChoice: choices.PlainChoice
+  readonly fleet: fleets.EngineFleet
+  readonly rooms: rooms.RoomQueue
+  readonly allowance: allowances.AllowanceShare
+  readonly retries: retries.RetryShare
+  /** Routing in force; undefined until the first version is known. */
+  readonly routing: { table: tables.RoutingTable | undefined }
+}
--- /dev/null
+++ b/src/gateway/engine_fleet.ts
@@ -0,0 +1,182 @@
+/**
+ * What the gateways have under way at the engines, and which engine a generation goes to.
+ *
+ * A gateway books its own runs at once and hears of the other gateways' bookings; engines have the last word by
+ * granting or refusing a reservation. Free of input and output.
+ */
+import * as healths from './server_health.js'
+import * as routing from '../contracts/routing.js'
+
+/** Prefill speed assumed before the first prefill was measured, in tokens a millisecond. */
+const assumedPrefillRate = 30
+/** Weight of the newest measured speed. */
+const newestRateWeight = 0.2
+/** Slowest speed that a measurement is taken for, in tokens a millisecond. */
+const slowestPrefillRate = 1
+/** Part of an engine's memory that the growth of running requests may use before the next one is let in. */
+const reservedMemoryPart = 0.02
+/** Bookings of a gateway that is no longer heard count for this long, in milliseconds. */
+const peerLifeMs = 2_000
+/** Preference for engines of the own zone, in parts of the engine's memory. */
+const ownZonePreference = 0.02
+
+/** What one gateway has under way at one engine. */
+export interface EngineBooking {
+  /** Requests that decode, or are about to. */
+  readonly runs: number
+  /** Memory that they take, expected outputs included, in tokens. */
+  readonly tokens: number
+  /** Prompt tokens not yet read. */
+  readonly unread: number
+}
+
+interface Decode {
+  readonly server: string
+  readonly tokens: number
+}
+
+interface Prefill {
+  readonly server: string
+  readonly tokens: number
+  readonly startedMs: number
+  readonly aheadTokens: number
+}
+
+interface Peer {
+  readonly heardMs: number
+  readonly bookings: ReadonlyMap<string, EngineBooking>
+}
+
+export class EngineFleet {
+  private readonly decodes = new Map<string, Decode>()
+  private readonly prefills = new Map<string, Prefill>()
+  private readonly rates = new Map<string, number>()
+  private readonly peers = new Map<string, Peer>()
+  private own = new Map<string, EngineBooking>()
+
+  constructor (private readonly zone: string, private readonly health: healths.ServerHealth) {}
+
+  bookDecode (run: string, server: string, tokens: number): void {
+    this.releaseDecode(run)
+    this.decodes.set(run, { server, tokens })
+    this.add(server, 1, tokens, 0)
+  }
+
+  releaseDecode (run: string): void {
+    const decode = this.decodes.get(run)
+    if (decode !== undefined) {
+      this.decodes.delete(run)
+      this.add(decode.server, -1, -decode.tokens, 0)
+    }
+  }
+
+  bookPrefill (run: string, server: string, tokens: number, nowMs: number): void {
+    this.prefills.set(run, { server, tokens, startedMs: nowMs, aheadTokens: this.getUnread(server, nowMs) })
+    this.add(server, 0, 0, tokens)
+  }
+
+  /** Ends a prefill; one that succeeded teaches the engine's speed. */
+  releasePrefill (run: string, nowMs: number, succeeded: boolean): void {
+    const prefill = this.prefills.get(run)
+    if (prefill === undefined) {
+      return
+    }
+    this.prefills.delete(run)
+    this.add(prefill.server, 0, 0, -prefill.tokens)
+    const elapsedMs = nowMs - prefill.startedMs
+    if (succeeded && elapsedMs > 0) {
+      const measured = Math.max(slowestPrefillRate, (prefill.tokens + prefill.aheadTokens) / elapsedMs)
+      const before = this.rates.get(prefill.server) ?? assumedPrefillRate
+      this.rates.set(prefill.server, before + (measured - before) * newestRateWeight)
+    }
+  }
+
+  /** Takes in what another gateway has under way. */
+  hear (peer: string, bookings: Readonly<Record<string, EngineBooking>>, nowMs: number): void {
+    this.peers.set(peer, { heardMs: nowMs, bookings: new Map(Object.entries(bookings)) })
+  }
+
+  forgetServer (server: string): void {
+    this.rates.delete(server)
+  }
+
+  /** Returns what this gateway has under way, by server. */
+  listBookings (): Record<string, EngineBooking> {
+    const bookings: Record<string, EngineBooking> = {}
+    for (const [server, booking] of this.own) {
+      if (booking.runs > 0 || booking.unread > 0) {
+        bookings[server] = booking
+      }
+    }
+    return bookings
+  }
+
+  /** Returns the engines that seem to have room for so many tokens, the emptiest first. */
+  rankDecode (
+    servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number
+  ): routing.RoutedServer[] {
+    const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
+    for (const server of servers) {
+      if (server.stage !== 'decode' || server.state !== 'ready' || this.health.isPaused(server.id, nowMs)) {
+        continue
+      }
+      const { runs, tokens: used } = this.getLoad(server.id, nowMs)
+      const free = profile.memoryTokens * (1 - reservedMemoryPart) - used
+      if (runs >= profile.slots || free < tokens) {
+        continue
+      }
+      const preference = server.zone === this.zone ? ownZonePreference : 0
+      ranked.push({ server, free: free / profile.memoryTokens + preference - this.health.getFailureRate(server.id) })
+    }
+    ranked.sort((a, b) => b.free - a.free)
+    return ranked.map(({ server }) => server)
+  }
+
+  /** Returns the engine that would have read a prompt first, and the time until then in milliseconds. */
+  choosePrefill (
+    servers: readonly routing.RoutedServer[], tokens: number, excluded: ReadonlySet<string>, nowMs: number
+  ): { readonly server: routing.RoutedServer, readonly readyMs: number } | undefined {
+    let best: routing.RoutedServer | undefined
+    let bestMs = Infinity
+    for (const server of servers) {
+      if (server.stage !== 'prefill' || server.state !== 'ready' || excluded.has(server.id) ||
+        this.health.isPaused(server.id, nowMs)) {
+        continue
+      }
+      const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id))
+      if (readyMs < bestMs) {
+        best = server
+        bestMs = readyMs
+      }
+    }
+    return best === undefined ? undefined : { server: best, readyMs: bestMs }
+  }
+
+  /** Time until a server would have read a prompt that is sent to it now, in milliseconds. */
+  estimatePrefillMs (server: string, tokens: number, nowMs: number): number {
+    return (this.getUnread(server, nowMs) + tokens) / (this.rates.get(server) ?? assumedPrefillRate)
+  }
+
+  /** Sum of all gateways' bookings at a server. */
+  getLoad (server: string, nowMs: number): EngineBooking {
+    let { runs, tokens, unread } = this.own.get(server) ?? { runs: 0, tokens: 0, unread: 0 }
+    for (const peer of this.peers.values()) {
+      const booking = nowMs - peer.heardMs > peerLifeMs ? undefined : peer.bookings.get(server)
+      if (booking !== undefined) {
+        runs += booking.runs
+        tokens += booking.tokens
+        unread += booking.unread
+      }
+    }
+    return { runs, tokens, unread }
+  }
+
+  private getUnread (server: string, nowMs: number): number {
+    return this.getLoad(server, nowMs).unread
+  }
+
+  private add (server: string, runs: number, tokens: number, unread: number): void {
+    const before = this.own.get(server) ?? { runs: 0, tokens: 0, unread: 0 }
+    this.own.set(server, { runs: before.runs + runs, tokens: before.tokens + tokens, unread: before.unread + unread })
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,197 @@
+/**
+ * A gateway: the process between callers and backend servers that have no agent.
+ */
+import * as os from 'node:os'
+import * as http from 'node:http'
+import * as allowances from './allowance_share.js'
+import * as choices from './plain_choice.js'
+import * as connectionPools from './connection_pool.js'
+import * as contexts from './context.js'
+import * as directories from './directory.js'
+import * as fleets from './engine_fleet.js'
+import * as handlers from './request_handler.js'
+import * as healths from './server_health.js'
+import * as host from '../host/types.js'
+import * as httpListeners from '../daemon/http_listener.js'
+import * as ingresses from './ingress.js'
+import * as members from './members.js'
+import * as meters from '../metrics/prometheus_meter.js'
+import * as mirrors from './mirror.js'
+import * as peerExchanges from './peers.js'
+import * as retries from './retry_share.js'
+import * as rooms from './room_queue.js'
+import * as routingFollowers from './routing_follower.js'
+import * as settings from './settings.js'
+import * as types from './types.js'
+
+/** How often waiting generations are looked at beside the moments when room becomes free, in milliseconds. */
+const pumpMs = 20
+/** Period of setting gauges, in milliseconds. */
+const gaugeMs = 1_000
+/** How long a leaving gateway accepts connections after it reports not ready: two missed probes and the balancer's own time, in milliseconds. */
+const balancerLagMs = 2_500
+/** Time kept at the end of the grace period, in milliseconds. */
+const exitMarginMs = 400
+const drainPollMs = 50
+/** How recently a gateway must have been heard to count as present, in milliseconds. */
+const heardMs = 2_000
+
+export class Gateway {
+  private readonly context: contexts.GatewayContext
+  private readonly meter = new meters.PrometheusMeter()
+  private readonly handler: handlers.RequestHandler
+  private readonly ingress: ingresses.Ingress
+  private readonly readiness: ingresses.ReadinessListener
+  private readonly metricsServer: http.Server
+  private readonly peers: peerExchanges.Peers
+  private readonly members: members.Members
+  private readonly routingMirror: mirrors.StoreMirror
+  private readonly serverMirror: mirrors.StoreMirror
+  private readonly boot: string
+  private isLeaving = false
+
+  constructor (
+    private readonly system: host.System,
+    private readonly options: settings.GatewaySettings,
+    store: host.Store,
+    dialect: types.Dialect,
+    documents: types.StoredDocuments
+  ) {
+    this.boot = system.random.nextId()
+    const health = new healths.ServerHealth()
+    const pool = new connectionPools.ConnectionPool(system.clock)
+    const fleet = new fleets.EngineFleet(options.zone, health)
+    const plainChoice = new choices.PlainChoice(options.zone, health)
+    const directory = new directories.Directory(documents, system, server => {
+      pool.forget(server.address)
+      health.forget(server.id)
+      fleet.forgetServer(server.id)
+      plainChoice.forget(server.id)
+    })
+    this.context = {
+      system,
+      settings: options,
+      meter: this.meter,
+      dialect,
+      pool,
+      health,
+      directory,
+      plainChoice,
+      fleet,
+      rooms: new rooms.RoomQueue(),
+      allowance: new allowances.AllowanceShare(),
+      retries: new retries.RetryShare(options.retries),
+      routing: { table: undefined }
+    }
+    this.handler = new handlers.RequestHandler(this.context, () => !this.isLeaving)
+    this.ingress = new ingresses.Ingress((request, response) => {
+      this.handler.handle(request, response).catch((error: unknown) => {
+        system.log.error('request not handled', { error: String(error) })
+        response.destroy()
+      })
+    }, system.log)
+    this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady)
+    this.metricsServer = http.createServer((_request, response) => {
+      this.meter.render().then(text => response.end(text), (error: unknown) => {
+        system.log.warn('metrics not rendered', { reason: String(error) })
+        response.destroy()
+      })
+    })
+    const follower = new routingFollowers.RoutingFollower(documents, system, table => {
+      this.context.routing.table = table
+      this.ingress.setLimits(table.document.limits)
+    })
+    this.routingMirror = new mirrors.StoreMirror(store, documents.routingKey, system, follower)
+    this.serverMirror = new mirrors.StoreMirror(store, documents.serverPrefix, system, directory)
+    this.members = new members.Members(store, system, options, this.boot, () => os.uptime() * 1000, addresses => this.setMembers(addresses))
+    this.peers = new peerExchanges.Peers(this.createParty(), system)
+  }
+
+  private get isReady (): boolean {
+    return !this.isLeaving && this.context.routing.table !== undefined && this.serverMirror.isLoaded
+  }
+
+  /** Opens the listeners. Rejects if an address cannot be bound. */
+  async start (): Promise<void> {
+    const { options, system } = this
+    await this.ingress.start(options.ingress)
+    await this.readiness.start(options.readiness)
+    await this.peers.start(options.peers)
+    if (options.metrics !== undefined) {
+      await httpListeners.listen(this.metricsServer, options.metrics)
+    }
+    this.routingMirror.start()
+    this.serverMirror.start()
+    this.members.start()
+    system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs()))
+    system.clock.every(gaugeMs, () => this.setGauges())
+    for (const seed of options.seeds) {
+      this.peers.copyFrom(seed).catch((error: unknown) => {
+        system.log.info('no copy of the store from a seed', { seed, reason: String(error) })
+      })
+    }
+    system.log.info('started', { boot: this.boot, zone: options.zone, ingress: options.ingress.port })
+  }
+
+  /** Leaves: reports not ready, outlasts the balancer's lag, finishes what is under way within the grace period. */
+  async drain (): Promise<void> {
+    const { clock, log } = this.system
+    const startedMs = clock.monotonicMs()
+    this.isLeaving = true
+    log.info('stopping', { inFlight: this.handler.inFlight, connections: this.ingress.connections })
+    const left = this.members.leave()
+    await clock.sleep(balancerLagMs)
+    this.ingress.stopAccepting()
+    const endMs = startedMs + this.options.timing.graceMs - exitMarginMs
+    while (this.handler.inFlight > 0 && clock.monotonicMs() < endMs) {
+      await clock.sleep(drainPollMs)
+    }
+    log.info('stopped', { inFlight: this.handler.inFlight, elapsedMs: Math.round(clock.monotonicMs() - startedMs) })
+    await Promise.race([left, clock.sleep(drainPollMs)])
+  }
+
+  private createParty (): peerExchanges.PeerParty {
+    const { allowance, fleet } = this.context
+    const { clock } = this.system
+    const listMirrors = (): readonly mirrors.StoreMirror[] => [this.routingMirror, this.serverMirror, this.members.mirror]
+    const { node } = this.options
+    const { boot } = this
+    return new class extends peerExchanges.PeerParty {
+      override describe (): peerExchanges.PeerState {
+        const revisions: Record<string, number> = {}
+        for (const mirror of listMirrors()) {
+          revisions[mirror.prefix] = mirror.revision
+        }
+        return { node, boot, revisions, admitted: allowance.listAdmitted(), bookings: fleet.listBookings() }
+      }
+
+      override hear (state: peerExchanges.PeerState): void {
+        const nowMs = clock.monotonicMs()
+        allowance.hear(state.node, state.boot, state.admitted, nowMs)
+        fleet.hear(state.node, state.bookings, nowMs)
+      }
+
+      override listMirrors (): readonly mirrors.StoreMirror[] {
+        return listMirrors()
+      }
+    }()
+  }
+
+  private setMembers (addresses: ReadonlyMap<string, string>): void {
+    this.peers.setAddresses(addresses)
+    this.context.allowance.setPeers([...addresses.keys()], this.system.clock.monotonicMs())
+    this.context.retries.setGateways(addresses.size + 1)
+  }
+
+  private setGauges (): void {
+    const nowMs = this.system.clock.monotonicMs()
+    for (const mirror of [this.routingMirror, this.serverMirror, this.members.mirror]) {
+      const ageMs = mirror.getAgeMs(nowMs)
+      this.meter.gauge('gateway_store_age_ms', { prefix: mirror.prefix }, Number.isFinite(ageMs) ? ageMs : -1)
+    }
+    this.meter.gauge('gateway_waiting', {}, this.context.rooms.length)
+    this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
+    this.meter.gauge('gateway_peers', {}, this.peers.listHeard(heardMs).length)
+    this.meter.gauge('configuration_version', {}, this.context.routing.table?.document.version ?? 0)
+  }
+}
--- /dev/null
+++ b/src/gateway/generation_exchange.ts
@@ -0,0 +1,395 @@
+/**
+ * A generation: room at a decode server, the prompt read at a prefill server, then the stream.
+ *
+ * Room is taken before the prompt is read, so that no prompt is read in vain.
+ */
+import * as cutters from './event_cutter.js'
+import * as exchanges from './exchange.js'
+import * as failures from '../contracts/failure.js'
+import * as relays from './stream_relay.js'
+import * as routing from '../contracts/routing.js'
+import * as types from './types.js'
+
+/** Times that a generation is placed anew at most. */
+const maximumPlacings = 3
+/** Decode servers that are asked for room in a row. */
+const maximumAsked = 3
+/** Longest wait for the answer to a reservation, in milliseconds: a few round trips between zones. */
+const holdAnswerMs = 120
+/** Time kept in a reservation beyond the expected prefill, in milliseconds. */
+const holdMarginMs = 600
+/** Time from the end of the prefill to the first event, in milliseconds: transfer, the first step and the way back. */
+const firstEventMs = 60
+/** How many times longer than expected a prefill may take before another server is tried. */
+const prefillPatience = 3
+const prefillMarginMs = 250
+/** Speed at which a decode server reads a prompt, in parts of a prefill server's. */
+const decodePrefillPart = 0.5
+/** When a caller may come back that found no room, in milliseconds: about the time in which a full server's runs end. */
+const roomRetryMs = 3_000
+const noServerRetryMs = 1_000
+/** Memory granularity of the engines, in tokens. */
+const blockTokens = 16
+/** Part of the stated bound that is expected where the caller gives no estimate. */
+const expectedOutputPart = 0.5
+
+const notFoundCodes: ReadonlySet<number> = new Set([400, 404])
+
+interface Place {
+  readonly server: routing.RoutedServer
+  readonly hold: string | undefined
+}
+
+type Placing = { readonly place: Place } | { readonly failure: failures.Failure }
+type Reading = { readonly cache: types.CacheSource | undefined } | { readonly failure: failures.Failure } | { readonly retry: string }
+
+export class GenerationExchange extends exchanges.Exchange {
+  private readonly cutter = this.request.route.isResumable ? new cutters.EventCutter() : undefined
+  private prefills = 0
+  private mayHaveRun = false
+  private firstByteMs: number | undefined
+
+  private get sizes (): types.GenerationSizes {
+    return this.request.arrival.sizes ?? { promptTokens: blockTokens, maximumOutputTokens: blockTokens, hintedOutputTokens: undefined }
+  }
+
+  private get expectedOutput (): number {
+    const { maximumOutputTokens, hintedOutputTokens } = this.sizes
+    return Math.min(maximumOutputTokens, hintedOutputTokens ?? maximumOutputTokens * expectedOutputPart)
+  }
+
+  private get neededTokens (): number {
+    return Math.ceil((this.sizes.promptTokens + this.expectedOutput) / blockTokens + 1) * blockTokens
+  }
+
+  /** When the first event must come to be in time. */
+  private get goalAtMs (): number {
+    return this.request.arrivedMs + this.request.route.goalMs
+  }
+
+  override async run (): Promise<exchanges.ExchangeEnd> {
+    let reason = ''
+    let server: string | undefined
+    for (let placing = 0; placing < maximumPlacings && this.remainingMs() > 0; placing += 1) {
+      const placed = await this.placeRun()
+      if (this.reply.isGone) {
+        this.releasePlace('place' in placed ? placed.place : undefined)
+        return this.abandoned(server)
+      }
+      if ('failure' in placed) {
+        return this.refuse(this.withHistory(placed.failure), server)
+      }
+      const { place } = placed
+      server = place.server.id
+      const end = await this.runAt(place)
+      if ('outcome' in end) {
+        return end
+      }
+      reason = end.again
+    }
+    if (this.mayHaveRun) {
+      return this.refuse(failures.createFailure('may_have_run', 'stream_interrupted', [reason]), server)
+    }
+    return this.refuse(failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs), server)
+  }
+
+  /** Reads the prompt and streams at a place; `again` says why another place is to be tried. */
+  private async runAt (place: Place): Promise<exchanges.ExchangeEnd | { readonly again: string }> {
+    const { fleet } = this.context
+    const reading = await this.readPrompt(place.server)
+    if (this.reply.isGone || !('cache' in reading)) {
+      this.releasePlace(place)
+      if ('cache' in reading && reading.cache !== undefined) {
+        this.releaseCache(reading.cache)
+      }
+      if (this.reply.isGone) {
+        return this.abandoned(place.server.id)
+      }
+      if ('failure' in reading) {
+        return this.refuse(this.withHistory(reading.failure), place.server.id)
+      }
+      return { again: 'retry' in reading ? reading.retry : '' }
+    }
+    if (!this.trySend()) {
+      this.releasePlace(place)
+      return this.refuse(this.withHistory(failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs)))
+    }
+    const end = await this.stream(place, reading.cache)
+    fleet.releaseDecode(this.request.serial)
+    this.context.rooms.pump(this.now())
+    return this.conclude(place, end)
+  }
+
+  private conclude (place: Place, end: relays.RelayEnd): exchanges.ExchangeEnd | { readonly again: string } {
+    const { health, directory } = this.context
+    const server = place.server.id
+    this.log('stream ended', {
+      server,
+      outcome: end.kind,
+      reason: 'reason' in end ? end.reason : undefined,
+      firstEventMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs - this.request.arrivedMs),
+      elapsedMs: Math.round(this.now() - this.request.arrivedMs)
+    })
+    if (this.reply.isGone) {
+      return this.abandoned(server)
+    }
+    switch (end.kind) {
+      case 'completed':
+        health.note(server, 'good', this.now())
+        this.reply.end()
+        return { outcome: 'answered', status: 200, server }
+      case 'answered':
+        health.note(server, end.status < 500 ? 'good' : 'error', this.now())
+        if (this.reply.hasStarted) {
+          return this.refuse(failures.createFailure('ran', 'stream_interrupted', [`status ${end.status}`]), server)
+        }
+        this.reply.answer(end.status, end.rawHeaders, end.body)
+        return { outcome: notFoundCodes.has(end.status) ? 'refused' : 'failed', status: end.status, server }
+      case 'not_run':
+        if (end.status === undefined) {
+          health.note(server, 'unreachable', this.now())
+        } else if (end.status === misdirected) {
+          directory.noteMisdirected(server)
+        }
+        return { again: end.reason }
+      case 'lost':
+        health.note(server, 'silent', this.now())
+        this.mayHaveRun = true
+        if (!this.request.route.isResumable || this.remainingMs() <= 0) {
+          return this.refuse(this.remainingMs() <= 0
+            ? failures.createFailure('may_have_run', 'request_timeout', [Math.round(this.now() - this.request.arrivedMs)])
+            : failures.createFailure('may_have_run', 'server_failed', [server, end.reason]), server)
+        }
+        return { again: end.reason }
+    }
+  }
+
+  /** Takes room at a decode server, at once or as soon as there is some while the caller can still be served in time. */
+  private async placeRun (): Promise<Placing> {
+    const asked = new Set<string>()
+    while (true) {
+      const server = await this.awaitRoom(asked)
+      if (server === undefined) {
+        return { failure: this.createNoRoomFailure(asked) }
+      }
+      const taken = await this.takeHold(server)
+      if (taken.kind === 'taken') {
+        return { place: { server, hold: taken.hold } }
+      }
+      this.context.fleet.releaseDecode(this.request.serial)
+      asked.add(server.id)
+      if (this.reply.isGone || asked.size >= maximumAsked) {
+        return { failure: this.createNoRoomFailure(asked) }
+      }
+    }
+  }
+
+  private createNoRoomFailure (asked: ReadonlySet<string>): failures.Failure {
+    const { directory } = this.context
+    const hasServers = directory.listReady(this.request.service.name).length > 0
+    this.log('no room', {
+      service: this.request.service.name,
+      neededTokens: this.neededTokens,
+      refusedBy: [...asked].join(' '),
+      waiting: this.context.rooms.length,
+      waitedMs: Math.round(this.now() - this.request.arrivedMs)
+    })
+    return hasServers
+      ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], roomRetryMs)
+      : failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs)
+  }
+
+  /** Books the best server with room; waits for one while that is in time. */
+  private awaitRoom (asked: ReadonlySet<string>): Promise<routing.RoutedServer | undefined> {
+    const { rooms } = this.context
+    const booked = this.tryBook(asked)
+    if (booked !== undefined || this.reply.hasStarted) {
+      return Promise.resolve(booked)
+    }
+    return new Promise(resolve => {
+      let server: routing.RoutedServer | undefined
+      const leave = (): void => {
+        rooms.remove(this.request.serial)
+        resolve(undefined)
+      }
+      this.reply.gone.signal.addEventListener('abort', leave, { once: true })
+      rooms.add({
+        id: this.request.serial,
+        priority: this.request.priority,
+        promptTokens: this.sizes.promptTokens,
+        expectedOutputTokens: this.expectedOutput,
+        sinceMs: this.request.arrivedMs,
+        latestMs: this.goalAtMs - firstEventMs - this.estimateReadingMs(),
+        tryTake: () => {
+          server = this.tryBook(asked)
+          return server !== undefined
+        },
+        settle: () => {
+          this.reply.gone.signal.removeEventListener('abort', leave)
+          resolve(server)
+        }
+      })
+      rooms.pump(this.now())
+    })
+  }
+
+  private tryBook (asked: ReadonlySet<string>): routing.RoutedServer | undefined {
+    const { directory, fleet } = this.context
+    const profile = this.request.service.engine
+    if (profile === undefined) {
+      return undefined
+    }
+    const servers = directory.listReady(this.request.service.name)
+    for (const server of fleet.rankDecode(servers, profile, this.neededTokens, this.now())) {
+      if (!asked.has(server.id)) {
+        fleet.bookDecode(this.request.serial, server.id, this.neededTokens)
+        return server
+      }
+    }
+    return undefined
+  }
+
+  private estimateReadingMs (): number {
+    const { directory, fleet } = this.context
+    const servers = directory.listReady(this.request.service.name)
+    return fleet.choosePrefill(servers, this.sizes.promptTokens, new Set(), this.now())?.readyMs ?? 0
+  }
+
+  private async takeHold (server: routing.RoutedServer): Promise<{ readonly kind: 'taken', readonly hold: string } | { readonly kind: 'refused' }> {
+    const { dialect, health, pool } = this.context
+    const ttlMs = Math.min(this.request.service.engine?.maximumHoldMs ?? holdMarginMs, this.estimateReadingMs() * 2 + holdMarginMs)
+    const outcome = await pool.call(server.address, dialect.writeHold(server, this.neededTokens, ttlMs), holdAnswerMs, dialect)
+    if (outcome.kind !== 'answered') {
+      const isPaused = health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
+      this.log('room refused', { server: server.id, reason: outcome.reason, leftOut: isPaused })
+      return { kind: 'refused' }
+    }
+    const hold = outcome.status === 200 ? dialect.readHold(outcome.body) : undefined
+    if (hold?.isRight() === true) {
+      return { kind: 'taken', hold: hold.unsafeCoerce() }
+    }
+    this.log('room refused', { server: server.id, status: outcome.status, neededTokens: this.neededTokens })
+    return { kind: 'refused' }
+  }
+
+  /** Has the prompt read by a prefill server, or leaves it to the decode server where that is sooner. */
+  private async readPrompt (decodeServer: routing.RoutedServer): Promise<Reading> {
+    const { directory, fleet } = this.context
+    const tried = new Set<string>()
+    let reason = ''
+    while (tried.size < maximumAsked && !this.reply.isGone) {
+      const servers = directory.listReady(this.request.service.name)
+      const choice = fleet.choosePrefill(servers, this.sizes.promptTokens, tried, this.now())
+      const aloneMs = fleet.estimatePrefillMs('', this.sizes.promptTokens, this.now()) / decodePrefillPart
+      if (choice === undefined || choice.readyMs > aloneMs) {
+        this.log('prompt left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, aloneMs })
+        return { cache: undefined }
+      }
+      if (this.prefills > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
+        return { failure: failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs) }
+      }
+      this.prefills += 1
+      tried.add(choice.server.id)
+      const read = await this.prefillAt(choice.server, choice.readyMs)
+      if (typeof read !== 'string') {
+        return { cache: read }
+      }
+      reason = read
+    }
+    return { retry: reason }
+  }
+
+  /** Returns where the KV cache lies, or why the prompt was not read. */
+  private async prefillAt (server: routing.RoutedServer, expectedMs: number): Promise<types.CacheSource | string> {
+    const { dialect, directory, fleet, health, pool } = this.context
+    const sentMs = this.now()
+    const { promptTokens } = this.sizes
+    fleet.bookPrefill(this.request.serial, server.id, promptTokens, sentMs)
+    const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
+      server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill'
+    })
+    const waitMs = Math.min(this.remainingMs(), expectedMs * prefillPatience + prefillMarginMs)
+    const outcome = await pool.call(server.address, outgoing, waitMs, dialect, this.reply.gone.signal)
+    const read = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
+    const succeeded = read?.isRight() === true
+    fleet.releasePrefill(this.request.serial, this.now(), succeeded)
+    this.log('prefill', {
+      server: server.id,
+      outcome: outcome.kind,
+      status: outcome.kind === 'answered' ? outcome.status : undefined,
+      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
+      promptTokens,
+      expectedMs: Math.round(expectedMs),
+      elapsedMs: Math.round(this.now() - sentMs)
+    })
+    if (succeeded) {
+      health.note(server.id, 'good', this.now())
+      return { address: server.address, handle: read.unsafeCoerce().handle }
+    }
+    if (this.reply.isGone) {
+      return 'the caller left'
+    }
+    if (outcome.kind === 'answered') {
+      health.note(server.id, 'error', this.now())
+      if (outcome.status === misdirected) {
+        directory.noteMisdirected(server.id)
+      }
+      return `prefill: status ${outcome.status}`
+    }
+    health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
+    return `prefill: ${outcome.reason}`
+  }
+
+  private stream (place: Place, cache: types.CacheSource | undefined): Promise<relays.RelayEnd> {
+    const { dialect, pool, system } = this.context
+    return new Promise(resolve => {
+      const relay = new relays.StreamRelay(
+        dialect, this.request.arrival.id, this.reply, this.cutter, () => this.now(), end => {
+          stopTimer()
+          this.reply.gone.signal.removeEventListener('abort', leave)
+          this.firstByteMs ??= relay.firstByteMs
+          resolve(end)
+        })
+      const leave = (): void => relay.stop('the caller left')
+      const stopTimer = system.clock.after(Math.max(0, this.remainingMs()), () => relay.stop('the time is over'))
+      const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
+        server: place.server,
+        remainingMs: this.remainingMs(),
+        workspace: this.request.workspace,
+        purpose: 'run',
+        cache,
+        hold: place.hold,
+        resumeAfter: this.cutter?.lastId
+      })
+      const isOnce = !this.request.route.isResumable
+      relay.attach(pool.send(place.server.address, outgoing, isOnce, relay, rawHeaders => dialect.readAnswer(rawHeaders).idleMs))
+      this.reply.gone.signal.addEventListener('abort', leave, { once: true })
+    })
+  }
+
+  private releasePlace (place: Place | undefined): void {
+    this.context.fleet.releaseDecode(this.request.serial)
+    if (place?.hold !== undefined) {
+      const { dialect, pool } = this.context
+      pool.call(place.server.address, dialect.writeHoldRelease(place.server, place.hold), holdAnswerMs, dialect)
+        .catch((error: unknown) => this.log('hold not released', { server: place.server.id, reason: String(error) }))
+    }
+    this.context.rooms.pump(this.now())
+  }
+
+  private releaseCache (cache: types.CacheSource): void {
+    const { dialect, directory, pool } = this.context
+    const server = directory.listAll().find(candidate => candidate.address === cache.address)
+    if (server !== undefined) {
+      pool.call(cache.address, dialect.writeCacheRelease(server, cache.handle), holdAnswerMs, dialect)
+        .catch((error: unknown) => this.log('cache not released', { server: server.id, reason: String(error) }))
+    }
+  }
+
+  /** A failure of a later placing cannot promise more than the earlier ones allow. */
+  private withHistory (failure: failures.Failure): failures.Failure {
+    return this.mayHaveRun ? failures.withVerdict(failure, 'may_have_run') : failure
+  }
+}
+
+const misdirected = 421
--- /dev/null
+++ b/src/gateway/members.ts
@@ -0,0 +1,102 @@
+/**
+ * The gateways of the deployment: each keeps a key in the store under a lease, with the address for the others.
+ */
+import * as z from 'zod'
+import * as host from '../host/types.js'
+import * as identities from '../contracts/identity.js'
+import * as leases from './store_lease.js'
+import * as mirrors from './mirror.js'
+import * as settings from './settings.js'
+
+const prefix = 'mulberryflow/gateways/'
+/** Life of a gateway's entry without renewal, in milliseconds: outlives short outages of the store. */
+const entryTtlMs = 6_000
+/** How long a gateway is kept whose entry lapsed around an outage of the store, in milliseconds. */
+const returnMs = 5_000
+
+const Entry = z.object({ address: z.string(), boot: z.string(), zone: z.string() })
+
+export class Members extends mirrors.MirrorObserver {
+  readonly mirror: mirrors.StoreMirror
+  private readonly lease: leases.StoreLease
+  private readonly addresses = new Map<string, string>()
+  private readonly lapsed = new Map<string, host.Stop>()
+
+  constructor (
+    store: host.Store,
+    private readonly system: host.System,
+    private readonly options: settings.GatewaySettings,
+    boot: string,
+    uptimeMs: () => number,
+    private readonly changed: (addresses: ReadonlyMap<string, string>) => void
+  ) {
+    super()
+    this.mirror = new mirrors.StoreMirror(store, prefix, system, this)
+    const address = identities.formatAddress(options.peers)
+    this.lease = new leases.StoreLease(store, system, {
+      key: prefix + options.node,
+      value: JSON.stringify({ address, boot, zone: options.zone }),
+      ttlMs: Math.max(entryTtlMs, options.timing.minimumLeaseMs),
+      isExclusive: false,
+      mayTry: () => true
+    }, new class extends leases.LeaseObserver {
+      override held (revision: number): void {
+        system.log.info('entered among the gateways', { revision })
+      }
+
+      override lost (reason: string): void {
+        system.log.warn('entry among the gateways lapsed', { reason })
+      }
+    }(), uptimeMs)
+  }
+
+  start (): void {
+    this.mirror.start()
+    this.lease.start()
+  }
+
+  async leave (): Promise<void> {
+    await this.lease.stop()
+  }
+
+  override put (item: mirrors.MirrorItem): void {
+    const node = item.key.slice(prefix.length)
+    if (node === this.options.node) {
+      return
+    }
+    this.lapsed.get(node)?.()
+    this.lapsed.delete(node)
+    const parsed = Entry.safeParse(parseJson(item.value))
+    if (!parsed.success) {
+      this.system.log.warn('entry of a gateway cannot be read', { gateway: node, revision: item.revision })
+      return
+    }
+    this.addresses.set(node, parsed.data.address)
+  }
+
+  override removed (key: string, mayReturn: boolean): void {
+    const node = key.slice(prefix.length)
+    if (mayReturn && this.addresses.has(node)) {
+      this.lapsed.set(node, this.system.clock.after(returnMs, () => {
+        this.lapsed.delete(node)
+        this.addresses.delete(node)
+        this.updated()
+      }))
+      return
+    }
+    this.addresses.delete(node)
+  }
+
+  override updated (): void {
+    this.changed(this.addresses)
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    // Reported by the caller, which finds the value not to match the schema.
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/gateway/plain_choice.ts
@@ -0,0 +1,86 @@
+/**
+ * Chooses the server of a plain service for a call.
+ */
+import * as healths from './server_health.js'
+import * as routing from '../contracts/routing.js'
+import * as types from './types.js'
+
+/** How much the failure rate of a server weighs beside its load. */
+const failureWeight = 6
+/** Added to the load of a server in another zone: worth a tenth of its slots. */
+const otherZonePenalty = 0.1
+/** Age after which a reported load says nothing, in milliseconds. */
+const reportLifeMs = 500
+
+interface Load {
+  inFlight: number
+  reported: types.ReportedLoad | undefined
+  reportedMs: number
+}
+
+export class PlainChoice {
+  private readonly loads = new Map<string, Load>()
+
+  constructor (private readonly zone: string, private readonly health: healths.ServerHealth) {}
+
+  /** Notes a call that starts at a server. */
+  start (server: string): void {
+    this.getLoad(server).inFlight += 1
+  }
+
+  /** Notes the end of a call, with the load that the answer reports. */
+  finish (server: string, reported: types.ReportedLoad | undefined, nowMs: number): void {
+    const load = this.getLoad(server)
+    load.inFlight -= 1
+    if (reported !== undefined) {
+      load.reported = reported
+      load.reportedMs = nowMs
+    }
+  }
+
+  forget (server: string): void {
+    this.loads.delete(server)
+  }
+
+  /** Returns the best server that is not excluded; paused ones only where there is no other. */
+  choose (
+    servers: readonly routing.RoutedServer[], excluded: ReadonlySet<string>, nowMs: number, unit: number
+  ): routing.RoutedServer | undefined {
+    let best: routing.RoutedServer | undefined
+    let bestScore = Infinity
+    for (const server of servers) {
+      if (excluded.has(server.id)) {
+        continue
+      }
+      const score = this.score(server, nowMs) + unit * 1e-3 * (server.id < (best?.id ?? '') ? 1 : -1)
+      if (score < bestScore) {
+        best = server
+        bestScore = score
+      }
+    }
+    return best
+  }
+
+  private score (server: routing.RoutedServer, nowMs: number): number {
+    const load = this.loads.get(server.id)
+    const reported = load?.reported !== undefined && nowMs - load.reportedMs < reportLifeMs
+      ? load.reported.running + load.reported.waiting
+      : 0
+    const busy = Math.max(load?.inFlight ?? 0, reported)
+    const answerMs = this.health.getAnswerMs(server.id) ?? 0
+    const pause = this.health.isPaused(server.id, nowMs) ? 1_000 : 0
+    const distance = server.zone === this.zone ? 0 : otherZonePenalty
+    return (busy + 0.5) / server.slots * (1 + answerMs / 100) +
+      failureWeight * this.health.getFailureRate(server.id) ** 2 + distance + pause
+  }
+
+  private getLoad (server: string): Load {
+    const found = this.loads.get(server)
+    if (found !== undefined) {
+      return found
+    }
+    const created = { inFlight: 0, reported: undefined, reportedMs: 0 }
+    this.loads.set(server, created)
+    return created
+  }
+}
--- /dev/null
+++ b/src/gateway/plain_exchange.ts
@@ -0,0 +1,158 @@
+/**
+ * A call of a plain service: one server, and another where that is safe and within the budget.
+ */
+import * as connectionPools from './connection_pool.js'
+import * as exchanges from './exchange.js'
+import * as failures from '../contracts/failure.js'
+import * as routing from '../contracts/routing.js'
+import * as types from './types.js'
+
+/** Sends of one call at most, those refused as not run included. */
+const maximumSends = 4
+/** Part of its time after which a repeatable call is tried elsewhere. */
+const patiencePart = 0.45
+/** Least time in which another server can still answer, in milliseconds. */
+const leastSendMs = 8
+/** Time kept for the answer's way back to the caller, in milliseconds. */
+const returnMs = 15
+/** When a caller may come back that found no server, in milliseconds: about the time in which servers are found again. */
+const noServerRetryMs = 500
+
+type Answered = connectionPools.CallOutcome & { readonly kind: 'answered' }
+
+type SendResult =
+  | { readonly kind: 'answered', readonly server: routing.RoutedServer, readonly answer: Answered }
+  | { readonly kind: 'not_run' | 'may_have_run', readonly server: routing.RoutedServer, readonly reason: string, readonly isTimeout?: boolean }
+
+export class PlainExchange extends exchanges.Exchange {
+  private readonly tried = new Set<string>()
+  private runs = 0
+
+  override async run (): Promise<exchanges.ExchangeEnd> {
+    const isRepeatable = this.request.route.kind === 'idempotent'
+    let fallback: SendResult & { readonly kind: 'answered' } | undefined
+    let last: SendResult | undefined
+    while (this.sends < maximumSends && this.remainingMs() > returnMs + leastSendMs) {
+      const server = this.choose()
+      if (server === undefined || !this.trySend()) {
+        break
+      }
+      const result = await this.send(server, isRepeatable)
+      if (this.reply.isGone) {
+        return this.abandoned(server.id)
+      }
+      last = result
+      if (result.kind === 'answered') {
+        if (result.answer.status < 500 || !isRepeatable || this.runs >= this.request.route.maximumServers) {
+          return this.give(result)
+        }
+        fallback ??= result
+      }
+      if (result.kind === 'may_have_run' && (!isRepeatable || this.runs >= this.request.route.maximumServers)) {
+        break
+      }
+    }
+    return fallback === undefined ? this.giveUp(last) : this.give(fallback)
+  }
+
+  private choose (): routing.RoutedServer | undefined {
+    const { directory, plainChoice, system } = this.context
+    const servers = directory.listReady(this.request.service.name)
+    return plainChoice.choose(servers, this.tried, this.now(), system.random.nextUnit())
+  }
+
+  private async send (server: routing.RoutedServer, isRepeatable: boolean): Promise<SendResult> {
+    const { dialect, health, plainChoice, pool, directory } = this.context
+    const sentMs = this.now()
+    const leftMs = this.remainingMs() - returnMs
+    const isLast = !isRepeatable || this.runs + 1 >= this.request.route.maximumServers
+    const waitMs = isLast ? leftMs : Math.min(leftMs, Math.max(this.request.route.goalMs, leftMs * patiencePart))
+    this.tried.add(server.id)
+    plainChoice.start(server.id)
+    const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
+      server, remainingMs: leftMs, workspace: this.request.workspace, purpose: 'run'
+    })
+    const outcome = await pool.call(server.address, outgoing, waitMs, dialect, this.reply.gone.signal, !isRepeatable)
+    const elapsedMs = this.now() - sentMs
+    const facts = outcome.kind === 'answered' ? dialect.readAnswer(outcome.rawHeaders) : undefined
+    plainChoice.finish(server.id, facts?.load, this.now())
+    const result = judge(server, outcome, facts, this.request.arrival.id)
+    if (!this.reply.isGone) {
+      const isPaused = health.note(server.id, rate(outcome, result), this.now(), elapsedMs)
+      if (isPaused) {
+        this.context.system.log.warn('server left out', { server: server.id, reason: outcome.kind === 'answered' ? 'answers' : outcome.reason })
+      }
+    }
+    if (outcome.kind === 'answered' && outcome.status === misdirected) {
+      directory.noteMisdirected(server.id)
+    }
+    if (result.kind !== 'not_run') {
+      this.runs += 1
+    }
+    this.log('sent', {
+      server: server.id,
+      outcome: result.kind,
+      status: outcome.kind === 'answered' ? outcome.status : undefined,
+      reason: result.kind === 'answered' ? undefined : result.reason,
+      elapsedMs: Math.round(elapsedMs)
+    })
+    return result
+  }
+
+  private give (result: SendResult & { readonly kind: 'answered' }): exchanges.ExchangeEnd {
+    this.reply.answer(result.answer.status, result.answer.rawHeaders, result.answer.body)
+    return { outcome: result.answer.status < 500 ? 'answered' : 'failed', status: result.answer.status, server: result.server.id }
+  }
+
+  private giveUp (last: SendResult | undefined): exchanges.ExchangeEnd {
+    const service = this.request.service.name
+    if (this.runs > 0 && last?.kind === 'may_have_run') {
+      return this.refuse(last.isTimeout === true
+        ? failures.createFailure('may_have_run', 'request_timeout', [Math.round(this.now() - this.request.arrivedMs)])
+        : failures.createFailure('may_have_run', 'server_failed', [last.server.id, last.reason]), last.server.id)
+    }
+    if (this.runs > 0) {
+      return this.refuse(failures.createFailure('may_have_run', 'server_failed', [service, 'an earlier send may have run']))
+    }
+    return this.refuse(failures.createFailure('not_run', 'no_server', [service], noServerRetryMs), last?.server.id)
+  }
+}
+
+const misdirected = 421
+/** Statuses that promise a caller that the request has not run. */
+const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503])
+
+/** Reads whether the server ran the call from its answer, or from the lack of one. */
+function judge (
+  server: routing.RoutedServer, outcome: connectionPools.CallOutcome, facts: types.AnswerFacts | undefined, id: string | undefined
+): SendResult {
+  if (outcome.kind !== 'answered' || facts === undefined) {
+    const reason = outcome.kind === 'answered' ? 'no answer' : outcome.reason
+    return outcome.kind === 'unsent'
+      ? { kind: 'not_run', server, reason }
+      : { kind: 'may_have_run', server, reason, isTimeout: outcome.kind === 'silent' }
+  }
+  if (facts.requestId !== id) {
+    return { kind: 'may_have_run', server, reason: 'the answer belongs to another request' }
+  }
+  if (facts.isNotRun || outcome.status === misdirected) {
+    return { kind: 'not_run', server, reason: `status ${outcome.status}` }
+  }
+  if (promisingStatuses.has(outcome.status)) {
+    return { kind: 'may_have_run', server, reason: `status ${outcome.status} without the statement that it did not run` }
+  }
+  if (!facts.isSigned && outcome.status < 300) {
+    return { kind: 'may_have_run', server, reason: 'the answer is not signed' }
+  }
+  return { kind: 'answered', server, answer: outcome }
+}
+
+function rate (outcome: connectionPools.CallOutcome, result: SendResult): 'good' | 'error' | 'unreachable' | 'silent' {
+  if (outcome.kind === 'unsent') {
+    return 'unreachable'
+  }
+  if (outcome.kind !== 'answered') {
+    return 'silent'
+  }
+  return result.kind === 'answered' && outcome.status < 500 ? 'good' : 'error'
+}
--- /dev/null
+++ b/src/gateway/request_handler.ts
@@ -0,0 +1,159 @@
+/**
+ * Admits a caller's request: limits, route, key and allowance; then lets its exchange run.
+ */
+import type * as http from 'node:http'
+import * as allowances from './allowance_share.js'
+import * as bodies from './body_reader.js'
+import * as contexts from './context.js'
+import * as exchanges from './exchange.js'
+import * as failures from '../contracts/failure.js'
+import * as generations from './generation_exchange.js'
+import * as plains from './plain_exchange.js'
+import * as replies from './caller_reply.js'
+import * as routing from '../contracts/routing.js'
+import * as tables from './routing_table.js'
+import * as types from './types.js'
+
+/** When a caller may come back that met a gateway without a configuration, in milliseconds. */
+const notReadyRetryMs = 1_000
+/** Time limit of a request that states none, in milliseconds. */
+const standardPatienceMs = 60_000
+/** Time by which the final answer comes before the route's time is over, in milliseconds. */
+const timeoutMarginMs = 20
+
+/** What is known of a request when its configuration has been looked up. */
+interface Admission {
+  readonly route: routing.Route
+  readonly service: routing.RoutedService
+  readonly workspace: routing.RoutedWorkspace | undefined
+  readonly units: number
+}
+
+export class RequestHandler {
+  private serial = 0
+  private underWay = 0
+
+  constructor (private readonly context: contexts.GatewayContext, private readonly mayStay: () => boolean) {}
+
+  /** Requests that have no final answer yet. */
+  get inFlight (): number {
+    return this.underWay
+  }
+
+  async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const { dialect, meter } = this.context
+    const arrivedMs = this.now()
+    const arrival = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
+    const reply = new replies.CallerReply(response, dialect, arrival, this.mayStay)
+    this.underWay += 1
+    try {
+      const end = await this.serve(request, arrival, reply, arrivedMs)
+      meter.count('requests_total', { workspace: '', end: end.outcome })
+      meter.observe('gateway_request_ms', { end: end.outcome }, this.now() - arrivedMs)
+      this.context.system.log.info('request ended', {
+        request: arrival.id,
+        outcome: end.outcome,
+        status: end.status,
+        reason: end.reason,
+        server: end.server,
+        version: this.context.routing.table?.document.version,
+        elapsedMs: Math.round(this.now() - arrivedMs)
+      })
+    } catch (error) {
+      this.context.system.log.error('request failed by a defect', { request: arrival.id, error: error instanceof Error ? error.stack : String(error) })
+      reply.fail(failures.createFailure('may_have_run', 'internal', ['see the log']))
+    } finally {
+      this.underWay -= 1
+    }
+  }
+
+  private async serve (
+    request: http.IncomingMessage, arrival: types.Arrival, reply: replies.CallerReply, arrivedMs: number
+  ): Promise<exchanges.ExchangeEnd> {
+    const limits = this.context.routing.table?.document.limits
+    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity)
+    if (body.isLeft()) {
+      return this.refuse(reply, body.extract() as failures.Failure)
+    }
+    const table = this.context.routing.table
+    if (table === undefined) {
+      return this.refuse(reply, failures.createFailure('not_run', 'not_ready', [], notReadyRetryMs))
+    }
+    const admitted = this.admit(table, arrival)
+    if (admitted.isLeft()) {
+      return this.refuse(reply, admitted.extract() as failures.Failure)
+    }
+    const { route, service, workspace, units } = admitted.unsafeCoerce()
+    const patienceMs = Math.min(arrival.patienceMs ?? standardPatienceMs, route.timeoutMs - timeoutMarginMs)
+    this.serial += 1
+    this.context.retries.earn(service.name, this.now())
+    const admittedRequest: exchanges.AdmittedRequest = {
+      serial: String(this.serial),
+      arrival,
+      body: body.unsafeCoerce(),
+      route,
+      service,
+      workspace: workspace?.name,
+      priority: workspace?.priority ?? route.priority,
+      arrivedMs,
+      endsMs: arrivedMs + patienceMs
+    }
+    const isGeneration = route.kind === 'stream' && service.engine !== undefined
+    const exchange = isGeneration
+      ? new generations.GenerationExchange(this.context, admittedRequest, reply)
+      : new plains.PlainExchange(this.context, admittedRequest, reply)
+    const end = await exchange.run()
+    if (end.outcome === 'refused' && workspace !== undefined) {
+      this.context.allowance.refund(workspace.name, units)
+    }
+    return end
+  }
+
+  private admit (table: tables.RoutingTable, arrival: types.Arrival): failures.Result<Admission> {
+    const { document } = table
+    let headBytes = arrival.path.length
+    for (const part of arrival.rawHeaders) {
+      headBytes += part.length + 2
+    }
+    if (headBytes > document.limits.headerBytes) {
+      return failures.fail(failures.createFailure('not_run', 'headers_too_large', [document.limits.headerBytes]))
+    }
+    const route = table.findRoute(arrival.host, arrival.path)
+    if (route === undefined) {
+      return failures.fail(failures.createFailure('not_run', 'route_unknown', [arrival.method, arrival.path]))
+    }
+    const service = table.getService(tables.pickTarget(route, this.context.system.random.nextUnit()))
+    if (service === undefined) {
+      return failures.fail(failures.createFailure('not_run', 'no_server', [route.name], notReadyRetryMs))
+    }
+    const workspace = arrival.keyHash === undefined ? undefined : table.findWorkspace(arrival.keyHash)
+    if (table.needsKeys && !route.isPublic && workspace === undefined) {
+      return failures.fail(failures.createFailure('not_run', arrival.keyHash === undefined ? 'key_missing' : 'key_unknown'))
+    }
+    const units = workspace === undefined ? 0 : allowances.AllowanceShare.measure(workspace, countTokens(arrival))
+    if (workspace !== undefined) {
+      const verdict = this.context.allowance.charge(workspace, units, this.now())
+      if (verdict.kind === 'refused') {
+        this.context.system.log.info('allowance used up', {
+          request: arrival.id, workspace: workspace.name, units, rate: workspace.rate, retryAfterMs: verdict.retryAfterMs
+        })
+        return failures.fail(failures.createFailure('not_run', 'allowance_exhausted', [workspace.name], verdict.retryAfterMs))
+      }
+    }
+    return failures.succeed({ route, service, workspace, units })
+  }
+
+  private refuse (reply: replies.CallerReply, failure: failures.Failure): exchanges.ExchangeEnd {
+    const status = reply.fail(failure)
+    return { outcome: failure.code === 'caller_gone' ? 'abandoned' : 'refused', status, reason: failure.code }
+  }
+
+  private now (): number {
+    return this.context.system.clock.monotonicMs()
+  }
+}
+
+function countTokens (arrival: types.Arrival): number | undefined {
+  const { sizes } = arrival
+  return sizes === undefined ? undefined : sizes.promptTokens + sizes.maximumOutputTokens
+}
--- /dev/null
+++ b/src/gateway/routing_follower.ts
@@ -0,0 +1,44 @@
+/**
+ * Puts each version of the routing document into force as it arrives. A version never gives way to an older one.
+ */
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+import * as mirrors from './mirror.js'
+import * as tables from './routing_table.js'
+import * as types from './types.js'
+
+export class RoutingFollower extends mirrors.MirrorObserver {
+  private version = -Infinity
+
+  constructor (
+    private readonly documents: types.StoredDocuments,
+    private readonly system: host.System,
+    private readonly enforce: (table: tables.RoutingTable) => void
+  ) {
+    super()
+  }
+
+  override put (item: mirrors.MirrorItem): void {
+    if (item.key !== this.documents.routingKey) {
+      return
+    }
+    const read = this.documents.readRouting(item.value)
+    if (read.isLeft()) {
+      this.system.log.error('routing document cannot be read', { revision: item.revision, reason: (read.extract() as failures.Failure).message })
+      return
+    }
+    const document = read.unsafeCoerce()
+    if (document.version < this.version) {
+      this.system.log.warn('older routing document passed over', { version: document.version, inForce: this.version })
+      return
+    }
+    this.version = document.version
+    this.enforce(new tables.RoutingTable(document))
+    this.system.log.info('configuration in force', {
+      version: document.version, revision: item.revision, routes: document.routes.length, workspaces: document.workspaces?.length
+    })
+  }
+
+  override removed (): void {}
+  override updated (): void {}
+}
--- /dev/null
+++ b/src/gateway/store_lease.ts
@@ -0,0 +1,163 @@
+/**
+ * One key of this process in the store, kept under a lease: present while the process lives and reaches the store.
+ */
+import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
+
+/** Renewals within the life of a lease; two may be lost. */
+const renewalsPerLease = 3
+/** Time by which the right counts as lost before the store would end it, in milliseconds. */
+const safetyMs = 300
+
+export abstract class LeaseObserver {
+  /** The key is held; `revision` only grows from one holder to the next. */
+  abstract held (revision: number): void
+  /** The key may be another's. */
+  abstract lost (reason: string): void
+}
+
+export interface LeasedKey {
+  readonly key: string
+  readonly value: string
+  readonly ttlMs: number
+  /** Whether only one process may hold the key; otherwise it is overwritten. */
+  readonly isExclusive: boolean
+  /** Whether the key seems to be free; without it the store is not asked. */
+  readonly mayTry: () => boolean
+}
+
+export class StoreLease {
+  private lease: string | undefined
+  private revision: number | undefined
+  private confirmedMs = -Infinity
+  private confirmedUptimeMs = -Infinity
+  private isStopped = false
+  private stopTimer: host.Stop | undefined
+
+  /** `uptimeMs` counts the time for which the machine was suspended, too. */
+  constructor (
+    private readonly store: host.Store,
+    private readonly system: host.System,
+    private readonly leased: LeasedKey,
+    private readonly observer: LeaseObserver,
+    private readonly uptimeMs: () => number
+  ) {}
+
+  /** Whether the key is certainly still held. */
+  get isHeld (): boolean {
+    const limitMs = this.leased.ttlMs - safetyMs
+    return this.revision !== undefined &&
+      this.system.clock.monotonicMs() - this.confirmedMs < limitMs && this.uptimeMs() - this.confirmedUptimeMs < limitMs
+  }
+
+  start (): void {
+    this.step().catch((error: unknown) => this.system.log.error('lease stopped', { key: this.leased.key, error: String(error) }))
+  }
+
+  /** Gives the key up, so that another process can have it at once. */
+  async stop (): Promise<void> {
+    this.isStopped = true
+    this.stopTimer?.()
+    const lease = this.lease
+    this.lease = undefined
+    this.revision = undefined
+    if (lease !== undefined) {
+      await this.store.revokeLease(lease)
+    }
+  }
+
+  /** Tries for the key now, for it was seen to be free. */
+  hurry (): void {
+    if (this.revision === undefined && !this.isStopped) {
+      this.stopTimer?.()
+      this.start()
+    }
+  }
+
+  private async step (): Promise<void> {
+    const isIdle = this.revision === undefined && !this.leased.mayTry()
+    const failure = isIdle ? undefined : this.revision === undefined ? await this.acquire() : await this.renew()
+    if (this.isStopped) {
+      return
+    }
+    if (failure !== undefined && this.revision !== undefined && !this.isHeld) {
+      this.lose(failure)
+    }
+    const periodMs = this.leased.ttlMs / renewalsPerLease
+    this.stopTimer = this.system.clock.after(periodMs * (0.8 + this.system.random.nextUnit() * 0.2), () => this.start())
+  }
+
+  private async acquire (): Promise<string | undefined> {
+    if (this.lease === undefined) {
+      const sent = this.mark()
+      const granted = await this.store.grantLease(this.leased.ttlMs)
+      if (granted.isLeft()) {
+        return describe(granted.extract())
+      }
+      this.lease = granted.unsafeCoerce().id
+      this.confirm(sent)
+    }
+    const { key, value, isExclusive } = this.leased
+    const committed = await this.store.commit({
+      compare: isExclusive ? [{ key, target: 'mod', revision: 0 }] : [],
+      success: [{ kind: 'put', key, value, lease: this.lease }],
+      failure: []
+    })
+    if (committed.isLeft()) {
+      // The lease may have ended, or the key may have been written: both are settled with a lease of its own.
+      await this.dropLease()
+      return describe(committed.extract())
+    }
+    const { succeeded, revision } = committed.unsafeCoerce()
+    if (!succeeded) {
+      await this.dropLease()
+      return 'another process holds the key'
+    }
+    this.revision = revision
+    if (this.isHeld && !this.isStopped) {
+      this.observer.held(revision)
+    }
+    return undefined
+  }
+
+  private async renew (): Promise<string | undefined> {
+    const sent = this.mark()
+    const renewed = await this.store.renewLease(this.lease ?? '')
+    if (renewed.isRight()) {
+      this.confirm(sent)
+      return undefined
+    }
+    const failure = renewed.extract() as failures.Failure
+    if (failure.code === 'store_conflict') {
+      this.lose(failure.message)
+    }
+    return failure.message
+  }
+
+  private async dropLease (): Promise<void> {
+    const lease = this.lease
+    this.lease = undefined
+    if (lease !== undefined) {
+      await this.store.revokeLease(lease)
+    }
+  }
+
+  private lose (reason: string): void {
+    this.revision = undefined
+    this.lease = undefined
+    this.observer.lost(reason)
+  }
+
+  private mark (): { readonly atMs: number, readonly uptimeMs: number } {
+    return { atMs: this.system.clock.monotonicMs(), uptimeMs: this.uptimeMs() }
+  }
+
+  private confirm (sent: { readonly atMs: number, readonly uptimeMs: number }): void {
+    this.confirmedMs = sent.atMs
+    this.confirmedUptimeMs = sent.uptimeMs
+  }
+}
+
+function describe (failure: unknown): string {
+  return (failure as failures.Failure).message
+}
--- /dev/null
+++ b/src/gateway/stream_relay.ts
@@ -0,0 +1,131 @@
+/**
+ * Passes the stream of a server on to a caller.
+ */
+import * as buffer from 'node:buffer'
+import * as connections from './connection.js'
+import * as cutters from './event_cutter.js'
+import * as replies from './caller_reply.js'
+import * as types from './types.js'
+
+const misdirected = 421
+const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503])
+/** Most bytes kept of an answer that is not a stream. */
+const failureBytes = 65_536
+
+/** How one server's part of a stream ended. */
+export type RelayEnd =
+  | { readonly kind: 'completed' }
+  /** The server answered with a failure of its own. */
+  | { readonly kind: 'answered', readonly status: number, readonly rawHeaders: readonly string[], readonly body: buffer.Buffer }
+  | { readonly kind: 'not_run', readonly status: number | undefined, readonly reason: string }
+  | { readonly kind: 'lost', readonly reason: string }
+
+export class StreamRelay extends connections.AnswerObserver {
+  firstByteMs: number | undefined
+  private status = 0
+  private rawHeaders: readonly string[] = []
+  private mode: 'waiting' | 'streaming' | 'collecting' | 'foreign' = 'waiting'
+  private readonly collected: buffer.Buffer[] = []
+  private collectedBytes = 0
+  private isSettled = false
+  private sending: connections.Sending | undefined
+
+  constructor (
+    private readonly dialect: types.Dialect,
+    private readonly requestId: string | undefined,
+    private readonly reply: replies.CallerReply,
+    private readonly cutter: cutters.EventCutter | undefined,
+    private readonly now: () => number,
+    private readonly settle: (end: RelayEnd) => void
+  ) {
+    super()
+  }
+
+  attach (sending: connections.Sending): void {
+    this.sending = sending
+    if (this.mode === 'foreign') {
+      sending.abort()
+    }
+  }
+
+  /** Drops the server's stream. */
+  stop (reason: string): void {
+    this.sending?.abort()
+    this.finish({ kind: 'lost', reason })
+  }
+
+  override started (status: number, rawHeaders: readonly string[]): void {
+    this.status = status
+    this.rawHeaders = rawHeaders
+    const facts = this.dialect.readAnswer(rawHeaders)
+    const isForeign = facts.requestId !== this.requestId || (status < 300 && !facts.isSigned)
+    if (isForeign) {
+      this.mode = 'foreign'
+      this.sending?.abort()
+      this.finish({ kind: 'lost', reason: 'the answer belongs to another request' })
+      return
+    }
+    if (status >= 300 || facts.isNotRun) {
+      this.mode = 'collecting'
+      return
+    }
+    this.mode = 'streaming'
+    if (!this.reply.hasStarted) {
+      this.reply.start(status, rawHeaders)
+    }
+  }
+
+  override received (chunk: buffer.Buffer): void {
+    if (this.mode === 'collecting') {
+      this.collectedBytes += chunk.length
+      if (this.collectedBytes <= failureBytes) {
+        this.collected.push(chunk)
+      }
+      return
+    }
+    if (this.mode !== 'streaming' || this.isSettled) {
+      return
+    }
+    this.firstByteMs ??= this.now()
+    const bytes = this.cutter === undefined ? chunk : this.cutter.push(chunk)
+    if (bytes.length > 0 && !this.reply.write(bytes)) {
+      this.sending?.pause()
+      this.reply.whenDrained(() => this.sending?.resume())
+    }
+  }
+
+  override ended (): void {
+    if (this.mode === 'streaming') {
+      const rest = this.cutter?.flush()
+      if (rest !== undefined && rest.length > 0) {
+        this.reply.write(rest)
+      }
+      this.finish({ kind: 'completed' })
+      return
+    }
+    const { status, rawHeaders } = this
+    if (this.dialect.readAnswer(rawHeaders).isNotRun || status === misdirected) {
+      this.finish({ kind: 'not_run', status, reason: `status ${status}` })
+      return
+    }
+    if (promisingStatuses.has(status) || this.collectedBytes > failureBytes) {
+      this.finish({ kind: 'lost', reason: `status ${status} without the statement that it did not run` })
+      return
+    }
+    this.finish({ kind: 'answered', status, rawHeaders, body: buffer.Buffer.concat(this.collected) })
+  }
+
+  override failed (failure: connections.TransportFailure): void {
+    this.cutter?.drop()
+    this.finish(failure.kind === 'unsent'
+      ? { kind: 'not_run', status: undefined, reason: failure.reason }
+      : { kind: 'lost', reason: failure.reason })
+  }
+
+  private finish (end: RelayEnd): void {
+    if (!this.isSettled) {
+      this.isSettled = true
+      this.settle(end)
+    }
+  }
+}
--- a/src/host/node_system.ts
+++ b/src/host/node_system.ts
@@ -3,6 +3,7 @@
  */
 import * as crypto from 'node:crypto'
 import * as pino from 'pino'
+import * as boundedLogs from './bounded_log.js'
 import * as host from './types.js'
 
 class NodeClock extends host.Clock {
@@ -84,6 +85,22 @@
   return new NodeSystem(new PinoLog(logger))
 }
 
+/** Bytes of log lines that may wait for standard output before further lines are dropped. */
+const waitingLogBytes = 1_048_576
+/** Bytes that are written at once; lines wait no longer than the flush period. */
+const logChunkBytes = 4_096
+const logFlushMs = 100
+
+/** Creates the system of a process whose log lines go to standard output, bounded and without ever waiting for it. */
+export function createOutputSystem (node: string): host.System {
+  const destination = pino.destination({
+    fd: 1, sync: false, minLength: logChunkBytes, maxLength: waitingLogBytes, periodicFlush: logFlushMs
+  })
+  const logger = pino.pino({ level: 'info', base: { node } }, destination)
+  const { clock } = new NodeSystem(new SilentLog())
+  return new NodeSystem(new boundedLogs.BoundedLog(new PinoLog(logger), clock))
+}
+
 /** Creates a system without log lines. */
 export function createSilentSystem (): host.System {
   return new NodeSystem(new SilentLog())
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -43,6 +43,18 @@
   engine_memory_ratio: createMetric('gauge', [], 'Share of its memory that the engine reports as used, from 0 to 1.'),
   engine_cache_gaps_total: createMetric('counter', [], 'Times that cache events of the engine were missing.'),
 
+  // Gateways.
+  gateway_request_ms: createMetric('histogram', ['end'], 'Time from the arrival of a request to its final answer, by end, in milliseconds.'),
+  gateway_first_event_ms: createMetric('histogram', [], 'Time from the arrival of a generation to its first event, in milliseconds.'),
+  gateway_prefill_ms: createMetric('histogram', [], 'Time of a prefill, in milliseconds.'),
+  gateway_sends_total: createMetric('counter', ['outcome'], 'Sends of requests to servers by outcome.'),
+  gateway_room_refused_total: createMetric('counter', [], 'Reservations that decode servers refused.'),
+  gateway_waiting: createMetric('gauge', [], 'Generations that wait for room.'),
+  gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
+  gateway_orders_total: createMetric('counter', ['outcome'], 'Orders to engines by outcome.'),
+  gateway_store_age_ms: createMetric('gauge', ['prefix'], 'Time since the store confirmed the copy below a prefix, in milliseconds.'),
+  gateway_peers: createMetric('gauge', [], 'Other gateways heard within the last two seconds.'),
+
   // Both.
   configuration_version: createMetric('gauge', [], 'Version of the configuration in force.'),
   configuration_store_failures: createMetric('counter', [], 'Failed reads and broken watches of the configuration in the store.'),
--- a/tools/code_advice.ts
+++ b/tools/code_advice.ts
@@ -11,6 +11,7 @@
   body_malformed: 'Nothing.',
   body_invalid: 'Nothing; the message names the mistake.',
   body_too_large: 'If needed, raise `limits.bodyBytes`.',
+  headers_too_large: 'Send fewer or shorter headers, or raise the limit of the routing document.',
   body_too_slow: 'Many at once: the network before the entry.',
   headers_invalid: 'Nothing; the message names the mistake.',
   model_unknown: 'If it should exist: `mulberryflow model list`.',
