--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -6,11 +6,20 @@
  * other stay within the allowance together.
  */
 import * as routing from '../contracts/routing.js'
+import * as settings from './settings.js'
 
 /** Silence after which a gateway's use is assumed instead of heard, in milliseconds; a few missed exchanges. */
 const silenceMs = 700
 
+/** Part of the tolerated excess that deepens the bucket: short peaks inside the allowance of a window are not refused. */
+const depthPart = 0.35
+/** Part of the tolerated excess that gateways which do not hear each other may use together. */
+const partitionPart = 0.35
+/** Most by which the rate may be exceeded by gateways that do not hear each other, in parts of the rate. */
+const highestPartitionPart = 0.3
+
 interface Bucket {
+  workspace: routing.RoutedWorkspace
   level: number
   updatedMs: number
   admitted: number
@@ -30,6 +39,9 @@
   private readonly buckets = new Map<string, Bucket>()
   private readonly peers = new Map<string, Peer>()
 
+  /** `tolerance` is what a window may exceed the allowance by. */
+  constructor (private readonly tolerance: settings.GatewaySettings['allowance']) {}
+
   /** Returns what a request counts for in its workspace's unit. */
   static measure (workspace: routing.RoutedWorkspace, tokens: number | undefined): number {
     return workspace.unit === 'requests' ? 1 : tokens ?? workspace.plainTokens
@@ -51,21 +63,20 @@
 
   /** Takes in the totals that another gateway has admitted in this life. */
   hear (name: string, boot: string, admitted: Readonly<Record<string, number>>, nowMs: number): void {
-    const peer = this.peers.get(name) ?? { boot, heardMs: nowMs, admitted: new Map<string, number>() }
-    this.peers.set(name, peer)
-    const isFirst = peer.boot === ''
-    if (peer.boot !== boot) {
-      peer.boot = boot
-      peer.admitted.clear()
+    let peer = this.peers.get(name)
+    if (peer === undefined || peer.boot !== boot) {
+      // What a gateway admitted before it was first heard is not known to fall into the current window.
+      peer = { boot, heardMs: nowMs, admitted: new Map(Object.entries(admitted)) }
+      this.peers.set(name, peer)
     }
     peer.heardMs = nowMs
     for (const [workspace, total] of Object.entries(admitted)) {
-      const before = peer.admitted.get(workspace)
+      const before = peer.admitted.get(workspace) ?? 0
       peer.admitted.set(workspace, total)
       const bucket = this.buckets.get(workspace)
-      // What a gateway admitted before it was first heard is not known to fall into the current window.
-      if (bucket !== undefined && !(isFirst && before === undefined)) {
-        bucket.level -= Math.max(0, total - (before ?? 0))
+      if (bucket !== undefined) {
+        // Totals also fall, by refunds.
+        bucket.level = Math.min(this.getDepth(bucket.workspace), bucket.level - (total - before))
       }
     }
   }
@@ -110,17 +121,33 @@
     const found = this.buckets.get(workspace.name)
     if (found === undefined) {
       // A gateway that has just started does not know what was used before: it begins with its part of the burst.
-      const created = { level: workspace.burst / gateways, updatedMs: nowMs, admitted: 0 }
+      const created = { workspace, level: workspace.burst / gateways, updatedMs: nowMs, admitted: 0 }
       this.buckets.set(workspace.name, created)
       return created
     }
+    found.workspace = workspace
     const elapsedMs = Math.max(0, nowMs - found.updatedMs)
     found.updatedMs = nowMs
-    const heard = gateways - this.countSilent(nowMs)
-    found.level = Math.min(workspace.burst, found.level + elapsedMs / 1000 * workspace.rate * heard / gateways)
+    const heardPart = (gateways - this.countSilent(nowMs)) / gateways
+    const excess = Math.min(highestPartitionPart, partitionPart * this.getTolerated(workspace) / this.getWindowUnits(workspace))
+    const ratePart = Math.min(1, heardPart * (1 + excess))
+    found.level = Math.min(this.getDepth(workspace), found.level + elapsedMs / 1000 * workspace.rate * ratePart)
     return found
   }
 
+  /** Most units that a workspace can save up. */
+  private getDepth (workspace: routing.RoutedWorkspace): number {
+    return workspace.burst + depthPart * this.getTolerated(workspace)
+  }
+
+  private getTolerated (workspace: routing.RoutedWorkspace): number {
+    return this.tolerance.overPart * (this.getWindowUnits(workspace) + workspace.burst) + this.tolerance.slack
+  }
+
+  private getWindowUnits (workspace: routing.RoutedWorkspace): number {
+    return workspace.rate * this.tolerance.windowMs / 1000
+  }
+
   private countSilent (nowMs: number): number {
     let silent = 0
     for (const peer of this.peers.values()) {
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -56,12 +56,12 @@
         resolve(outcome)
       })
       const cancel = (): void => {
-        sending.abort()
         observer.give({ kind: 'lost', reason: 'cancelled' })
+        sending.abort()
       }
       const stopTimer = this.clock.after(timeoutMs, () => {
-        sending.abort()
         observer.give({ kind: 'silent', reason: `no answer within ${Math.round(timeoutMs)} ms` })
+        sending.abort()
       })
       const sending = this.send(address, request, once, observer, rawHeaders => dialect.readAnswer(rawHeaders).idleMs)
       cancelled?.addEventListener('abort', cancel)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -79,7 +79,7 @@
       plainChoice,
       fleet,
       rooms: new rooms.RoomQueue(),
-      allowance: new allowances.AllowanceShare(),
+      allowance: new allowances.AllowanceShare(options.allowance),
       retries: new retries.RetryShare(options.retries),
       routing: { table: undefined }
     }
@@ -103,7 +103,8 @@
     })
     this.routingMirror = new mirrors.StoreMirror(store, documents.routingKey, system, follower)
     this.serverMirror = new mirrors.StoreMirror(store, documents.serverPrefix, system, directory)
-    this.members = new members.Members(store, system, options, this.boot, () => os.uptime() * 1000, addresses => this.setMembers(addresses))
+    this.members = new members.Members(store, system, options, this.boot, () => os.uptime() * 1000,
+      (node, withinMs) => this.peers.listHeard(withinMs).includes(node), addresses => this.setMembers(addresses))
     this.peers = new peerExchanges.Peers(this.createParty(), system)
   }
 
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -11,8 +11,8 @@
 const prefix = 'mulberryflow/gateways/'
 /** Life of a gateway's entry without renewal, in milliseconds: outlives short outages of the store. */
 const entryTtlMs = 6_000
-/** How long a gateway is kept whose entry lapsed around an outage of the store, in milliseconds. */
-const returnMs = 5_000
+/** How long a gateway is kept whose entry is missing, in milliseconds; and again for as long as it is still heard. */
+const returnMs = 3_000
 
 const Entry = z.object({ address: z.string(), boot: z.string(), zone: z.string() })
 
@@ -28,6 +28,8 @@
     private readonly options: settings.GatewaySettings,
     boot: string,
     uptimeMs: () => number,
+    /** Whether a gateway was heard within the time in milliseconds. */
+    private readonly isHeard: (node: string, withinMs: number) => boolean,
     private readonly changed: (addresses: ReadonlyMap<string, string>) => void
   ) {
     super()
@@ -74,22 +76,29 @@
     this.addresses.set(node, parsed.data.address)
   }
 
-  override removed (key: string, mayReturn: boolean): void {
+  override removed (key: string): void {
     const node = key.slice(prefix.length)
-    if (mayReturn && this.addresses.has(node)) {
-      this.lapsed.set(node, this.system.clock.after(returnMs, () => {
-        this.lapsed.delete(node)
-        this.addresses.delete(node)
-        this.updated()
-      }))
-      return
+    if (this.addresses.has(node) && !this.lapsed.has(node)) {
+      this.awaitSilence(node)
     }
-    this.addresses.delete(node)
   }
 
   override updated (): void {
     this.changed(this.addresses)
   }
+
+  private awaitSilence (node: string): void {
+    this.lapsed.set(node, this.system.clock.after(returnMs, () => {
+      if (this.isHeard(node, returnMs)) {
+        this.awaitSilence(node)
+        return
+      }
+      this.lapsed.delete(node)
+      this.addresses.delete(node)
+      this.system.log.info('gateway gone', { gateway: node })
+      this.updated()
+    }))
+  }
 }
 
 function parseJson (text: string): unknown {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -33,6 +33,14 @@
     /** Time that two holders of the right to order must lie apart. */
     orderLeaseMs: milliseconds
   }),
+  /** What may be used beyond an allowance in a window, over all gateways. */
+  allowance: z.object({
+    windowMs: milliseconds,
+    /** Part of the allowance of the window. */
+    overPart: z.number().nonnegative(),
+    /** Units beside that part. */
+    slack: z.number().nonnegative()
+  }),
   retries: z.object({
     /** Further sends to servers for each request. */
     ratio: z.number().nonnegative(),
