Keep an answer without a length unframed; believe in a lapsed server for less than the drain bound

Ruled out: resets hidden by the HTTP client (events of the sockets were played: the connection ended without one).

--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -39,9 +39,16 @@
     return this.response.headersSent
   }
 
-  /** Starts the server's answer. */
+  /**
+   * Starts the server's answer. One without a length ends with the connection here too: the caller must not take it
+   * for whole because of a framing that the server never gave.
+   */
   start (status: number, rawHeaders: readonly string[]): void {
     if (!this.isGone) {
+      if (!isFramed(rawHeaders)) {
+        this.response.useChunkedEncodingByDefault = false
+        this.response.shouldKeepAlive = false
+      }
       this.response.writeHead(status, this.withConnection(this.dialect.selectReturned(rawHeaders)))
       this.response.flushHeaders()
     }
@@ -108,3 +115,13 @@
     return this.mayStay() ? [...rawHeaders] : [...rawHeaders, 'Connection', 'close']
   }
 }
+
+function isFramed (rawHeaders: readonly string[]): boolean {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] as string).toLowerCase()
+    if (name === 'content-length' || name === 'transfer-encoding') {
+      return true
+    }
+  }
+  return false
+}
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -6,8 +6,6 @@
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
 
-/** How long a server is used whose entry lapsed around an outage of the store, in milliseconds: living servers put theirs again within it. */
-const returnMs = 2_000
 /** How long a server that answered in place of another is left out, in milliseconds: until the store has told of the change. */
 const misdirectedMs = 3_000
 
@@ -52,7 +50,7 @@
     }
   }
 
-  override removed (key: string, mayReturn: boolean): void {
+  override removed (key: string, returnsUntilMs: number | undefined): void {
     const id = key.slice(this.documents.serverPrefix.length)
     const server = this.servers.get(id)
     if (server === undefined) {
@@ -60,9 +58,9 @@
     }
     this.servers.delete(id)
     this.byService.clear()
-    this.system.log.info('server gone', { server: id, service: server.service, mayReturn })
-    if (mayReturn && server.state === 'ready') {
-      this.lapses.set(id, { server, untilMs: this.system.clock.monotonicMs() + returnMs })
+    this.system.log.info('server gone', { server: id, service: server.service, mayReturn: returnsUntilMs !== undefined })
+    if (returnsUntilMs !== undefined && server.state === 'ready') {
+      this.lapses.set(id, { server, untilMs: returnsUntilMs })
       return
     }
     this.departed(server)
--- a/src/gateway/mirror.ts
+++ b/src/gateway/mirror.ts
@@ -12,6 +12,8 @@
 const outageMs = 1_500
 /** Time after an outage in which keys that are missing may still come back, in milliseconds. */
 const returnMs = 2_000
+/** Longest time that a missing key is still believed in, in milliseconds: below the time in which a server that leaves must get no more work. */
+const longestBeliefMs = 1_400
 
 /** One key of the copy. */
 export interface MirrorItem {
@@ -28,8 +30,8 @@
 
 export abstract class MirrorObserver {
   abstract put (item: MirrorItem): void
-  /** `mayReturn`: the key lapsed around an outage of the store, and its writer may put it again at once. */
-  abstract removed (key: string, mayReturn: boolean): void
+  /** `returnsUntilMs`: the key lapsed around an outage of the store, and its writer may put it again until then. */
+  abstract removed (key: string, returnsUntilMs: number | undefined): void
   /** A state of the store was taken in whole or in part. */
   abstract updated (): void
 }
@@ -82,7 +84,7 @@
     if (snapshot.revision <= this.knownRevision) {
       return false
     }
-    this.replace(snapshot, true)
+    this.replace(snapshot, false)
     return true
   }
 
@@ -151,7 +153,7 @@
       if (event.kind === 'put') {
         this.put({ key, value: event.entry.value, revision })
       } else if (this.items.delete(key)) {
-        this.observer.removed(key, this.isReturning())
+        this.observer.removed(key, this.getReturnLimit())
       }
     }
     if (events.length > 0) {
@@ -170,7 +172,7 @@
     for (const key of [...this.items.keys()]) {
       if (!found.has(key) && (this.items.get(key)?.revision ?? 0) <= snapshot.revision) {
         this.items.delete(key)
-        this.observer.removed(key, mayReturn)
+        this.observer.removed(key, mayReturn ? this.getReturnLimit() : undefined)
       }
     }
     this.knownRevision = Math.max(this.knownRevision, snapshot.revision)
@@ -197,8 +199,11 @@
     return wasOutage
   }
 
-  private isReturning (): boolean {
-    return this.system.clock.monotonicMs() - this.outageEndedMs < returnMs
+  /** Returns until when a key that is missing now may come back. */
+  private getReturnLimit (): number | undefined {
+    const nowMs = this.system.clock.monotonicMs()
+    const limitMs = Math.min(this.outageEndedMs + returnMs, nowMs + longestBeliefMs)
+    return limitMs > nowMs ? limitMs : undefined
   }
 
   private noteFailure (failure: failures.Failure): void {
