The split of stages follows the offered load; runs are booked by their average growth

Change: one gateway at a time holds the duty to order stages (key under a lease, fencing by its revision); wished split from the offered load with hysteresis; memory booked for half of the expected output; small requests of a workspace may leave a small debt.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -18,6 +18,11 @@
 /** Most by which the rate may be exceeded by gateways that do not hear each other, in parts of the rate. */
 const highestPartitionPart = 0.3
 
+/** Requests below this part of the burst count as small. */
+const smallPart = 0.05
+/** Debt that small requests may leave, in parts of the burst: they are not shut out by the large ones of their workspace. */
+const smallDebtPart = 0.5
+
 interface Bucket {
   workspace: routing.RoutedWorkspace
   level: number
@@ -88,7 +93,9 @@
     }
     const bucket = this.refill(workspace, nowMs)
     // A request above the burst is let in from a full bucket and leaves a debt.
-    const needed = Math.min(units, workspace.burst)
+    const needed = units <= workspace.burst * smallPart
+      ? units - workspace.burst * smallDebtPart
+      : Math.min(units, workspace.burst)
     if (bucket.level < needed) {
       const missing = needed - bucket.level
       return { kind: 'refused', retryAfterMs: Math.ceil(missing / workspace.rate * 1000) }
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -94,6 +94,10 @@
     return this.servers.get(id)?.state === 'ready' || this.lapses.has(id)
   }
 
+  find (id: string): routing.RoutedServer | undefined {
+    return this.servers.get(id)
+  }
+
   listAll (): readonly routing.RoutedServer[] {
     return [...this.servers.values()]
   }
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -6,6 +6,7 @@
  */
 import * as healths from './server_health.js'
 import * as routing from '../contracts/routing.js'
+import * as splits from './stage_split.js'
 
 /** Prefill speed assumed before the first prefill was measured, in tokens a millisecond. */
 const assumedPrefillRate = 30
@@ -30,6 +31,13 @@
   readonly unread: number
 }
 
+/** What another gateway tells of its engines. */
+export interface PeerEngines {
+  readonly bookings: Readonly<Record<string, EngineBooking>>
+  readonly offered: Readonly<Record<string, splits.OfferedLoad>>
+  readonly switching: readonly string[]
+}
+
 interface Decode {
   readonly server: string
   readonly tokens: number
@@ -45,6 +53,8 @@
 interface Peer {
   readonly heardMs: number
   readonly bookings: ReadonlyMap<string, EngineBooking>
+  readonly offered: Readonly<Record<string, splits.OfferedLoad>>
+  readonly switching: ReadonlySet<string>
 }
 
 export class EngineFleet {
@@ -52,7 +62,9 @@
   private readonly prefills = new Map<string, Prefill>()
   private readonly rates = new Map<string, number>()
   private readonly peers = new Map<string, Peer>()
-  private own = new Map<string, EngineBooking>()
+  private readonly own = new Map<string, EngineBooking>()
+  private readonly meters = new Map<string, splits.LoadMeter>()
+  private switching: ReadonlySet<string> = new Set()
 
   constructor (private readonly zone: string, private readonly health: healths.ServerHealth) {}
 
@@ -92,8 +104,45 @@
   }
 
   /** Takes in what another gateway has under way. */
-  hear (peer: string, bookings: Readonly<Record<string, EngineBooking>>, nowMs: number): void {
-    this.peers.set(peer, { heardMs: nowMs, bookings: new Map(Object.entries(bookings)) })
+  hear (peer: string, state: PeerEngines, nowMs: number): void {
+    this.peers.set(peer, {
+      heardMs: nowMs,
+      bookings: new Map(Object.entries(state.bookings)),
+      offered: state.offered,
+      switching: new Set(state.switching)
+    })
+  }
+
+  /** Notes a generation that a caller asks for, whether or not it is served. */
+  noteOffered (service: string, prefillMs: number, memoryMs: number, nowMs: number): void {
+    const meter = this.meters.get(service) ?? new splits.LoadMeter()
+    this.meters.set(service, meter)
+    meter.note(prefillMs, memoryMs, nowMs)
+  }
+
+  /** Load that this gateway's callers offer, by service. */
+  listOffered (nowMs: number): Record<string, splits.OfferedLoad> {
+    const offered: Record<string, splits.OfferedLoad> = {}
+    for (const [service, meter] of this.meters) {
+      offered[service] = meter.read(nowMs)
+    }
+    return offered
+  }
+
+  /** Load that all gateways' callers offer to a service. */
+  getOffered (service: string, nowMs: number): splits.OfferedLoad {
+    let { prefill, decode } = this.meters.get(service)?.read(nowMs) ?? { prefill: 0, decode: 0 }
+    for (const peer of this.peers.values()) {
+      const offered = nowMs - peer.heardMs > peerLifeMs ? undefined : peer.offered[service]
+      prefill += offered?.prefill ?? 0
+      decode += offered?.decode ?? 0
+    }
+    return { prefill, decode }
+  }
+
+  /** Sets the servers that change their stage by order of this gateway. */
+  setSwitching (servers: readonly string[]): void {
+    this.switching = new Set(servers)
   }
 
   forgetServer (server: string): void {
@@ -117,7 +166,7 @@
   ): routing.RoutedServer[] {
     const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
     for (const server of servers) {
-      if (server.stage !== 'decode' || server.state !== 'ready' || this.health.isPaused(server.id, nowMs)) {
+      if (server.stage !== 'decode' || !this.isUsable(server, nowMs)) {
         continue
       }
       const { runs, tokens: used } = this.getLoad(server.id, nowMs)
@@ -139,8 +188,7 @@
     let best: routing.RoutedServer | undefined
     let bestMs = Infinity
     for (const server of servers) {
-      if (server.stage !== 'prefill' || server.state !== 'ready' || excluded.has(server.id) ||
-        this.health.isPaused(server.id, nowMs)) {
+      if (server.stage !== 'prefill' || excluded.has(server.id) || !this.isUsable(server, nowMs)) {
         continue
       }
       const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id))
@@ -157,6 +205,15 @@
     return (this.getUnread(server, nowMs) + tokens) / (this.rates.get(server) ?? assumedPrefillRate)
   }
 
+  /** Time that an engine without other work needs for a prompt, in milliseconds, by the measured speeds. */
+  estimateReadingMs (tokens: number): number {
+    let total = 0
+    for (const rate of this.rates.values()) {
+      total += rate
+    }
+    return tokens / (this.rates.size === 0 ? assumedPrefillRate : total / this.rates.size)
+  }
+
   /** Sum of all gateways' bookings at a server. */
   getLoad (server: string, nowMs: number): EngineBooking {
     let { runs, tokens, unread } = this.own.get(server) ?? { runs: 0, tokens: 0, unread: 0 }
@@ -171,6 +228,18 @@
     return { runs, tokens, unread }
   }
 
+  private isUsable (server: routing.RoutedServer, nowMs: number): boolean {
+    if (server.state !== 'ready' || this.switching.has(server.id) || this.health.isPaused(server.id, nowMs)) {
+      return false
+    }
+    for (const peer of this.peers.values()) {
+      if (nowMs - peer.heardMs <= peerLifeMs && peer.switching.has(server.id)) {
+        return false
+      }
+    }
+    return true
+  }
+
   private getUnread (server: string, nowMs: number): number {
     return this.getLoad(server, nowMs).unread
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
 import * as directories from './directory.js'
+import * as duties from './order_duty.js'
 import * as fleets from './engine_fleet.js'
 import * as handlers from './request_handler.js'
 import * as healths from './server_health.js'
@@ -45,6 +46,7 @@
   private readonly metricsServer: http.Server
   private readonly peers: peerExchanges.Peers
   private readonly members: members.Members
+  private readonly duty: duties.OrderDuty
   private readonly routingMirror: mirrors.StoreMirror
   private readonly serverMirror: mirrors.StoreMirror
   private readonly boot: string
@@ -103,7 +105,9 @@
     })
     this.routingMirror = new mirrors.StoreMirror(store, documents.routingKey, system, follower)
     this.serverMirror = new mirrors.StoreMirror(store, documents.serverPrefix, system, directory)
-    this.members = new members.Members(store, system, options, this.boot, () => os.uptime() * 1000,
+    const uptimeMs = (): number => os.uptime() * 1000
+    this.duty = new duties.OrderDuty(this.context, store, uptimeMs, service => fleet.getOffered(service, system.clock.monotonicMs()))
+    this.members = new members.Members(store, system, options, this.boot, uptimeMs,
       (node, withinMs) => this.peers.listHeard(withinMs).includes(node), addresses => this.setMembers(addresses))
     this.peers = new peerExchanges.Peers(this.createParty(), system)
   }
@@ -124,6 +128,7 @@
     this.routingMirror.start()
     this.serverMirror.start()
     this.members.start()
+    this.duty.start()
     system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs()))
     system.clock.every(gaugeMs, () => this.setGauges())
     for (const seed of options.seeds) {
@@ -140,7 +145,7 @@
     const startedMs = clock.monotonicMs()
     this.isLeaving = true
     log.info('stopping', { inFlight: this.handler.inFlight, connections: this.ingress.connections })
-    const left = this.members.leave()
+    const left = Promise.all([this.members.leave(), this.duty.leave()])
     await clock.sleep(balancerLagMs)
     this.ingress.stopAccepting()
     const endMs = startedMs + this.options.timing.graceMs - exitMarginMs
@@ -156,20 +161,28 @@
     const { clock } = this.system
     const listMirrors = (): readonly mirrors.StoreMirror[] => [this.routingMirror, this.serverMirror, this.members.mirror]
     const { node } = this.options
-    const { boot } = this
+    const { boot, duty } = this
     return new class extends peerExchanges.PeerParty {
       override describe (): peerExchanges.PeerState {
         const revisions: Record<string, number> = {}
         for (const mirror of listMirrors()) {
           revisions[mirror.prefix] = mirror.revision
         }
-        return { node, boot, revisions, admitted: allowance.listAdmitted(), bookings: fleet.listBookings() }
+        return {
+          node,
+          boot,
+          revisions,
+          admitted: allowance.listAdmitted(),
+          bookings: fleet.listBookings(),
+          offered: fleet.listOffered(clock.monotonicMs()),
+          switching: [...duty.listSwitching()]
+        }
       }
 
       override hear (state: peerExchanges.PeerState): void {
         const nowMs = clock.monotonicMs()
         allowance.hear(state.node, state.boot, state.admitted, nowMs)
-        fleet.hear(state.node, state.bookings, nowMs)
+        fleet.hear(state.node, state, nowMs)
       }
 
       override listMirrors (): readonly mirrors.StoreMirror[] {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -28,8 +28,12 @@
 /** When a caller may come back that found no room, in milliseconds: about the time in which a full server's runs end. */
 const roomRetryMs = 3_000
 const noServerRetryMs = 1_000
+/** Time between two tokens of a well-filled engine, in milliseconds; only for the estimate of the load. */
+const stepMs = 6.5
 /** Memory granularity of the engines, in tokens. */
 const blockTokens = 16
+/** Memory that a run's output takes on average over its time, in parts of its length; peaks of several runs rarely meet. */
+const averageGrowthPart = 0.5
 /** Part of the stated bound that is expected where the caller gives no estimate. */
 const expectedOutputPart = 0.5
 
@@ -48,6 +52,7 @@
   private prefills = 0
   private mayHaveRun = false
   private firstByteMs: number | undefined
+  private bytes = 0
 
   private get sizes (): types.GenerationSizes {
     return this.request.arrival.sizes ?? { promptTokens: blockTokens, maximumOutputTokens: blockTokens, hintedOutputTokens: undefined }
@@ -59,7 +64,7 @@
   }
 
   private get neededTokens (): number {
-    return Math.ceil((this.sizes.promptTokens + this.expectedOutput) / blockTokens + 1) * blockTokens
+    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * averageGrowthPart) / blockTokens + 1) * blockTokens
   }
 
   /** When the first event must come to be in time. */
@@ -68,6 +73,7 @@
   }
 
   override async run (): Promise<exchanges.ExchangeEnd> {
+    this.noteOffered()
     let reason = ''
     let server: string | undefined
     for (let placing = 0; placing < maximumPlacings && this.remainingMs() > 0; placing += 1) {
@@ -93,6 +99,14 @@
     return this.refuse(failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs), server)
   }
 
+  private noteOffered (): void {
+    const { fleet } = this.context
+    const { service } = this.request
+    const prefillMs = fleet.estimateReadingMs(this.sizes.promptTokens)
+    const memoryPart = (this.sizes.promptTokens + this.expectedOutput / 2) / (service.engine?.memoryTokens ?? Infinity)
+    fleet.noteOffered(service.name, prefillMs, memoryPart * (this.expectedOutput * stepMs + prefillMs), this.now())
+  }
+
   /** Reads the prompt and streams at a place; `again` says why another place is to be tried. */
   private async runAt (place: Place): Promise<exchanges.ExchangeEnd | { readonly again: string }> {
     const { fleet } = this.context
@@ -127,6 +141,10 @@
       server,
       outcome: end.kind,
       reason: 'reason' in end ? end.reason : undefined,
+      promptTokens: this.sizes.promptTokens,
+      maximumOutputTokens: this.sizes.maximumOutputTokens,
+      hintedOutputTokens: this.sizes.hintedOutputTokens,
+      bytes: this.bytes,
       firstEventMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs - this.request.arrivedMs),
       elapsedMs: Math.round(this.now() - this.request.arrivedMs)
     })
@@ -348,6 +366,7 @@
           stopTimer()
           this.reply.gone.signal.removeEventListener('abort', leave)
           this.firstByteMs ??= relay.firstByteMs
+          this.bytes += relay.bytes
           resolve(end)
         })
       const leave = (): void => relay.stop('the caller left')
--- /dev/null
+++ b/src/gateway/order_duty.ts
@@ -0,0 +1,220 @@
+/**
+ * Orders changes of stage. One gateway at a time holds the duty, by a key in the store; its orders carry the revision
+ * of that key as fencing number, so that engines refuse those of an earlier holder.
+ */
+import * as contexts from './context.js'
+import * as host from '../host/types.js'
+import * as leases from './store_lease.js'
+import * as mirrors from './mirror.js'
+import * as routing from '../contracts/routing.js'
+import * as splits from './stage_split.js'
+
+const prefix = 'mulberryflow/duty/'
+const key = `${prefix}stages`
+/** How often the split is looked at, in milliseconds. */
+const periodMs = 500
+/** Longest wait for the answer to an order, in milliseconds. */
+const answerMs = 800
+/** Time after which an order without a visible effect is given up, in milliseconds: a late order is carried out by then. */
+const effectMs = 16_000
+const accepted = 202
+const holdsAlready = 200
+const fencedOff = 412
+
+interface Ordered {
+  readonly to: routing.EngineStage
+  readonly untilMs: number
+}
+
+export class OrderDuty extends mirrors.MirrorObserver {
+  readonly mirror: mirrors.StoreMirror
+  private readonly lease: leases.StoreLease
+  private readonly services = new Map<string, splits.StageSplit>()
+  private readonly ordered = new Map<string, Ordered>()
+  private fence: number | undefined
+  private mayOrderFromMs = Infinity
+  private isTaken = false
+  private isOrdering = false
+  private stopTicks: host.Stop | undefined
+
+  constructor (
+    private readonly context: contexts.GatewayContext,
+    store: host.Store,
+    uptimeMs: () => number,
+    /** Load that all gateways' callers offer to a service. */
+    private readonly readLoad: (service: string) => splits.OfferedLoad
+  ) {
+    super()
+    const { system, settings } = context
+    this.mirror = new mirrors.StoreMirror(store, prefix, system, this)
+    const duty = this
+    this.lease = new leases.StoreLease(store, system, {
+      key,
+      value: JSON.stringify({ node: settings.node }),
+      ttlMs: Math.max(settings.timing.orderLeaseMs, settings.timing.minimumLeaseMs),
+      isExclusive: true,
+      mayTry: () => duty.mirror.isLoaded && !duty.isTaken
+    }, new class extends leases.LeaseObserver {
+      override held (revision: number): void {
+        duty.gain(revision)
+      }
+
+      override lost (reason: string): void {
+        duty.drop(reason)
+      }
+    }(), uptimeMs)
+  }
+
+  /** Servers that change their stage by order of this gateway. */
+  listSwitching (): readonly string[] {
+    return [...this.ordered.keys()]
+  }
+
+  start (): void {
+    this.mirror.start()
+    this.lease.start()
+    this.stopTicks = this.context.system.clock.every(periodMs, () => this.tick())
+  }
+
+  async leave (): Promise<void> {
+    this.stopTicks?.()
+    this.fence = undefined
+    await this.lease.stop()
+  }
+
+  override put (item: mirrors.MirrorItem): void {
+    this.isTaken = this.isTaken || item.key === key
+  }
+
+  override removed (removedKey: string): void {
+    if (removedKey === key) {
+      this.isTaken = false
+      this.lease.hurry()
+    }
+  }
+
+  override updated (): void {}
+
+  private gain (revision: number): void {
+    const { system, settings } = this.context
+    this.fence = revision
+    // The holder before may have ordered until its lease ended.
+    this.mayOrderFromMs = system.clock.monotonicMs() + settings.timing.orderLeaseMs
+    system.log.info('order duty taken over', { fence: revision, pauseMs: settings.timing.orderLeaseMs })
+  }
+
+  private drop (reason: string): void {
+    if (this.fence !== undefined) {
+      this.context.system.log.warn('order duty lost', { fence: this.fence, reason })
+    }
+    this.fence = undefined
+    this.ordered.clear()
+  }
+
+  private tick (): void {
+    const { directory, routing: rules, system } = this.context
+    const nowMs = system.clock.monotonicMs()
+    this.forgetDone(nowMs)
+    this.context.fleet.setSwitching(this.listSwitching())
+    const table = rules.table
+    if (table === undefined || this.fence === undefined || this.isOrdering || !this.lease.isHeld || nowMs < this.mayOrderFromMs) {
+      return
+    }
+    for (const service of table.document.services) {
+      if (service.engine === undefined) {
+        continue
+      }
+      const order = this.plan(service.name, directory.listReady(service.name), nowMs)
+      if (order !== undefined) {
+        this.isOrdering = true
+        this.order(service.name, order.server, order.to).catch((error: unknown) => {
+          system.log.error('order failed by a defect', { server: order.server.id, error: String(error) })
+        }).finally(() => {
+          this.isOrdering = false
+        })
+        return
+      }
+    }
+  }
+
+  private plan (
+    service: string, servers: readonly routing.RoutedServer[], nowMs: number
+  ): { readonly server: routing.RoutedServer, readonly to: routing.EngineStage } | undefined {
+    let prefill = 0
+    let decode = 0
+    for (const server of servers) {
+      const stage = this.ordered.get(server.id)?.to ?? server.stage
+      prefill += stage === 'prefill' ? 1 : 0
+      decode += stage === 'decode' ? 1 : 0
+    }
+    const split = this.services.get(service) ?? new splits.StageSplit()
+    this.services.set(service, split)
+    const change = split.decide(prefill, decode, this.readLoad(service), nowMs)
+    if (change === undefined) {
+      return undefined
+    }
+    let best: routing.RoutedServer | undefined
+    let bestLoad = Infinity
+    for (const server of servers) {
+      if (server.stage !== change.from || this.ordered.has(server.id) || this.context.health.isPaused(server.id, nowMs)) {
+        continue
+      }
+      const { tokens, unread } = this.context.fleet.getLoad(server.id, nowMs)
+      if (tokens + unread < bestLoad) {
+        best = server
+        bestLoad = tokens + unread
+      }
+    }
+    return best === undefined ? undefined : { server: best, to: change.to }
+  }
+
+  private async order (service: string, server: routing.RoutedServer, to: routing.EngineStage): Promise<void> {
+    const { dialect, meter, pool, settings, system } = this.context
+    const report = await pool.call(server.address, dialect.writeReportRequest(server), answerMs, dialect)
+    const read = report.kind === 'answered' && report.status === 200 ? dialect.readReport(report.body) : undefined
+    if (read === undefined || read.isLeft() || this.fence === undefined || !this.lease.isHeld) {
+      system.log.info('no order', { server: server.id, reason: 'no report, or the duty is not certain' })
+      this.services.get(service)?.noteChange(system.clock.monotonicMs())
+      return
+    }
+    const { stage, isBusy, orders } = read.unsafeCoerce()
+    const fence = this.fence
+    this.services.get(service)?.noteChange(system.clock.monotonicMs())
+    if (isBusy || stage === to) {
+      system.log.info('no order', { server: server.id, reason: isBusy ? 'another order is carried out' : 'the stage is right' })
+      return
+    }
+    this.ordered.set(server.id, { to, untilMs: system.clock.monotonicMs() + effectMs })
+    this.context.fleet.setSwitching(this.listSwitching())
+    const outgoing = dialect.writeStageOrder(server, { stage: to, holder: settings.node, fence, expectedOrders: orders })
+    const outcome = await pool.call(server.address, outgoing, answerMs, dialect)
+    const status = outcome.kind === 'answered' ? outcome.status : undefined
+    const load = this.readLoad(service)
+    meter.count('gateway_orders_total', { outcome: String(status ?? outcome.kind) })
+    system.log.info('order', {
+      server: server.id,
+      stage: to,
+      fence,
+      expectedOrders: orders,
+      outcome: outcome.kind,
+      status,
+      prefillLoad: Number(load.prefill.toFixed(2)),
+      decodeLoad: Number(load.decode.toFixed(2))
+    })
+    if (status === fencedOff) {
+      this.drop('an engine has seen a higher fencing number')
+      await this.lease.stop()
+    } else if (status !== undefined && status !== accepted && status !== holdsAlready) {
+      this.ordered.delete(server.id)
+    }
+  }
+
+  private forgetDone (nowMs: number): void {
+    for (const [id, { to, untilMs }] of this.ordered) {
+      const server = this.context.directory.find(id)
+      if (server === undefined || server.stage === to || nowMs >= untilMs) {
+        this.ordered.delete(id)
+      }
+    }
+  }
+}
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -38,7 +38,11 @@
   /** Units admitted in this life, by workspace. */
   admitted: z.record(z.string(), z.number()),
   /** What is under way, by server. */
-  bookings: z.record(z.string(), Booking)
+  bookings: z.record(z.string(), Booking),
+  /** Load that callers offer, by service, in busy engines. */
+  offered: z.record(z.string(), z.object({ prefill: z.number(), decode: z.number() })),
+  /** Servers that change their stage by order of this gateway. */
+  switching: z.array(z.string())
 })
 export type PeerState = z.infer<typeof PeerState>
 
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -22,6 +22,8 @@
 
 export class StreamRelay extends connections.AnswerObserver {
   firstByteMs: number | undefined
+  /** Bytes of the stream that the server sent. */
+  bytes = 0
   private status = 0
   private rawHeaders: readonly string[] = []
   private mode: 'waiting' | 'streaming' | 'collecting' | 'foreign' = 'waiting'
@@ -87,6 +89,7 @@
       return
     }
     this.firstByteMs ??= this.now()
+    this.bytes += chunk.length
     const bytes = this.cutter === undefined ? chunk : this.cutter.push(chunk)
     if (bytes.length > 0 && !this.reply.write(bytes)) {
       this.sending?.pause()
