--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -71,6 +71,9 @@
   end (): void {
     this.isDone = true
     this.response.end()
+    if (!this.mayStay()) {
+      this.closeAfterwards()
+    }
   }
 
   /** Gives the server's whole answer. */
@@ -111,6 +114,12 @@
     return status
   }
 
+  /** Closes a connection whose answer began before it was known that it cannot stay. */
+  private closeAfterwards (): void {
+    const { socket } = this.response
+    this.response.once('finish', () => socket?.end())
+  }
+
   private withConnection (rawHeaders: readonly string[]): string[] {
     return this.mayStay() ? [...rawHeaders] : [...rawHeaders, 'Connection', 'close']
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,8 @@
 import * as settings from './settings.js'
 import * as types from './types.js'
 
+/** Keys of the gateways themselves in the store. */
+const ownPrefix = 'mulberryflow/'
 /** How often waiting generations are looked at beside the moments when room becomes free, in milliseconds. */
 const pumpMs = 20
 /** Period of setting gauges, in milliseconds. */
@@ -34,6 +36,8 @@
 /** Time kept at the end of the grace period, in milliseconds. */
 const exitMarginMs = 400
 const drainPollMs = 50
+/** Part of the grace period in which requests are still begun; the rest is for their ends. */
+const beginPart = 0.6
 /** How recently a gateway must have been heard to count as present, in milliseconds. */
 const heardMs = 2_000
 
@@ -49,8 +53,11 @@
   private readonly duty: duties.OrderDuty
   private readonly routingMirror: mirrors.StoreMirror
   private readonly serverMirror: mirrors.StoreMirror
+  private readonly ownMirror: mirrors.StoreMirror
   private readonly boot: string
   private isLeaving = false
+  /** Until when requests are begun. */
+  private lastBeginMs = Infinity
 
   constructor (
     private readonly system: host.System,
@@ -85,7 +92,7 @@
       retries: new retries.RetryShare(options.retries),
       routing: { table: undefined }
     }
-    this.handler = new handlers.RequestHandler(this.context, () => !this.isLeaving)
+    this.handler = new handlers.RequestHandler(this.context, () => !this.isLeaving, () => system.clock.monotonicMs() < this.lastBeginMs)
     this.ingress = new ingresses.Ingress((request, response) => {
       this.handler.handle(request, response).catch((error: unknown) => {
         system.log.error('request not handled', { error: String(error) })
@@ -109,6 +116,7 @@
     this.duty = new duties.OrderDuty(this.context, store, uptimeMs, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot, uptimeMs,
       (node, withinMs) => this.peers.listHeard(withinMs).includes(node), addresses => this.setMembers(addresses))
+    this.ownMirror = new mirrors.StoreMirror(store, ownPrefix, system, new mirrors.SplitObserver([this.members, this.duty]))
     this.peers = new peerExchanges.Peers(this.createParty(), system)
   }
 
@@ -127,6 +135,7 @@
     }
     this.routingMirror.start()
     this.serverMirror.start()
+    this.ownMirror.start()
     this.members.start()
     this.duty.start()
     system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs()))
@@ -144,6 +153,7 @@
     const { clock, log } = this.system
     const startedMs = clock.monotonicMs()
     this.isLeaving = true
+    this.lastBeginMs = startedMs + this.options.timing.graceMs * beginPart
     log.info('stopping', { inFlight: this.handler.inFlight, connections: this.ingress.connections })
     const left = Promise.all([this.members.leave(), this.duty.leave()])
     await clock.sleep(balancerLagMs)
@@ -159,7 +169,7 @@
   private createParty (): peerExchanges.PeerParty {
     const { allowance, fleet } = this.context
     const { clock } = this.system
-    const listMirrors = (): readonly mirrors.StoreMirror[] => [this.routingMirror, this.serverMirror, this.members.mirror]
+    const listMirrors = (): readonly mirrors.StoreMirror[] => [this.routingMirror, this.serverMirror, this.ownMirror]
     const { node } = this.options
     const { boot, duty } = this
     return new class extends peerExchanges.PeerParty {
@@ -199,7 +209,7 @@
 
   private setGauges (): void {
     const nowMs = this.system.clock.monotonicMs()
-    for (const mirror of [this.routingMirror, this.serverMirror, this.members.mirror]) {
+    for (const mirror of [this.routingMirror, this.serverMirror, this.ownMirror]) {
       const ageMs = mirror.getAgeMs(nowMs)
       this.meter.gauge('gateway_store_age_ms', { prefix: mirror.prefix }, Number.isFinite(ageMs) ? ageMs : -1)
     }
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -17,7 +17,6 @@
 const Entry = z.object({ address: z.string(), boot: z.string(), zone: z.string() })
 
 export class Members extends mirrors.MirrorObserver {
-  readonly mirror: mirrors.StoreMirror
   private readonly lease: leases.StoreLease
   private readonly addresses = new Map<string, string>()
   private readonly lapsed = new Map<string, host.Stop>()
@@ -33,7 +32,6 @@
     private readonly changed: (addresses: ReadonlyMap<string, string>) => void
   ) {
     super()
-    this.mirror = new mirrors.StoreMirror(store, prefix, system, this)
     const address = identities.formatAddress(options.peers)
     this.lease = new leases.StoreLease(store, system, {
       key: prefix + options.node,
@@ -53,7 +51,6 @@
   }
 
   start (): void {
-    this.mirror.start()
     this.lease.start()
   }
 
@@ -63,7 +60,7 @@
 
   override put (item: mirrors.MirrorItem): void {
     const node = item.key.slice(prefix.length)
-    if (node === this.options.node) {
+    if (!item.key.startsWith(prefix) || node === this.options.node) {
       return
     }
     this.lapsed.get(node)?.()
@@ -78,7 +75,7 @@
 
   override removed (key: string): void {
     const node = key.slice(prefix.length)
-    if (this.addresses.has(node) && !this.lapsed.has(node)) {
+    if (key.startsWith(prefix) && this.addresses.has(node) && !this.lapsed.has(node)) {
       this.awaitSilence(node)
     }
   }
--- a/src/gateway/mirror.ts
+++ b/src/gateway/mirror.ts
@@ -36,6 +36,31 @@
   abstract updated (): void
 }
 
+/** Passes changes on to several observers, each of which picks its own keys. */
+export class SplitObserver extends MirrorObserver {
+  constructor (private readonly observers: readonly MirrorObserver[]) {
+    super()
+  }
+
+  override put (item: MirrorItem): void {
+    for (const observer of this.observers) {
+      observer.put(item)
+    }
+  }
+
+  override removed (key: string, returnsUntilMs: number | undefined): void {
+    for (const observer of this.observers) {
+      observer.removed(key, returnsUntilMs)
+    }
+  }
+
+  override updated (): void {
+    for (const observer of this.observers) {
+      observer.updated()
+    }
+  }
+}
+
 export class StoreMirror {
   private readonly items = new Map<string, MirrorItem>()
   private knownRevision = 0
--- a/src/gateway/order_duty.ts
+++ b/src/gateway/order_duty.ts
@@ -9,8 +9,7 @@
 import * as routing from '../contracts/routing.js'
 import * as splits from './stage_split.js'
 
-const prefix = 'mulberryflow/duty/'
-const key = `${prefix}stages`
+const key = 'mulberryflow/duty/stages'
 /** How often the split is looked at, in milliseconds. */
 const periodMs = 500
 /** Longest wait for the answer to an order, in milliseconds. */
@@ -27,12 +26,12 @@
 }
 
 export class OrderDuty extends mirrors.MirrorObserver {
-  readonly mirror: mirrors.StoreMirror
   private readonly lease: leases.StoreLease
   private readonly services = new Map<string, splits.StageSplit>()
   private readonly ordered = new Map<string, Ordered>()
   private fence: number | undefined
   private mayOrderFromMs = Infinity
+  private isLoaded = false
   private isTaken = false
   private isOrdering = false
   private stopTicks: host.Stop | undefined
@@ -46,14 +45,13 @@
   ) {
     super()
     const { system, settings } = context
-    this.mirror = new mirrors.StoreMirror(store, prefix, system, this)
     const duty = this
     this.lease = new leases.StoreLease(store, system, {
       key,
       value: JSON.stringify({ node: settings.node }),
       ttlMs: Math.max(settings.timing.orderLeaseMs, settings.timing.minimumLeaseMs),
       isExclusive: true,
-      mayTry: () => duty.mirror.isLoaded && !duty.isTaken
+      mayTry: () => duty.isLoaded && !duty.isTaken
     }, new class extends leases.LeaseObserver {
       override held (revision: number): void {
         duty.gain(revision)
@@ -71,7 +69,6 @@
   }
 
   start (): void {
-    this.mirror.start()
     this.lease.start()
     this.stopTicks = this.context.system.clock.every(periodMs, () => this.tick())
   }
@@ -93,7 +90,12 @@
     }
   }
 
-  override updated (): void {}
+  override updated (): void {
+    if (!this.isLoaded) {
+      this.isLoaded = true
+      this.lease.hurry()
+    }
+  }
 
   private gain (revision: number): void {
     const { system, settings } = this.context
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -16,6 +16,8 @@
 
 /** When a caller may come back that met a gateway without a configuration, in milliseconds. */
 const notReadyRetryMs = 1_000
+/** When a caller may come back that met a gateway about to end, in milliseconds; another gateway takes it at once. */
+const leavingRetryMs = 50
 /** Time limit of a request that states none, in milliseconds. */
 const standardPatienceMs = 60_000
 /** Time by which the final answer comes before the route's time is over, in milliseconds. */
@@ -33,7 +35,12 @@
   private serial = 0
   private underWay = 0
 
-  constructor (private readonly context: contexts.GatewayContext, private readonly mayStay: () => boolean) {}
+  /** `mayBegin` tells whether a request that arrives now can still be served before this process ends. */
+  constructor (
+    private readonly context: contexts.GatewayContext,
+    private readonly mayStay: () => boolean,
+    private readonly mayBegin: () => boolean
+  ) {}
 
   /** Requests that have no final answer yet. */
   get inFlight (): number {
@@ -75,6 +82,9 @@
     if (body.isLeft()) {
       return this.refuse(reply, body.extract() as failures.Failure)
     }
+    if (!this.mayBegin()) {
+      return this.refuse(reply, failures.createFailure('not_run', 'shutting_down', [], leavingRetryMs))
+    }
     const table = this.context.routing.table
     if (table === undefined) {
       return this.refuse(reply, failures.createFailure('not_run', 'not_ready', [], notReadyRetryMs))
--- a/src/gateway/store_lease.ts
+++ b/src/gateway/store_lease.ts
@@ -32,6 +32,7 @@
   private confirmedMs = -Infinity
   private confirmedUptimeMs = -Infinity
   private isStopped = false
+  private isStepping = false
   private stopTimer: host.Stop | undefined
 
   /** `uptimeMs` counts the time for which the machine was suspended, too. */
@@ -51,7 +52,12 @@
   }
 
   start (): void {
-    this.step().catch((error: unknown) => this.system.log.error('lease stopped', { key: this.leased.key, error: String(error) }))
+    this.isStepping = true
+    this.step().catch((error: unknown) => {
+      this.system.log.error('lease stopped', { key: this.leased.key, error: String(error) })
+    }).finally(() => {
+      this.isStepping = false
+    })
   }
 
   /** Gives the key up, so that another process can have it at once. */
@@ -68,7 +74,7 @@
 
   /** Tries for the key now, for it was seen to be free. */
   hurry (): void {
-    if (this.revision === undefined && !this.isStopped) {
+    if (this.revision === undefined && !this.isStopped && !this.isStepping) {
       this.stopTimer?.()
       this.start()
     }
