--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -61,6 +61,8 @@
   private readonly decodes = new Map<string, Decode>()
   private readonly prefills = new Map<string, Prefill>()
   private readonly rates = new Map<string, number>()
+  /** Until when a server is left out, in milliseconds. */
+  private readonly refusals = new Map<string, number>()
   private readonly peers = new Map<string, Peer>()
   private readonly own = new Map<string, EngineBooking>()
   private readonly meters = new Map<string, splits.LoadMeter>()
@@ -145,7 +147,13 @@
     this.switching = new Set(servers)
   }
 
+  /** Leaves a server out for a time, in milliseconds, because it has just refused work. */
+  noteRefusal (server: string, forMs: number, nowMs: number): void {
+    this.refusals.set(server, Math.max(this.refusals.get(server) ?? 0, nowMs + forMs))
+  }
+
   forgetServer (server: string): void {
+    this.refusals.delete(server)
     this.rates.delete(server)
   }
 
@@ -229,7 +237,8 @@
   }
 
   private isUsable (server: routing.RoutedServer, nowMs: number): boolean {
-    if (server.state !== 'ready' || this.switching.has(server.id) || this.health.isPaused(server.id, nowMs)) {
+    if (server.state !== 'ready' || this.switching.has(server.id) || this.health.isPaused(server.id, nowMs) ||
+      (this.refusals.get(server.id) ?? 0) > nowMs) {
       return false
     }
     for (const peer of this.peers.values()) {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -12,8 +12,14 @@
 
 /** Times that a generation is placed anew at most. */
 const maximumPlacings = 3
-/** Decode servers that are asked for room in a row. */
-const maximumAsked = 3
+/** Reservations that may be refused before a request is given up. */
+const maximumRefusals = 8
+/** Prefill servers that are tried for one prompt. */
+const maximumPrefillServers = 3
+/** How long a full decode server is left out, in milliseconds: about the time in which one of its runs ends. */
+const fullMs = 120
+/** How long a server is left out that refuses a run although it granted the room, in milliseconds: it is changing its stage. */
+const refusingMs = 1_500
 /** Longest wait for the answer to a reservation, in milliseconds: a few round trips between zones. */
 const holdAnswerMs = 120
 /** Time kept in a reservation beyond the expected prefill, in milliseconds. */
@@ -135,7 +141,7 @@
   }
 
   private conclude (place: Place, end: relays.RelayEnd): exchanges.ExchangeEnd | { readonly again: string } {
-    const { health, directory } = this.context
+    const { directory, fleet, health } = this.context
     const server = place.server.id
     this.log('stream ended', {
       server,
@@ -168,6 +174,8 @@
           health.note(server, 'unreachable', this.now())
         } else if (end.status === misdirected) {
           directory.noteMisdirected(server)
+        } else if (place.hold !== undefined) {
+          fleet.noteRefusal(server, refusingMs, this.now())
         }
         return { again: end.reason }
       case 'lost':
@@ -184,31 +192,31 @@
 
   /** Takes room at a decode server, at once or as soon as there is some while the caller can still be served in time. */
   private async placeRun (): Promise<Placing> {
-    const asked = new Set<string>()
+    let refused = 0
     while (true) {
-      const server = await this.awaitRoom(asked)
+      const server = await this.awaitRoom()
       if (server === undefined) {
-        return { failure: this.createNoRoomFailure(asked) }
+        return { failure: this.createNoRoomFailure(refused) }
       }
       const taken = await this.takeHold(server)
       if (taken.kind === 'taken') {
         return { place: { server, hold: taken.hold } }
       }
+      refused += 1
       this.context.fleet.releaseDecode(this.request.serial)
-      asked.add(server.id)
-      if (this.reply.isGone || asked.size >= maximumAsked) {
-        return { failure: this.createNoRoomFailure(asked) }
+      if (this.reply.isGone || refused >= maximumRefusals) {
+        return { failure: this.createNoRoomFailure(refused) }
       }
     }
   }
 
-  private createNoRoomFailure (asked: ReadonlySet<string>): failures.Failure {
+  private createNoRoomFailure (refused: number): failures.Failure {
     const { directory } = this.context
     const hasServers = directory.listReady(this.request.service.name).length > 0
     this.log('no room', {
       service: this.request.service.name,
       neededTokens: this.neededTokens,
-      refusedBy: [...asked].join(' '),
+      refusals: refused,
       waiting: this.context.rooms.length,
       waitedMs: Math.round(this.now() - this.request.arrivedMs)
     })
@@ -218,9 +226,9 @@
   }
 
   /** Books the best server with room; waits for one while that is in time. */
-  private awaitRoom (asked: ReadonlySet<string>): Promise<routing.RoutedServer | undefined> {
+  private awaitRoom (): Promise<routing.RoutedServer | undefined> {
     const { rooms } = this.context
-    const booked = this.tryBook(asked)
+    const booked = this.tryBook()
     if (booked !== undefined || this.reply.hasStarted) {
       return Promise.resolve(booked)
     }
@@ -239,7 +247,7 @@
         sinceMs: this.request.arrivedMs,
         latestMs: this.goalAtMs - firstEventMs - this.estimateReadingMs(),
         tryTake: () => {
-          server = this.tryBook(asked)
+          server = this.tryBook()
           return server !== undefined
         },
         settle: () => {
@@ -251,20 +259,18 @@
     })
   }
 
-  private tryBook (asked: ReadonlySet<string>): routing.RoutedServer | undefined {
+  private tryBook (): routing.RoutedServer | undefined {
     const { directory, fleet } = this.context
     const profile = this.request.service.engine
     if (profile === undefined) {
       return undefined
     }
     const servers = directory.listReady(this.request.service.name)
-    for (const server of fleet.rankDecode(servers, profile, this.neededTokens, this.now())) {
-      if (!asked.has(server.id)) {
-        fleet.bookDecode(this.request.serial, server.id, this.neededTokens)
-        return server
-      }
+    const [best] = fleet.rankDecode(servers, profile, this.neededTokens, this.now())
+    if (best !== undefined) {
+      fleet.bookDecode(this.request.serial, best.id, this.neededTokens)
     }
-    return undefined
+    return best
   }
 
   private estimateReadingMs (): number {
@@ -286,6 +292,7 @@
     if (hold?.isRight() === true) {
       return { kind: 'taken', hold: hold.unsafeCoerce() }
     }
+    this.context.fleet.noteRefusal(server.id, fullMs, this.now())
     this.log('room refused', { server: server.id, status: outcome.status, neededTokens: this.neededTokens })
     return { kind: 'refused' }
   }
@@ -295,7 +302,7 @@
     const { directory, fleet } = this.context
     const tried = new Set<string>()
     let reason = ''
-    while (tried.size < maximumAsked && !this.reply.isGone) {
+    while (tried.size < maximumPrefillServers && !this.reply.isGone) {
       const servers = directory.listReady(this.request.service.name)
       const choice = fleet.choosePrefill(servers, this.sizes.promptTokens, tried, this.now())
       const aloneMs = fleet.estimatePrefillMs('', this.sizes.promptTokens, this.now()) / decodePrefillPart
@@ -352,6 +359,7 @@
       if (outcome.status === misdirected) {
         directory.noteMisdirected(server.id)
       }
+      fleet.noteRefusal(server.id, fullMs, this.now())
       return `prefill: status ${outcome.status}`
     }
     health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
