Tests of the gateway's decisions; buckets of allowances start with the configuration

Cause: a gateway that a workspace had not used before began its bucket with a quarter of the burst at the first request (found by the test of two seconds at twice the rate, which failed before). Change: buckets exist from the moment the workspaces are known. Tests of shares, budgets, choice, room, engines and split.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -52,6 +52,20 @@
     return workspace.unit === 'requests' ? 1 : tokens ?? workspace.plainTokens
   }
 
+  /** Names the workspaces, so that what they use at other gateways counts here from now on. */
+  setWorkspaces (workspaces: readonly routing.RoutedWorkspace[], nowMs: number): void {
+    const names = new Set<string>()
+    for (const workspace of workspaces) {
+      names.add(workspace.name)
+      this.refill(workspace, nowMs)
+    }
+    for (const name of this.buckets.keys()) {
+      if (!names.has(name)) {
+        this.buckets.delete(name)
+      }
+    }
+  }
+
   /** Names the other gateways of the deployment; state of all others is dropped. */
   setPeers (names: readonly string[], nowMs: number): void {
     for (const name of this.peers.keys()) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,6 +109,7 @@
     const follower = new routingFollowers.RoutingFollower(documents, system, table => {
       this.context.routing.table = table
       this.ingress.setLimits(table.document.limits)
+      this.context.allowance.setWorkspaces(table.document.workspaces ?? [], system.clock.monotonicMs())
     })
     this.routingMirror = new mirrors.StoreMirror(store, documents.routingKey, system, follower)
     this.serverMirror = new mirrors.StoreMirror(store, documents.serverPrefix, system, directory)
--- /dev/null
+++ b/tests/gateway/allowance_share.test.ts
@@ -0,0 +1,203 @@
+import * as assert from 'node:assert/strict'
+import * as fastCheck from 'fast-check'
+import * as test from 'node:test'
+import * as allowances from '../../src/gateway/allowance_share.js'
+import * as routing from '../../src/contracts/routing.js'
+
+const tolerance = { windowMs: 8_000, overPart: 0.1, slack: 190_000 }
+const workspace: routing.RoutedWorkspace = {
+  name: 'grants', keyHashes: [], unit: 'tokens', plainTokens: 200, rate: 47_000, burst: 47_000
+}
+const seeds = 60
+const stepMs = 100
+
+interface Use {
+  readonly atMs: number
+  readonly units: number
+}
+
+/** Most units that a window may hold. */
+function getBound (): number {
+  return (workspace.rate * tolerance.windowMs / 1000 + workspace.burst) * (1 + tolerance.overPart) + tolerance.slack
+}
+
+function findLargestWindow (uses: readonly Use[]): number {
+  let largest = 0
+  let sum = 0
+  let first = 0
+  for (const use of uses) {
+    sum += use.units
+    while (use.atMs - (uses[first] as Use).atMs >= tolerance.windowMs) {
+      sum -= (uses[first] as Use).units
+      first += 1
+    }
+    largest = Math.max(largest, sum)
+  }
+  return largest
+}
+
+/** Gateways that exchange their totals each step, but for those that are cut off. */
+class Fleet {
+  readonly uses: Use[] = []
+  nowMs = 0
+  private readonly shares: allowances.AllowanceShare[] = []
+  private readonly boots: number[] = []
+
+  constructor (private readonly size: number) {
+    for (let index = 0; index < size; index += 1) {
+      this.boots.push(0)
+      this.shares.push(this.create(index))
+    }
+  }
+
+  create (index: number): allowances.AllowanceShare {
+    const share = new allowances.AllowanceShare(tolerance)
+    share.setWorkspaces([workspace], this.nowMs)
+    share.setPeers(this.names().filter(name => name !== `g${index}`), this.nowMs)
+    return share
+  }
+
+  restart (index: number): void {
+    this.boots[index] = (this.boots[index] ?? 0) + 1
+    this.shares[index] = this.create(index)
+  }
+
+  ask (index: number, units: number): allowances.AllowanceVerdict {
+    const verdict = (this.shares[index] as allowances.AllowanceShare).charge(workspace, units, this.nowMs)
+    if (verdict.kind === 'admitted') {
+      this.uses.push({ atMs: this.nowMs, units })
+    }
+    return verdict
+  }
+
+  step (cutOff: ReadonlySet<number>): void {
+    this.nowMs += stepMs
+    for (const [to, share] of this.shares.entries()) {
+      for (const [from, other] of this.shares.entries()) {
+        if (to !== from && !cutOff.has(to) && !cutOff.has(from)) {
+          share.hear(`g${from}`, String(this.boots[from]), other.listAdmitted(), this.nowMs)
+        }
+      }
+    }
+  }
+
+  private names (): string[] {
+    return Array.from({ length: this.size }, (_, index) => `g${index}`)
+  }
+}
+
+test.describe('Shares of an allowance', () => {
+  test.describe('with a workspace that sends several times its rate', () => {
+    test.it('stay within the window, whoever is cut off and whoever starts again', () => {
+      fastCheck.assert(fastCheck.property(
+        fastCheck.integer({ min: 2, max: 5 }),
+        fastCheck.array(fastCheck.record({ cut: fastCheck.nat(5), restart: fastCheck.integer({ min: -20, max: 4 }) }), { minLength: 20, maxLength: 20 }),
+        (size, phases) => {
+          const fleet = new Fleet(size)
+          let restarts = 0
+          for (const { cut, restart } of phases) {
+            if (restart >= 0 && restart < size && restarts < 1) {
+              fleet.restart(restart)
+              restarts += 1
+            }
+            for (let step = 0; step < 10; step += 1) {
+              fleet.step(new Set(cut < size ? [cut] : []))
+              for (let index = 0; index < size; index += 1) {
+                fleet.ask(index, 4_400)
+                fleet.ask(index, 200)
+              }
+            }
+          }
+          assert.ok(findLargestWindow(fleet.uses) <= getBound())
+        }), { seed: 7, numRuns: seeds })
+    })
+
+    test.it('stay within the window when all gateways are killed in the middle of it', () => {
+      const fleet = new Fleet(4)
+      for (let step = 0; step < 160; step += 1) {
+        fleet.step(new Set())
+        if (step === 80) {
+          for (let index = 0; index < 4; index += 1) {
+            fleet.restart(index)
+          }
+        }
+        for (let index = 0; index < 4; index += 1) {
+          fleet.ask(index, 4_400)
+        }
+      }
+      assert.ok(findLargestWindow(fleet.uses) <= getBound())
+    })
+  })
+
+  test.describe('with a workspace inside its rate', () => {
+    test.it('refuse nothing when all requests meet one gateway', () => {
+      const fleet = new Fleet(4)
+      for (let step = 0; step < 300; step += 1) {
+        fleet.step(new Set())
+        if (step > 20) {
+          assert.equal(fleet.ask(0, 4_400).kind, 'admitted', `step ${step}`)
+        }
+      }
+    })
+
+    test.it('refuse nothing at a gateway that the workspace had not used before', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      share.setWorkspaces([workspace], 0)
+      for (let request = 0; request < 20; request += 1) {
+        assert.equal(share.charge(workspace, 4_400, 8_000).kind, 'admitted')
+      }
+    })
+
+    test.it('refuse nothing for two seconds of twice the rate', () => {
+      const fleet = new Fleet(4)
+      for (let step = 0; step < 80; step += 1) {
+        fleet.step(new Set())
+        fleet.ask(0, 200)
+      }
+      for (let step = 0; step < 20; step += 1) {
+        fleet.step(new Set())
+        assert.equal(fleet.ask(step % 4, 4_700).kind, 'admitted')
+        assert.equal(fleet.ask((step + 1) % 4, 4_700).kind, 'admitted')
+      }
+    })
+  })
+
+  test.describe('of a gateway that was not heard before', () => {
+    test.it('do not count what it admitted long ago', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      share.charge(workspace, 200, 0)
+      share.hear('other', 'boot', { grants: 10_000_000 }, 1_000)
+      assert.equal(share.charge(workspace, 4_400, 2_000).kind, 'admitted')
+    })
+
+    test.it('follow a total that falls by a refund', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      share.charge(workspace, 200, 0)
+      share.hear('other', 'boot', { grants: 0 }, 0)
+      for (let round = 1; round <= 200; round += 1) {
+        share.hear('other', 'boot', { grants: 20_000 }, round)
+        share.hear('other', 'boot', { grants: 0 }, round)
+      }
+      assert.equal(share.charge(workspace, 4_400, 1_000).kind, 'admitted')
+    })
+  })
+
+  test.describe('refusing', () => {
+    test.it('tell when the workspace may come back, and keep it', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      let verdict: allowances.AllowanceVerdict = { kind: 'admitted' }
+      while (verdict.kind === 'admitted') {
+        verdict = share.charge(workspace, 4_400, 0)
+      }
+      assert.equal(share.charge(workspace, 4_400, verdict.retryAfterMs).kind, 'admitted')
+    })
+
+    test.it('let small requests in beside large ones', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      while (share.charge(workspace, 4_400, 0).kind === 'admitted') {
+        // Uses the bucket up.
+      }
+      assert.equal(share.charge(workspace, 200, 0).kind, 'admitted')
+    })
+  })
+})
--- /dev/null
+++ b/tests/gateway/decisions.test.ts
@@ -0,0 +1,298 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as choices from '../../src/gateway/plain_choice.js'
+import * as cutters from '../../src/gateway/event_cutter.js'
+import * as fleets from '../../src/gateway/engine_fleet.js'
+import * as healths from '../../src/gateway/server_health.js'
+import * as retries from '../../src/gateway/retry_share.js'
+import * as rooms from '../../src/gateway/room_queue.js'
+import * as routing from '../../src/contracts/routing.js'
+import * as seededRandom from '../../src/host/seeded_random.js'
+import * as splits from '../../src/gateway/stage_split.js'
+import * as tables from '../../src/gateway/routing_table.js'
+
+const profile: routing.EngineProfile = { slots: 16, memoryTokens: 32_000, handleMs: 500, switchMs: 6_000, maximumHoldMs: 2_000 }
+
+function createServer (id: string, more: Partial<routing.RoutedServer> = {}): routing.RoutedServer {
+  return { id, service: 's', address: `10.0.0.1:${id.length}`, zone: 'a', slots: 6, state: 'ready', ...more }
+}
+
+function createRoute (name: string, prefix: string, targets: routing.Target[] = [{ service: 's', weight: 1 }]): routing.Route {
+  return {
+    name,
+    host: 'Desk.example',
+    prefix,
+    kind: 'idempotent',
+    targets,
+    timeoutMs: 1_000,
+    goalMs: 100,
+    maximumServers: 2,
+    priority: 1,
+    isPublic: false,
+    isResumable: false
+  }
+}
+
+test.describe('The routing table', () => {
+  const table = new tables.RoutingTable({
+    version: 1,
+    routes: [createRoute('short', '/a/'), createRoute('long', '/a/b/'), createRoute('root', '/r/')],
+    services: [],
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+  })
+
+  test.it('finds the longest prefix of the path', () => {
+    assert.equal(table.findRoute('desk.example', '/a/b/c')?.name, 'long')
+    assert.equal(table.findRoute('desk.example', '/a/bc')?.name, 'short')
+    assert.equal(table.findRoute('desk.example', '/a/b')?.name, 'short')
+  })
+
+  test.it('knows neither other hosts nor paths in the query', () => {
+    assert.equal(table.findRoute('other.example', '/a/b/'), undefined)
+    assert.equal(table.findRoute('desk.example', '/x?y=/a/b/'), undefined)
+    assert.equal(table.findRoute('desk.example', '/a'), undefined)
+  })
+
+  test.it('takes hosts in any case and with a port', () => {
+    assert.equal(table.findRoute('DESK.example:80', '/r/x')?.name, 'root')
+  })
+
+  test.it('divides a route by weight', () => {
+    const random = new seededRandom.SeededRandom(3)
+    const route = createRoute('split', '/s/', [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }])
+    let second = 0
+    for (let draw = 0; draw < 2_000; draw += 1) {
+      second += tables.pickTarget(route, random.nextUnit()) === 'b' ? 1 : 0
+    }
+    assert.ok(second > 140 && second < 260, String(second))
+  })
+})
+
+test.describe('Further sends', () => {
+  test.it('stay within the budget of a window over all gateways, also around a restart', () => {
+    const budget = { ratio: 0.2, windowMs: 10_000, slack: 52 }
+    const gateways = 4
+    let sends = 0
+    for (let index = 0; index < gateways; index += 1) {
+      // One gateway starts again in the middle and knows nothing of its past.
+      const lives = index === 0 ? 2 : 1
+      for (let life = 0; life < lives; life += 1) {
+        const share = new retries.RetryShare(budget)
+        share.setGateways(gateways)
+        for (let request = 0; request < 200 / lives; request += 1) {
+          share.earn('s', request)
+          sends += share.trySpend('s', request) ? 1 : 0
+        }
+      }
+    }
+    assert.ok(sends > 0)
+    assert.ok(sends <= budget.ratio * 200 * gateways + budget.slack, String(sends))
+  })
+})
+
+test.describe('The choice of a plain server', () => {
+  test.it('avoids a server that fails part of its calls while its health is good', () => {
+    const health = new healths.ServerHealth()
+    const choice = new choices.PlainChoice('a', health)
+    const servers = [createServer('x'), createServer('y'), createServer('z')]
+    const random = new seededRandom.SeededRandom(1)
+    for (let call = 0; call < 40; call += 1) {
+      health.note('x', random.nextUnit() < 0.45 ? 'silent' : 'good', call, 20)
+      health.note('y', 'good', call, 20)
+      health.note('z', 'good', call, 20)
+    }
+    let bad = 0
+    for (let call = 0; call < 100; call += 1) {
+      const server = choice.choose(servers, new Set(), 100_000 + call, random.nextUnit())
+      bad += server?.id === 'x' ? 1 : 0
+    }
+    assert.ok(bad < 10, String(bad))
+  })
+
+  test.it('goes to the least loaded, and to a paused server only where there is no other', () => {
+    const health = new healths.ServerHealth()
+    const choice = new choices.PlainChoice('a', health)
+    const servers = [createServer('x'), createServer('y')]
+    choice.start('x')
+    choice.start('x')
+    assert.equal(choice.choose(servers, new Set(), 0, 0.5)?.id, 'y')
+    assert.ok(health.note('y', 'unreachable', 0))
+    assert.equal(choice.choose(servers, new Set(), 1, 0.5)?.id, 'x')
+    assert.equal(choice.choose(servers, new Set(['x']), 1, 0.5)?.id, 'y')
+  })
+})
+
+test.describe('Events of a stream', () => {
+  test.it('leave only whole, however the bytes are cut', () => {
+    const text = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n'
+    for (let size = 1; size < text.length; size += 1) {
+      const cutter = new cutters.EventCutter()
+      let passed = ''
+      for (let at = 0; at < text.length; at += size) {
+        passed += cutter.push(Buffer.from(text.slice(at, at + size))).toString()
+      }
+      assert.equal(passed, text)
+      assert.equal(cutter.lastId, '3')
+    }
+  })
+
+  test.it('drop the part of an event at which a server broke off', () => {
+    const cutter = new cutters.EventCutter()
+    assert.equal(cutter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')).toString(), 'id: 1\ndata: a\n\n')
+    cutter.drop()
+    assert.equal(cutter.push(Buffer.from('id: 2\ndata: b\n\n')).toString(), 'id: 2\ndata: b\n\n')
+    assert.equal(cutter.lastId, '2')
+  })
+})
+
+test.describe('More generations than the decode servers hold', () => {
+  function createWaiter (id: string, more: Partial<rooms.Waiter>, log: string[]): rooms.Waiter {
+    return {
+      id,
+      priority: 1,
+      promptTokens: 3_000,
+      expectedOutputTokens: 500,
+      sinceMs: 0,
+      latestMs: 600,
+      tryTake: () => log.length < 2,
+      settle: taken => log.push(`${id}:${taken}`),
+      ...more
+    }
+  }
+
+  test.it('get room by urgency, then by what they bring for the memory they take', () => {
+    const log: string[] = []
+    const queue = new rooms.RoomQueue()
+    queue.add(createWaiter('long', { expectedOutputTokens: 1_200 }, log))
+    queue.add(createWaiter('short', { expectedOutputTokens: 100 }, log))
+    queue.add(createWaiter('urgent', { priority: 0, expectedOutputTokens: 1_200 }, log))
+    queue.pump(10)
+    assert.deepEqual(log, ['urgent:true', 'short:true'])
+    assert.equal(queue.length, 1)
+  })
+
+  test.it('are turned away as soon as they cannot be in time, and not before', () => {
+    const log: string[] = []
+    const queue = new rooms.RoomQueue()
+    queue.add(createWaiter('a', { tryTake: () => false }, log))
+    queue.pump(599)
+    assert.deepEqual(log, [])
+    queue.pump(600)
+    assert.deepEqual(log, ['a:false'])
+  })
+
+  test.it('do not starve when they are long', () => {
+    const log: string[] = []
+    const queue = new rooms.RoomQueue()
+    queue.add(createWaiter('long', { expectedOutputTokens: 1_200, sinceMs: 0, latestMs: 5_000, tryTake: () => log.length < 1 }, log))
+    queue.add(createWaiter('short', { expectedOutputTokens: 100, sinceMs: 900, tryTake: () => log.length < 1 }, log))
+    queue.pump(900)
+    assert.deepEqual(log, ['long:true', 'short:false'])
+  })
+})
+
+test.describe('The engines', () => {
+  const decodes = [createServer('d1', { stage: 'decode' }), createServer('d2', { stage: 'decode' })]
+
+  test.it('are booked by all gateways together', () => {
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    fleet.hear('other', { bookings: { d1: { runs: 9, tokens: 30_000, unread: 0 } }, offered: {}, switching: [] }, 0)
+    assert.deepEqual(fleet.rankDecode(decodes, profile, 3_500, 10).map(server => server.id), ['d2'])
+    fleet.bookDecode('run', 'd2', 30_000)
+    assert.deepEqual(fleet.rankDecode(decodes, profile, 3_500, 10), [])
+    fleet.releaseDecode('run')
+    assert.equal(fleet.rankDecode(decodes, profile, 3_500, 10).length, 1)
+  })
+
+  test.it('lose the bookings of a gateway that is no longer heard', () => {
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    fleet.hear('other', { bookings: { d1: { runs: 16, tokens: 30_000, unread: 0 } }, offered: {}, switching: [] }, 0)
+    assert.equal(fleet.rankDecode(decodes, profile, 3_500, 5_000).length, 2)
+  })
+
+  test.it('are left out while they change their stage or have just refused granted room', () => {
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    fleet.hear('other', { bookings: {}, offered: {}, switching: ['d1'] }, 0)
+    assert.deepEqual(fleet.rankDecode(decodes, profile, 100, 10).map(server => server.id), ['d2'])
+    fleet.noteRefusal('d2', 1_500, 10)
+    assert.deepEqual(fleet.rankDecode(decodes, profile, 100, 20), [])
+    assert.equal(fleet.rankDecode(decodes, profile, 100, 1_600).length, 1)
+  })
+
+  test.it('read a prompt where it is read first', () => {
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    const prefills = [createServer('p1', { stage: 'prefill' }), createServer('p2', { stage: 'prefill' })]
+    fleet.bookPrefill('run', 'p1', 6_000, 0)
+    const choice = fleet.choosePrefill(prefills, 3_000, new Set(), 0)
+    assert.equal(choice?.server.id, 'p2')
+    assert.ok((choice?.readyMs ?? 0) > 50 && (choice?.readyMs ?? 0) < 200)
+  })
+})
+
+test.describe('The split of stages', () => {
+  test.it('follows a shift from long prompts to long answers and back', () => {
+    const split = new splits.StageSplit()
+    let prefill = 3
+    const total = 13
+    const play = (load: splits.OfferedLoad, fromMs: number): number => {
+      let changes = 0
+      for (let nowMs = fromMs; nowMs < fromMs + 60_000; nowMs += 500) {
+        const change = split.decide(prefill, total - prefill, load, nowMs)
+        if (change !== undefined) {
+          split.noteChange(nowMs)
+          prefill += change.to === 'prefill' ? 1 : -1
+          changes += 1
+        }
+      }
+      return changes
+    }
+    play({ prefill: 5, decode: 5 }, 0)
+    assert.ok(prefill >= 6, String(prefill))
+    play({ prefill: 1, decode: 8 }, 60_000)
+    assert.ok(prefill <= 2, String(prefill))
+    assert.equal(play({ prefill: 1, decode: 8 }, 120_000), 0)
+  })
+
+  test.it('does not swing with a burst that lasts no longer than a change', () => {
+    const split = new splits.StageSplit()
+    const meter = new splits.LoadMeter()
+    let changes = 0
+    for (let nowMs = 0; nowMs < 34_000; nowMs += 100) {
+      const inBurst = nowMs > 10_000 && nowMs < 14_000
+      meter.note(inBurst ? 190 : 95, inBurst ? 700 : 350, nowMs)
+      if (nowMs > 3_000 && split.decide(3, 10, meter.read(nowMs), nowMs) !== undefined) {
+        changes += 1
+      }
+    }
+    assert.equal(changes, 0)
+  })
+
+  test.it('leaves at least one engine for each stage', () => {
+    const split = new splits.StageSplit()
+    assert.equal(split.decide(1, 2, { prefill: 0, decode: 30 }, 0), undefined)
+    assert.equal(split.decide(2, 1, { prefill: 30, decode: 0 }, 0), undefined)
+  })
+
+  test.it('starts from a part of the engines before there is any load', () => {
+    const split = new splits.StageSplit()
+    assert.deepEqual(split.decide(5, 8, { prefill: 0, decode: 0 }, 0), { from: 'prefill', to: 'decode' })
+  })
+})
+
+test.describe('The health of a server', () => {
+  test.it('leaves a server out for longer with each miss, but never for long', () => {
+    const health = new healths.ServerHealth()
+    for (let miss = 0; miss < 12; miss += 1) {
+      health.note('x', 'unreachable', 0)
+    }
+    assert.ok(health.isPaused('x', 2_900))
+    assert.ok(!health.isPaused('x', 3_001))
+  })
+
+  test.it('forgives a single silent answer, which may be the connection\'s fault', () => {
+    const health = new healths.ServerHealth()
+    assert.equal(health.note('x', 'silent', 0), false)
+    assert.ok(!health.isPaused('x', 1))
+    assert.equal(health.note('x', 'silent', 10), true)
+  })
+})
