Divide what a workspace has saved up while gateways do not hear each other

Change: depth and rate are both divided by the gateways that are heard; one never heard counts as silent.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -67,7 +67,7 @@
   }
 
   /** Names the other gateways of the deployment; state of all others is dropped. */
-  setPeers (names: readonly string[], nowMs: number): void {
+  setPeers (names: readonly string[]): void {
     for (const name of this.peers.keys()) {
       if (!names.includes(name)) {
         this.peers.delete(name)
@@ -75,7 +75,7 @@
     }
     for (const name of names) {
       if (!this.peers.has(name)) {
-        this.peers.set(name, { boot: '', heardMs: nowMs, admitted: new Map() })
+        this.peers.set(name, { boot: '', heardMs: -Infinity, admitted: new Map() })
       }
     }
   }
@@ -152,7 +152,8 @@
     const heardPart = (gateways - this.countSilent(nowMs)) / gateways
     const excess = Math.min(highestPartitionPart, partitionPart * this.getTolerated(workspace) / this.getWindowUnits(workspace))
     const ratePart = Math.min(1, heardPart * (1 + excess))
-    found.level = Math.min(this.getDepth(workspace), found.level + elapsedMs / 1000 * workspace.rate * ratePart)
+    // What was saved up is divided, too: the gateways on the other side have saved up the same.
+    found.level = Math.min(this.getDepth(workspace) * heardPart, found.level + elapsedMs / 1000 * workspace.rate * ratePart)
     return found
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -204,7 +204,7 @@
 
   private setMembers (addresses: ReadonlyMap<string, string>): void {
     this.peers.setAddresses(addresses)
-    this.context.allowance.setPeers([...addresses.keys()], this.system.clock.monotonicMs())
+    this.context.allowance.setPeers([...addresses.keys()])
     this.context.retries.setGateways(addresses.size + 1)
   }
 
--- a/tests/gateway/allowance_share.test.ts
+++ b/tests/gateway/allowance_share.test.ts
@@ -8,7 +8,7 @@
 const workspace: routing.RoutedWorkspace = {
   name: 'grants', keyHashes: [], unit: 'tokens', plainTokens: 200, rate: 47_000, burst: 47_000
 }
-const seeds = 60
+const seeds = 300
 const stepMs = 100
 
 interface Use {
@@ -53,7 +53,7 @@
   create (index: number): allowances.AllowanceShare {
     const share = new allowances.AllowanceShare(tolerance)
     share.setWorkspaces([workspace], this.nowMs)
-    share.setPeers(this.names().filter(name => name !== `g${index}`), this.nowMs)
+    share.setPeers(this.names().filter(name => name !== `g${index}`))
     return share
   }
 
