--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -55,6 +55,7 @@
   private readonly serverMirror: mirrors.StoreMirror
   private readonly ownMirror: mirrors.StoreMirror
   private readonly boot: string
+  private readonly stops: host.Stop[] = []
   private isLeaving = false
   /** Until when requests are begun. */
   private lastBeginMs = Infinity
@@ -139,8 +140,8 @@
     this.ownMirror.start()
     this.members.start()
     this.duty.start()
-    system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs()))
-    system.clock.every(gaugeMs, () => this.setGauges())
+    this.stops.push(system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs())))
+    this.stops.push(system.clock.every(gaugeMs, () => this.setGauges()))
     for (const seed of options.seeds) {
       this.peers.copyFrom(seed).catch((error: unknown) => {
         system.log.info('no copy of the store from a seed', { seed, reason: String(error) })
@@ -167,6 +168,22 @@
     await Promise.race([left, clock.sleep(drainPollMs)])
   }
 
+  /** Closes everything at once. */
+  async close (): Promise<void> {
+    for (const stop of this.stops) {
+      stop()
+    }
+    for (const mirror of [this.routingMirror, this.serverMirror, this.ownMirror]) {
+      mirror.stop()
+    }
+    await Promise.all([this.members.leave(), this.duty.leave()])
+    this.ingress.close()
+    this.readiness.close()
+    this.metricsServer.close()
+    this.context.pool.close()
+    await this.peers.close()
+  }
+
   private createParty (): peerExchanges.PeerParty {
     const { allowance, fleet } = this.context
     const { clock } = this.system
--- /dev/null
+++ b/tests/gateway/mirror.test.ts
@@ -0,0 +1,237 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as directories from '../../src/gateway/directory.js'
+import * as directStores from '../support/direct_store.js'
+import * as failures from '../../src/contracts/failure.js'
+import * as gateway from '../../src/gateway/types.js'
+import * as host from '../../src/host/types.js'
+import * as leases from '../../src/gateway/store_lease.js'
+import * as manualClocks from '../support/manual_clock.js'
+import * as mirrors from '../../src/gateway/mirror.js'
+import * as nodeSystems from '../../src/host/node_system.js'
+import * as routing from '../../src/contracts/routing.js'
+import * as seededRandom from '../../src/host/seeded_random.js'
+import * as storeCore from '../../standins/store_core.js'
+
+class TestSystem extends host.System {
+  override readonly clock = new manualClocks.ManualClock()
+  override readonly random = new seededRandom.SeededRandom(1)
+  override readonly log = new nodeSystems.SilentLog()
+}
+
+/** Entries are the servers' own JSON. */
+class PlainDocuments extends gateway.StoredDocuments {
+  override readonly routingKey = 'routing'
+  override readonly serverPrefix = 'servers/'
+
+  override readRouting (): failures.Result<routing.RoutingDocument> {
+    return failures.fail(failures.createFailure('not_run', 'internal', []))
+  }
+
+  override readServer (id: string, value: string): failures.Result<routing.RoutedServer> {
+    const parsed = routing.RoutedServer.safeParse({ id, ...JSON.parse(value) as object })
+    return parsed.success ? failures.succeed(parsed.data) : failures.fail(failures.createFailure('not_run', 'body_invalid', ['']))
+  }
+}
+
+/** A store, a copy of its servers, and the list that is made from it. */
+class Bench {
+  readonly system = new TestSystem()
+  readonly core = new storeCore.StoreCore(this.system.clock)
+  readonly store = new directStores.DirectStore(this.core)
+  readonly departed: string[] = []
+  readonly directory = new directories.Directory(new PlainDocuments(), this.system, server => this.departed.push(server.id))
+  readonly mirror = new mirrors.StoreMirror(this.store, 'servers/', this.system, this.directory)
+
+  put (id: string, more: object = {}): void {
+    const value = JSON.stringify({ service: 's', address: '1.1.1.1:1', zone: 'a', slots: 1, state: 'ready', ...more })
+    this.core.commit({ compare: [], success: [{ kind: 'put', key: `servers/${id}`, value }], failure: [] })
+  }
+
+  remove (id: string): void {
+    this.core.commit({ compare: [], success: [{ kind: 'delete', key: `servers/${id}` }], failure: [] })
+  }
+
+  list (): string[] {
+    return this.directory.listReady('s').map(server => server.id).sort()
+  }
+}
+
+test.describe('The copy of the store', () => {
+  test.it('follows changes, and reads again after its watch has ended', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    assert.deepEqual(bench.list(), ['a'])
+    bench.store.setDown(true)
+    bench.put('b')
+    bench.put('a', { state: 'draining' })
+    await bench.system.clock.advance(300)
+    assert.deepEqual(bench.list(), ['a'])
+    bench.store.setDown(false)
+    await bench.system.clock.advance(600)
+    assert.deepEqual(bench.list(), ['b'])
+    bench.mirror.stop()
+  })
+
+  test.it('never goes back to another gateway\'s older copy', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    const old = { revision: bench.core.revision, items: [{ key: 'servers/a', value: bench.core.read('servers/a')?.value ?? '', revision: bench.core.revision }] }
+    bench.put('a', { state: 'draining' })
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    assert.equal(bench.mirror.accept(old), false)
+    assert.deepEqual(bench.list(), [])
+    bench.mirror.stop()
+  })
+
+  test.it('takes a newer copy of another gateway while the store is silent', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.store.setDown(true)
+    bench.remove('a')
+    bench.put('b')
+    const { entries, revision } = bench.core.readRange({ prefix: 'servers/' })
+    const items = entries.map(entry => ({ key: entry.key, value: entry.value, revision: entry.modRevision }))
+    assert.equal(bench.mirror.accept({ revision, items }), true)
+    assert.deepEqual(bench.list(), ['b'])
+    bench.mirror.stop()
+  })
+})
+
+test.describe('The list of servers', () => {
+  test.it('gives up a server that goes away while the store answers', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.remove('a')
+    await bench.system.clock.advance(1)
+    assert.deepEqual(bench.list(), [])
+    assert.deepEqual(bench.departed, ['a'])
+    bench.mirror.stop()
+  })
+
+  test.it('keeps a server whose entry lapsed in an outage until it can have come back', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.store.setDown(true)
+    await bench.system.clock.advance(4_000)
+    bench.remove('a')
+    bench.store.setDown(false)
+    await bench.system.clock.advance(600)
+    assert.deepEqual(bench.list(), ['a'])
+    await bench.system.clock.advance(2_000)
+    assert.deepEqual(bench.list(), [])
+    bench.mirror.stop()
+  })
+
+  test.it('gives up a server that leaves just after an outage before it must get no more work', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.store.setDown(true)
+    await bench.system.clock.advance(4_000)
+    bench.store.setDown(false)
+    await bench.system.clock.advance(1_000)
+    bench.remove('a')
+    await bench.system.clock.advance(1_900)
+    assert.deepEqual(bench.list(), [])
+    bench.mirror.stop()
+  })
+
+  test.it('skips an entry that cannot be read, and drops the server that it named before', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.put('b')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.put('a', { slots: 'many' })
+    await bench.system.clock.advance(1)
+    assert.deepEqual(bench.list(), ['b'])
+    bench.mirror.stop()
+  })
+})
+
+test.describe('A key under a lease', () => {
+  class Log extends leases.LeaseObserver {
+    readonly lines: string[] = []
+
+    override held (revision: number): void {
+      this.lines.push(`held ${revision > 0}`)
+    }
+
+    override lost (): void {
+      this.lines.push('lost')
+    }
+  }
+
+  function createLease (bench: Bench, log: Log, uptimeMs = (): number => bench.system.clock.monotonicMs()): leases.StoreLease {
+    return new leases.StoreLease(bench.store, bench.system, {
+      key: 'duty', value: 'x', ttlMs: 3_000, isExclusive: true, mayTry: () => bench.core.read('duty') === undefined
+    }, log, uptimeMs)
+  }
+
+  test.it('has one holder, and the next one a higher revision', async () => {
+    const bench = new Bench()
+    const [one, two] = [new Log(), new Log()]
+    const first = createLease(bench, one)
+    const second = createLease(bench, two)
+    first.start()
+    await bench.system.clock.advance(10)
+    const revision = bench.core.read('duty')?.modRevision ?? 0
+    second.start()
+    await bench.system.clock.advance(10_000)
+    assert.deepEqual([one.lines, two.lines], [['held true'], []])
+    await first.stop()
+    await bench.system.clock.advance(2_000)
+    assert.deepEqual(two.lines, ['held true'])
+    assert.ok((bench.core.read('duty')?.modRevision ?? 0) > revision)
+    await second.stop()
+  })
+
+  test.it('is not believed in any more before the store would end it', async () => {
+    const bench = new Bench()
+    const log = new Log()
+    const lease = createLease(bench, log)
+    lease.start()
+    await bench.system.clock.advance(10)
+    bench.store.setDown(true)
+    await bench.system.clock.advance(2_800)
+    assert.equal(lease.isHeld, false)
+    await bench.system.clock.advance(2_000)
+    assert.deepEqual(log.lines, ['held true', 'lost'])
+    await lease.stop()
+  })
+
+  test.it('is not believed in after a suspension that the steady clock does not count', async () => {
+    const bench = new Bench()
+    let suspendedMs = 0
+    const lease = createLease(bench, new Log(), () => bench.system.clock.monotonicMs() + suspendedMs)
+    lease.start()
+    await bench.system.clock.advance(10)
+    assert.equal(lease.isHeld, true)
+    suspendedMs = 5_000
+    assert.equal(lease.isHeld, false)
+    await lease.stop()
+  })
+
+  test.it('is settled after the answer to its write was lost', async () => {
+    const bench = new Bench()
+    const log = new Log()
+    const lease = createLease(bench, log)
+    bench.store.lostAnswers = 1
+    lease.start()
+    await bench.system.clock.advance(5_000)
+    assert.equal(lease.isHeld, true)
+    assert.equal(log.lines.at(-1), 'held true')
+    await lease.stop()
+  })
+})
