--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -10,8 +10,10 @@
 
 /** Prefill speed assumed before the first prefill was measured, in tokens a millisecond. */
 const assumedPrefillRate = 30
-/** Weight of the newest measured speed. */
-const newestRateWeight = 0.2
+/** Weight of a measured speed above the known one; a prompt that shared its engine with later ones seems slower than it was. */
+const fasterRateWeight = 0.3
+/** Weight of a measured speed below the known one: engines that turned slow are still found within some ten prompts. */
+const slowerRateWeight = 0.08
 /** Slowest speed that a measurement is taken for, in tokens a millisecond. */
 const slowestPrefillRate = 1
 /** Part of an engine's memory that the growth of running requests may use before the next one is let in. */
@@ -20,6 +22,8 @@
 const peerLifeMs = 2_000
 /** Preference for engines of the own zone, in parts of the engine's memory. */
 const ownZonePreference = 0.02
+/** Longer time that a prompt may take at a server of the decode server's zone, in milliseconds: the KV cache crosses no zone then. */
+const sameZoneMs = 8
 
 /** What one gateway has under way at one engine. */
 export interface EngineBooking {
@@ -101,7 +105,7 @@
     if (succeeded && elapsedMs > 0) {
       const measured = Math.max(slowestPrefillRate, (prefill.tokens + prefill.aheadTokens) / elapsedMs)
       const before = this.rates.get(prefill.server) ?? assumedPrefillRate
-      this.rates.set(prefill.server, before + (measured - before) * newestRateWeight)
+      this.rates.set(prefill.server, before + (measured - before) * (measured > before ? fasterRateWeight : slowerRateWeight))
     }
   }
 
@@ -191,18 +195,22 @@
 
   /** Returns the engine that would have read a prompt first, and the time until then in milliseconds. */
   choosePrefill (
-    servers: readonly routing.RoutedServer[], tokens: number, excluded: ReadonlySet<string>, nowMs: number
+    servers: readonly routing.RoutedServer[], tokens: number, excluded: ReadonlySet<string>, nowMs: number,
+    decodeZone: string | undefined
   ): { readonly server: routing.RoutedServer, readonly readyMs: number } | undefined {
     let best: routing.RoutedServer | undefined
     let bestMs = Infinity
+    let bestPenaltyMs = 0
     for (const server of servers) {
       if (server.stage !== 'prefill' || excluded.has(server.id) || !this.isUsable(server, nowMs)) {
         continue
       }
       const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id))
-      if (readyMs < bestMs) {
+      const penaltyMs = decodeZone === undefined || server.zone === decodeZone ? 0 : sameZoneMs
+      if (readyMs + penaltyMs < bestMs + bestPenaltyMs) {
         best = server
         bestMs = readyMs
+        bestPenaltyMs = penaltyMs
       }
     }
     return best === undefined ? undefined : { server: best, readyMs: bestMs }
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -143,6 +143,10 @@
   private conclude (place: Place, end: relays.RelayEnd): exchanges.ExchangeEnd | { readonly again: string } {
     const { directory, fleet, health } = this.context
     const server = place.server.id
+    this.context.meter.count('gateway_sends_total', { outcome: end.kind })
+    if (this.firstByteMs !== undefined) {
+      this.context.meter.observe('gateway_first_event_ms', {}, this.firstByteMs - this.request.arrivedMs)
+    }
     this.log('stream ended', {
       server,
       outcome: end.kind,
@@ -242,7 +246,6 @@
       rooms.add({
         id: this.request.serial,
         priority: this.request.priority,
-        promptTokens: this.sizes.promptTokens,
         expectedOutputTokens: this.expectedOutput,
         sinceMs: this.request.arrivedMs,
         latestMs: this.goalAtMs - firstEventMs - this.estimateReadingMs(),
@@ -276,7 +279,7 @@
   private estimateReadingMs (): number {
     const { directory, fleet } = this.context
     const servers = directory.listReady(this.request.service.name)
-    return fleet.choosePrefill(servers, this.sizes.promptTokens, new Set(), this.now())?.readyMs ?? 0
+    return fleet.choosePrefill(servers, this.sizes.promptTokens, new Set(), this.now(), undefined)?.readyMs ?? 0
   }
 
   private async takeHold (server: routing.RoutedServer): Promise<{ readonly kind: 'taken', readonly hold: string } | { readonly kind: 'refused' }> {
@@ -293,6 +296,7 @@
       return { kind: 'taken', hold: hold.unsafeCoerce() }
     }
     this.context.fleet.noteRefusal(server.id, fullMs, this.now())
+    this.context.meter.count('gateway_room_refused_total', {})
     this.log('room refused', { server: server.id, status: outcome.status, neededTokens: this.neededTokens })
     return { kind: 'refused' }
   }
@@ -304,7 +308,7 @@
     let reason = ''
     while (tried.size < maximumPrefillServers && !this.reply.isGone) {
       const servers = directory.listReady(this.request.service.name)
-      const choice = fleet.choosePrefill(servers, this.sizes.promptTokens, tried, this.now())
+      const choice = fleet.choosePrefill(servers, this.sizes.promptTokens, tried, this.now(), decodeServer.zone)
       const aloneMs = fleet.estimatePrefillMs('', this.sizes.promptTokens, this.now()) / decodePrefillPart
       if (choice === undefined || choice.readyMs > aloneMs) {
         this.log('prompt left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, aloneMs })
@@ -338,6 +342,7 @@
     const read = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
     const succeeded = read?.isRight() === true
     fleet.releasePrefill(this.request.serial, this.now(), succeeded)
+    this.context.meter.observe('gateway_prefill_ms', {}, this.now() - sentMs)
     this.log('prefill', {
       server: server.id,
       outcome: outcome.kind,
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -89,6 +89,7 @@
     if (result.kind !== 'not_run') {
       this.runs += 1
     }
+    this.context.meter.count('gateway_sends_total', { outcome: result.kind })
     this.log('sent', {
       server: server.id,
       outcome: result.kind,
--- a/src/gateway/room_queue.ts
+++ b/src/gateway/room_queue.ts
@@ -2,20 +2,19 @@
  * Generations that wait for room at a decode server, and the order in which they get it.
  *
  * Pattern: more generations arrive than the decode servers' memory holds. Those that are more urgent go first; among
- * equals the one that brings most for the memory and time it takes; nobody waits longer than it can be in time.
+ * equals short ones have a head start over long ones; nobody waits longer than it can be in time.
  */
 
-/** Output tokens at which the time of a generation no longer counts as short, in tokens. */
-const shortOutputTokens = 16
-/** What the time that a request has waited adds to its rank, for each millisecond: old requests overtake better ones. */
-const rankPerMs = 1 / 400
+/** Head start of a generation over one that is a token longer, in milliseconds: about the time for which each holds room beyond the other, scaled to the wait that is left. */
+const headStartMsPerToken = 0.2
+/** Longest head start, in milliseconds: a long generation overtakes all that came so much later. */
+const longestHeadStartMs = 200
 
 /** A generation that waits. */
 export interface Waiter {
   readonly id: string
   /** 0 is the most urgent. */
   readonly priority: number
-  readonly promptTokens: number
   readonly expectedOutputTokens: number
   readonly sinceMs: number
   /** Latest time at which a start still serves the caller in time. */
@@ -47,7 +46,7 @@
     if (this.waiters.size === 0) {
       return
     }
-    for (const waiter of [...this.waiters.values()].sort((a, b) => compare(a, b, nowMs))) {
+    for (const waiter of [...this.waiters.values()].sort(compare)) {
       if (nowMs >= waiter.latestMs) {
         this.waiters.delete(waiter.id)
         waiter.settle(false)
@@ -61,20 +60,14 @@
   }
 }
 
-/** Returns what a generation brings for the memory and time that it takes; larger is better. */
-export function rankGeneration (promptTokens: number, outputTokens: number): number {
-  const value = promptTokens + 10 * outputTokens
-  const cost = (promptTokens + outputTokens / 2) * (outputTokens + shortOutputTokens)
-  return value / cost * shortOutputTokens
-}
-
-function compare (a: Waiter, b: Waiter, nowMs: number): number {
+function compare (a: Waiter, b: Waiter): number {
   if (a.priority !== b.priority) {
     return a.priority - b.priority
   }
-  return rankAt(b, nowMs) - rankAt(a, nowMs)
+  return rank(a) - rank(b)
 }
 
-function rankAt (waiter: Waiter, nowMs: number): number {
-  return rankGeneration(waiter.promptTokens, waiter.expectedOutputTokens) + (nowMs - waiter.sinceMs) * rankPerMs
+/** Lower goes first: by arrival, with a head start for generations that hold their room for a short time. */
+function rank (waiter: Waiter): number {
+  return waiter.sinceMs + Math.min(longestHeadStartMs, waiter.expectedOutputTokens * headStartMsPerToken)
 }
--- a/src/gateway/stage_split.ts
+++ b/src/gateway/stage_split.ts
@@ -13,16 +13,16 @@
 const averagingMs = 6_000
 /** Offered load from which on it is followed, in busy engines. */
 const leastLoad = 1
-/** How far the wished number must lie from the present one, in engines. */
-const hysteresisEngines = 0.8
+/** How far the wished number must lie from the present one, in engines: more than one, or the load's noise would swing the split. */
+const hysteresisEngines = 1.1
+/** The same while there is no load. */
+const idleHysteresisEngines = 0.8
 /** Least time between two changes of one service, in milliseconds: a change and the time to see its effect. */
 const leastPauseMs = 9_000
 /** The same while there is no load that a change could disturb. */
 const idlePauseMs = 400
 /** Part of an engine's memory that is in use when a decode server is well filled. */
 const usableMemoryPart = 0.92
-/** Reserve of prefill: prompts are late when they queue, while decodes only wait for room. */
-const prefillReserve = 1.1
 
 /** Work that callers offer, in a second. */
 export interface OfferedLoad {
@@ -71,15 +71,17 @@
   /** Returns the change that should be made now, or `undefined`. */
   decide (prefillEngines: number, decodeEngines: number, load: OfferedLoad, nowMs: number): StageChange | undefined {
     const engines = prefillEngines + decodeEngines
-    const pauseMs = load.prefill + load.decode < leastLoad ? idlePauseMs : leastPauseMs
+    const isIdle = load.prefill + load.decode < leastLoad
+    const pauseMs = isIdle ? idlePauseMs : leastPauseMs
+    const hysteresis = isIdle ? idleHysteresisEngines : hysteresisEngines
     if (engines < 2 || nowMs - this.changedMs < pauseMs) {
       return undefined
     }
     const wished = wishPrefillEngines(engines, load)
-    if (prefillEngines > 1 && prefillEngines - wished >= hysteresisEngines) {
+    if (prefillEngines > 1 && prefillEngines - wished >= hysteresis) {
       return { from: 'prefill', to: 'decode' }
     }
-    if (decodeEngines > 1 && wished - prefillEngines >= hysteresisEngines) {
+    if (decodeEngines > 1 && wished - prefillEngines >= hysteresis) {
       return { from: 'decode', to: 'prefill' }
     }
     return undefined
@@ -93,7 +95,7 @@
 
 /** Returns how many engines should read prompts, not rounded. */
 export function wishPrefillEngines (engines: number, load: OfferedLoad): number {
-  const prefill = load.prefill * prefillReserve
+  const { prefill } = load
   const decode = load.decode / usableMemoryPart
   const initial = engines * initialPrefillPart
   if (prefill + decode < leastLoad) {
