--- a/tests/gateway/mirror.test.ts
+++ b/tests/gateway/mirror.test.ts
@@ -147,6 +147,21 @@
     bench.mirror.stop()
   })
 
+  test.it('gives up a server that leaves as the store comes back before it must get no more work', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.store.setDown(true)
+    await bench.system.clock.advance(4_000)
+    bench.store.setDown(false)
+    await bench.system.clock.advance(510)
+    bench.remove('a')
+    await bench.system.clock.advance(1_500)
+    assert.deepEqual(bench.list(), [])
+    bench.mirror.stop()
+  })
+
   test.it('skips an entry that cannot be read, and drops the server that it named before', async () => {
     const bench = new Bench()
     bench.put('a')
