--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -9,7 +9,6 @@
 export const GatewaySettings = z.object({
   node: z.string().min(1),
   zone: z.string().min(1),
-  region: z.string().default(''),
   /** Listener for callers. */
   ingress: identities.Address,
   /** Listener for the balancer's readiness probe. */
@@ -20,11 +19,8 @@
   seeds: z.array(z.string()).default([]),
   /** Listener for metrics. */
   metrics: identities.Address.optional(),
+  /** The platform's store. */
   store: identities.Address,
-  limits: z.object({
-    memoryMb: z.number().positive(),
-    descriptors: z.number().positive()
-  }),
   timing: z.object({
     /** From SIGTERM to the forced end of the process. */
     graceMs: milliseconds,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -78,7 +78,6 @@
   readonly load: ReportedLoad | undefined
   /** How long the server keeps the connection when idle, in milliseconds. */
   readonly idleMs: number | undefined
-  readonly isClosing: boolean
 }
 
 /** A prompt that a server has read. */
