--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -31,17 +31,14 @@
   readonly reason?: string | undefined
 }
 
-export abstract class Exchange {
-  protected sends = 0
-
+/** A request with what the parts that serve it need. */
+export class RequestScope {
   constructor (
     protected readonly context: contexts.GatewayContext,
     protected readonly request: AdmittedRequest,
     protected readonly reply: replies.CallerReply
   ) {}
 
-  abstract run (): Promise<ExchangeEnd>
-
   protected now (): number {
     return this.context.system.clock.monotonicMs()
   }
@@ -53,6 +50,12 @@
   protected log (message: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
     this.context.system.log.info(message, { request: this.request.arrival.id, ...fields })
   }
+}
+
+export abstract class Exchange extends RequestScope {
+  protected sends = 0
+
+  abstract run (): Promise<ExchangeEnd>
 
   /** Counts a send of the request to a server; false when it would exceed the shared budget of further sends. */
   protected trySend (): boolean {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -6,6 +6,7 @@
 import * as cutters from './event_cutter.js'
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
+import * as prompts from './prompt_reader.js'
 import * as relays from './stream_relay.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -14,10 +15,6 @@
 const maximumPlacings = 3
 /** Reservations that may be refused before a request is given up. */
 const maximumRefusals = 8
-/** Prefill servers that are tried for one prompt. */
-const maximumPrefillServers = 3
-/** How long a full decode server is left out, in milliseconds: about the time in which one of its runs ends. */
-const fullMs = 120
 /** How long a server is left out that refuses a run although it granted the room, in milliseconds: it is changing its stage. */
 const refusingMs = 1_500
 /** Longest wait for the answer to a reservation, in milliseconds: a few round trips between zones. */
@@ -26,18 +23,10 @@
 const holdMarginMs = 600
 /** Time from the end of the prefill to the first event, in milliseconds: transfer, the first step and the way back. */
 const firstEventMs = 60
-/** How many times longer than expected a prefill may take before another server is tried. */
-const prefillPatience = 3
-const prefillMarginMs = 250
-/** Speed at which a decode server reads a prompt, in parts of a prefill server's. */
-const decodePrefillPart = 0.5
 /** When a caller may come back that found no room, in milliseconds: about the time in which a full server's runs end. */
 const roomRetryMs = 3_000
-const noServerRetryMs = 1_000
 /** Time between two tokens of a well-filled engine, in milliseconds; only for the estimate of the load. */
 const stepMs = 6.5
-/** Memory granularity of the engines, in tokens. */
-const blockTokens = 16
 /** Memory that a run's output takes on average over its time, in parts of its length; peaks of several runs rarely meet. */
 const averageGrowthPart = 0.5
 /** Part of the stated bound that is expected where the caller gives no estimate. */
@@ -51,17 +40,16 @@
 }
 
 type Placing = { readonly place: Place } | { readonly failure: failures.Failure }
-type Reading = { readonly cache: types.CacheSource | undefined } | { readonly failure: failures.Failure } | { readonly retry: string }
 
 export class GenerationExchange extends exchanges.Exchange {
   private readonly cutter = this.request.route.isResumable ? new cutters.EventCutter() : undefined
-  private prefills = 0
+  private readonly prompt = new prompts.PromptReader(this.context, this.request, this.reply)
   private mayHaveRun = false
   private firstByteMs: number | undefined
   private bytes = 0
 
   private get sizes (): types.GenerationSizes {
-    return this.request.arrival.sizes ?? { promptTokens: blockTokens, maximumOutputTokens: blockTokens, hintedOutputTokens: undefined }
+    return prompts.getSizes(this.request.arrival)
   }
 
   private get expectedOutput (): number {
@@ -70,7 +58,7 @@
   }
 
   private get neededTokens (): number {
-    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * averageGrowthPart) / blockTokens + 1) * blockTokens
+    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * averageGrowthPart) / prompts.blockTokens + 1) * prompts.blockTokens
   }
 
   /** When the first event must come to be in time. */
@@ -102,7 +90,7 @@
     if (this.mayHaveRun) {
       return this.refuse(failures.createFailure('may_have_run', 'stream_interrupted', [reason]), server)
     }
-    return this.refuse(failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs), server)
+    return this.refuse(failures.createFailure('not_run', 'no_server', [this.request.service.name], prompts.noServerRetryMs), server)
   }
 
   private noteOffered (): void {
@@ -116,7 +104,7 @@
   /** Reads the prompt and streams at a place; `again` says why another place is to be tried. */
   private async runAt (place: Place): Promise<exchanges.ExchangeEnd | { readonly again: string }> {
     const { fleet } = this.context
-    const reading = await this.readPrompt(place.server)
+    const reading = await this.prompt.read(place.server)
     if (this.reply.isGone || !('cache' in reading)) {
       this.releasePlace(place)
       if ('cache' in reading && reading.cache !== undefined) {
@@ -132,7 +120,7 @@
     }
     if (!this.trySend()) {
       this.releasePlace(place)
-      return this.refuse(this.withHistory(failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs)))
+      return this.refuse(this.withHistory(failures.createFailure('not_run', 'no_server', [this.request.service.name], prompts.noServerRetryMs)))
     }
     const end = await this.stream(place, reading.cache)
     fleet.releaseDecode(this.request.serial)
@@ -176,7 +164,7 @@
       case 'not_run':
         if (end.status === undefined) {
           health.note(server, 'unreachable', this.now())
-        } else if (end.status === misdirected) {
+        } else if (end.status === relays.misdirected) {
           directory.noteMisdirected(server)
         } else if (place.hold !== undefined) {
           fleet.noteRefusal(server, refusingMs, this.now())
@@ -226,7 +214,7 @@
     })
     return hasServers
       ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], roomRetryMs)
-      : failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs)
+      : failures.createFailure('not_run', 'no_server', [this.request.service.name], prompts.noServerRetryMs)
   }
 
   /** Books the best server with room; waits for one while that is in time. */
@@ -295,82 +283,12 @@
     if (hold?.isRight() === true) {
       return { kind: 'taken', hold: hold.unsafeCoerce() }
     }
-    this.context.fleet.noteRefusal(server.id, fullMs, this.now())
+    this.context.fleet.noteRefusal(server.id, prompts.fullMs, this.now())
     this.context.meter.count('gateway_room_refused_total', {})
     this.log('room refused', { server: server.id, status: outcome.status, neededTokens: this.neededTokens })
     return { kind: 'refused' }
   }
 
-  /** Has the prompt read by a prefill server, or leaves it to the decode server where that is sooner. */
-  private async readPrompt (decodeServer: routing.RoutedServer): Promise<Reading> {
-    const { directory, fleet } = this.context
-    const tried = new Set<string>()
-    let reason = ''
-    while (tried.size < maximumPrefillServers && !this.reply.isGone) {
-      const servers = directory.listReady(this.request.service.name)
-      const choice = fleet.choosePrefill(servers, this.sizes.promptTokens, tried, this.now(), decodeServer.zone)
-      const aloneMs = fleet.estimatePrefillMs('', this.sizes.promptTokens, this.now()) / decodePrefillPart
-      if (choice === undefined || choice.readyMs > aloneMs) {
-        this.log('prompt left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, aloneMs })
-        return { cache: undefined }
-      }
-      if (this.prefills > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
-        return { failure: failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs) }
-      }
-      this.prefills += 1
-      tried.add(choice.server.id)
-      const read = await this.prefillAt(choice.server, choice.readyMs)
-      if (typeof read !== 'string') {
-        return { cache: read }
-      }
-      reason = read
-    }
-    return { retry: reason }
-  }
-
-  /** Returns where the KV cache lies, or why the prompt was not read. */
-  private async prefillAt (server: routing.RoutedServer, expectedMs: number): Promise<types.CacheSource | string> {
-    const { dialect, directory, fleet, health, pool } = this.context
-    const sentMs = this.now()
-    const { promptTokens } = this.sizes
-    fleet.bookPrefill(this.request.serial, server.id, promptTokens, sentMs)
-    const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
-      server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill'
-    })
-    const waitMs = Math.min(this.remainingMs(), expectedMs * prefillPatience + prefillMarginMs)
-    const outcome = await pool.call(server.address, outgoing, waitMs, dialect, this.reply.gone.signal)
-    const read = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
-    const succeeded = read?.isRight() === true
-    fleet.releasePrefill(this.request.serial, this.now(), succeeded)
-    this.context.meter.observe('gateway_prefill_ms', {}, this.now() - sentMs)
-    this.log('prefill', {
-      server: server.id,
-      outcome: outcome.kind,
-      status: outcome.kind === 'answered' ? outcome.status : undefined,
-      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
-      promptTokens,
-      expectedMs: Math.round(expectedMs),
-      elapsedMs: Math.round(this.now() - sentMs)
-    })
-    if (succeeded) {
-      health.note(server.id, 'good', this.now())
-      return { address: server.address, handle: read.unsafeCoerce().handle }
-    }
-    if (this.reply.isGone) {
-      return 'the caller left'
-    }
-    if (outcome.kind === 'answered') {
-      health.note(server.id, 'error', this.now())
-      if (outcome.status === misdirected) {
-        directory.noteMisdirected(server.id)
-      }
-      fleet.noteRefusal(server.id, fullMs, this.now())
-      return `prefill: status ${outcome.status}`
-    }
-    health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
-    return `prefill: ${outcome.reason}`
-  }
-
   private stream (place: Place, cache: types.CacheSource | undefined): Promise<relays.RelayEnd> {
     const { dialect, pool, system } = this.context
     return new Promise(resolve => {
@@ -423,5 +341,3 @@
     return this.mayHaveRun ? failures.withVerdict(failure, 'may_have_run') : failure
   }
 }
-
-const misdirected = 421
--- a/src/gateway/mirror.ts
+++ b/src/gateway/mirror.ts
@@ -9,7 +9,7 @@
 const firstPauseMs = 60
 const longestPauseMs = 500
 /** Time without a word from the store that counts as an outage, in milliseconds: longer than a watch is held and found silent. */
-const outageMs = 1_500
+const outageMs = 2_000
 /** Time after an outage in which keys that are missing may still come back, in milliseconds. */
 const returnMs = 2_000
 /** Longest time that a missing key is still believed in, in milliseconds: below the time in which a server that leaves must get no more work. */
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -5,6 +5,7 @@
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
 import * as routing from '../contracts/routing.js'
+import * as relays from './stream_relay.js'
 import * as types from './types.js'
 
 /** Sends of one call at most, those refused as not run included. */
@@ -83,7 +84,7 @@
         this.context.system.log.warn('server left out', { server: server.id, reason: outcome.kind === 'answered' ? 'answers' : outcome.reason })
       }
     }
-    if (outcome.kind === 'answered' && outcome.status === misdirected) {
+    if (outcome.kind === 'answered' && outcome.status === relays.misdirected) {
       directory.noteMisdirected(server.id)
     }
     if (result.kind !== 'not_run') {
@@ -119,10 +120,6 @@
   }
 }
 
-const misdirected = 421
-/** Statuses that promise a caller that the request has not run. */
-const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503])
-
 /** Reads whether the server ran the call from its answer, or from the lack of one. */
 function judge (
   server: routing.RoutedServer, outcome: connectionPools.CallOutcome, facts: types.AnswerFacts | undefined, id: string | undefined
@@ -136,10 +133,10 @@
   if (facts.requestId !== id) {
     return { kind: 'may_have_run', server, reason: 'the answer belongs to another request' }
   }
-  if (facts.isNotRun || outcome.status === misdirected) {
+  if (facts.isNotRun || outcome.status === relays.misdirected) {
     return { kind: 'not_run', server, reason: `status ${outcome.status}` }
   }
-  if (promisingStatuses.has(outcome.status)) {
+  if (relays.promisingStatuses.has(outcome.status)) {
     return { kind: 'may_have_run', server, reason: `status ${outcome.status} without the statement that it did not run` }
   }
   if (!facts.isSigned && outcome.status < 300) {
--- /dev/null
+++ b/src/gateway/prompt_reader.ts
@@ -0,0 +1,111 @@
+/**
+ * Has the prompt of a generation read, so that a decode server can go on from it.
+ */
+import * as exchanges from './exchange.js'
+import * as failures from '../contracts/failure.js'
+import * as relays from './stream_relay.js'
+import * as routing from '../contracts/routing.js'
+import * as types from './types.js'
+
+/** Memory granularity of the engines, in tokens. */
+export const blockTokens = 16
+/** How long a full server is left out, in milliseconds: about the time in which one of its runs ends. */
+export const fullMs = 120
+/** When a caller may come back that found no server, in milliseconds: the list of servers has been renewed by then. */
+export const noServerRetryMs = 1_000
+/** Prefill servers that are tried for one prompt. */
+const maximumPrefillServers = 3
+/** How many times longer than expected a prefill may take before another server is tried. */
+const prefillPatience = 3
+/** Time beyond that, in milliseconds, for estimates that are short themselves. */
+const prefillMarginMs = 250
+/** Speed at which a decode server reads a prompt, in parts of a prefill server's. */
+const decodePrefillPart = 0.5
+
+/**
+ * What came of a prompt: where its KV cache lies (`undefined`: the decode server reads it itself), a failure for the
+ * caller, or why another placing is to be tried.
+ */
+export type PromptReading =
+  | { readonly cache: types.CacheSource | undefined }
+  | { readonly failure: failures.Failure }
+  | { readonly retry: string }
+
+/** Returns the sizes that a caller stated; without any, the smallest. */
+export function getSizes (arrival: types.Arrival): types.GenerationSizes {
+  return arrival.sizes ?? { promptTokens: blockTokens, maximumOutputTokens: blockTokens, hintedOutputTokens: undefined }
+}
+
+export class PromptReader extends exchanges.RequestScope {
+  private prefills = 0
+
+  /** Has the prompt read by a prefill server, or leaves it to the decode server where that is sooner. */
+  async read (decodeServer: routing.RoutedServer): Promise<PromptReading> {
+    const { directory, fleet } = this.context
+    const tried = new Set<string>()
+    let reason = ''
+    while (tried.size < maximumPrefillServers && !this.reply.isGone) {
+      const servers = directory.listReady(this.request.service.name)
+      const choice = fleet.choosePrefill(servers, getSizes(this.request.arrival).promptTokens, tried, this.now(), decodeServer.zone)
+      const aloneMs = fleet.estimatePrefillMs('', getSizes(this.request.arrival).promptTokens, this.now()) / decodePrefillPart
+      if (choice === undefined || choice.readyMs > aloneMs) {
+        this.log('prompt left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, aloneMs })
+        return { cache: undefined }
+      }
+      if (this.prefills > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
+        return { failure: failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs) }
+      }
+      this.prefills += 1
+      tried.add(choice.server.id)
+      const read = await this.prefillAt(choice.server, choice.readyMs)
+      if (typeof read !== 'string') {
+        return { cache: read }
+      }
+      reason = read
+    }
+    return { retry: reason }
+  }
+
+  /** Returns where the KV cache lies, or why the prompt was not read. */
+  private async prefillAt (server: routing.RoutedServer, expectedMs: number): Promise<types.CacheSource | string> {
+    const { dialect, directory, fleet, health, pool } = this.context
+    const sentMs = this.now()
+    const { promptTokens } = getSizes(this.request.arrival)
+    fleet.bookPrefill(this.request.serial, server.id, promptTokens, sentMs)
+    const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
+      server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill'
+    })
+    const waitMs = Math.min(this.remainingMs(), expectedMs * prefillPatience + prefillMarginMs)
+    const outcome = await pool.call(server.address, outgoing, waitMs, dialect, this.reply.gone.signal)
+    const read = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
+    const succeeded = read?.isRight() === true
+    fleet.releasePrefill(this.request.serial, this.now(), succeeded)
+    this.context.meter.observe('gateway_prefill_ms', {}, this.now() - sentMs)
+    this.log('prefill', {
+      server: server.id,
+      outcome: outcome.kind,
+      status: outcome.kind === 'answered' ? outcome.status : undefined,
+      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
+      promptTokens,
+      expectedMs: Math.round(expectedMs),
+      elapsedMs: Math.round(this.now() - sentMs)
+    })
+    if (succeeded) {
+      health.note(server.id, 'good', this.now())
+      return { address: server.address, handle: read.unsafeCoerce().handle }
+    }
+    if (this.reply.isGone) {
+      return 'the caller left'
+    }
+    if (outcome.kind === 'answered') {
+      health.note(server.id, 'error', this.now())
+      if (outcome.status === relays.misdirected) {
+        directory.noteMisdirected(server.id)
+      }
+      fleet.noteRefusal(server.id, fullMs, this.now())
+      return `prefill: status ${outcome.status}`
+    }
+    health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
+    return `prefill: ${outcome.reason}`
+  }
+}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -26,6 +26,8 @@
     graceMs: milliseconds,
     /** Shortest lease that the store grants. */
     minimumLeaseMs: milliseconds,
+    /** How long the store holds a watch without events. */
+    watchHoldMs: milliseconds,
     /** Time that two holders of the right to order must lie apart. */
     orderLeaseMs: milliseconds
   }),
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -7,8 +7,10 @@
 import * as replies from './caller_reply.js'
 import * as types from './types.js'
 
-const misdirected = 421
-const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503])
+/** Status of a server that is not the one that was meant. */
+export const misdirected = 421
+/** Statuses that promise a caller that the request has not run. */
+export const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503])
 /** Most bytes kept of an answer that is not a stream. */
 const failureBytes = 65_536
 
