Count a gateway as silent by the period of exchange

Change: three periods, at least 700 ms; up to six gateways nothing changes. The test fails with one period.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -5,11 +5,14 @@
  * that is not heard is assumed to use its even share of the rate, so that gateways that are cut off from each
  * other stay within the allowance together.
  */
+import * as exchangePeriods from './exchange_period.js'
 import * as routing from '../contracts/routing.js'
 import * as settings from './settings.js'
 
-/** Silence after which a gateway's use is assumed instead of heard, in milliseconds; a few missed exchanges. */
-const silenceMs = 700
+/** Least silence after which a gateway's use is assumed instead of heard, in milliseconds; a few missed exchanges. */
+const leastSilenceMs = 700
+/** The same in periods of exchange, which are longer where there are many gateways. */
+const silentPeriods = 3
 
 /** Part of the tolerated excess that deepens the bucket: short peaks inside the allowance of a window are not refused. */
 const depthPart = 0.35
@@ -171,6 +174,7 @@
   }
 
   private countSilent (nowMs: number): number {
+    const silenceMs = Math.max(leastSilenceMs, silentPeriods * exchangePeriods.getExchangePeriodMs(this.peers.size + 1))
     let silent = 0
     for (const peer of this.peers.values()) {
       if (nowMs - peer.heardMs > silenceMs) {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -8,15 +8,12 @@
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
 import * as z from 'zod'
+import * as exchangePeriods from './exchange_period.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
 import * as mirrors from './mirror.js'
 
-/** Period of exchanges between two gateways with few others, in milliseconds: short beside a prefill. */
-const shortestPeriodMs = 100
-/** Gateways up to which the shortest period holds; beyond, the calls a second stay the same. */
-const gatewaysAtShortestPeriod = 6
 /** How often it is looked which exchanges are due, in milliseconds. */
 const tickMs = 20
 /** Longest wait for an exchange, in milliseconds. */
@@ -139,7 +136,7 @@
   }
 
   private get periodMs (): number {
-    return shortestPeriodMs * Math.max(1, (this.peers.size + 1) / gatewaysAtShortestPeriod)
+    return exchangePeriods.getExchangePeriodMs(this.peers.size + 1)
   }
 
   private tick (): void {
--- a/tests/gateway/allowance_share.test.ts
+++ b/tests/gateway/allowance_share.test.ts
@@ -2,6 +2,7 @@
 import * as fastCheck from 'fast-check'
 import * as test from 'node:test'
 import * as allowances from '../../src/gateway/allowance_share.js'
+import * as exchangePeriods from '../../src/gateway/exchange_period.js'
 import * as routing from '../../src/contracts/routing.js'
 
 const tolerance = { windowMs: 8_000, overPart: 0.1, slack: 190_000 }
@@ -148,6 +149,24 @@
       }
     })
 
+    test.it('refuse nothing among many gateways that exchange more seldom', () => {
+      const gateways = 30
+      const period = exchangePeriods.getExchangePeriodMs(gateways)
+      const share = new allowances.AllowanceShare(tolerance)
+      share.setWorkspaces([workspace], 0)
+      share.setPeers(Array.from({ length: gateways - 1 }, (_, index) => `g${index}`))
+      for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+        for (let index = 0; index < gateways - 1; index += 1) {
+          if (nowMs % (Math.ceil(period * 2 / 100) * 100) === 0) {
+            share.hear(`g${index}`, 'boot', {}, nowMs)
+          }
+        }
+        if (nowMs > 2_000) {
+          assert.equal(share.charge(workspace, 4_400, nowMs).kind, 'admitted', `at ${nowMs}`)
+        }
+      }
+    })
+
     test.it('refuse nothing for two seconds of twice the rate', () => {
       const fleet = new Fleet(4)
       for (let step = 0; step < 80; step += 1) {
