Refuse a body that does not arrive within the caller's time

Cause: nothing bounded a body that trickles in; a caller could hold a connection and its memory for good (found by reading). Change: 408 as not run after the stated time, and the connection is closed, as for any request that was not read whole.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -4,10 +4,23 @@
 import * as buffer from 'node:buffer'
 import type * as http from 'node:http'
 import * as failures from '../contracts/failure.js'
+import * as host from '../host/types.js'
 
-/** Reads up to the limit; the rest of a longer body is read and dropped, so that the refusal reaches the caller. */
-export function readBody (request: http.IncomingMessage, limitBytes: number): Promise<failures.Result<buffer.Buffer | undefined>> {
+/**
+ * Reads up to the limit; the rest of a longer body is read and dropped, so that the refusal reaches the caller.
+ * Fails with `body_too_large`, `body_too_slow` after the time in milliseconds, or `caller_gone`.
+ */
+export function readBody (
+  request: http.IncomingMessage, limitBytes: number, timeoutMs: number, clock: host.Clock
+): Promise<failures.Result<buffer.Buffer | undefined>> {
   return new Promise(resolve => {
+    const finish = (result: failures.Result<buffer.Buffer | undefined>): void => {
+      stopTimer()
+      resolve(result)
+    }
+    const stopTimer = clock.after(timeoutMs, () => {
+      resolve(failures.fail(failures.createFailure('not_run', 'body_too_slow', [Math.round(timeoutMs)])))
+    })
     const chunks: buffer.Buffer[] = []
     let bytes = 0
     request.on('data', (chunk: buffer.Buffer) => {
@@ -18,13 +31,13 @@
     })
     request.on('end', () => {
       if (bytes > limitBytes) {
-        resolve(failures.fail(failures.createFailure('not_run', 'body_too_large', [limitBytes])))
+        finish(failures.fail(failures.createFailure('not_run', 'body_too_large', [limitBytes])))
         return
       }
       const isEmpty = bytes === 0 && request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined
-      resolve(failures.succeed(isEmpty ? undefined : buffer.Buffer.concat(chunks)))
+      finish(failures.succeed(isEmpty ? undefined : buffer.Buffer.concat(chunks)))
     })
-    const leave = (): void => resolve(failures.fail(failures.createFailure('not_run', 'caller_gone')))
+    const leave = (): void => finish(failures.fail(failures.createFailure('not_run', 'caller_gone')))
     request.on('error', leave)
     request.on('close', () => {
       if (!request.complete) {
--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -121,7 +121,9 @@
   }
 
   private withConnection (rawHeaders: readonly string[]): string[] {
-    return this.mayStay() ? [...rawHeaders] : [...rawHeaders, 'Connection', 'close']
+    // What is left of a request that was not read whole must not be taken for the next one.
+    const isWhole = this.response.req.complete
+    return this.mayStay() && isWhole ? [...rawHeaders] : [...rawHeaders, 'Connection', 'close']
   }
 }
 
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -78,7 +78,8 @@
     request: http.IncomingMessage, arrival: types.Arrival, reply: replies.CallerReply, arrivedMs: number
   ): Promise<exchanges.ExchangeEnd> {
     const limits = this.context.routing.table?.document.limits
-    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity)
+    const waitMs = arrival.patienceMs ?? standardPatienceMs
+    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, waitMs, this.context.system.clock)
     if (body.isLeft()) {
       return this.refuse(reply, body.extract() as failures.Failure)
     }
@@ -94,7 +95,7 @@
       return this.refuse(reply, admitted.extract() as failures.Failure)
     }
     const { route, service, workspace, units } = admitted.unsafeCoerce()
-    const patienceMs = Math.min(arrival.patienceMs ?? standardPatienceMs, route.timeoutMs - timeoutMarginMs)
+    const patienceMs = Math.min(waitMs, route.timeoutMs - timeoutMarginMs)
     this.serial += 1
     this.context.retries.earn(service.name, this.now())
     const admittedRequest: exchanges.AdmittedRequest = {
