--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -50,6 +50,11 @@
   protected log (message: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
     this.context.system.log.info(message, { request: this.request.arrival.id, ...fields })
   }
+
+  /** Says that no server of the request's service took it, and in how many milliseconds to come back. */
+  protected createNoServerFailure (retryAfterMs: number): failures.Failure {
+    return failures.createFailure('not_run', 'no_server', [this.request.service.name], retryAfterMs)
+  }
 }
 
 export abstract class Exchange extends RequestScope {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -90,7 +90,7 @@
     if (this.mayHaveRun) {
       return this.refuse(failures.createFailure('may_have_run', 'stream_interrupted', [reason]), server)
     }
-    return this.refuse(failures.createFailure('not_run', 'no_server', [this.request.service.name], prompts.noServerRetryMs), server)
+    return this.refuse(this.createNoServerFailure(prompts.noServerRetryMs), server)
   }
 
   private noteOffered (): void {
@@ -120,7 +120,7 @@
     }
     if (!this.trySend()) {
       this.releasePlace(place)
-      return this.refuse(this.withHistory(failures.createFailure('not_run', 'no_server', [this.request.service.name], prompts.noServerRetryMs)))
+      return this.refuse(this.withHistory(this.createNoServerFailure(prompts.noServerRetryMs)))
     }
     const end = await this.stream(place, reading.cache)
     fleet.releaseDecode(this.request.serial)
@@ -214,7 +214,7 @@
     })
     return hasServers
       ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], roomRetryMs)
-      : failures.createFailure('not_run', 'no_server', [this.request.service.name], prompts.noServerRetryMs)
+      : this.createNoServerFailure(prompts.noServerRetryMs)
   }
 
   /** Books the best server with room; waits for one while that is in time. */
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -116,7 +116,7 @@
     if (this.runs > 0) {
       return this.refuse(failures.createFailure('may_have_run', 'server_failed', [service, 'an earlier send may have run']))
     }
-    return this.refuse(failures.createFailure('not_run', 'no_server', [service], noServerRetryMs), last?.server.id)
+    return this.refuse(this.createNoServerFailure(noServerRetryMs), last?.server.id)
   }
 }
 
--- a/src/gateway/prompt_reader.ts
+++ b/src/gateway/prompt_reader.ts
@@ -53,7 +53,7 @@
         return { cache: undefined }
       }
       if (this.prefills > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
-        return { failure: failures.createFailure('not_run', 'no_server', [this.request.service.name], noServerRetryMs) }
+        return { failure: this.createNoServerFailure(noServerRetryMs) }
       }
       this.prefills += 1
       tried.add(choice.server.id)
