Follow the whole store by one watch, held for longer

Ruled out: one watch for each prefix held for longer (three times the calls for the same belief). A gateway that another one has been ahead of for 250 ms takes its copy, whatever the age of its own, so that a silent watch is found sooner than before where any gateway still hears the store. Set-up of test fleets: names the last answer of a daemon that does not become ready, and keeps settings and logs.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -30,6 +30,9 @@
   }
 
   override put (item: mirrors.MirrorItem): void {
+    if (!item.key.startsWith(this.documents.serverPrefix)) {
+      return
+    }
     const id = item.key.slice(this.documents.serverPrefix.length)
     const read = this.documents.readServer(id, item.value)
     if (read.isLeft()) {
@@ -53,7 +56,7 @@
   override removed (key: string, returnsUntilMs: number | undefined): void {
     const id = key.slice(this.documents.serverPrefix.length)
     const server = this.servers.get(id)
-    if (server === undefined) {
+    if (!key.startsWith(this.documents.serverPrefix) || server === undefined) {
       return
     }
     this.servers.delete(id)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,8 +25,8 @@
 import * as settings from './settings.js'
 import * as types from './types.js'
 
-/** Keys of the gateways themselves in the store. */
-const ownPrefix = 'mulberryflow/'
+/** Prefix of all keys in the store: one watch follows them together, for calls to the store are few and paid for. */
+const allKeys = ''
 /** How often waiting generations are looked at beside the moments when room becomes free, in milliseconds. */
 const pumpMs = 20
 /** Period of setting gauges, in milliseconds. */
@@ -51,9 +51,7 @@
   private readonly peers: peerExchanges.Peers
   private readonly members: members.Members
   private readonly duty: duties.OrderDuty
-  private readonly routingMirror: mirrors.StoreMirror
-  private readonly serverMirror: mirrors.StoreMirror
-  private readonly ownMirror: mirrors.StoreMirror
+  private readonly mirror: mirrors.StoreMirror
   private readonly boot: string
   private readonly stops: host.Stop[] = []
   private isLeaving = false
@@ -112,18 +110,17 @@
       this.ingress.setLimits(table.document.limits)
       this.context.allowance.setWorkspaces(table.document.workspaces ?? [], system.clock.monotonicMs())
     })
-    this.routingMirror = new mirrors.StoreMirror(store, documents.routingKey, system, follower)
-    this.serverMirror = new mirrors.StoreMirror(store, documents.serverPrefix, system, directory)
     const uptimeMs = (): number => os.uptime() * 1000
     this.duty = new duties.OrderDuty(this.context, store, uptimeMs, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot, uptimeMs,
       (node, withinMs) => this.peers.listHeard(withinMs).includes(node), addresses => this.setMembers(addresses))
-    this.ownMirror = new mirrors.StoreMirror(store, ownPrefix, system, new mirrors.SplitObserver([this.members, this.duty]))
+    const observer = new mirrors.SplitObserver([follower, directory, this.members, this.duty])
+    this.mirror = new mirrors.StoreMirror(store, allKeys, system, observer, options.timing.watchHoldMs)
     this.peers = new peerExchanges.Peers(this.createParty(), system)
   }
 
   private get isReady (): boolean {
-    return !this.isLeaving && this.context.routing.table !== undefined && this.serverMirror.isLoaded
+    return !this.isLeaving && this.context.routing.table !== undefined && this.mirror.isLoaded
   }
 
   /** Opens the listeners. Rejects if an address cannot be bound. */
@@ -135,9 +132,7 @@
     if (options.metrics !== undefined) {
       await httpListeners.listen(this.metricsServer, options.metrics)
     }
-    this.routingMirror.start()
-    this.serverMirror.start()
-    this.ownMirror.start()
+    this.mirror.start()
     this.members.start()
     this.duty.start()
     this.stops.push(system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs())))
@@ -173,9 +168,7 @@
     for (const stop of this.stops) {
       stop()
     }
-    for (const mirror of [this.routingMirror, this.serverMirror, this.ownMirror]) {
-      mirror.stop()
-    }
+    this.mirror.stop()
     await Promise.all([this.members.leave(), this.duty.leave()])
     this.ingress.close()
     this.readiness.close()
@@ -187,19 +180,16 @@
   private createParty (): peerExchanges.PeerParty {
     const { allowance, fleet } = this.context
     const { clock } = this.system
-    const listMirrors = (): readonly mirrors.StoreMirror[] => [this.routingMirror, this.serverMirror, this.ownMirror]
     const { node } = this.options
-    const { boot, duty } = this
+    const { boot, duty, mirror } = this
     return new class extends peerExchanges.PeerParty {
+      override readonly mirror = mirror
+
       override describe (): peerExchanges.PeerState {
-        const revisions: Record<string, number> = {}
-        for (const mirror of listMirrors()) {
-          revisions[mirror.prefix] = mirror.revision
-        }
         return {
           node,
           boot,
-          revisions,
+          revision: mirror.revision,
           admitted: allowance.listAdmitted(),
           bookings: fleet.listBookings(),
           offered: fleet.listOffered(clock.monotonicMs()),
@@ -212,10 +202,6 @@
         allowance.hear(state.node, state.boot, state.admitted, nowMs)
         fleet.hear(state.node, state, nowMs)
       }
-
-      override listMirrors (): readonly mirrors.StoreMirror[] {
-        return listMirrors()
-      }
     }()
   }
 
@@ -227,10 +213,8 @@
 
   private setGauges (): void {
     const nowMs = this.system.clock.monotonicMs()
-    for (const mirror of [this.routingMirror, this.serverMirror, this.ownMirror]) {
-      const ageMs = mirror.getAgeMs(nowMs)
-      this.meter.gauge('gateway_store_age_ms', { prefix: mirror.prefix }, Number.isFinite(ageMs) ? ageMs : -1)
-    }
+    const ageMs = this.mirror.getAgeMs(nowMs)
+    this.meter.gauge('gateway_store_age_ms', {}, Number.isFinite(ageMs) ? ageMs : -1)
     this.meter.gauge('gateway_waiting', {}, this.context.rooms.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_peers', {}, this.peers.listHeard(heardMs).length)
--- a/src/gateway/mirror.ts
+++ b/src/gateway/mirror.ts
@@ -8,12 +8,14 @@
 /** Pause before the store is asked again after a failure, in milliseconds; grows with each failure in a row. */
 const firstPauseMs = 60
 const longestPauseMs = 500
-/** Time without a word from the store that counts as an outage, in milliseconds: longer than a watch is held and found silent. */
-const outageMs = 2_000
+/** Time without a word from the store beyond the hold of a watch that counts as an outage, in milliseconds: a silent watch is found before. */
+const outageMarginMs = 600
 /** Time after an outage in which keys that are missing may still come back, in milliseconds. */
 const returnMs = 2_000
 /** Longest time that a missing key is still believed in, in milliseconds: below the time in which a server that leaves must get no more work. */
 const longestBeliefMs = 1_400
+/** Time for which another gateway must be ahead before its copy is taken, in milliseconds: the own watch may be on its way. */
+const behindMs = 250
 
 /** One key of the copy. */
 export interface MirrorItem {
@@ -69,12 +71,15 @@
   private stopWatch: host.Stop | undefined
   private isStopped = false
   private failuresInRow = 0
+  private behindSinceMs: number | undefined
 
+  /** `watchHoldMs` is how long the store holds a watch without events, in milliseconds. */
   constructor (
     private readonly store: host.Store,
-    readonly prefix: string,
+    private readonly prefix: string,
     private readonly system: host.System,
-    private readonly observer: MirrorObserver
+    private readonly observer: MirrorObserver,
+    private readonly watchHoldMs: number
   ) {}
 
   /** Highest revision of the store that this copy is known to include. */
@@ -92,7 +97,7 @@
   }
 
   start (): void {
-    this.load().catch((error: unknown) => this.system.log.error('store copy stopped', { prefix: this.prefix, error: String(error) }))
+    this.load().catch((error: unknown) => this.system.log.error('store copy stopped', { error: String(error) }))
   }
 
   stop (): void {
@@ -104,6 +109,16 @@
     return { revision: this.knownRevision, items: [...this.items.values()] }
   }
 
+  /** Tells whether another gateway that is at the revision has been ahead for so long that the own watch must be silent. */
+  isLeftBehind (revision: number): boolean {
+    if (revision <= this.knownRevision) {
+      return false
+    }
+    const nowMs = this.system.clock.monotonicMs()
+    this.behindSinceMs ??= nowMs
+    return nowMs - this.behindSinceMs >= behindMs
+  }
+
   /** Takes in another gateway's copy if it is newer. */
   accept (snapshot: MirrorSnapshot): boolean {
     if (snapshot.revision <= this.knownRevision) {
@@ -171,7 +186,7 @@
     for (const event of events) {
       const key = event.kind === 'put' ? event.entry.key : event.key
       const revision = event.kind === 'put' ? event.entry.modRevision : event.modRevision
-      this.knownRevision = Math.max(this.knownRevision, revision)
+      this.advance(revision)
       if (revision <= (this.items.get(key)?.revision ?? 0)) {
         continue
       }
@@ -200,10 +215,17 @@
         this.observer.removed(key, mayReturn ? this.getReturnLimit() : undefined)
       }
     }
-    this.knownRevision = Math.max(this.knownRevision, snapshot.revision)
+    this.advance(snapshot.revision)
     this.observer.updated()
   }
 
+  private advance (revision: number): void {
+    if (revision > this.knownRevision) {
+      this.knownRevision = revision
+      this.behindSinceMs = undefined
+    }
+  }
+
   private put (item: MirrorItem): void {
     this.items.set(item.key, item)
     this.observer.put(item)
@@ -212,13 +234,13 @@
   /** Notes a word from the store; tells whether an outage has just ended. */
   private confirm (): boolean {
     const nowMs = this.system.clock.monotonicMs()
-    const wasOutage = this.confirmedMs !== undefined && this.getAgeMs(nowMs) > outageMs
+    const wasOutage = this.confirmedMs !== undefined && this.getAgeMs(nowMs) > this.watchHoldMs + outageMarginMs
     this.confirmedMs = nowMs
     if (wasOutage) {
       this.outageEndedMs = nowMs
     }
     if (this.failuresInRow > 0) {
-      this.system.log.info('store answers again', { prefix: this.prefix, failures: this.failuresInRow, revision: this.knownRevision })
+      this.system.log.info('store answers again', { failures: this.failuresInRow, revision: this.knownRevision })
       this.failuresInRow = 0
     }
     return wasOutage
@@ -235,7 +257,7 @@
     this.failuresInRow += 1
     if (this.failuresInRow === 1) {
       const ageMs = Math.round(this.getAgeMs(this.system.clock.monotonicMs()))
-      this.system.log.warn('store does not answer', { prefix: this.prefix, reason: failure.message, revision: this.knownRevision, ageMs })
+      this.system.log.warn('store does not answer', { reason: failure.message, revision: this.knownRevision, ageMs })
     }
   }
 
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -20,8 +20,6 @@
 const exchangeTimeoutMs = 400
 /** Longest wait for a copy of the store, in milliseconds. */
 const copyTimeoutMs = 1_000
-/** Age of the own copy of the store from which on a newer one is taken from another gateway, in milliseconds. */
-const staleCopyMs = 1_300
 /** Largest message, in bytes; a copy of the store with a large configuration stays below. */
 const messageBytes = 16_777_216
 
@@ -30,8 +28,8 @@
 export const PeerState = z.object({
   node: z.string(),
   boot: z.string(),
-  /** Revision of each copy of the store, by prefix. */
-  revisions: z.record(z.string(), z.number()),
+  /** Revision of the copy of the store. */
+  revision: z.number(),
   /** Units admitted in this life, by workspace. */
   admitted: z.record(z.string(), z.number()),
   /** What is under way, by server. */
@@ -47,13 +45,12 @@
   revision: z.number(),
   items: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() }))
 })
-const SnapshotRequest = z.object({ prefix: z.string() })
 
 /** What a gateway tells, and does with what it hears. */
 export abstract class PeerParty {
   abstract describe (): PeerState
   abstract hear (state: PeerState): void
-  abstract listMirrors (): readonly mirrors.StoreMirror[]
+  abstract readonly mirror: mirrors.StoreMirror
 }
 
 interface Peer {
@@ -77,11 +74,7 @@
       this.take(PeerState.parse(message))
       return this.party.describe()
     })
-    this.rpc.addMethod('mirror.read', message => {
-      const { prefix } = SnapshotRequest.parse(message)
-      const mirror = this.party.listMirrors().find(candidate => candidate.prefix === prefix)
-      return mirror?.takeSnapshot() ?? { revision: 0, items: [] }
-    })
+    this.rpc.addMethod('mirror.read', () => this.party.mirror.takeSnapshot())
     this.server = http.createServer((request, response) => {
       this.serve(request, response).catch((error: unknown) => {
         this.system.log.warn('message of another gateway not answered', { reason: String(error) })
@@ -128,10 +121,13 @@
     }
   }
 
-  /** Takes copies of the store from an address, for a gateway that knows no other yet. */
+  /** Takes the copy of the store from an address, for a gateway that knows no other yet. */
   async copyFrom (address: string): Promise<void> {
-    for (const mirror of this.party.listMirrors()) {
-      await this.copy(address, mirror)
+    const { mirror } = this.party
+    const snapshot = Snapshot.parse(await this.call(address, 'mirror.read', {}, copyTimeoutMs))
+    const before = mirror.revision
+    if (mirror.accept(snapshot)) {
+      this.system.log.info('copy of the store taken from another gateway', { address, revision: snapshot.revision, before })
     }
   }
 
@@ -174,30 +170,17 @@
     }
   }
 
-  /** Takes newer copies of the store where the store itself has been silent. */
+  /** Takes a newer copy of the store where the store itself has been silent. */
   private catchUp (state: PeerState, peer: Peer): void {
-    const nowMs = this.system.clock.monotonicMs()
-    for (const mirror of this.party.listMirrors()) {
-      const isBehind = (state.revisions[mirror.prefix] ?? 0) > mirror.revision && mirror.getAgeMs(nowMs) > staleCopyMs
-      if (isBehind && !peer.isCopying) {
-        peer.isCopying = true
-        this.copy(peer.address, mirror).catch((error: unknown) => {
-          this.system.log.warn('copy of the store not taken', { gateway: state.node, prefix: mirror.prefix, reason: String(error) })
-        }).finally(() => {
-          peer.isCopying = false
-        })
-      }
-    }
-  }
-
-  private async copy (address: string, mirror: mirrors.StoreMirror): Promise<void> {
-    const snapshot = Snapshot.parse(await this.call(address, 'mirror.read', { prefix: mirror.prefix }, copyTimeoutMs))
-    const before = mirror.revision
-    if (mirror.accept(snapshot)) {
-      this.system.log.info('copy of the store taken from another gateway', {
-        address, prefix: mirror.prefix, revision: snapshot.revision, before
-      })
+    if (!this.party.mirror.isLeftBehind(state.revision) || peer.isCopying) {
+      return
     }
+    peer.isCopying = true
+    this.copyFrom(peer.address).catch((error: unknown) => {
+      this.system.log.warn('copy of the store not taken', { gateway: state.node, reason: String(error) })
+    }).finally(() => {
+      peer.isCopying = false
+    })
   }
 
   private noteSilence (node: string, peer: Peer, error: unknown): void {
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -52,7 +52,7 @@
   gateway_waiting: createMetric('gauge', [], 'Generations that wait for room.'),
   gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
   gateway_orders_total: createMetric('counter', ['outcome'], 'Orders to engines by outcome.'),
-  gateway_store_age_ms: createMetric('gauge', ['prefix'], 'Time since the store confirmed the copy below a prefix, in milliseconds.'),
+  gateway_store_age_ms: createMetric('gauge', [], 'Time since the store confirmed the copy of it, in milliseconds.'),
   gateway_peers: createMetric('gauge', [], 'Other gateways heard within the last two seconds.'),
 
   // Both.
--- a/tests/gateway/mirror.test.ts
+++ b/tests/gateway/mirror.test.ts
@@ -41,7 +41,7 @@
   readonly store = new directStores.DirectStore(this.core)
   readonly departed: string[] = []
   readonly directory = new directories.Directory(new PlainDocuments(), this.system, server => this.departed.push(server.id))
-  readonly mirror = new mirrors.StoreMirror(this.store, 'servers/', this.system, this.directory)
+  readonly mirror = new mirrors.StoreMirror(this.store, 'servers/', this.system, this.directory, 900)
 
   put (id: string, more: object = {}): void {
     const value = JSON.stringify({ service: 's', address: '1.1.1.1:1', zone: 'a', slots: 1, state: 'ready', ...more })
@@ -101,6 +101,35 @@
     assert.deepEqual(bench.list(), ['b'])
     bench.mirror.stop()
   })
+
+  test.it('is left behind once another gateway has been ahead for longer than a watch needs', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.mirror.start()
+    await bench.system.clock.advance(10)
+    bench.store.setDown(true)
+    const ahead = bench.mirror.revision + 1
+    assert.equal(bench.mirror.isLeftBehind(ahead - 1), false)
+    assert.equal(bench.mirror.isLeftBehind(ahead), false)
+    await bench.system.clock.advance(300)
+    assert.equal(bench.mirror.isLeftBehind(ahead), true)
+    assert.equal(bench.mirror.accept({ revision: ahead, items: [] }), true)
+    assert.equal(bench.mirror.isLeftBehind(ahead + 1), false)
+    bench.mirror.stop()
+  })
+
+  test.it('passes by keys of others', async () => {
+    const bench = new Bench()
+    bench.put('a')
+    bench.core.commit({ compare: [], success: [{ kind: 'put', key: 'notices/a', value: 'not a server' }], failure: [] })
+    const mirror = new mirrors.StoreMirror(bench.store, '', bench.system, bench.directory, 900)
+    mirror.start()
+    await bench.system.clock.advance(10)
+    bench.core.commit({ compare: [], success: [{ kind: 'delete', key: 'notices/a' }], failure: [] })
+    await bench.system.clock.advance(10)
+    assert.deepEqual([bench.list(), bench.departed], [['a'], []])
+    mirror.stop()
+  })
 })
 
 test.describe('The list of servers', () => {
--- a/tests/tools/fleet.test.ts
+++ b/tests/tools/fleet.test.ts
@@ -98,13 +98,15 @@
     })
   })
 
-  test.it('shows the log of a daemon that fails to start, and ends the others', async () => {
+  test.it('shows the log of a daemon that fails to start, keeps all logs, and ends the others', async () => {
     process.env['BROKEN_NODE'] = 'entry-a-1'
-    try {
-      await assert.rejects(fleets.startFleet(plan), /entry-a-1 is not ready: it ended with code 3.\nbroken on purpose/)
-    } finally {
-      delete process.env['BROKEN_NODE']
-    }
+    const started = fleets.startFleet(plan)
+    const error = await started.then(() => assert.fail('The fleet started'), (error: Error) => error)
+    delete process.env['BROKEN_NODE']
+    assert.match(error.message, /entry-a-1 is not ready: it ended with code 3.\nbroken on purpose/)
+    const folder = error.message.match(/kept in (\S+)$/)?.[1] ?? ''
+    assert.ok(fs.existsSync(path.join(folder, 'entry-a-1.log')))
+    childRegistry.removeFolder(folder)
     assert.equal(childRegistry.countChildren(), 0)
   })
 
--- a/tools/child_registry.ts
+++ b/tools/child_registry.ts
@@ -26,6 +26,11 @@
   folders.add(folder)
 }
 
+/** Leaves the folder in place when this process ends. */
+export function keepFolder (folder: string): void {
+  folders.delete(folder)
+}
+
 export function removeFolder (folder: string): void {
   folders.delete(folder)
   fs.rmSync(folder, { recursive: true, force: true })
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -140,7 +140,7 @@
 
 /**
  * Starts a fleet and waits until all of it is ready. On failure everything that was started is ended.
- * The folder with settings and logs is removed when this process ends, unless the plan keeps it.
+ * The folder with settings and logs is removed when this process ends, unless the start failed or the plan keeps it.
  */
 export async function startFleet (plan: fleetPlans.FleetPlan, seed: Seed = async () => {}): Promise<Fleet> {
   const deadlineMs = performance.now() + (plan.startTimeoutMs ?? standardStartMs)
@@ -157,7 +157,8 @@
     return fleet
   } catch (error) {
     await builder.stop()
-    throw error
+    childRegistry.keepFolder(folder)
+    throw new Error(`${describeError(error)}\nSettings and logs of the fleet are kept in ${folder}`, { cause: error })
   }
 }
 
@@ -189,6 +190,10 @@
   await fleet.waitForDaemons('healthz', deadlineMs)
 }
 
+function describeError (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
 function getOrThrow<Value> (value: Value | undefined, name: string): Value {
   if (value === undefined) {
     throw new Error(`There is no "${name}" in the fleet`)
--- a/tools/wait.ts
+++ b/tools/wait.ts
@@ -12,10 +12,16 @@
 
 /** Asks the URL until it answers 200. `check` throws when waiting has become pointless. */
 export async function waitForUrl (url: string, deadlineMs: number, check: () => void): Promise<void> {
-  while (!await answersWell(url)) {
+  let questions = 0
+  for (;;) {
+    const outcome = await ask(url)
+    questions += 1
+    if (outcome === '200') {
+      return
+    }
     check()
     if (performance.now() > deadlineMs) {
-      throw new Error(`${url} did not answer 200 in time`)
+      throw new Error(`${url} did not answer 200 in time; the last of ${questions} questions ended with: ${outcome}`)
     }
     await timers.setTimeout(pollMs)
   }
@@ -46,12 +52,13 @@
   await Promise.all(Array.from({ length: width }, work))
 }
 
-async function answersWell (url: string): Promise<boolean> {
+/** Returns the status of the answer, or why there is none. */
+async function ask (url: string): Promise<string> {
   try {
     const response = await undici.request(url, { signal: AbortSignal.timeout(answerTimeoutMs) })
     await response.body.dump()
-    return response.statusCode === 200
-  } catch {
-    return false
+    return String(response.statusCode)
+  } catch (error) {
+    return String(error)
   }
 }
