--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -2,9 +2,11 @@
  * What gateways tell each other: admitted totals, bookings at engines, and copies of the store.
  *
  * Two gateways exchange their states in one call, by JSON-RPC over HTTP; whoever has not heard the other for a
- * period calls.
+ * period calls. Bodies are compressed: most exchanges cross zones, whose links are paid by the byte.
  */
+import * as buffer from 'node:buffer'
 import * as http from 'node:http'
+import * as zlib from 'node:zlib'
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
 import * as z from 'zod'
@@ -20,8 +22,9 @@
 const exchangeTimeoutMs = 400
 /** Longest wait for a copy of the store, in milliseconds. */
 const copyTimeoutMs = 1_000
-/** Largest message, in bytes; a copy of the store with a large configuration stays below. */
+/** Largest message before compression, in bytes; a copy of the store with a large configuration stays below. */
 const messageBytes = 16_777_216
+const messageHeaders = { 'content-type': 'application/json', 'content-encoding': 'deflate' }
 
 const Booking = z.object({ runs: z.number(), tokens: z.number(), unread: z.number() })
 
@@ -196,14 +199,15 @@
       const controller = new AbortController()
       const stopTimer = this.system.clock.after(timeoutMs, () => controller.abort())
       try {
-        const { body } = await undici.request(`http://${address}/`, {
+        const { body } = await this.agent.request({
+          origin: `http://${address}`,
+          path: '/',
           method: 'POST',
-          body: JSON.stringify(request),
-          dispatcher: this.agent,
+          body: encode(request),
           signal: controller.signal,
-          headers: { 'content-type': 'application/json' }
+          headers: messageHeaders
         })
-        client.receive(await body.json() as jsonRpc.JSONRPCResponse)
+        client.receive(decode(buffer.Buffer.from(await body.arrayBuffer())) as jsonRpc.JSONRPCResponse)
       } finally {
         stopTimer()
       }
@@ -212,17 +216,27 @@
   }
 
   private async serve (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const chunks: Buffer[] = []
+    const chunks: buffer.Buffer[] = []
     let bytes = 0
     for await (const chunk of request) {
-      bytes += (chunk as Buffer).length
+      bytes += (chunk as buffer.Buffer).length
       if (bytes > messageBytes) {
         response.writeHead(413, { connection: 'close' }).end()
         return
       }
-      chunks.push(chunk as Buffer)
+      chunks.push(chunk as buffer.Buffer)
     }
-    const answer = await this.rpc.receive(JSON.parse(Buffer.concat(chunks).toString('utf8')) as jsonRpc.JSONRPCRequest)
-    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer))
+    const answer = encode(await this.rpc.receive(decode(buffer.Buffer.concat(chunks)) as jsonRpc.JSONRPCRequest))
+    response.sendDate = false
+    response.writeHead(200, { ...messageHeaders, 'content-length': answer.length }).end(answer)
   }
 }
+
+function encode (message: unknown): buffer.Buffer {
+  return zlib.deflateSync(JSON.stringify(message))
+}
+
+/** Throws if the bytes are no compressed JSON, or too much of it. */
+function decode (bytes: buffer.Buffer): unknown {
+  return JSON.parse(zlib.inflateSync(bytes, { maxOutputLength: messageBytes }).toString('utf8'))
+}
