Read prompts apart for longer, and keep to the own zone

Streams and KV caches crossed zones for a few percent of free memory. Change: the time for which a prompt waits for a prefill server grows with the runs that it would slow down (prompt_place.ts); own engines are preferred by 0.15 of their memory, own plain servers by 0.6 of their slots, prefill servers of the decode server's zone by 30 ms.

--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -20,10 +20,10 @@
 const reservedMemoryPart = 0.02
 /** Bookings of a gateway that is no longer heard count for this long, in milliseconds. */
 const peerLifeMs = 2_000
-/** Preference for engines of the own zone, in parts of the engine's memory. */
-const ownZonePreference = 0.02
-/** Longer time that a prompt may take at a server of the decode server's zone, in milliseconds: the KV cache crosses no zone then. */
-const sameZoneMs = 8
+/** Preference for engines of the own zone, in parts of the memory of an engine: about one run, for streams to other zones are paid by the byte. */
+const ownZonePreference = 0.15
+/** Longer time that a prompt may take at a server of the zone of the decode server, in milliseconds: about that of a transfer between zones, which is paid twice. */
+const sameZoneMs = 30
 
 /** What one gateway has under way at one engine. */
 export interface EngineBooking {
--- a/src/gateway/plain_choice.ts
+++ b/src/gateway/plain_choice.ts
@@ -7,8 +7,8 @@
 
 /** How much the failure rate of a server weighs beside its load. */
 const failureWeight = 6
-/** Added to the load of a server in another zone: worth a third of its slots. */
-const otherZonePenalty = 0.33
+/** Added to the load of a server in another zone: worth more than half of its slots. */
+const otherZonePenalty = 0.6
 /** Age after which a reported load says nothing, in milliseconds. */
 const reportLifeMs = 500
 
--- a/src/gateway/prompt_reader.ts
+++ b/src/gateway/prompt_reader.ts
@@ -3,6 +3,7 @@
  */
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
+import * as promptPlaces from './prompt_place.js'
 import * as relays from './stream_relay.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -19,8 +20,6 @@
 const prefillPatience = 3
 /** Time beyond that, in milliseconds, for estimates that are short themselves. */
 const prefillMarginMs = 250
-/** Speed at which a decode server reads a prompt, in parts of a prefill server's. */
-const decodePrefillPart = 0.5
 
 /**
  * What came of a prompt: where its KV cache lies (`undefined`: the decode server reads it itself), a failure for the
@@ -47,9 +46,10 @@
     while (tried.size < maximumPrefillServers && !this.reply.isGone) {
       const servers = directory.listReady(this.request.service.name)
       const choice = fleet.choosePrefill(servers, getSizes(this.request.arrival).promptTokens, tried, this.now(), decodeServer.zone)
-      const aloneMs = fleet.estimatePrefillMs('', getSizes(this.request.arrival).promptTokens, this.now()) / decodePrefillPart
-      if (choice === undefined || choice.readyMs > aloneMs) {
-        this.log('prompt left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, aloneMs })
+      const emptyMs = fleet.estimatePrefillMs('', getSizes(this.request.arrival).promptTokens, this.now())
+      const { runs } = fleet.getLoad(decodeServer.id, this.now())
+      if (choice === undefined || promptPlaces.isBetterLeft(choice.readyMs, emptyMs, runs - 1)) {
+        this.log('prompt left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, emptyMs, runs })
         return { cache: undefined }
       }
       if (this.prefills > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
--- /dev/null
+++ b/tests/gateway/placement.test.ts
@@ -0,0 +1,90 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as choices from '../../src/gateway/plain_choice.js'
+import * as fleets from '../../src/gateway/engine_fleet.js'
+import * as healths from '../../src/gateway/server_health.js'
+import * as promptPlaces from '../../src/gateway/prompt_place.js'
+import * as routing from '../../src/contracts/routing.js'
+
+const profile: routing.EngineProfile = { slots: 16, memoryTokens: 32_000, handleMs: 500, switchMs: 6_000, maximumHoldMs: 2_000 }
+
+function createServer (id: string, zone: string, more: Partial<routing.RoutedServer> = {}): routing.RoutedServer {
+  return { id, service: 's', address: `10.0.0.1:${id.length}`, zone, slots: 6, state: 'ready', ...more }
+}
+
+test.describe('A burst of prompts at the prefill servers', () => {
+  /** Time in milliseconds in which a prefill server without other work has read one prompt. */
+  const emptyMs = 90
+  const runsBeside = 8
+  /** Times by which a prompt read beside runs makes each of them wait: the reading takes twice as long, in steps that go on. */
+  const heldUpPart = 0.3
+
+  /** Plays prompts that arrive together at one prefill server; returns the time for which they hold up runs, their own included. */
+  function play (prompts: number, isLeft: (prefillMs: number) => boolean): number {
+    let queueMs = 0
+    let heldUpMs = 0
+    for (let prompt = 0; prompt < prompts; prompt += 1) {
+      const readyMs = queueMs + emptyMs
+      if (isLeft(readyMs)) {
+        heldUpMs += 2 * emptyMs + runsBeside * 2 * emptyMs * heldUpPart
+      } else {
+        queueMs = readyMs
+        heldUpMs += readyMs
+      }
+    }
+    return heldUpMs
+  }
+
+  test.it('holds up fewer runs than where each prompt is read where that is sooner', () => {
+    const sooner = play(8, prefillMs => prefillMs > 2 * emptyMs)
+    const chosen = play(8, prefillMs => promptPlaces.isBetterLeft(prefillMs, emptyMs, runsBeside))
+    assert.ok(chosen < sooner, `${chosen} against ${sooner} where each prompt is read where that is sooner`)
+  })
+
+  test.it('is read by decode servers without other runs as soon as that is sooner', () => {
+    assert.equal(promptPlaces.isBetterLeft(2 * emptyMs + 1, emptyMs, 0), true)
+    assert.equal(promptPlaces.isBetterLeft(2 * emptyMs - 1, emptyMs, 0), false)
+  })
+
+  test.it('does not wait without end', () => {
+    assert.equal(promptPlaces.isBetterLeft(10 * emptyMs, emptyMs, 15), true)
+  })
+})
+
+test.describe('Zones', () => {
+  const health = new healths.ServerHealth()
+
+  test.it('keep a generation at their own engines until those are clearly fuller', () => {
+    const fleet = new fleets.EngineFleet('a', health)
+    const servers = [createServer('near', 'a', { stage: 'decode' }), createServer('far', 'b', { stage: 'decode' })]
+    const first = (): string | undefined => fleet.rankDecode(servers, profile, 1_000, 0)[0]?.id
+    assert.equal(first(), 'near')
+    fleet.bookDecode('r1', 'near', 3_500)
+    assert.equal(first(), 'near')
+    fleet.bookDecode('r2', 'near', 3_500)
+    assert.equal(first(), 'far')
+  })
+
+  test.it('keep the KV cache within the zone of the decode server unless the prompt would wait', () => {
+    const fleet = new fleets.EngineFleet('a', health)
+    const servers = [createServer('near', 'a', { stage: 'prefill' }), createServer('far', 'b', { stage: 'prefill' })]
+    const choose = (): string | undefined => fleet.choosePrefill(servers, 3_000, new Set(), 0, 'b')?.server.id
+    assert.equal(choose(), 'far')
+    fleet.bookPrefill('r1', 'far', 500, 0)
+    assert.equal(choose(), 'far')
+    fleet.bookPrefill('r2', 'far', 3_000, 0)
+    assert.equal(choose(), 'near')
+  })
+
+  test.it('keep a plain call at their own server until half of its slots are busier', () => {
+    const choice = new choices.PlainChoice('a', health)
+    const servers = [createServer('near', 'a'), createServer('far', 'b')]
+    const choose = (): string | undefined => choice.choose(servers, new Set(), 0, 0.5)?.id
+    for (let busy = 0; busy < 3; busy += 1) {
+      assert.equal(choose(), 'near')
+      choice.start('near')
+    }
+    choice.start('near')
+    assert.equal(choose(), 'far')
+  })
+})
