Relay the states of gateways between zones

Cause: every gateway exchanged with every other one. Ruled out: a longer period for all (bookings grow stale; the reservations of engines then refuse); fewer states in a message (bodies are compressed already). Change: gateways of a zone exchange with each other, and one of each zone, the first by name that is not silent, with those of the other zones; they pass on what they hear, with its age (exchange_plan.ts, free of a network).

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -5,14 +5,11 @@
  * that is not heard is assumed to use its even share of the rate, so that gateways that are cut off from each
  * other stay within the allowance together.
  */
-import * as exchangePeriods from './exchange_period.js'
 import * as routing from '../contracts/routing.js'
 import * as settings from './settings.js'
 
-/** Least silence after which a gateway's use is assumed instead of heard, in milliseconds; a few missed exchanges. */
-const leastSilenceMs = 700
-/** The same in periods of exchange, which are longer where there are many gateways. */
-const silentPeriods = 3
+/** Silence after which a gateway's use is assumed instead of heard, in milliseconds, with few gateways; a few missed exchanges. */
+const standardSilenceMs = 700
 
 /** Part of the tolerated excess that deepens the bucket: short peaks inside the allowance of a window are not refused. */
 const depthPart = 0.35
@@ -46,6 +43,7 @@
 export class AllowanceShare {
   private readonly buckets = new Map<string, Bucket>()
   private readonly peers = new Map<string, Peer>()
+  private silenceMs = standardSilenceMs
 
   /** `tolerance` is what a window may exceed the allowance by. */
   constructor (private readonly tolerance: settings.GatewaySettings['allowance']) {}
@@ -69,8 +67,9 @@
     }
   }
 
-  /** Names the other gateways of the deployment; state of all others is dropped. */
-  setPeers (names: readonly string[]): void {
+  /** Names the other gateways of the deployment; state of all others is dropped. One counts as silent after `silenceMs`. */
+  setPeers (names: readonly string[], silenceMs = standardSilenceMs): void {
+    this.silenceMs = silenceMs
     for (const name of this.peers.keys()) {
       if (!names.includes(name)) {
         this.peers.delete(name)
@@ -174,10 +173,9 @@
   }
 
   private countSilent (nowMs: number): number {
-    const silenceMs = Math.max(leastSilenceMs, silentPeriods * exchangePeriods.getExchangePeriodMs(this.peers.size + 1))
     let silent = 0
     for (const peer of this.peers.values()) {
-      if (nowMs - peer.heardMs > silenceMs) {
+      if (nowMs - peer.heardMs > this.silenceMs) {
         silent += 1
       }
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -113,7 +113,7 @@
     const uptimeMs = (): number => os.uptime() * 1000
     this.duty = new duties.OrderDuty(this.context, store, uptimeMs, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot, uptimeMs,
-      (node, withinMs) => this.peers.listHeard(withinMs).includes(node), addresses => this.setMembers(addresses))
+      (node, withinMs) => this.peers.listHeard(withinMs).includes(node), found => this.setMembers(found))
     const observer = new mirrors.SplitObserver([follower, directory, this.members, this.duty])
     this.mirror = new mirrors.StoreMirror(store, allKeys, system, observer, options.timing.watchHoldMs)
     this.peers = new peerExchanges.Peers(this.createParty(), system)
@@ -180,9 +180,11 @@
   private createParty (): peerExchanges.PeerParty {
     const { allowance, fleet } = this.context
     const { clock } = this.system
-    const { node } = this.options
+    const { node, zone } = this.options
     const { boot, duty, mirror } = this
     return new class extends peerExchanges.PeerParty {
+      override readonly node = node
+      override readonly zone = zone
       override readonly mirror = mirror
 
       override describe (): peerExchanges.PeerState {
@@ -197,18 +199,17 @@
         }
       }
 
-      override hear (state: peerExchanges.PeerState): void {
-        const nowMs = clock.monotonicMs()
-        allowance.hear(state.node, state.boot, state.admitted, nowMs)
-        fleet.hear(state.node, state, nowMs)
+      override hear (state: peerExchanges.PeerState, heardMs: number): void {
+        allowance.hear(state.node, state.boot, state.admitted, heardMs)
+        fleet.hear(state.node, state, heardMs)
       }
     }()
   }
 
-  private setMembers (addresses: ReadonlyMap<string, string>): void {
-    this.peers.setAddresses(addresses)
-    this.context.allowance.setPeers([...addresses.keys()])
-    this.context.retries.setGateways(addresses.size + 1)
+  private setMembers (found: ReadonlyMap<string, members.Member>): void {
+    this.peers.setMembers(found)
+    this.context.allowance.setPeers([...found.keys()], this.peers.silenceMs)
+    this.context.retries.setGateways(found.size + 1)
   }
 
   private setGauges (): void {
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -16,9 +16,15 @@
 
 const Entry = z.object({ address: z.string(), boot: z.string(), zone: z.string() })
 
+/** Another gateway: its address for exchanges, and its availability zone. */
+export interface Member {
+  readonly address: string
+  readonly zone: string
+}
+
 export class Members extends mirrors.MirrorObserver {
   private readonly lease: leases.StoreLease
-  private readonly addresses = new Map<string, string>()
+  private readonly members = new Map<string, Member>()
   private readonly lapsed = new Map<string, host.Stop>()
 
   constructor (
@@ -29,7 +35,7 @@
     uptimeMs: () => number,
     /** Whether a gateway was heard within the time in milliseconds. */
     private readonly isHeard: (node: string, withinMs: number) => boolean,
-    private readonly changed: (addresses: ReadonlyMap<string, string>) => void
+    private readonly changed: (members: ReadonlyMap<string, Member>) => void
   ) {
     super()
     const address = identities.formatAddress(options.peers)
@@ -70,18 +76,18 @@
       this.system.log.warn('entry of a gateway cannot be read', { gateway: node, revision: item.revision })
       return
     }
-    this.addresses.set(node, parsed.data.address)
+    this.members.set(node, parsed.data)
   }
 
   override removed (key: string): void {
     const node = key.slice(prefix.length)
-    if (key.startsWith(prefix) && this.addresses.has(node) && !this.lapsed.has(node)) {
+    if (key.startsWith(prefix) && this.members.has(node) && !this.lapsed.has(node)) {
       this.awaitSilence(node)
     }
   }
 
   override updated (): void {
-    this.changed(this.addresses)
+    this.changed(this.members)
   }
 
   private awaitSilence (node: string): void {
@@ -91,7 +97,7 @@
         return
       }
       this.lapsed.delete(node)
-      this.addresses.delete(node)
+      this.members.delete(node)
       this.system.log.info('gateway gone', { gateway: node })
       this.updated()
     }))
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -2,7 +2,7 @@
  * What gateways tell each other: admitted totals, bookings at engines, and copies of the store.
  *
  * Two gateways exchange their states in one call, by JSON-RPC over HTTP; whoever has not heard the other for a
- * period calls. Bodies are compressed: most exchanges cross zones, whose links are paid by the byte.
+ * period calls. States of further gateways are relayed between zones. Bodies are compressed: most exchanges cross zones, whose links are paid by the byte.
  */
 import * as buffer from 'node:buffer'
 import * as http from 'node:http'
@@ -10,10 +10,11 @@
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
 import * as z from 'zod'
-import * as exchangePeriods from './exchange_period.js'
+import * as exchangePlans from './exchange_plan.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
+import * as members from './members.js'
 import * as mirrors from './mirror.js'
 
 /** How often it is looked which exchanges are due, in milliseconds. */
@@ -44,6 +45,14 @@
 })
 export type PeerState = z.infer<typeof PeerState>
 
+/** What one gateway tells another. */
+const PeerNews = z.object({
+  own: PeerState,
+  /** States of others, with the time since they were told, in milliseconds. */
+  relayed: z.array(z.object({ ageMs: z.number(), state: PeerState }))
+})
+type PeerNews = z.infer<typeof PeerNews>
+
 const Snapshot = z.object({
   revision: z.number(),
   items: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() }))
@@ -51,15 +60,22 @@
 
 /** What a gateway tells, and does with what it hears. */
 export abstract class PeerParty {
+  abstract readonly node: string
+  abstract readonly zone: string
   abstract describe (): PeerState
-  abstract hear (state: PeerState): void
+  /** Takes in a state that was true at the time in milliseconds, on the steady clock. */
+  abstract hear (state: PeerState, heardMs: number): void
   abstract readonly mirror: mirrors.StoreMirror
 }
 
-interface Peer {
+interface Peer extends exchangePlans.Partner {
   readonly address: string
   heardMs: number
-  askedMs: number
+  learnedMs: number
+  exchangedMs: number
+  toldMs: number
+  teller: exchangePlans.Teller
+  state: PeerState | undefined
   isCalling: boolean
   isCopying: boolean
   wasHeard: boolean
@@ -70,12 +86,15 @@
   private readonly agent = new undici.Agent({ connect: { timeout: exchangeTimeoutMs }, pipelining: 1, connections: 2, keepAliveTimeout: 5_000 })
   private readonly server: http.Server
   private readonly rpc = new jsonRpc.JSONRPCServer()
+  private readonly plan: exchangePlans.ExchangePlan
   private stopTicks: host.Stop | undefined
 
   constructor (private readonly party: PeerParty, private readonly system: host.System) {
+    this.plan = new exchangePlans.ExchangePlan(party.node, party.zone)
     this.rpc.addMethod('peer.exchange', message => {
-      this.take(PeerState.parse(message))
-      return this.party.describe()
+      const news = PeerNews.parse(message)
+      this.take(news)
+      return this.tell(this.peers.get(news.own.node))
     })
     this.rpc.addMethod('mirror.read', () => this.party.mirror.takeSnapshot())
     this.server = http.createServer((request, response) => {
@@ -110,18 +129,37 @@
     return heard
   }
 
-  /** Sets the other gateways, by name, with their addresses. */
-  setAddresses (addresses: ReadonlyMap<string, string>): void {
+  /** Time without news after which a gateway counts as silent, in milliseconds. */
+  get silenceMs (): number {
+    return this.plan.silenceMs
+  }
+
+  /** Sets the other gateways, by name. */
+  setMembers (found: ReadonlyMap<string, members.Member>): void {
     for (const [node, peer] of this.peers) {
-      if (addresses.get(node) !== peer.address) {
+      if (found.get(node)?.address !== peer.address) {
         this.peers.delete(node)
       }
     }
-    for (const [node, address] of addresses) {
+    for (const [node, { address, zone }] of found) {
       if (!this.peers.has(node)) {
-        this.peers.set(node, { address, heardMs: 0, askedMs: 0, isCalling: false, isCopying: false, wasHeard: false })
+        this.peers.set(node, {
+          node,
+          address,
+          zone,
+          heardMs: -Infinity,
+          learnedMs: -Infinity,
+          exchangedMs: -Infinity,
+          state: undefined,
+          teller: 'itself',
+          toldMs: -Infinity,
+          isCalling: false,
+          isCopying: false,
+          wasHeard: false
+        })
       }
     }
+    this.plan.setPartners([...this.peers.values()])
   }
 
   /** Takes the copy of the store from an address, for a gateway that knows no other yet. */
@@ -134,43 +172,76 @@
     }
   }
 
-  private get periodMs (): number {
-    return exchangePeriods.getExchangePeriodMs(this.peers.size + 1)
-  }
-
   private tick (): void {
     const nowMs = this.system.clock.monotonicMs()
-    for (const [node, peer] of this.peers) {
-      const quietMs = nowMs - Math.max(peer.heardMs, peer.askedMs)
-      if (!peer.isCalling && quietMs >= this.periodMs) {
-        this.exchange(node, peer, nowMs)
+    for (const peer of this.peers.values()) {
+      if (!peer.isCalling && this.plan.isDue(peer, nowMs)) {
+        this.exchange(peer, nowMs)
       }
     }
   }
 
-  private exchange (node: string, peer: Peer, nowMs: number): void {
+  private exchange (peer: Peer, nowMs: number): void {
     peer.isCalling = true
-    peer.askedMs = nowMs
-    this.call(peer.address, 'peer.exchange', this.party.describe(), exchangeTimeoutMs).then(answer => {
-      this.take(PeerState.parse(answer))
-    }).catch((error: unknown) => this.noteSilence(node, peer, error)).finally(() => {
+    peer.exchangedMs = nowMs
+    this.call(peer.address, 'peer.exchange', this.tell(peer), exchangeTimeoutMs).then(answer => {
+      this.take(PeerNews.parse(answer))
+    }).catch((error: unknown) => this.noteSilence(peer, error)).finally(() => {
       peer.isCalling = false
     })
   }
 
-  private take (state: PeerState): void {
-    const peer = this.peers.get(state.node)
+  /** Returns the own state, and those of others that the peer cannot have from its own zone. */
+  private tell (peer: Peer | undefined): PeerNews {
+    const relayed: PeerNews['relayed'] = []
     if (peer !== undefined) {
-      if (!peer.wasHeard) {
-        peer.wasHeard = true
-        this.system.log.info('gateway heard', { gateway: state.node, address: peer.address })
+      const nowMs = this.system.clock.monotonicMs()
+      for (const other of this.peers.values()) {
+        if (other.state !== undefined && this.plan.isToRelay(other, peer)) {
+          relayed.push({ ageMs: Math.round(nowMs - other.heardMs), state: other.state })
+        }
       }
-      peer.heardMs = this.system.clock.monotonicMs()
+      peer.toldMs = nowMs
     }
-    this.party.hear(state)
-    if (peer !== undefined) {
-      this.catchUp(state, peer)
+    return { own: this.party.describe(), relayed }
+  }
+
+  private take (news: PeerNews): void {
+    const nowMs = this.system.clock.monotonicMs()
+    const sender = this.peers.get(news.own.node)
+    for (const { ageMs, state } of news.relayed) {
+      this.hear(state, nowMs - ageMs, sender?.zone === this.party.zone ? 'own_zone' : 'other_zone')
+    }
+    this.hear(news.own, nowMs, 'itself')
+    if (sender !== undefined) {
+      sender.exchangedMs = nowMs
+      this.catchUp(news.own, sender)
+    }
+  }
+
+  /** Takes in a state, unless a newer one of the gateway is known. */
+  private hear (state: PeerState, heardMs: number, teller: exchangePlans.Teller): void {
+    if (state.node === this.party.node) {
+      return
+    }
+    const peer = this.peers.get(state.node)
+    if (peer === undefined) {
+      // Not listed yet, or no more: what it has used counts all the same.
+      this.party.hear(state, heardMs)
+      return
+    }
+    if (heardMs <= peer.heardMs) {
+      return
+    }
+    if (!peer.wasHeard) {
+      peer.wasHeard = true
+      this.system.log.info('gateway heard', { gateway: state.node, address: peer.address, teller })
     }
+    peer.heardMs = heardMs
+    peer.learnedMs = this.system.clock.monotonicMs()
+    peer.state = state
+    peer.teller = teller
+    this.party.hear(state, heardMs)
   }
 
   /** Takes a newer copy of the store where the store itself has been silent. */
@@ -186,11 +257,11 @@
     })
   }
 
-  private noteSilence (node: string, peer: Peer, error: unknown): void {
+  private noteSilence (peer: Peer, error: unknown): void {
     const silentMs = this.system.clock.monotonicMs() - peer.heardMs
     if (peer.wasHeard && silentMs > exchangeTimeoutMs) {
       peer.wasHeard = false
-      this.system.log.warn('gateway silent', { gateway: node, reason: String(error), silentMs: Math.round(silentMs) })
+      this.system.log.warn('gateway silent', { gateway: peer.node, reason: String(error), silentMs: Math.round(silentMs) })
     }
   }
 
--- a/tests/gateway/allowance_share.test.ts
+++ b/tests/gateway/allowance_share.test.ts
@@ -2,7 +2,7 @@
 import * as fastCheck from 'fast-check'
 import * as test from 'node:test'
 import * as allowances from '../../src/gateway/allowance_share.js'
-import * as exchangePeriods from '../../src/gateway/exchange_period.js'
+import * as exchangePlans from '../../src/gateway/exchange_plan.js'
 import * as routing from '../../src/contracts/routing.js'
 
 const tolerance = { windowMs: 8_000, overPart: 0.1, slack: 190_000 }
@@ -151,10 +151,15 @@
 
     test.it('refuse nothing among many gateways that exchange more seldom', () => {
       const gateways = 30
-      const period = exchangePeriods.getExchangePeriodMs(gateways)
+      const names = Array.from({ length: gateways - 1 }, (_, index) => `g${index}`)
+      const plan = new exchangePlans.ExchangePlan('self', 'a')
+      plan.setPartners(names.map((node, index) => ({
+        node, zone: 'abc'[index % 3] as string, heardMs: 0, learnedMs: 0, exchangedMs: 0, toldMs: 0, teller: 'itself'
+      })))
+      const period = plan.periodMs
       const share = new allowances.AllowanceShare(tolerance)
       share.setWorkspaces([workspace], 0)
-      share.setPeers(Array.from({ length: gateways - 1 }, (_, index) => `g${index}`))
+      share.setPeers(names, plan.silenceMs)
       for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
         for (let index = 0; index < gateways - 1; index += 1) {
           if (nowMs % (Math.ceil(period * 2 / 100) * 100) === 0) {
