Spread choices of engines where many gateways choose at once

Cause: all gateways rank engines alike and hear of each other's bookings late; with 28 of them the busiest engine had 2.6 to 2.75 times the mean. Change: each choice of a decode or prefill server gets a seeded spread that grows with the number of other gateways. Conclusion: kept at 0.03 for each gateway; not proved to matter.

--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -5,6 +5,7 @@
  * granting or refusing a reservation. Free of input and output.
  */
 import * as healths from './server_health.js'
+import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
 import * as splits from './stage_split.js'
 
@@ -24,6 +25,10 @@
 const ownZonePreference = 0.15
 /** Longer time that a prompt may take at a server of the zone of the decode server, in milliseconds: about that of a transfer between zones, which is paid twice. */
 const sameZoneMs = 30
+/** Spread of the choice for each other gateway, in parts of an engine: they choose at the same time and do not know it yet. */
+const spreadPerGateway = 0.03
+/** Largest spread, in parts of an engine: about two runs. */
+const largestSpread = 0.8
 
 /** What one gateway has under way at one engine. */
 export interface EngineBooking {
@@ -72,7 +77,7 @@
   private readonly meters = new Map<string, splits.LoadMeter>()
   private switching: ReadonlySet<string> = new Set()
 
-  constructor (private readonly zone: string, private readonly health: healths.ServerHealth) {}
+  constructor (private readonly zone: string, private readonly health: healths.ServerHealth, private readonly random: host.Random) {}
 
   bookDecode (run: string, server: string, tokens: number): void {
     this.releaseDecode(run)
@@ -187,7 +192,7 @@
         continue
       }
       const preference = server.zone === this.zone ? ownZonePreference : 0
-      ranked.push({ server, free: free / profile.memoryTokens + preference - this.health.getFailureRate(server.id) })
+      ranked.push({ server, free: free / profile.memoryTokens + preference - this.health.getFailureRate(server.id) + this.getSpread() })
     }
     ranked.sort((a, b) => b.free - a.free)
     return ranked.map(({ server }) => server)
@@ -206,7 +211,8 @@
         continue
       }
       const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id))
-      const penaltyMs = decodeZone === undefined || server.zone === decodeZone ? 0 : sameZoneMs
+      const distanceMs = decodeZone === undefined || server.zone === decodeZone ? 0 : sameZoneMs
+      const penaltyMs = distanceMs + this.getSpread() * readyMs
       if (readyMs + penaltyMs < bestMs + bestPenaltyMs) {
         best = server
         bestMs = readyMs
@@ -244,6 +250,10 @@
     return { runs, tokens, unread }
   }
 
+  private getSpread (): number {
+    return this.random.nextUnit() * Math.min(largestSpread, spreadPerGateway * this.peers.size)
+  }
+
   private isUsable (server: routing.RoutedServer, nowMs: number): boolean {
     if (server.state !== 'ready' || this.switching.has(server.id) || this.health.isPaused(server.id, nowMs) ||
       (this.refusals.get(server.id) ?? 0) > nowMs) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -68,7 +68,7 @@
     this.boot = system.random.nextId()
     const health = new healths.ServerHealth()
     const pool = new connectionPools.ConnectionPool(system.clock)
-    const fleet = new fleets.EngineFleet(options.zone, health)
+    const fleet = new fleets.EngineFleet(options.zone, health, system.random)
     const plainChoice = new choices.PlainChoice(options.zone, health)
     const directory = new directories.Directory(documents, system, server => {
       pool.forget(server.address)
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -194,7 +194,7 @@
   const decodes = [createServer('d1', { stage: 'decode' }), createServer('d2', { stage: 'decode' })]
 
   test.it('are booked by all gateways together', () => {
-    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth(), new seededRandom.SeededRandom(1))
     fleet.hear('other', { bookings: { d1: { runs: 9, tokens: 30_000, unread: 0 } }, offered: {}, switching: [] }, 0)
     assert.deepEqual(fleet.rankDecode(decodes, profile, 3_500, 10).map(server => server.id), ['d2'])
     fleet.bookDecode('run', 'd2', 30_000)
@@ -204,13 +204,13 @@
   })
 
   test.it('lose the bookings of a gateway that is no longer heard', () => {
-    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth(), new seededRandom.SeededRandom(1))
     fleet.hear('other', { bookings: { d1: { runs: 16, tokens: 30_000, unread: 0 } }, offered: {}, switching: [] }, 0)
     assert.equal(fleet.rankDecode(decodes, profile, 3_500, 5_000).length, 2)
   })
 
   test.it('are left out while they change their stage or have just refused granted room', () => {
-    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth(), new seededRandom.SeededRandom(1))
     fleet.hear('other', { bookings: {}, offered: {}, switching: ['d1'] }, 0)
     assert.deepEqual(fleet.rankDecode(decodes, profile, 100, 10).map(server => server.id), ['d2'])
     fleet.noteRefusal('d2', 1_500, 10)
@@ -219,7 +219,7 @@
   })
 
   test.it('read a prompt where it is read first', () => {
-    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth())
+    const fleet = new fleets.EngineFleet('a', new healths.ServerHealth(), new seededRandom.SeededRandom(1))
     const prefills = [createServer('p1', { stage: 'prefill' }), createServer('p2', { stage: 'prefill' })]
     fleet.bookPrefill('run', 'p1', 6_000, 0)
     const choice = fleet.choosePrefill(prefills, 3_000, new Set(), 0, undefined)
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -5,6 +5,7 @@
 import * as healths from '../../src/gateway/server_health.js'
 import * as promptPlaces from '../../src/gateway/prompt_place.js'
 import * as routing from '../../src/contracts/routing.js'
+import * as seededRandom from '../../src/host/seeded_random.js'
 
 const profile: routing.EngineProfile = { slots: 16, memoryTokens: 32_000, handleMs: 500, switchMs: 6_000, maximumHoldMs: 2_000 }
 
@@ -55,7 +56,7 @@
   const health = new healths.ServerHealth()
 
   test.it('keep a generation at their own engines until those are clearly fuller', () => {
-    const fleet = new fleets.EngineFleet('a', health)
+    const fleet = new fleets.EngineFleet('a', health, new seededRandom.SeededRandom(1))
     const servers = [createServer('near', 'a', { stage: 'decode' }), createServer('far', 'b', { stage: 'decode' })]
     const first = (): string | undefined => fleet.rankDecode(servers, profile, 1_000, 0)[0]?.id
     assert.equal(first(), 'near')
@@ -66,7 +67,7 @@
   })
 
   test.it('keep the KV cache within the zone of the decode server unless the prompt would wait', () => {
-    const fleet = new fleets.EngineFleet('a', health)
+    const fleet = new fleets.EngineFleet('a', health, new seededRandom.SeededRandom(1))
     const servers = [createServer('near', 'a', { stage: 'prefill' }), createServer('far', 'b', { stage: 'prefill' })]
     const choose = (): string | undefined => fleet.choosePrefill(servers, 3_000, new Set(), 0, 'b')?.server.id
     assert.equal(choose(), 'far')
