--- a/tools/cut.ts
+++ b/tools/cut.ts
@@ -4,19 +4,22 @@
 import * as net from 'node:net'
 import * as identities from '../src/contracts/identity.js'
 
-/** What happens to new connections: forwarded, closed by a reset, or accepted without a byte passing. */
-export type CutMode = 'forward' | 'reset' | 'silent'
+/** What happens to new connections: forwarded, closed by a reset, or accepted without a byte passing, or none back. */
+export type CutMode = 'forward' | 'reset' | 'silent' | 'one_way'
 
 interface Pair {
   readonly near: net.Socket
   readonly far: net.Socket
   isSilent: boolean
+  /** Whether nothing comes back. */
+  isOneWay: boolean
 }
 
 export class Cut {
   private readonly pairs = new Set<Pair>()
   private readonly server = net.createServer(socket => this.accept(socket))
   private mode: CutMode = 'forward'
+  private delayMs = 0
 
   constructor (private readonly target: identities.Address) {}
 
@@ -59,9 +62,23 @@
     this.silenceOpen()
   }
 
-  /** Forwards new connections again. */
+  /** Lets requests through on open and new connections and swallows the answers until `restore`. */
+  cutOneWay (): void {
+    this.mode = 'one_way'
+    for (const pair of this.pairs) {
+      pair.isOneWay = true
+    }
+  }
+
+  /** Holds up each chunk of bytes by the time in milliseconds until `restore`. */
+  delay (delayMs: number): void {
+    this.delayMs = delayMs
+  }
+
+  /** Forwards new connections again, without delay. */
   restore (): void {
     this.mode = 'forward'
+    this.delayMs = 0
   }
 
   close (): Promise<void> {
@@ -77,7 +94,7 @@
       return
     }
     const far = net.connect({ host: this.target.host, port: this.target.port, noDelay: true, allowHalfOpen: true })
-    const pair = { near, far, isSilent: this.mode === 'silent' }
+    const pair = { near, far, isSilent: this.mode === 'silent', isOneWay: this.mode === 'one_way' }
     this.pairs.add(pair)
     this.forward(pair, near, far)
     this.forward(pair, far, near)
@@ -85,10 +102,15 @@
 
   private forward (pair: Pair, from: net.Socket, to: net.Socket): void {
     from.on('data', chunk => {
-      if (!pair.isSilent && !to.write(chunk)) {
+      if (pair.isSilent || (pair.isOneWay && from === pair.far)) {
+        return
+      }
+      if (this.delayMs > 0) {
         from.pause()
-        to.once('drain', () => from.resume())
+        setTimeout(() => this.pass(chunk, from, to), this.delayMs)
+        return
       }
+      this.pass(chunk, from, to)
     })
     from.on('end', () => {
       if (!pair.isSilent) {
@@ -99,6 +121,15 @@
     from.on('close', () => this.noteClosed(pair, from, to))
   }
 
+  private pass (chunk: Buffer, from: net.Socket, to: net.Socket): void {
+    if (to.write(chunk)) {
+      from.resume()
+      return
+    }
+    from.pause()
+    to.once('drain', () => from.resume())
+  }
+
   private noteClosed (pair: Pair, closed: net.Socket, other: net.Socket): void {
     if (other.destroyed) {
       this.pairs.delete(pair)
--- a/tools/fleet_plan.ts
+++ b/tools/fleet_plan.ts
@@ -117,7 +117,8 @@
   return plan.services ?? ['bookings']
 }
 
-function formatHost (index: number): string {
+/** Returns a loopback address of this process's own; the index tells its hosts apart. */
+export function formatHost (index: number): string {
   const network = Math.floor(process.pid / hostsPerNetwork) + Math.floor(index / hostsPerNetwork)
   return `127.${1 + process.pid % hostsPerNetwork}.${network % hostsPerNetwork}.${firstHost + index % hostsPerNetwork}`
 }
--- a/tools/fleet_process.ts
+++ b/tools/fleet_process.ts
@@ -21,7 +21,9 @@
     readonly id: string,
     private readonly args: readonly string[],
     readonly logFile: string,
-    private readonly isOutputRead: boolean
+    private readonly isOutputRead: boolean,
+    /** Variables beside those of this process. */
+    private readonly environment: Readonly<Record<string, string>> = {}
   ) {}
 
   get pid (): number | undefined {
@@ -41,7 +43,8 @@
   start (more: readonly string[] = []): void {
     const log = fs.openSync(this.logFile, 'a')
     const child = childProcess.spawn(process.execPath, [...this.args, ...more], {
-      stdio: ['ignore', this.isOutputRead ? 'pipe' : log, log]
+      stdio: ['ignore', this.isOutputRead ? 'pipe' : log, log],
+      env: { ...process.env, ...this.environment }
     })
     fs.closeSync(log)
     childRegistry.addChild(child)
@@ -86,6 +89,11 @@
     this.child?.kill('SIGCONT')
   }
 
+  /** Tells the process that its settings have changed. */
+  reload (): void {
+    this.child?.kill('SIGHUP')
+  }
+
   /** Returns an error that shows the end of the process's log. */
   createError (what: string): Error {
     const log = fs.existsSync(this.logFile) ? fs.readFileSync(this.logFile, 'utf8') : ''
