--- a/src/gateway/exchange_plan.ts
+++ b/src/gateway/exchange_plan.ts
@@ -19,6 +19,14 @@
 /** Who told the last state of a gateway: itself, or a relay in the own or another zone. */
 export type Teller = 'itself' | 'own_zone' | 'other_zone'
 
+/** A state of a gateway, among all that it has told in its lives. */
+export interface Telling {
+  /** Names the life of the process. */
+  readonly boot: string
+  /** Counts up within a life. */
+  readonly sequence: number
+}
+
 /** Another gateway, as far as it matters here. Times are on the steady clock, in milliseconds. */
 export interface Partner {
   readonly node: string
@@ -81,6 +89,17 @@
       : other.zone === this.zone && other.teller === 'itself'
   }
 
+  /**
+   * Tells whether a relayed state is newer than the last one known of a gateway. Its stated age does not tell: a relay that
+   * was suspended does not know for how long. The first state of another life is taken from the gateway itself, or once it is silent.
+   */
+  isNews (partner: Partner, last: Telling | undefined, relayed: Telling, nowMs: number): boolean {
+    if (last?.boot === relayed.boot) {
+      return relayed.sequence > last.sequence
+    }
+    return nowMs - partner.heardMs >= this.silenceMs
+  }
+
   /** The relay of a zone is the first of its gateways, by name, that is not silent. */
   private isRelay (node: string, zone: string, nowMs: number): boolean {
     for (const partner of this.partners) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -182,15 +182,18 @@
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, duty, mirror } = this
+    let sequence = 0
     return new class extends peerExchanges.PeerParty {
       override readonly node = node
       override readonly zone = zone
       override readonly mirror = mirror
 
       override describe (): peerExchanges.PeerState {
+        sequence += 1
         return {
           node,
           boot,
+          sequence,
           revision: mirror.revision,
           admitted: allowance.listAdmitted(),
           bookings: fleet.listBookings(),
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -32,6 +32,8 @@
 export const PeerState = z.object({
   node: z.string(),
   boot: z.string(),
+  /** Counts the states that were told in this life. */
+  sequence: z.number(),
   /** Revision of the copy of the store. */
   revision: z.number(),
   /** Units admitted in this life, by workspace. */
@@ -230,14 +232,14 @@
       this.party.hear(state, heardMs)
       return
     }
-    if (heardMs <= peer.heardMs) {
+    if (teller !== 'itself' && !this.plan.isNews(peer, peer.state, state, this.system.clock.monotonicMs())) {
       return
     }
     if (!peer.wasHeard) {
       peer.wasHeard = true
       this.system.log.info('gateway heard', { gateway: state.node, address: peer.address, teller })
     }
-    peer.heardMs = heardMs
+    peer.heardMs = Math.max(heardMs, peer.heardMs)
     peer.learnedMs = this.system.clock.monotonicMs()
     peer.state = state
     peer.teller = teller
--- a/tests/gateway/exchange_plan.test.ts
+++ b/tests/gateway/exchange_plan.test.ts
@@ -120,6 +120,18 @@
     }
   })
 
+  test.it('do not take for news what a relay tells that was suspended, or of an earlier life', () => {
+    const plan = new exchangePlans.ExchangePlan('self', 'a')
+    const partner: exchangePlans.Partner = {
+      node: 'g1', zone: 'b', heardMs: 10_000, learnedMs: 10_000, exchangedMs: 10_000, toldMs: 0, teller: 'itself'
+    }
+    const last = { boot: 'second', sequence: 50 }
+    assert.equal(plan.isNews(partner, last, { boot: 'second', sequence: 51 }, 10_050), true)
+    assert.equal(plan.isNews(partner, last, { boot: 'second', sequence: 3 }, 10_050), false)
+    assert.equal(plan.isNews(partner, last, { boot: 'first', sequence: 900 }, 10_050), false)
+    assert.equal(plan.isNews(partner, last, { boot: 'third', sequence: 1 }, 10_000 + plan.silenceMs), true)
+  })
+
   test.it('exchange ten times a second where there are few', () => {
     const fleet = new Fleet(3, 1)
     fleet.play(1_000)
