Pass on only events as the rest of a resumed stream

Ruled out: a wrong check (for the first server of a stream such bytes are its own whole answer; behind another server's events they are not). Change: where a stream goes on at another server, an answer that ends within an event is taken for lost; the stream goes on elsewhere or is cut. Test: platform/tests/gateway.test.ts, failed before.

--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -32,6 +32,8 @@
   private readonly collected: buffer.Buffer[] = []
   private collectedBytes = 0
   private isSettled = false
+  /** Whether an earlier server has begun the stream. */
+  private isContinuation = false
   private sending: connections.Sending | undefined
 
   constructor (
@@ -74,7 +76,8 @@
       return
     }
     this.mode = 'streaming'
-    if (!this.reply.hasStarted) {
+    this.isContinuation = this.reply.hasStarted
+    if (!this.isContinuation) {
       this.reply.start(status, rawHeaders)
     }
   }
@@ -103,6 +106,11 @@
     if (this.mode === 'streaming') {
       const rest = this.cutter?.flush()
       if (rest !== undefined && rest.length > 0) {
+        // The first server's bytes are the answer, whatever they are. What comes behind them must be events.
+        if (this.isContinuation) {
+          this.finish({ kind: 'lost', reason: 'the rest of the stream is no event' })
+          return
+        }
         this.reply.write(rest)
       }
       this.finish({ kind: 'completed' })
