Reckon with the same period of exchange in all zones

Cause, found by reading: a gateway did not count itself into its own zone, so zones of different sizes came to different periods and times of silence. Test: tests/gateway/exchange_plan.test.ts, failed before (the large zone reckoned with one gateway less).

--- a/src/gateway/exchange_plan.ts
+++ b/src/gateway/exchange_plan.ts
@@ -61,7 +61,7 @@
   /** Sets the other gateways. The objects are read again with each question. */
   setPartners (partners: readonly Partner[]): void {
     this.partners = partners
-    const sizes = new Map([[this.zone, 0]])
+    const sizes = new Map([[this.zone, 1]])
     for (const { zone } of partners) {
       sizes.set(zone, (sizes.get(zone) ?? 0) + 1)
     }
--- a/tests/gateway/exchange_plan.test.ts
+++ b/tests/gateway/exchange_plan.test.ts
@@ -132,6 +132,15 @@
     assert.equal(plan.isNews(partner, last, { boot: 'third', sequence: 1 }, 10_000 + plan.silenceMs), true)
   })
 
+  test.it('reckon with the same period in zones of different sizes', () => {
+    const partner = { heardMs: 0, learnedMs: 0, exchangedMs: 0, toldMs: 0, teller: 'itself' } as const
+    const large = new exchangePlans.ExchangePlan('a0', 'a')
+    large.setPartners([...Array.from({ length: 11 }, (_, index) => ({ ...partner, node: `a${index + 1}`, zone: 'a' })), { ...partner, node: 'b0', zone: 'b' }])
+    const small = new exchangePlans.ExchangePlan('b0', 'b')
+    small.setPartners(Array.from({ length: 12 }, (_, index) => ({ ...partner, node: `a${index}`, zone: 'a' })))
+    assert.equal(large.periodMs, small.periodMs)
+  })
+
   test.it('exchange ten times a second where there are few', () => {
     const fleet = new Fleet(3, 1)
     fleet.play(1_000)
