One question to a listener, one figure of silence, one set-up of the mirror tests

Found by reading the change once more. The time of silence stood in two modules with the same figure. Seven tests repeated the same set-up.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -5,12 +5,10 @@
  * that is not heard is assumed to use its even share of the rate, so that gateways that are cut off from each
  * other stay within the allowance together.
  */
+import * as exchangePlans from './exchange_plan.js'
 import * as routing from '../contracts/routing.js'
 import * as settings from './settings.js'
 
-/** Silence after which a gateway's use is assumed instead of heard, in milliseconds, with few gateways; a few missed exchanges. */
-const standardSilenceMs = 700
-
 /** Part of the tolerated excess that deepens the bucket: short peaks inside the allowance of a window are not refused. */
 const depthPart = 0.35
 /** Part of the tolerated excess that gateways which do not hear each other may use together. */
@@ -43,7 +41,7 @@
 export class AllowanceShare {
   private readonly buckets = new Map<string, Bucket>()
   private readonly peers = new Map<string, Peer>()
-  private silenceMs = standardSilenceMs
+  private silenceMs = exchangePlans.leastSilenceMs
 
   /** `tolerance` is what a window may exceed the allowance by. */
   constructor (private readonly tolerance: settings.GatewaySettings['allowance']) {}
@@ -68,7 +66,7 @@
   }
 
   /** Names the other gateways of the deployment; state of all others is dropped. One counts as silent after `silenceMs`. */
-  setPeers (names: readonly string[], silenceMs = standardSilenceMs): void {
+  setPeers (names: readonly string[], silenceMs = exchangePlans.leastSilenceMs): void {
     this.silenceMs = silenceMs
     for (const name of this.peers.keys()) {
       if (!names.includes(name)) {
--- a/src/gateway/exchange_plan.ts
+++ b/src/gateway/exchange_plan.ts
@@ -13,8 +13,8 @@
 const relayPeriods = 5
 /** Age from which on a gateway counts as silent, in periods: the direct question has failed, too. */
 const silentPeriods = 7
-/** The same in milliseconds at least; a few missed exchanges. */
-const leastSilenceMs = 700
+/** The same in milliseconds at least, and with few gateways; a few missed exchanges. */
+export const leastSilenceMs = 700
 
 /** Who told the last state of a gateway: itself, or a relay in the own or another zone. */
 export type Teller = 'itself' | 'own_zone' | 'other_zone'
--- a/tests/gateway/mirror.test.ts
+++ b/tests/gateway/mirror.test.ts
@@ -57,12 +57,18 @@
   }
 }
 
+/** A bench whose copy holds the server `a`. */
+async function startBench (): Promise<Bench> {
+  const bench = new Bench()
+  bench.put('a')
+  bench.mirror.start()
+  await bench.system.clock.advance(10)
+  return bench
+}
+
 test.describe('The copy of the store', () => {
   test.it('follows changes, and reads again after its watch has ended', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     assert.deepEqual(bench.list(), ['a'])
     bench.store.setDown(true)
     bench.put('b')
@@ -88,10 +94,7 @@
   })
 
   test.it('takes a newer copy of another gateway while the store is silent', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     bench.store.setDown(true)
     bench.remove('a')
     bench.put('b')
@@ -103,10 +106,7 @@
   })
 
   test.it('is left behind once another gateway has been ahead for longer than a watch needs', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     bench.store.setDown(true)
     const ahead = bench.mirror.revision + 1
     assert.equal(bench.mirror.isLeftBehind(ahead - 1), false)
@@ -134,10 +134,7 @@
 
 test.describe('The list of servers', () => {
   test.it('gives up a server that goes away while the store answers', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     bench.remove('a')
     await bench.system.clock.advance(1)
     assert.deepEqual(bench.list(), [])
@@ -146,10 +143,7 @@
   })
 
   test.it('keeps a server whose entry lapsed in an outage until it can have come back', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     bench.store.setDown(true)
     await bench.system.clock.advance(4_000)
     bench.remove('a')
@@ -162,10 +156,7 @@
   })
 
   test.it('gives up a server that leaves just after an outage before it must get no more work', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     bench.store.setDown(true)
     await bench.system.clock.advance(4_000)
     bench.store.setDown(false)
@@ -177,10 +168,7 @@
   })
 
   test.it('gives up a server that leaves as the store comes back before it must get no more work', async () => {
-    const bench = new Bench()
-    bench.put('a')
-    bench.mirror.start()
-    await bench.system.clock.advance(10)
+    const bench = await startBench()
     bench.store.setDown(true)
     await bench.system.clock.advance(4_000)
     bench.store.setDown(false)
--- a/tools/wait.ts
+++ b/tools/wait.ts
@@ -53,7 +53,7 @@
 }
 
 /** Returns the status of the answer, or why there is none. */
-async function ask (url: string): Promise<string> {
+export async function ask (url: string): Promise<string> {
   try {
     const response = await undici.request(url, { signal: AbortSignal.timeout(answerTimeoutMs) })
     await response.body.dump()
