Take a lease for certain by the steady clock and the time of day; ask the store before an order

Cause: no gateway of the grown sites took over the order duty. A lease counted as held only while os.uptime() had moved on by less than its life; Node reads that figure from the kernel's file, which runs by another clock than the platform's processes (9.5 s for each of their seconds on 24 gateways), so no lease was certain when the answer to its first write came, and the observer is told at no other time. Ruled out: lost log lines (all lines of the others are there). Change: both clocks of the host; a lease is announced by the renewal that makes it certain; an order is sent only after the store has confirmed the lease, which holds whatever the clocks do. Tests: two new ones; the first was seen to fail without the announcement by renewals.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,6 @@
 /**
  * A gateway: the process between callers and backend servers that have no agent.
  */
-import * as os from 'node:os'
 import * as http from 'node:http'
 import * as allowances from './allowance_share.js'
 import * as choices from './plain_choice.js'
@@ -110,9 +109,8 @@
       this.ingress.setLimits(table.document.limits)
       this.context.allowance.setWorkspaces(table.document.workspaces ?? [], system.clock.monotonicMs())
     })
-    const uptimeMs = (): number => os.uptime() * 1000
-    this.duty = new duties.OrderDuty(this.context, store, uptimeMs, service => fleet.getOffered(service, system.clock.monotonicMs()))
-    this.members = new members.Members(store, system, options, this.boot, uptimeMs,
+    this.duty = new duties.OrderDuty(this.context, store, service => fleet.getOffered(service, system.clock.monotonicMs()))
+    this.members = new members.Members(store, system, options, this.boot,
       (node, withinMs) => this.peers.listHeard(withinMs).includes(node), found => this.setMembers(found))
     const observer = new mirrors.SplitObserver([follower, directory, this.members, this.duty])
     this.mirror = new mirrors.StoreMirror(store, allKeys, system, observer, options.timing.watchHoldMs)
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -32,7 +32,6 @@
     private readonly system: host.System,
     private readonly options: settings.GatewaySettings,
     boot: string,
-    uptimeMs: () => number,
     /** Whether a gateway was heard within the time in milliseconds. */
     private readonly isHeard: (node: string, withinMs: number) => boolean,
     private readonly changed: (members: ReadonlyMap<string, Member>) => void
@@ -53,7 +52,7 @@
       override lost (reason: string): void {
         system.log.warn('entry among the gateways lapsed', { reason })
       }
-    }(), uptimeMs)
+    }())
   }
 
   start (): void {
--- a/src/gateway/order_duty.ts
+++ b/src/gateway/order_duty.ts
@@ -39,7 +39,6 @@
   constructor (
     private readonly context: contexts.GatewayContext,
     store: host.Store,
-    uptimeMs: () => number,
     /** Load that all gateways' callers offer to a service. */
     private readonly readLoad: (service: string) => splits.OfferedLoad
   ) {
@@ -60,7 +59,7 @@
       override lost (reason: string): void {
         duty.drop(reason)
       }
-    }(), uptimeMs)
+    }())
   }
 
   /** Servers that change their stage by order of this gateway. */
@@ -186,6 +185,10 @@
       system.log.info('no order', { server: server.id, reason: isBusy ? 'another order is carried out' : 'the stage is right' })
       return
     }
+    if (!await this.lease.verify() || this.fence !== fence) {
+      system.log.info('no order', { server: server.id, fence, reason: 'the store did not confirm the duty' })
+      return
+    }
     this.ordered.set(server.id, { to, untilMs: system.clock.monotonicMs() + effectMs })
     this.context.fleet.setSwitching(this.listSwitching())
     const outgoing = dialect.writeStageOrder(server, { stage: to, holder: settings.node, fence, expectedOrders: orders })
--- a/src/gateway/store_lease.ts
+++ b/src/gateway/store_lease.ts
@@ -26,29 +26,42 @@
   readonly mayTry: () => boolean
 }
 
+/** One moment on both clocks, in milliseconds. */
+interface Moment {
+  readonly steadyMs: number
+  readonly wallMs: number
+}
+
 export class StoreLease {
   private lease: string | undefined
   private revision: number | undefined
-  private confirmedMs = -Infinity
-  private confirmedUptimeMs = -Infinity
+  private confirmed: Moment = { steadyMs: -Infinity, wallMs: -Infinity }
+  private isAnnounced = false
   private isStopped = false
   private isStepping = false
   private stopTimer: host.Stop | undefined
 
-  /** `uptimeMs` counts the time for which the machine was suspended, too. */
   constructor (
     private readonly store: host.Store,
     private readonly system: host.System,
     private readonly leased: LeasedKey,
-    private readonly observer: LeaseObserver,
-    private readonly uptimeMs: () => number
+    private readonly observer: LeaseObserver
   ) {}
 
-  /** Whether the key is certainly still held. */
+  /** Whether the key is still held by both clocks: the steady one stands still while the machine is suspended. */
   get isHeld (): boolean {
     const limitMs = this.leased.ttlMs - safetyMs
-    return this.revision !== undefined &&
-      this.system.clock.monotonicMs() - this.confirmedMs < limitMs && this.uptimeMs() - this.confirmedUptimeMs < limitMs
+    const { steadyMs, wallMs } = this.mark()
+    return this.revision !== undefined && steadyMs - this.confirmed.steadyMs < limitMs && wallMs - this.confirmed.wallMs < limitMs
+  }
+
+  /** Asks the store whether the key is still held; needed before an act that must not follow one of the next holder. */
+  async verify (): Promise<boolean> {
+    if (this.revision === undefined) {
+      return false
+    }
+    const failure = await this.renew()
+    return failure === undefined && this.isHeld
   }
 
   start (): void {
@@ -120,17 +133,28 @@
       return 'another process holds the key'
     }
     this.revision = revision
-    if (this.isHeld && !this.isStopped) {
-      this.observer.held(revision)
-    }
+    this.announce()
     return undefined
   }
 
+  /** Tells the observer once that the key is held; after slow answers only when a renewal has made it certain. */
+  private announce (): void {
+    if (this.revision !== undefined && this.isHeld && !this.isAnnounced && !this.isStopped) {
+      this.isAnnounced = true
+      this.observer.held(this.revision)
+    }
+  }
+
   private async renew (): Promise<string | undefined> {
     const sent = this.mark()
-    const renewed = await this.store.renewLease(this.lease ?? '')
+    const lease = this.lease ?? ''
+    const renewed = await this.store.renewLease(lease)
+    if (this.lease !== lease) {
+      return 'the lease was given up meanwhile'
+    }
     if (renewed.isRight()) {
       this.confirm(sent)
+      this.announce()
       return undefined
     }
     const failure = renewed.extract() as failures.Failure
@@ -151,16 +175,18 @@
   private lose (reason: string): void {
     this.revision = undefined
     this.lease = undefined
+    this.isAnnounced = false
     this.observer.lost(reason)
   }
 
-  private mark (): { readonly atMs: number, readonly uptimeMs: number } {
-    return { atMs: this.system.clock.monotonicMs(), uptimeMs: this.uptimeMs() }
+  private mark (): Moment {
+    return { steadyMs: this.system.clock.monotonicMs(), wallMs: this.system.clock.wallMs() }
   }
 
-  private confirm (sent: { readonly atMs: number, readonly uptimeMs: number }): void {
-    this.confirmedMs = sent.atMs
-    this.confirmedUptimeMs = sent.uptimeMs
+  private confirm (sent: Moment): void {
+    if (sent.steadyMs > this.confirmed.steadyMs) {
+      this.confirmed = sent
+    }
   }
 }
 
--- a/tests/gateway/mirror.test.ts
+++ b/tests/gateway/mirror.test.ts
@@ -205,10 +205,10 @@
     }
   }
 
-  function createLease (bench: Bench, log: Log, uptimeMs = (): number => bench.system.clock.monotonicMs()): leases.StoreLease {
+  function createLease (bench: Bench, log: Log): leases.StoreLease {
     return new leases.StoreLease(bench.store, bench.system, {
       key: 'duty', value: 'x', ttlMs: 3_000, isExclusive: true, mayTry: () => bench.core.read('duty') === undefined
-    }, log, uptimeMs)
+    }, log)
   }
 
   test.it('has one holder, and the next one a higher revision', async () => {
@@ -245,12 +245,42 @@
 
   test.it('is not believed in after a suspension that the steady clock does not count', async () => {
     const bench = new Bench()
-    let suspendedMs = 0
-    const lease = createLease(bench, new Log(), () => bench.system.clock.monotonicMs() + suspendedMs)
+    const lease = createLease(bench, new Log())
     lease.start()
     await bench.system.clock.advance(10)
     assert.equal(lease.isHeld, true)
-    suspendedMs = 5_000
+    bench.system.clock.stepWall(5_000)
+    assert.equal(lease.isHeld, false)
+    await lease.stop()
+  })
+
+  test.it('is announced by a renewal where the answer to the first write came too late to be sure', async () => {
+    const bench = new Bench()
+    const log = new Log()
+    const lease = createLease(bench, log)
+    const commit = bench.store.commit.bind(bench.store)
+    bench.store.commit = async transaction => {
+      const committed = await commit(transaction)
+      bench.system.clock.stepWall(4_000)
+      return committed
+    }
+    lease.start()
+    await bench.system.clock.advance(10)
+    assert.deepEqual([lease.isHeld, log.lines], [false, []])
+    await bench.system.clock.advance(2_000)
+    assert.deepEqual([lease.isHeld, log.lines], [true, ['held true']])
+    await lease.stop()
+  })
+
+  test.it('is not verified once another process holds it, whatever the own clocks say', async () => {
+    const bench = new Bench()
+    const lease = createLease(bench, new Log())
+    lease.start()
+    await bench.system.clock.advance(10)
+    assert.equal(await lease.verify(), true)
+    bench.store.renewLease = async () => failures.fail(failures.createFailure('not_run', 'store_conflict', ['the lease has ended']))
+    assert.equal(lease.isHeld, true)
+    assert.equal(await lease.verify(), false)
     assert.equal(lease.isHeld, false)
     await lease.stop()
   })
