Heed what servers say of leaving and resting; end answers that are foreign, endless or stalled

Cause: two headers of an answer were not read, so a server that said that it leaves, or wanted a rest, went on getting work until the store told of it. Answers were collected without a bound; an event without an end was collected, too, in quadratic time. The answer to a prefill was not checked to belong to the request, so that a late copy could have lent a generation another's prompt. A stream that got a byte now and then went on until the route's time was over. Change: the pool reads every answer once: foreign ones end their connection, leaving and resting go to the directory, which leaves the server out of every kind of send (per life of the server; leaving is told to the other gateways). Answers are bounded (4 MiB, 64 KiB for own calls), events to 256 KiB. A stream is stalled when no whole event came for about as long as callers wait; comments and bytes of no event do not count, nor does the time in which the caller does not read. A generation of a service without a server is refused at once.

--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -25,6 +25,8 @@
   timeoutMs: z.number().positive(),
   /** Time within which an answer has its full value, in milliseconds; to the first event for streams. */
   goalMs: z.number().positive(),
+  /** Longest pause between two events of a stream for which it is in time, in milliseconds. */
+  pauseMs: z.number().nonnegative().optional(),
   /** Servers that may run one request. */
   maximumServers: z.number().int().positive(),
   /** 0 is the most urgent. */
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -4,6 +4,7 @@
 import * as buffer from 'node:buffer'
 import * as connections from './connection.js'
 import * as host from '../host/types.js'
+import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
 
 /** Idle connections kept for a server; further ones are closed after use. */
@@ -14,6 +15,10 @@
 const reusableMs = 10_000
 /** Margin before the idle time that the server names, in milliseconds. */
 const idleMarginMs = 700
+/** Most bytes of an answer that is read whole: as much as a caller may send by default. A server may send without end. */
+const longestAnswerBytes = 4_194_304
+/** The same for the gateway's own calls, whose answers are a few fields. */
+const longestOwnAnswerBytes = 65_536
 
 interface Idle {
   readonly connection: connections.ServerConnection
@@ -27,30 +32,44 @@
   | { readonly kind: 'answered', readonly status: number, readonly rawHeaders: readonly string[], readonly body: buffer.Buffer }
   | { readonly kind: 'unsent' | 'lost' | 'silent', readonly reason: string }
 
+/** Takes in what a server says of itself with each answer, whatever was asked. */
+export type AnswerListener = (server: routing.RoutedServer, facts: types.AnswerFacts) => void
+
 export class ConnectionPool {
   private readonly idle = new Map<string, Idle[]>()
 
-  constructor (private readonly clock: host.Clock) {}
+  constructor (
+    private readonly clock: host.Clock,
+    private readonly dialect: types.Dialect,
+    private readonly listen: AnswerListener
+  ) {}
 
   /** Sends a request on an idle or new connection. `once`: it must not meet a connection that the server may be closing. */
-  send (address: string, request: types.OutgoingRequest, once: boolean, observer: connections.AnswerObserver, readIdleMs: (rawHeaders: readonly string[]) => number | undefined): connections.Sending {
+  send (server: routing.RoutedServer, request: types.OutgoingRequest, once: boolean, observer: connections.AnswerObserver): connections.Sending {
+    const { address } = server
     const connection = this.take(address, once) ?? new connections.ServerConnection(address)
-    return connection.send(request, new ReturningObserver(observer, readIdleMs, (isClean, idleMs) => {
+    const readFacts = (status: number, rawHeaders: readonly string[]): types.AnswerFacts => {
+      const facts = this.dialect.readAnswer(status, rawHeaders)
+      this.listen(server, facts)
+      return facts
+    }
+    const returning = new ReturningObserver(observer, request.requestId, readFacts, (isClean, idleMs) => {
       if (isClean && !connection.isBroken) {
         this.keep(address, { connection, sinceMs: this.clock.monotonicMs(), idleMs })
       } else {
         connection.close()
       }
-    }))
+    })
+    return connection.send(request, returning)
   }
 
   /** Calls a server and reads the whole answer; `silent` after the timeout in milliseconds. */
   call (
-    address: string, request: types.OutgoingRequest, timeoutMs: number, dialect: types.Dialect, cancelled?: AbortSignal,
-    once = false
+    server: routing.RoutedServer, request: types.OutgoingRequest, timeoutMs: number, cancelled?: AbortSignal, once = false
   ): Promise<CallOutcome> {
     return new Promise(resolve => {
-      const observer = new CollectingObserver(outcome => {
+      const limitBytes = request.requestId === undefined ? longestOwnAnswerBytes : longestAnswerBytes
+      const observer = new CollectingObserver(limitBytes, () => sending.abort(), outcome => {
         stopTimer()
         cancelled?.removeEventListener('abort', cancel)
         resolve(outcome)
@@ -63,7 +82,7 @@
         observer.give({ kind: 'silent', reason: `no answer within ${Math.round(timeoutMs)} ms` })
         sending.abort()
       })
-      const sending = this.send(address, request, once, observer, rawHeaders => dialect.readAnswer(rawHeaders).idleMs)
+      const sending = this.send(server, request, once, observer)
       cancelled?.addEventListener('abort', cancel)
     })
   }
@@ -107,35 +126,53 @@
   }
 }
 
-/** Passes an answer on, and gives the connection back when it has ended. */
+/**
+ * Passes an answer on, and gives the connection back when it has ended. An answer to another request, such as a late second
+ * copy of an earlier answer, ends the connection: all answers behind it would be off by one.
+ */
 class ReturningObserver extends connections.AnswerObserver {
   private idleMs: number | undefined
+  private isForeign = false
 
   constructor (
     private readonly observer: connections.AnswerObserver,
-    private readonly readIdleMs: (rawHeaders: readonly string[]) => number | undefined,
+    private readonly requestId: string | undefined,
+    private readonly readFacts: (status: number, rawHeaders: readonly string[]) => types.AnswerFacts,
     private readonly giveBack: (isClean: boolean, idleMs: number | undefined) => void
   ) {
     super()
   }
 
   override started (status: number, rawHeaders: readonly string[]): void {
-    this.idleMs = this.readIdleMs(rawHeaders)
+    const { requestId, idleMs } = this.readFacts(status, rawHeaders)
+    this.idleMs = idleMs
+    if (requestId !== this.requestId) {
+      this.isForeign = true
+      this.giveBack(false, undefined)
+      this.observer.failed({ kind: 'lost', reason: 'the answer belongs to another request' })
+      return
+    }
     this.observer.started(status, rawHeaders)
   }
 
   override received (chunk: buffer.Buffer): void {
-    this.observer.received(chunk)
+    if (!this.isForeign) {
+      this.observer.received(chunk)
+    }
   }
 
   override ended (isClean: boolean): void {
-    this.giveBack(isClean, this.idleMs)
-    this.observer.ended(isClean)
+    if (!this.isForeign) {
+      this.giveBack(isClean, this.idleMs)
+      this.observer.ended(isClean)
+    }
   }
 
   override failed (failure: connections.TransportFailure): void {
-    this.giveBack(false, undefined)
-    this.observer.failed(failure)
+    if (!this.isForeign) {
+      this.giveBack(false, undefined)
+      this.observer.failed(failure)
+    }
   }
 }
 
@@ -144,9 +181,14 @@
   private status = 0
   private rawHeaders: readonly string[] = []
   private readonly chunks: buffer.Buffer[] = []
+  private bytes = 0
   private isGiven = false
 
-  constructor (private readonly resolve: (outcome: CallOutcome) => void) {
+  constructor (
+    private readonly limitBytes: number,
+    private readonly abort: () => void,
+    private readonly resolve: (outcome: CallOutcome) => void
+  ) {
     super()
   }
 
@@ -163,6 +205,16 @@
   }
 
   override received (chunk: buffer.Buffer): void {
+    if (this.isGiven) {
+      return
+    }
+    this.bytes += chunk.length
+    if (this.bytes > this.limitBytes) {
+      this.chunks.length = 0
+      this.give({ kind: 'lost', reason: `the answer is longer than ${this.limitBytes} bytes` })
+      this.abort()
+      return
+    }
     this.chunks.push(chunk)
   }
 
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -8,6 +8,16 @@
 
 /** How long a server that answered in place of another is left out, in milliseconds: until the store has told of the change. */
 const misdirectedMs = 3_000
+/** Longest time that a server is left alone because it asked for it, in milliseconds: beyond any planned pause. */
+const longestRestMs = 600_000
+/** How long it is remembered that a server said that it leaves, in milliseconds: longer than any server takes to end. */
+const leavingMemoryMs = 600_000
+
+/** That a server has said in an answer that it leaves; true of this life of the server only. */
+interface Leaving {
+  readonly bornMs: number | undefined
+  readonly untilMs: number
+}
 
 interface Lapse {
   readonly server: routing.RoutedServer
@@ -18,6 +28,9 @@
   private readonly servers = new Map<string, routing.RoutedServer>()
   private readonly lapses = new Map<string, Lapse>()
   private readonly misdirected = new Map<string, number>()
+  private readonly leaving = new Map<string, Leaving>()
+  /** Until when a server is left alone, in milliseconds. */
+  private readonly resting = new Map<string, number>()
   private readonly unreadable = new Set<string>()
   private byService = new Map<string, routing.RoutedServer[]>()
 
@@ -45,6 +58,9 @@
     const before = this.servers.get(id)
     this.servers.set(id, server)
     this.byService.clear()
+    if (before?.bornMs !== server.bornMs) {
+      this.resting.delete(id)
+    }
     if (before === undefined || before.state !== server.state || before.stage !== server.stage || before.bornMs !== server.bornMs) {
       this.misdirected.delete(id)
       this.system.log.info('server', {
@@ -84,17 +100,35 @@
       }
       this.byService.set(service, list)
     }
-    if (this.misdirected.size === 0) {
+    if (this.misdirected.size + this.leaving.size + this.resting.size === 0) {
       return list
     }
     const nowMs = this.system.clock.monotonicMs()
-    return list.filter(server => (this.misdirected.get(server.id) ?? 0) <= nowMs)
+    return list.filter(server => this.isOpen(server, nowMs))
   }
 
-  /** Returns whether a server still takes new work. */
-  isReady (id: string): boolean {
-    this.dropLapses()
-    return this.servers.get(id)?.state === 'ready' || this.lapses.has(id)
+  /** Tells whether a server that the store lists as ready may get new work, as far as its own answers go. */
+  private isOpen (server: routing.RoutedServer, nowMs: number): boolean {
+    return (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isResting(server.id, nowMs) && !this.isLeaving(server, nowMs)
+  }
+
+  /** Tells whether a server has asked to be left alone for now. */
+  isResting (id: string, nowMs: number): boolean {
+    return (this.resting.get(id) ?? 0) > nowMs
+  }
+
+  /** Milliseconds until the first server of a service that asked to be left alone may get work again, if any did. */
+  getRestMs (service: string): number | undefined {
+    const nowMs = this.system.clock.monotonicMs()
+    let leastMs: number | undefined
+    for (const [id, untilMs] of this.resting) {
+      if (untilMs <= nowMs) {
+        this.resting.delete(id)
+      } else if (this.servers.get(id)?.service === service) {
+        leastMs = Math.min(leastMs ?? Infinity, untilMs - nowMs)
+      }
+    }
+    return leastMs
   }
 
   find (id: string): routing.RoutedServer | undefined {
@@ -110,6 +144,60 @@
     this.misdirected.set(id, this.system.clock.monotonicMs() + misdirectedMs)
   }
 
+  /** Notes that a server wants nothing for a time in milliseconds. */
+  noteResting (server: routing.RoutedServer, forMs: number): void {
+    const nowMs = this.system.clock.monotonicMs()
+    const untilMs = nowMs + Math.min(forMs, longestRestMs)
+    const before = this.resting.get(server.id) ?? 0
+    if (untilMs <= before || this.isOtherLife(server)) {
+      return
+    }
+    this.resting.set(server.id, untilMs)
+    if (before <= nowMs) {
+      this.system.log.info('server wants a rest', { server: server.id, service: server.service, forMs: Math.round(forMs) })
+    }
+  }
+
+  /** Notes that a server says that it leaves; `teller` is the gateway that met its answer. */
+  noteLeaving (id: string, bornMs: number | undefined, teller: string): void {
+    const nowMs = this.system.clock.monotonicMs()
+    const before = this.leaving.get(id)
+    if (before !== undefined && before.bornMs === bornMs) {
+      return
+    }
+    this.leaving.set(id, { bornMs, untilMs: nowMs + leavingMemoryMs })
+    this.system.log.info('server says that it leaves', { server: id, bornMs, teller })
+    for (const [known, { untilMs }] of this.leaving) {
+      if (untilMs <= nowMs) {
+        this.leaving.delete(known)
+      }
+    }
+  }
+
+  /** Returns the listed servers that have said that they leave, with the start of their life, or 0 where it is not known. */
+  listLeaving (): Record<string, number> {
+    const nowMs = this.system.clock.monotonicMs()
+    const listed: Record<string, number> = {}
+    for (const id of this.leaving.keys()) {
+      const server = this.servers.get(id)
+      if (server !== undefined && this.isLeaving(server, nowMs)) {
+        listed[id] = server.bornMs ?? 0
+      }
+    }
+    return listed
+  }
+
+  private isLeaving (server: routing.RoutedServer, nowMs: number): boolean {
+    const leaving = this.leaving.get(server.id)
+    return leaving !== undefined && leaving.bornMs === server.bornMs && leaving.untilMs > nowMs
+  }
+
+  /** Tells whether a server has been restarted under the same identifier since it was chosen. */
+  private isOtherLife (server: routing.RoutedServer): boolean {
+    const listed = this.servers.get(server.id)
+    return listed !== undefined && listed.bornMs !== server.bornMs
+  }
+
   private dropLapses (): void {
     if (this.lapses.size === 0) {
       return
--- a/src/gateway/event_cutter.ts
+++ b/src/gateway/event_cutter.ts
@@ -4,21 +4,36 @@
  */
 import * as buffer from 'node:buffer'
 
+/** Longest event, in bytes; a server may send bytes without end. */
+const longestEventBytes = 262_144
+
 const newline = 0x0a
+const carriageReturn = 0x0d
+const eventEnd = /\r?\n\r?\n/
 const idLine = /^id: ?(.*)$/m
+/** A line of an event that is no comment. */
+const fieldLine = /^[^:\r\n]/m
 
 export class EventCutter {
   private rest: buffer.Buffer = buffer.Buffer.alloc(0)
   /** Identifier of the last whole event. */
   lastId: string | undefined
+  /** Whole events so far; comments are none. */
+  events = 0
+
+  /** Whether the bytes behind the last whole event are too many for one event. */
+  get isOverflowing (): boolean {
+    return this.rest.length > longestEventBytes
+  }
 
   /** Takes bytes in and returns those that belong to whole events. */
   push (chunk: buffer.Buffer): buffer.Buffer {
     const bytes = this.rest.length === 0 ? chunk : buffer.Buffer.concat([this.rest, chunk])
-    const end = findLastBoundary(bytes)
+    const end = findLastBoundary(bytes, Math.max(0, this.rest.length - 2))
     const whole = bytes.subarray(0, end)
     this.rest = bytes.subarray(end)
-    for (const event of whole.toString('latin1').split('\n\n')) {
+    for (const event of end === 0 ? [] : whole.toString('latin1').split(eventEnd)) {
+      this.events += fieldLine.test(event) ? 1 : 0
       const id = idLine.exec(event)?.[1]
       if (id !== undefined) {
         this.lastId = id.trim()
@@ -40,10 +55,14 @@
   }
 }
 
-/** Returns the number of bytes up to the end of the last empty line. */
-function findLastBoundary (bytes: buffer.Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] === newline && bytes[index - 1] === newline) {
+/** Returns the number of bytes up to the end of the last empty line, or 0; there is none before `from`. */
+function findLastBoundary (bytes: buffer.Buffer, from: number): number {
+  for (let index = bytes.length - 1; index > from; index -= 1) {
+    if (bytes[index] !== newline) {
+      continue
+    }
+    const before = bytes[index - 1] === carriageReturn ? bytes[index - 2] : bytes[index - 1]
+    if (before === newline) {
       return index + 1
     }
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -51,9 +51,15 @@
     this.context.system.log.info(message, { request: this.request.arrival.id, ...fields })
   }
 
-  /** Says that no server of the request's service took it, and in how many milliseconds to come back. */
+  /**
+   * Says that no server of the request's service took it, and in how many milliseconds to come back; later where all of them
+   * want a rest.
+   */
   protected createNoServerFailure (retryAfterMs: number): failures.Failure {
-    return failures.createFailure('not_run', 'no_server', [this.request.service.name], retryAfterMs)
+    const { directory } = this.context
+    const service = this.request.service.name
+    const restMs = directory.listReady(service).length === 0 ? directory.getRestMs(service) : undefined
+    return failures.createFailure('not_run', 'no_server', [service], Math.max(retryAfterMs, restMs ?? 0))
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import * as peerExchanges from './peers.js'
 import * as retries from './retry_share.js'
 import * as rooms from './room_queue.js'
+import * as routing from '../contracts/routing.js'
 import * as routingFollowers from './routing_follower.js'
 import * as settings from './settings.js'
 import * as types from './types.js'
@@ -66,7 +67,7 @@
   ) {
     this.boot = system.random.nextId()
     const health = new healths.ServerHealth()
-    const pool = new connectionPools.ConnectionPool(system.clock)
+    const pool = new connectionPools.ConnectionPool(system.clock, dialect, (server, facts) => this.noteAnswer(server, facts))
     const fleet = new fleets.EngineFleet(options.zone, health, system.random)
     const plainChoice = new choices.PlainChoice(options.zone, health)
     const directory = new directories.Directory(documents, system, server => {
@@ -175,8 +176,19 @@
     await this.peers.close()
   }
 
+  /** Takes in what a server says of itself with an answer. */
+  private noteAnswer (server: routing.RoutedServer, facts: types.AnswerFacts): void {
+    const { directory } = this.context
+    if (facts.isLeaving) {
+      directory.noteLeaving(server.id, server.bornMs, this.options.node)
+    }
+    if (facts.restMs !== undefined && facts.restMs > 0) {
+      directory.noteResting(server, facts.restMs)
+    }
+  }
+
   private createParty (): peerExchanges.PeerParty {
-    const { allowance, fleet } = this.context
+    const { allowance, directory, fleet } = this.context
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, duty, mirror } = this
@@ -196,13 +208,17 @@
           admitted: allowance.listAdmitted(),
           bookings: fleet.listBookings(),
           offered: fleet.listOffered(clock.monotonicMs()),
-          switching: [...duty.listSwitching()]
+          switching: [...duty.listSwitching()],
+          leaving: directory.listLeaving()
         }
       }
 
       override hear (state: peerExchanges.PeerState, heardMs: number): void {
         allowance.hear(state.node, state.boot, state.admitted, heardMs)
         fleet.hear(state.node, state, heardMs)
+        for (const [server, bornMs] of Object.entries(state.leaving)) {
+          directory.noteLeaving(server, bornMs === 0 ? undefined : bornMs, state.node)
+        }
       }
     }()
   }
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -32,6 +32,12 @@
 /** Part of the stated bound that is expected where the caller gives no estimate. */
 const expectedOutputPart = 0.5
 
+/** Least time without an event after which a stream counts as stalled, in milliseconds; callers give up about then. */
+const leastStallMs = 2_000
+/** The same in times of the route's goal, and of the longest pause between events that is in time. */
+const goalsPerStall = 4
+const pausesPerStall = 8
+
 const notFoundCodes: ReadonlySet<number> = new Set([400, 404])
 
 interface Place {
@@ -42,7 +48,7 @@
 type Placing = { readonly place: Place } | { readonly failure: failures.Failure }
 
 export class GenerationExchange extends exchanges.Exchange {
-  private readonly cutter = this.request.route.isResumable ? new cutters.EventCutter() : undefined
+  private readonly cutter = new cutters.EventCutter()
   private readonly prompt = new prompts.PromptReader(this.context, this.request, this.reply)
   private mayHaveRun = false
   private firstByteMs: number | undefined
@@ -66,6 +72,12 @@
     return this.request.arrivedMs + this.request.route.goalMs
   }
 
+  /** Time without an event after which a stream is given up. */
+  private get stallMs (): number {
+    const { goalMs, pauseMs } = this.request.route
+    return Math.max(leastStallMs, goalsPerStall * goalMs, pausesPerStall * (pauseMs ?? 0))
+  }
+
   override async run (): Promise<exchanges.ExchangeEnd> {
     this.noteOffered()
     let reason = ''
@@ -118,6 +130,13 @@
       }
       return { again: 'retry' in reading ? reading.retry : '' }
     }
+    if (this.context.directory.isResting(place.server.id, this.now())) {
+      this.releasePlace(place)
+      if (reading.cache !== undefined) {
+        this.releaseCache(reading.cache)
+      }
+      return { again: 'the server wants a rest' }
+    }
     if (!this.trySend()) {
       this.releasePlace(place)
       return this.refuse(this.withHistory(this.createNoServerFailure(prompts.noServerRetryMs)))
@@ -221,7 +240,8 @@
   private awaitRoom (): Promise<routing.RoutedServer | undefined> {
     const { rooms } = this.context
     const booked = this.tryBook()
-    if (booked !== undefined || this.reply.hasStarted) {
+    const hasServers = this.context.directory.listReady(this.request.service.name).length > 0
+    if (booked !== undefined || this.reply.hasStarted || !hasServers) {
       return Promise.resolve(booked)
     }
     return new Promise(resolve => {
@@ -273,7 +293,7 @@
   private async takeHold (server: routing.RoutedServer): Promise<{ readonly kind: 'taken', readonly hold: string } | { readonly kind: 'refused' }> {
     const { dialect, health, pool } = this.context
     const ttlMs = Math.min(this.request.service.engine?.maximumHoldMs ?? holdMarginMs, this.estimateReadingMs() * 2 + holdMarginMs)
-    const outcome = await pool.call(server.address, dialect.writeHold(server, this.neededTokens, ttlMs), holdAnswerMs, dialect)
+    const outcome = await pool.call(server, dialect.writeHold(server, this.neededTokens, ttlMs), holdAnswerMs)
     if (outcome.kind !== 'answered') {
       const isPaused = health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
       this.log('room refused', { server: server.id, reason: outcome.reason, leftOut: isPaused })
@@ -291,16 +311,27 @@
 
   private stream (place: Place, cache: types.CacheSource | undefined): Promise<relays.RelayEnd> {
     const { dialect, pool, system } = this.context
+    const { isResumable } = this.request.route
     return new Promise(resolve => {
       const relay = new relays.StreamRelay(
-        dialect, this.request.arrival.id, this.reply, this.cutter, () => this.now(), end => {
+        dialect, this.reply, this.cutter, isResumable, () => this.now(), end => {
           stopTimer()
+          stopStallTimer()
           this.reply.gone.signal.removeEventListener('abort', leave)
           this.firstByteMs ??= relay.firstByteMs
           this.bytes += relay.bytes
           resolve(end)
         })
       const leave = (): void => relay.stop('the caller left')
+      const checkStall = (): void => {
+        const stalledMs = relay.isPaused ? 0 : this.now() - relay.progressMs
+        if (stalledMs >= this.stallMs) {
+          relay.stop(`no event for ${Math.round(stalledMs)} ms`)
+          return
+        }
+        stopStallTimer = system.clock.after(this.stallMs - stalledMs, checkStall)
+      }
+      let stopStallTimer = system.clock.after(this.stallMs, checkStall)
       const stopTimer = system.clock.after(Math.max(0, this.remainingMs()), () => relay.stop('the time is over'))
       const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
         server: place.server,
@@ -309,10 +340,9 @@
         purpose: 'run',
         cache,
         hold: place.hold,
-        resumeAfter: this.cutter?.lastId
+        resumeAfter: isResumable ? this.cutter.lastId : undefined
       })
-      const isOnce = !this.request.route.isResumable
-      relay.attach(pool.send(place.server.address, outgoing, isOnce, relay, rawHeaders => dialect.readAnswer(rawHeaders).idleMs))
+      relay.attach(pool.send(place.server, outgoing, !isResumable, relay))
       this.reply.gone.signal.addEventListener('abort', leave, { once: true })
     })
   }
@@ -321,7 +351,7 @@
     this.context.fleet.releaseDecode(this.request.serial)
     if (place?.hold !== undefined) {
       const { dialect, pool } = this.context
-      pool.call(place.server.address, dialect.writeHoldRelease(place.server, place.hold), holdAnswerMs, dialect)
+      pool.call(place.server, dialect.writeHoldRelease(place.server, place.hold), holdAnswerMs)
         .catch((error: unknown) => this.log('hold not released', { server: place.server.id, reason: String(error) }))
     }
     this.context.rooms.pump(this.now())
@@ -331,7 +361,7 @@
     const { dialect, directory, pool } = this.context
     const server = directory.listAll().find(candidate => candidate.address === cache.address)
     if (server !== undefined) {
-      pool.call(cache.address, dialect.writeCacheRelease(server, cache.handle), holdAnswerMs, dialect)
+      pool.call(server, dialect.writeCacheRelease(server, cache.handle), holdAnswerMs)
         .catch((error: unknown) => this.log('cache not released', { server: server.id, reason: String(error) }))
     }
   }
--- a/src/gateway/order_duty.ts
+++ b/src/gateway/order_duty.ts
@@ -171,7 +171,7 @@
 
   private async order (service: string, server: routing.RoutedServer, to: routing.EngineStage): Promise<void> {
     const { dialect, meter, pool, settings, system } = this.context
-    const report = await pool.call(server.address, dialect.writeReportRequest(server), answerMs, dialect)
+    const report = await pool.call(server, dialect.writeReportRequest(server), answerMs)
     const read = report.kind === 'answered' && report.status === 200 ? dialect.readReport(report.body) : undefined
     if (read === undefined || read.isLeft() || this.fence === undefined || !this.lease.isHeld) {
       system.log.info('no order', { server: server.id, reason: 'no report, or the duty is not certain' })
@@ -192,7 +192,7 @@
     this.ordered.set(server.id, { to, untilMs: system.clock.monotonicMs() + effectMs })
     this.context.fleet.setSwitching(this.listSwitching())
     const outgoing = dialect.writeStageOrder(server, { stage: to, holder: settings.node, fence, expectedOrders: orders })
-    const outcome = await pool.call(server.address, outgoing, answerMs, dialect)
+    const outcome = await pool.call(server, outgoing, answerMs)
     const status = outcome.kind === 'answered' ? outcome.status : undefined
     const load = this.readLoad(service)
     meter.count('gateway_orders_total', { outcome: String(status ?? outcome.kind) })
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -43,7 +43,9 @@
   /** Load that callers offer, by service, in busy engines. */
   offered: z.record(z.string(), z.object({ prefill: z.number(), decode: z.number() })),
   /** Servers that change their stage by order of this gateway. */
-  switching: z.array(z.string())
+  switching: z.array(z.string()),
+  /** Servers that have said that they leave, with the start of their life in milliseconds since the Unix epoch, or 0. */
+  leaving: z.record(z.string(), z.number()).default({})
 })
 export type PeerState = z.infer<typeof PeerState>
 
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -73,11 +73,11 @@
     const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
       server, remainingMs: leftMs, workspace: this.request.workspace, purpose: 'run'
     })
-    const outcome = await pool.call(server.address, outgoing, waitMs, dialect, this.reply.gone.signal, !isRepeatable)
+    const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone.signal, !isRepeatable)
     const elapsedMs = this.now() - sentMs
-    const facts = outcome.kind === 'answered' ? dialect.readAnswer(outcome.rawHeaders) : undefined
+    const facts = outcome.kind === 'answered' ? dialect.readAnswer(outcome.status, outcome.rawHeaders) : undefined
     plainChoice.finish(server.id, facts?.load, this.now())
-    const result = judge(server, outcome, facts, this.request.arrival.id)
+    const result = judge(server, outcome, facts)
     if (!this.reply.isGone) {
       const isPaused = health.note(server.id, rate(outcome, result), this.now(), elapsedMs)
       if (isPaused) {
@@ -122,7 +122,7 @@
 
 /** Reads whether the server ran the call from its answer, or from the lack of one. */
 function judge (
-  server: routing.RoutedServer, outcome: connectionPools.CallOutcome, facts: types.AnswerFacts | undefined, id: string | undefined
+  server: routing.RoutedServer, outcome: connectionPools.CallOutcome, facts: types.AnswerFacts | undefined
 ): SendResult {
   if (outcome.kind !== 'answered' || facts === undefined) {
     const reason = outcome.kind === 'answered' ? 'no answer' : outcome.reason
@@ -130,9 +130,6 @@
       ? { kind: 'not_run', server, reason }
       : { kind: 'may_have_run', server, reason, isTimeout: outcome.kind === 'silent' }
   }
-  if (facts.requestId !== id) {
-    return { kind: 'may_have_run', server, reason: 'the answer belongs to another request' }
-  }
   if (facts.isNotRun || outcome.status === relays.misdirected) {
     return { kind: 'not_run', server, reason: `status ${outcome.status}` }
   }
--- a/src/gateway/prompt_reader.ts
+++ b/src/gateway/prompt_reader.ts
@@ -76,7 +76,7 @@
       server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill'
     })
     const waitMs = Math.min(this.remainingMs(), expectedMs * prefillPatience + prefillMarginMs)
-    const outcome = await pool.call(server.address, outgoing, waitMs, dialect, this.reply.gone.signal)
+    const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone.signal)
     const read = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
     const succeeded = read?.isRight() === true
     fleet.releasePrefill(this.request.serial, this.now(), succeeded)
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -24,11 +24,15 @@
 
 export class StreamRelay extends connections.AnswerObserver {
   firstByteMs: number | undefined
+  /** When the server last got on: an event was whole, or the caller had read what waited. Bytes of no event do not count. */
+  progressMs: number
+  /** Whether the caller has yet to read what was sent before. */
+  isPaused = false
   /** Bytes of the stream that the server sent. */
   bytes = 0
   private status = 0
   private rawHeaders: readonly string[] = []
-  private mode: 'waiting' | 'streaming' | 'collecting' | 'foreign' = 'waiting'
+  private mode: 'waiting' | 'streaming' | 'collecting' | 'unsigned' = 'waiting'
   private readonly collected: buffer.Buffer[] = []
   private collectedBytes = 0
   private isSettled = false
@@ -38,18 +42,20 @@
 
   constructor (
     private readonly dialect: types.Dialect,
-    private readonly requestId: string | undefined,
     private readonly reply: replies.CallerReply,
-    private readonly cutter: cutters.EventCutter | undefined,
+    private readonly cutter: cutters.EventCutter,
+    /** Whether the stream may go on at another server, so that the caller gets whole events only. */
+    private readonly isResumable: boolean,
     private readonly now: () => number,
     private readonly settle: (end: RelayEnd) => void
   ) {
     super()
+    this.progressMs = now()
   }
 
   attach (sending: connections.Sending): void {
     this.sending = sending
-    if (this.mode === 'foreign') {
+    if (this.mode === 'unsigned') {
       sending.abort()
     }
   }
@@ -63,12 +69,11 @@
   override started (status: number, rawHeaders: readonly string[]): void {
     this.status = status
     this.rawHeaders = rawHeaders
-    const facts = this.dialect.readAnswer(rawHeaders)
-    const isForeign = facts.requestId !== this.requestId || (status < 300 && !facts.isSigned)
-    if (isForeign) {
-      this.mode = 'foreign'
+    const facts = this.dialect.readAnswer(status, rawHeaders)
+    if (status < 300 && !facts.isSigned) {
+      this.mode = 'unsigned'
       this.sending?.abort()
-      this.finish({ kind: 'lost', reason: 'the answer belongs to another request' })
+      this.finish({ kind: 'lost', reason: 'the answer is not signed' })
       return
     }
     if (status >= 300 || facts.isNotRun) {
@@ -95,17 +100,32 @@
     }
     this.firstByteMs ??= this.now()
     this.bytes += chunk.length
-    const bytes = this.cutter === undefined ? chunk : this.cutter.push(chunk)
+    const { events } = this.cutter
+    const whole = this.cutter.push(chunk)
+    if (this.cutter.isOverflowing) {
+      this.cutter.drop()
+      this.stop('an event has no end')
+      return
+    }
+    if (this.cutter.events > events) {
+      this.progressMs = this.now()
+    }
+    const bytes = this.isResumable ? whole : chunk
     if (bytes.length > 0 && !this.reply.write(bytes)) {
+      this.isPaused = true
       this.sending?.pause()
-      this.reply.whenDrained(() => this.sending?.resume())
+      this.reply.whenDrained(() => {
+        this.isPaused = false
+        this.progressMs = this.now()
+        this.sending?.resume()
+      })
     }
   }
 
   override ended (): void {
     if (this.mode === 'streaming') {
-      const rest = this.cutter?.flush()
-      if (rest !== undefined && rest.length > 0) {
+      const rest = this.cutter.flush()
+      if (this.isResumable && rest.length > 0) {
         // The first server's bytes are the answer, whatever they are. What comes behind them must be events.
         if (this.isContinuation) {
           this.finish({ kind: 'lost', reason: 'the rest of the stream is no event' })
@@ -117,7 +137,7 @@
       return
     }
     const { status, rawHeaders } = this
-    if (this.dialect.readAnswer(rawHeaders).isNotRun || status === misdirected) {
+    if (this.dialect.readAnswer(status, rawHeaders).isNotRun || status === misdirected) {
       this.finish({ kind: 'not_run', status, reason: `status ${status}` })
       return
     }
@@ -129,7 +149,7 @@
   }
 
   override failed (failure: connections.TransportFailure): void {
-    this.cutter?.drop()
+    this.cutter.drop()
     this.finish(failure.kind === 'unsent'
       ? { kind: 'not_run', status: undefined, reason: failure.reason }
       : { kind: 'lost', reason: failure.reason })
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -53,6 +53,8 @@
 
 /** A request to a server, ready to be sent. */
 export interface OutgoingRequest {
+  /** Identifier that the server repeats in its answer; calls of the gateway's own have none. */
+  readonly requestId: string | undefined
   readonly method: string
   readonly path: string
   /** Names and values in turn. */
@@ -78,6 +80,10 @@
   readonly load: ReportedLoad | undefined
   /** How long the server keeps the connection when idle, in milliseconds. */
   readonly idleMs: number | undefined
+  /** The server is about to leave. */
+  readonly isLeaving: boolean
+  /** How long the server wants nothing more from this gateway, in milliseconds. */
+  readonly restMs: number | undefined
 }
 
 /** A prompt that a server has read. */
@@ -112,7 +118,7 @@
   abstract readonly readinessPath: string
   abstract readArrival (method: string, url: string, rawHeaders: readonly string[]): Arrival
   abstract writeRequest (arrival: Arrival, body: buffer.Buffer | undefined, plan: ForwardPlan): OutgoingRequest
-  abstract readAnswer (rawHeaders: readonly string[]): AnswerFacts
+  abstract readAnswer (status: number, rawHeaders: readonly string[]): AnswerFacts
   /** Returns the headers that go to the caller. */
   abstract selectReturned (rawHeaders: readonly string[]): readonly string[]
   /** Returns the headers of a refusal or failure of the gateway's own; the time to come back in milliseconds. */
