Exchange sums of zones between zones instead of the states of all gateways

Cause: a relay passed the state of each gateway of all other zones to each one of its own, so what a gateway hears, parses and holds grew with all gateways: some 50 states three times a second on 68 of them. Change: the relay of a zone tells the sum of its zone (bookings, offered load, admitted totals, leaving servers, and whom it stands for). Counts of a zone belong to a relay's life; another relay's begin anew, so nothing is charged twice. A gateway that is heard directly while its zone's sum stands is not counted again. The book of what is known and told is a module without network.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -28,9 +28,9 @@
   admitted: number
 }
 
-interface Peer {
-  boot: string
-  heardMs: number
+/** What a gateway, or the gateways of a zone together, have said to have admitted. */
+interface Source {
+  readonly boot: string
   readonly admitted: Map<string, number>
 }
 
@@ -40,7 +40,12 @@
 
 export class AllowanceShare {
   private readonly buckets = new Map<string, Bucket>()
-  private readonly peers = new Map<string, Peer>()
+  /** When each other gateway was last heard, in milliseconds. */
+  private readonly peers = new Map<string, number>()
+  private readonly gatewaySources = new Map<string, Source>()
+  private readonly zoneSources = new Map<string, Source>()
+  /** Units that the other gateways of the own zone were heard to admit, in this life. */
+  private readonly heardInZone = new Map<string, number>()
   private silenceMs = exchangePlans.leastSilenceMs
 
   /** `tolerance` is what a window may exceed the allowance by. */
@@ -71,35 +76,46 @@
     for (const name of this.peers.keys()) {
       if (!names.includes(name)) {
         this.peers.delete(name)
+        this.gatewaySources.delete(name)
       }
     }
     for (const name of names) {
       if (!this.peers.has(name)) {
-        this.peers.set(name, { boot: '', heardMs: -Infinity, admitted: new Map() })
+        this.peers.set(name, -Infinity)
       }
     }
   }
 
-  /** Takes in the totals that another gateway has admitted in this life. */
-  hear (name: string, boot: string, admitted: Readonly<Record<string, number>>, nowMs: number): void {
-    let peer = this.peers.get(name)
-    if (peer === undefined || peer.boot !== boot) {
-      // What a gateway admitted before it was first heard is not known to fall into the current window.
-      peer = { boot, heardMs: nowMs, admitted: new Map(Object.entries(admitted)) }
-      this.peers.set(name, peer)
-    }
-    peer.heardMs = nowMs
-    for (const [workspace, total] of Object.entries(admitted)) {
-      const before = peer.admitted.get(workspace) ?? 0
-      peer.admitted.set(workspace, total)
-      const bucket = this.buckets.get(workspace)
-      if (bucket !== undefined) {
-        // Totals also fall, by refunds.
-        bucket.level = Math.min(this.getDepth(bucket.workspace), bucket.level - (total - before))
+  /** Notes that another gateway lives. */
+  noteHeard (name: string, heardMs: number): void {
+    this.peers.set(name, Math.max(heardMs, this.peers.get(name) ?? -Infinity))
+  }
+
+  /** Takes in the totals that another gateway has admitted in its life. */
+  hear (name: string, boot: string, admitted: Readonly<Record<string, number>>, nowMs: number, isOwnZone = false): void {
+    this.noteHeard(name, nowMs)
+    for (const [workspace, units] of this.takeGrowth(this.gatewaySources, name, boot, admitted)) {
+      if (isOwnZone) {
+        this.heardInZone.set(workspace, (this.heardInZone.get(workspace) ?? 0) + units)
       }
     }
   }
 
+  /** Takes in the totals that the gateways of another zone have admitted, by the count of one of them in its life. */
+  hearZone (zone: string, boot: string, admitted: Readonly<Record<string, number>>): void {
+    this.takeGrowth(this.zoneSources, zone, boot, admitted)
+  }
+
+  /** Forgets the count of a zone: its gateways are heard one by one now. */
+  forgetZone (zone: string): void {
+    this.zoneSources.delete(zone)
+  }
+
+  /** Forgets the count of a gateway: its zone's counts from now on. */
+  forgetGateway (name: string): void {
+    this.gatewaySources.delete(name)
+  }
+
   /** Charges a request, or tells when the workspace may come back. */
   charge (workspace: routing.RoutedWorkspace, units: number, nowMs: number): AllowanceVerdict {
     if (workspace.rate <= 0) {
@@ -137,6 +153,39 @@
     return admitted
   }
 
+  /** Returns the totals that this gateway has admitted or heard from the others of its zone in this life. */
+  listZoneAdmitted (): Record<string, number> {
+    const admitted = this.listAdmitted()
+    for (const [workspace, units] of this.heardInZone) {
+      admitted[workspace] = (admitted[workspace] ?? 0) + units
+    }
+    return admitted
+  }
+
+  /** Takes totals out of the buckets, as far as they have grown; returns by how much. */
+  private takeGrowth (
+    sources: Map<string, Source>, name: string, boot: string, admitted: Readonly<Record<string, number>>
+  ): Map<string, number> {
+    const growth = new Map<string, number>()
+    const source = sources.get(name)
+    if (source === undefined || source.boot !== boot) {
+      // What was admitted before the source was first heard is not known to fall into the current window.
+      sources.set(name, { boot, admitted: new Map(Object.entries(admitted)) })
+      return growth
+    }
+    for (const [workspace, total] of Object.entries(admitted)) {
+      const units = total - (source.admitted.get(workspace) ?? 0)
+      source.admitted.set(workspace, total)
+      const bucket = this.buckets.get(workspace)
+      if (bucket !== undefined && units !== 0) {
+        // Totals also fall, by refunds.
+        bucket.level = Math.min(this.getDepth(bucket.workspace), bucket.level - units)
+        growth.set(workspace, units)
+      }
+    }
+    return growth
+  }
+
   private refill (workspace: routing.RoutedWorkspace, nowMs: number): Bucket {
     const gateways = this.peers.size + 1
     const found = this.buckets.get(workspace.name)
@@ -172,8 +221,8 @@
 
   private countSilent (nowMs: number): number {
     let silent = 0
-    for (const peer of this.peers.values()) {
-      if (nowMs - peer.heardMs > this.silenceMs) {
+    for (const heardMs of this.peers.values()) {
+      if (nowMs - heardMs > this.silenceMs) {
         silent += 1
       }
     }
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -174,6 +174,13 @@
     }
   }
 
+  /** Takes in which servers another gateway knows to leave, with the start of their life, or 0 where it is not known. */
+  noteAllLeaving (servers: Readonly<Record<string, number>>, teller: string): void {
+    for (const [id, bornMs] of Object.entries(servers)) {
+      this.noteLeaving(id, bornMs === 0 ? undefined : bornMs, teller)
+    }
+  }
+
   /** Returns the listed servers that have said that they leave, with the start of their life, or 0 where it is not known. */
   listLeaving (): Record<string, number> {
     const nowMs = this.system.clock.monotonicMs()
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -44,7 +44,7 @@
 export interface PeerEngines {
   readonly bookings: Readonly<Record<string, EngineBooking>>
   readonly offered: Readonly<Record<string, splits.OfferedLoad>>
-  readonly switching: readonly string[]
+  readonly switching: string[]
 }
 
 interface Decode {
@@ -76,6 +76,7 @@
   private readonly own = new Map<string, EngineBooking>()
   private readonly meters = new Map<string, splits.LoadMeter>()
   private switching: ReadonlySet<string> = new Set()
+  private otherGateways = 0
 
   constructor (private readonly zone: string, private readonly health: healths.ServerHealth, private readonly random: host.Random) {}
 
@@ -114,7 +115,17 @@
     }
   }
 
-  /** Takes in what another gateway has under way. */
+  /** Sets how many other gateways choose at the same time. */
+  setOtherGateways (count: number): void {
+    this.otherGateways = count
+  }
+
+  /** Drops what was heard under a name. */
+  forgetPeer (peer: string): void {
+    this.peers.delete(peer)
+  }
+
+  /** Takes in what another gateway, or all gateways of another zone together, have under way. */
   hear (peer: string, state: PeerEngines, nowMs: number): void {
     this.peers.set(peer, {
       heardMs: nowMs,
@@ -166,15 +177,41 @@
     this.rates.delete(server)
   }
 
-  /** Returns what this gateway has under way, by server. */
-  listBookings (): Record<string, EngineBooking> {
+  /** Returns what this gateway has under way. */
+  describe (nowMs: number): PeerEngines {
     const bookings: Record<string, EngineBooking> = {}
     for (const [server, booking] of this.own) {
       if (booking.runs > 0 || booking.unread > 0) {
         bookings[server] = booking
       }
     }
-    return bookings
+    return { bookings, offered: this.listOffered(nowMs), switching: [...this.switching] }
+  }
+
+  /** Returns what this gateway and those heard under the names have under way together. */
+  describeTogether (names: readonly string[], nowMs: number): PeerEngines {
+    const own = this.describe(nowMs)
+    const bookings: Record<string, EngineBooking> = { ...own.bookings }
+    const offered: Record<string, splits.OfferedLoad> = { ...own.offered }
+    const switching = new Set(own.switching)
+    for (const name of names) {
+      const peer = this.peers.get(name)
+      if (peer === undefined || nowMs - peer.heardMs > peerLifeMs) {
+        continue
+      }
+      for (const [server, { runs, tokens, unread }] of peer.bookings) {
+        const sum = bookings[server] ?? { runs: 0, tokens: 0, unread: 0 }
+        bookings[server] = { runs: sum.runs + runs, tokens: sum.tokens + tokens, unread: sum.unread + unread }
+      }
+      for (const [service, { prefill, decode }] of Object.entries(peer.offered)) {
+        const sum = offered[service] ?? { prefill: 0, decode: 0 }
+        offered[service] = { prefill: sum.prefill + prefill, decode: sum.decode + decode }
+      }
+      for (const server of peer.switching) {
+        switching.add(server)
+      }
+    }
+    return { bookings, offered, switching: [...switching] }
   }
 
   /** Returns the engines that seem to have room for so many tokens, the emptiest first. */
@@ -251,7 +288,7 @@
   }
 
   private getSpread (): number {
-    return this.random.nextUnit() * Math.min(largestSpread, spreadPerGateway * this.peers.size)
+    return this.random.nextUnit() * Math.min(largestSpread, spreadPerGateway * this.otherGateways)
   }
 
   private isUsable (server: routing.RoutedServer, nowMs: number): boolean {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  */
 import * as http from 'node:http'
 import * as allowances from './allowance_share.js'
+import * as books from './peer_book.js'
 import * as choices from './plain_choice.js'
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
@@ -16,6 +17,7 @@
 import * as ingresses from './ingress.js'
 import * as members from './members.js'
 import * as meters from '../metrics/prometheus_meter.js'
+import * as messages from './peer_messages.js'
 import * as mirrors from './mirror.js'
 import * as peerExchanges from './peers.js'
 import * as retries from './retry_share.js'
@@ -48,6 +50,7 @@
   private readonly ingress: ingresses.Ingress
   private readonly readiness: ingresses.ReadinessListener
   private readonly metricsServer: http.Server
+  private readonly book: books.PeerBook
   private readonly peers: peerExchanges.Peers
   private readonly members: members.Members
   private readonly duty: duties.OrderDuty
@@ -55,6 +58,7 @@
   private readonly boot: string
   private readonly stops: host.Stop[] = []
   private isLeaving = false
+  private isPumping = false
   /** Until when requests are begun. */
   private lastBeginMs = Infinity
 
@@ -86,7 +90,7 @@
       directory,
       plainChoice,
       fleet,
-      rooms: new rooms.RoomQueue(),
+      rooms: new rooms.RoomQueue(() => this.startPumping()),
       allowance: new allowances.AllowanceShare(options.allowance),
       retries: new retries.RetryShare(options.retries),
       routing: { table: undefined }
@@ -112,10 +116,11 @@
     })
     this.duty = new duties.OrderDuty(this.context, store, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot,
-      (node, withinMs) => this.peers.listHeard(withinMs).includes(node), found => this.setMembers(found))
+      (node, withinMs) => this.book.listHeard(withinMs).includes(node), found => this.setMembers(found))
     const observer = new mirrors.SplitObserver([follower, directory, this.members, this.duty])
     this.mirror = new mirrors.StoreMirror(store, allKeys, system, observer, options.timing.watchHoldMs)
-    this.peers = new peerExchanges.Peers(this.createParty(), system)
+    this.book = new books.PeerBook(this.createParty(), system.clock, system.log)
+    this.peers = new peerExchanges.Peers(this.book, options.zone, this.mirror, system)
   }
 
   private get isReady (): boolean {
@@ -134,7 +139,6 @@
     this.mirror.start()
     this.members.start()
     this.duty.start()
-    this.stops.push(system.clock.every(pumpMs, () => this.context.rooms.pump(system.clock.monotonicMs())))
     this.stops.push(system.clock.every(gaugeMs, () => this.setGauges()))
     for (const seed of options.seeds) {
       this.peers.copyFrom(seed).catch((error: unknown) => {
@@ -187,46 +191,78 @@
     }
   }
 
-  private createParty (): peerExchanges.PeerParty {
+  private createParty (): books.PeerParty {
     const { allowance, directory, fleet } = this.context
     const { clock } = this.system
     const { node, zone } = this.options
-    const { boot, duty, mirror } = this
-    let sequence = 0
-    return new class extends peerExchanges.PeerParty {
+    const { boot, mirror } = this
+    return new class extends books.PeerParty {
       override readonly node = node
       override readonly zone = zone
-      override readonly mirror = mirror
-
-      override describe (): peerExchanges.PeerState {
-        sequence += 1
-        return {
-          node,
-          boot,
-          sequence,
-          revision: mirror.revision,
-          admitted: allowance.listAdmitted(),
-          bookings: fleet.listBookings(),
-          offered: fleet.listOffered(clock.monotonicMs()),
-          switching: [...duty.listSwitching()],
-          leaving: directory.listLeaving()
-        }
+      override readonly boot = boot
+
+      override get revision (): number {
+        return mirror.revision
+      }
+
+      override describe (): messages.Work {
+        return { ...fleet.describe(clock.monotonicMs()), admitted: allowance.listAdmitted(), leaving: directory.listLeaving() }
+      }
+
+      override describeZone (others: readonly string[]): messages.Work {
+        const engines = fleet.describeTogether(others, clock.monotonicMs())
+        return { ...engines, admitted: allowance.listZoneAdmitted(), leaving: directory.listLeaving() }
+      }
+
+      override noteHeard (gateway: string, heardMs: number): void {
+        allowance.noteHeard(gateway, heardMs)
+      }
+
+      override hear (gateway: string, life: string, work: messages.Work, heardMs: number, isOwnZone: boolean): void {
+        allowance.hear(gateway, life, work.admitted, heardMs, isOwnZone)
+        fleet.hear(gateway, work, heardMs)
+        directory.noteAllLeaving(work.leaving, gateway)
       }
 
-      override hear (state: peerExchanges.PeerState, heardMs: number): void {
-        allowance.hear(state.node, state.boot, state.admitted, heardMs)
-        fleet.hear(state.node, state, heardMs)
-        for (const [server, bornMs] of Object.entries(state.leaving)) {
-          directory.noteLeaving(server, bornMs === 0 ? undefined : bornMs, state.node)
+      override hearZone (state: messages.ZoneState, heardMs: number): void {
+        for (const gateway of Object.keys(state.heard)) {
+          allowance.forgetGateway(gateway)
+          fleet.forgetPeer(gateway)
         }
+        allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted)
+        fleet.hear(nameZone(state.zone), state.work, heardMs)
+        directory.noteAllLeaving(state.work.leaving, state.teller)
+      }
+
+      override forgetZone (lost: string): void {
+        allowance.forgetZone(lost)
+        fleet.forgetPeer(nameZone(lost))
       }
     }()
   }
 
+  /** Looks at waiting generations until none is left. */
+  private startPumping (): void {
+    if (this.isPumping) {
+      return
+    }
+    this.isPumping = true
+    const { clock } = this.system
+    const pump = (): void => {
+      this.context.rooms.pump(clock.monotonicMs())
+      this.isPumping = this.context.rooms.length > 0
+      if (this.isPumping) {
+        clock.after(pumpMs, pump)
+      }
+    }
+    clock.after(pumpMs, pump)
+  }
+
   private setMembers (found: ReadonlyMap<string, members.Member>): void {
-    this.peers.setMembers(found)
-    this.context.allowance.setPeers([...found.keys()], this.peers.silenceMs)
+    this.book.setMembers(found)
+    this.context.allowance.setPeers([...found.keys()], this.book.silenceMs)
     this.context.retries.setGateways(found.size + 1)
+    this.context.fleet.setOtherGateways(found.size)
   }
 
   private setGauges (): void {
@@ -235,7 +271,12 @@
     this.meter.gauge('gateway_store_age_ms', {}, Number.isFinite(ageMs) ? ageMs : -1)
     this.meter.gauge('gateway_waiting', {}, this.context.rooms.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
-    this.meter.gauge('gateway_peers', {}, this.peers.listHeard(heardMs).length)
+    this.meter.gauge('gateway_peers', {}, this.book.listHeard(heardMs).length)
     this.meter.gauge('configuration_version', {}, this.context.routing.table?.document.version ?? 0)
   }
 }
+
+/** Returns the name under which the sum of a zone is kept beside the gateways. */
+function nameZone (zone: string): string {
+  return `zone ${zone}`
+}
--- a/src/gateway/room_queue.ts
+++ b/src/gateway/room_queue.ts
@@ -28,12 +28,18 @@
 export class RoomQueue {
   private readonly waiters = new Map<string, Waiter>()
 
+  /** `begin` is called when the first one begins to wait. */
+  constructor (private readonly begin: () => void = () => {}) {}
+
   get length (): number {
     return this.waiters.size
   }
 
   add (waiter: Waiter): void {
     this.waiters.set(waiter.id, waiter)
+    if (this.waiters.size === 1) {
+      this.begin()
+    }
   }
 
   /** Takes a waiter out whose caller has left. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -28,6 +28,8 @@
     minimumLeaseMs: milliseconds,
     /** How long the store holds a watch without events. */
     watchHoldMs: milliseconds,
+    /** Pause between news from the store and the next watch. */
+    newsPauseMs: milliseconds.default(150),
     /** Time that two holders of the right to order must lie apart. */
     orderLeaseMs: milliseconds
   }),
--- a/tests/gateway/allowance_share.test.ts
+++ b/tests/gateway/allowance_share.test.ts
@@ -194,6 +194,16 @@
       assert.equal(share.charge(workspace, 4_400, 2_000).kind, 'admitted')
     })
 
+    test.it('do not count what another relay of a zone had counted before', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      share.charge(workspace, 200, 0)
+      share.hearZone('b', 'b0 first', { grants: 0 })
+      share.hearZone('b', 'b1 first', { grants: 10_000_000 })
+      assert.equal(share.charge(workspace, 4_400, 2_000).kind, 'admitted')
+      share.hearZone('b', 'b1 first', { grants: 10_200_000 })
+      assert.equal(share.charge(workspace, 4_400, 2_000).kind, 'refused')
+    })
+
     test.it('follow a total that falls by a refund', () => {
       const share = new allowances.AllowanceShare(tolerance)
       share.charge(workspace, 200, 0)
--- /dev/null
+++ b/tests/gateway/peer_book.test.ts
@@ -0,0 +1,347 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as allowances from '../../src/gateway/allowance_share.js'
+import * as books from '../../src/gateway/peer_book.js'
+import * as fleets from '../../src/gateway/engine_fleet.js'
+import * as healths from '../../src/gateway/server_health.js'
+import * as host from '../../src/host/types.js'
+import * as manualClocks from '../support/manual_clock.js'
+import * as messages from '../../src/gateway/peer_messages.js'
+import * as nodeSystems from '../../src/host/node_system.js'
+import * as routing from '../../src/contracts/routing.js'
+import * as seededRandom from '../../src/host/seeded_random.js'
+
+const stepMs = 20
+const workspace: routing.RoutedWorkspace = {
+  name: 'grants', keyHashes: [], unit: 'tokens', plainTokens: 200, rate: 47_000, burst: 47_000
+}
+const tolerance = { windowMs: 8_000, overPart: 0.1, slack: 190_000 }
+
+/** One gateway: what it knows of the others, of engines and of allowances. */
+class Node extends books.PeerParty {
+  readonly clock = new manualClocks.ManualClock()
+  readonly fleet: fleets.EngineFleet
+  readonly allowance = new allowances.AllowanceShare(tolerance)
+  readonly book: books.PeerBook
+  override readonly revision = 1
+  isDead = false
+
+  constructor (override readonly node: string, override readonly zone: string, override readonly boot: string, nowMs: number) {
+    super()
+    this.clock.pause(nowMs)
+    this.fleet = new fleets.EngineFleet(zone, new healths.ServerHealth(), new seededRandom.SeededRandom(1))
+    this.book = new books.PeerBook(this, this.clock as host.Clock, new nodeSystems.SilentLog())
+    this.allowance.setWorkspaces([workspace], nowMs)
+  }
+
+  override describe (): messages.Work {
+    return { ...this.fleet.describe(this.clock.monotonicMs()), admitted: this.allowance.listAdmitted(), leaving: {} }
+  }
+
+  override describeZone (others: readonly string[]): messages.Work {
+    return { ...this.fleet.describeTogether(others, this.clock.monotonicMs()), admitted: this.allowance.listZoneAdmitted(), leaving: {} }
+  }
+
+  override noteHeard (node: string, heardMs: number): void {
+    this.allowance.noteHeard(node, heardMs)
+  }
+
+  override hear (node: string, boot: string, work: messages.Work, heardMs: number, isOwnZone: boolean): void {
+    this.allowance.hear(node, boot, work.admitted, heardMs, isOwnZone)
+    this.fleet.hear(node, work, heardMs)
+  }
+
+  override hearZone (state: messages.ZoneState, heardMs: number): void {
+    for (const node of Object.keys(state.heard)) {
+      this.allowance.forgetGateway(node)
+      this.fleet.forgetPeer(node)
+    }
+    this.allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted)
+    this.fleet.hear(`zone ${state.zone}`, state.work, heardMs)
+  }
+
+  override forgetZone (zone: string): void {
+    this.allowance.forgetZone(zone)
+    this.fleet.forgetPeer(`zone ${zone}`)
+  }
+}
+
+/** Gateways that exchange as their books say, without a network. */
+class Fleet {
+  nodes: Node[] = []
+  /** Gateways whose clocks and work stand still. */
+  readonly frozen = new Set<Node>()
+  /** Zones that do not reach any other. */
+  readonly cutZones = new Set<string>()
+  readonly uses: { readonly atMs: number, readonly units: number }[] = []
+  exchanges = 0
+  betweenZones = 0
+  nowMs = 0
+
+  constructor (zones: number, perZone: number) {
+    for (let index = 0; index < zones * perZone; index += 1) {
+      this.nodes.push(this.create(`g${String(index).padStart(2, '0')}`, `zone-${index % zones}`, 'first'))
+    }
+    this.listMembers()
+  }
+
+  restart (index: number): void {
+    const { node, zone } = this.nodes[index] as Node
+    this.nodes[index] = this.create(node, zone, `at ${this.nowMs}`)
+    this.listMembers()
+  }
+
+  play (forMs: number, act: (node: Node) => void = () => {}): void {
+    for (const untilMs = this.nowMs + forMs; this.nowMs < untilMs; this.nowMs += stepMs) {
+      for (const node of this.nodes) {
+        if (!node.isDead && !this.frozen.has(node)) {
+          node.clock.pause(stepMs)
+        }
+      }
+      for (const node of this.nodes) {
+        if (node.isDead || this.frozen.has(node)) {
+          continue
+        }
+        act(node)
+        for (const peer of node.book.listDue()) {
+          this.exchange(node, peer)
+        }
+      }
+    }
+  }
+
+  /** Has a gateway admit a request of a workspace that asks for more than its rate. */
+  ask (node: Node, units: number): void {
+    if (node.allowance.charge(workspace, units, node.clock.monotonicMs()).kind === 'admitted') {
+      this.uses.push({ atMs: this.nowMs, units })
+    }
+  }
+
+  countAdmitted (sinceMs: number): number {
+    let units = 0
+    for (const use of this.uses) {
+      units += use.atMs >= sinceMs ? use.units : 0
+    }
+    return units
+  }
+
+  getLargestWindow (): number {
+    let largest = 0
+    for (const { atMs: startMs } of this.uses) {
+      let sum = 0
+      for (const { atMs, units } of this.uses) {
+        sum += atMs >= startMs && atMs < startMs + tolerance.windowMs ? units : 0
+      }
+      largest = Math.max(largest, sum)
+    }
+    return largest
+  }
+
+  /** Fails unless each gateway has heard each other one lately, and counts each one's run once. */
+  check (): void {
+    const living = this.nodes.filter(node => !node.isDead && !this.frozen.has(node))
+    for (const node of living) {
+      assert.equal(node.book.listHeard(node.book.silenceMs).filter(name => living.some(other => other.node === name)).length, living.length - 1, `${node.node} at ${this.nowMs}`)
+      assert.equal(node.fleet.getLoad('engine', node.clock.monotonicMs()).runs, living.length, `${node.node} at ${this.nowMs}`)
+    }
+  }
+
+  private create (name: string, zone: string, boot: string): Node {
+    const node = new Node(name, zone, boot, this.nowMs)
+    node.fleet.bookDecode('run', 'engine', 100)
+    return node
+  }
+
+  private listMembers (): void {
+    for (const node of this.nodes) {
+      const others = this.nodes.filter(other => other.node !== node.node)
+      node.book.setMembers(new Map(others.map(other => [other.node, { address: other.node, zone: other.zone }])))
+      node.allowance.setPeers(others.map(other => other.node), node.book.silenceMs)
+    }
+  }
+
+  private exchange (from: Node, peer: books.Peer): void {
+    const to = this.nodes.find(node => node.node === peer.node) as Node
+    peer.exchangedMs = from.clock.monotonicMs()
+    this.exchanges += 1
+    this.betweenZones += from.zone === to.zone ? 0 : 1
+    const isCut = from.zone !== to.zone && (this.cutZones.has(from.zone) || this.cutZones.has(to.zone))
+    if (to.isDead || this.frozen.has(to) || isCut) {
+      return
+    }
+    to.book.take(from.book.tell(to.node))
+    from.book.take(to.book.tell(from.node))
+  }
+}
+
+test.describe('Gateways of several zones', () => {
+  test.it('all know each other within the time of silence, and count each run once, with one relay for each zone', () => {
+    const fleet = new Fleet(3, 10)
+    fleet.play(3_000)
+    fleet.betweenZones = 0
+    for (let round = 0; round < 50; round += 1) {
+      fleet.play(100)
+      fleet.check()
+    }
+    // Three pairs of relays; each of 300 pairs without them.
+    const pairs = fleet.betweenZones / 5 / (1_000 / (fleet.nodes[0]?.book.periodMs ?? 0))
+    assert.ok(pairs < 10, `${pairs} pairs exchange between zones`)
+  })
+
+  test.it('tell as much as a zone has servers, however many gateways the zone has', () => {
+    const small = new Fleet(3, 2)
+    const large = new Fleet(3, 20)
+    for (const fleet of [small, large]) {
+      fleet.play(3_000)
+    }
+    const [few, many] = [small, large].map(fleet => messages.encode((fleet.nodes[0] as Node).book.tell('g01'), false).body.length) as [number, number]
+    // What grows is the list of gateways that the sum stands for.
+    assert.ok(many < few + 20 * 16, `${few} and ${many} bytes`)
+  })
+
+  for (const perZone of [2, 10]) {
+    test.it(`take another relay when one dies, before anybody counts as silent: ${perZone} in a zone`, () => {
+      const fleet = new Fleet(3, perZone)
+      fleet.play(3_000)
+      const relay = fleet.nodes[0] as Node
+      relay.isDead = true
+      const silenceMs = relay.book.silenceMs
+      for (let round = 0; round < 20; round += 1) {
+        fleet.play(100)
+        for (const node of fleet.nodes.filter(other => !other.isDead)) {
+          const heard = node.book.listHeard(silenceMs).filter(name => name !== relay.node)
+          assert.equal(heard.length, fleet.nodes.length - 2, `${node.node} at ${fleet.nowMs}`)
+        }
+      }
+      fleet.play(2_000)
+      fleet.check()
+      fleet.restart(0)
+      fleet.play(4_000)
+      fleet.check()
+    })
+  }
+
+  test.it('count nothing twice after a relay was suspended, or a zone cut off', () => {
+    const fleet = new Fleet(3, 4)
+    fleet.play(3_000)
+    fleet.frozen.add(fleet.nodes[0] as Node)
+    fleet.play(4_000)
+    fleet.frozen.clear()
+    fleet.play(3_000)
+    fleet.check()
+    fleet.cutZones.add('zone-1')
+    fleet.play(4_000)
+    fleet.cutZones.clear()
+    fleet.play(3_000)
+    fleet.check()
+  })
+
+  test.it('exchange ten times a second where there are few', () => {
+    const fleet = new Fleet(3, 1)
+    fleet.play(1_000)
+    assert.ok(fleet.exchanges >= 3 * 8, `${fleet.exchanges} exchanges`)
+  })
+})
+
+test.describe('A gateway that hears another one beside the sum of its zone', () => {
+  const work: messages.Work = {
+    admitted: { grants: 0 }, bookings: { engine: { runs: 1, tokens: 100, unread: 0 } }, offered: {}, switching: [], leaving: {}
+  }
+  const sum: messages.ZoneState = {
+    zone: 'b', teller: 'b0', boot: 'b0-1', sequence: 1, heard: { b0: 0, b1: 10 }, work: { ...work, bookings: { engine: { runs: 2, tokens: 200, unread: 0 } } }
+  }
+  const direct = { node: 'b1', zone: 'b', boot: 'b1-1', revision: 1, work }
+  const relay = { node: 'b0', zone: 'b', boot: 'b0-1', revision: 1 }
+
+  function create (): Node {
+    const node = new Node('a0', 'a', 'first', 10_000)
+    node.book.setMembers(new Map([['b0', { address: 'b0', zone: 'b' }], ['b1', { address: 'b1', zone: 'b' }]]))
+    return node
+  }
+
+  test.it('counts it once while the sum stands', () => {
+    const node = create()
+    node.book.take({ own: relay, zones: [{ ageMs: 0, state: sum }] })
+    node.book.take({ own: direct, zones: [] })
+    assert.equal(node.fleet.getLoad('engine', 10_000).runs, 2)
+  })
+
+  test.it('counts it alone when the sum has become old, and the sum alone when that is back', () => {
+    const node = create()
+    node.book.take({ own: relay, zones: [{ ageMs: 0, state: sum }] })
+    node.clock.pause(1_500)
+    node.book.take({ own: direct, zones: [] })
+    assert.equal(node.fleet.getLoad('engine', 11_500).runs, 1)
+    node.book.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, sequence: 2 } }] })
+    assert.equal(node.fleet.getLoad('engine', 11_500).runs, 2)
+  })
+
+  test.it('charges what one by one was charged not again with the sum that comes back', () => {
+    const node = create()
+    const flooded = { ...work, admitted: { grants: 200_000 } }
+    node.book.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, work: { ...work, admitted: { grants: 0 } } } }] })
+    node.clock.pause(1_500)
+    node.book.take({ own: { ...direct, work: { ...work, admitted: { grants: 0 } } }, zones: [] })
+    node.book.take({ own: { ...direct, work: flooded }, zones: [] })
+    const before = node.allowance.charge(workspace, 4_400, 11_500)
+    assert.equal(before.kind, 'refused')
+    node.book.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, sequence: 2, work: flooded } }] })
+    const after = node.allowance.charge(workspace, 4_400, 11_500)
+    assert.deepEqual(after, before)
+  })
+})
+
+test.describe('An allowance over several zones', () => {
+  /** Plays a workspace that asks for four times its rate at all gateways. */
+  function flood (fleet: Fleet, forMs: number): void {
+    const units = 4_400
+    const perStep = workspace.rate * 4 * stepMs / 1000 / units / fleet.nodes.length
+    fleet.play(forMs, node => {
+      const due = Math.floor((fleet.nowMs / stepMs + 1) * perStep) - Math.floor(fleet.nowMs / stepMs * perStep)
+      for (let request = 0; request < due; request += 1) {
+        fleet.ask(node, units)
+      }
+    })
+  }
+
+  const bound = (workspace.rate * tolerance.windowMs / 1000 + workspace.burst) * (1 + tolerance.overPart) + tolerance.slack
+
+  test.it('gives a flooding workspace its rate, neither less for being counted twice nor more', () => {
+    const fleet = new Fleet(3, 4)
+    flood(fleet, 5_000)
+    const sinceMs = fleet.nowMs
+    flood(fleet, 20_000)
+    const rate = fleet.countAdmitted(sinceMs) / 20
+    assert.ok(rate > 0.9 * workspace.rate && rate < 1.1 * workspace.rate, `${rate} units a second`)
+    assert.ok(fleet.getLargestWindow() <= bound)
+  })
+
+  for (const fault of ['dies', 'is suspended', 'is cut off with its zone'] as const) {
+    test.it(`stays within the window and comes back to its rate when a relay ${fault}`, () => {
+      const fleet = new Fleet(3, 4)
+      flood(fleet, 6_000)
+      const relay = fleet.nodes[0] as Node
+      for (let round = 0; round < 2; round += 1) {
+        if (fault === 'dies') {
+          relay.isDead = true
+          flood(fleet, 3_000)
+          fleet.restart(0)
+        } else if (fault === 'is suspended') {
+          fleet.frozen.add(relay)
+          flood(fleet, 3_000)
+          fleet.frozen.clear()
+        } else {
+          fleet.cutZones.add(relay.zone)
+          flood(fleet, 3_000)
+          fleet.cutZones.clear()
+        }
+        flood(fleet, 5_000)
+      }
+      const sinceMs = fleet.nowMs
+      flood(fleet, 10_000)
+      const rate = fleet.countAdmitted(sinceMs) / 10
+      assert.ok(rate > 0.9 * workspace.rate && rate < 1.1 * workspace.rate, `${rate} units a second`)
+      assert.ok(fleet.getLargestWindow() <= bound, `${fleet.getLargestWindow()} of ${bound}`)
+    })
+  }
+})
