Tell the other gateways which servers fail

Cause: a server that loses answers for some seconds had to be found out by each of many gateways, each with a few calls a second (186 calls that may be told as lost on 24 gateways against 32 on 6). Change: decayed sums of sends and failures by server go with the states of a zone and, where calls failed, with the sums between zones; the choice goes by the worse of the own last sends and the sum. Refused prompts are no failures.

--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -253,7 +253,7 @@
         continue
       }
       const preference = server.zone === this.zone ? ownZonePreference : 0
-      ranked.push({ server, free: free / profile.memoryTokens + preference - this.health.getFailureRate(server.id) + this.getSpread() })
+      ranked.push({ server, free: free / profile.memoryTokens + preference - this.health.getFailureRate(server.id, nowMs) + this.getSpread() })
     }
     ranked.sort((a, b) => b.free - a.free)
     return ranked.map(({ server }) => server)
@@ -271,7 +271,7 @@
       if (server.stage !== 'prefill' || excluded.has(server.id) || !this.isUsable(server, nowMs)) {
         continue
       }
-      const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id))
+      const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id, nowMs))
       const distanceMs = decodeZone === undefined || server.zone === decodeZone ? 0 : sameZoneMs
       const penaltyMs = distanceMs + this.getSpread() * readyMs
       if (readyMs + penaltyMs < bestMs + bestPenaltyMs) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -192,7 +192,7 @@
   }
 
   private createParty (): books.PeerParty {
-    const { allowance, directory, fleet } = this.context
+    const { allowance, directory, fleet, health } = this.context
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, mirror } = this
@@ -206,12 +206,20 @@
       }
 
       override describe (): messages.Work {
-        return { ...fleet.describe(clock.monotonicMs()), admitted: allowance.listAdmitted(), leaving: directory.listLeaving() }
+        const nowMs = clock.monotonicMs()
+        return {
+          ...fleet.describe(nowMs), admitted: allowance.listAdmitted(), outcomes: health.listOutcomes(nowMs), leaving: directory.listLeaving()
+        }
       }
 
       override describeZone (others: readonly string[]): messages.Work {
-        const engines = fleet.describeTogether(others, clock.monotonicMs())
-        return { ...engines, admitted: allowance.listZoneAdmitted(), leaving: directory.listLeaving() }
+        const nowMs = clock.monotonicMs()
+        return {
+          ...fleet.describeTogether(others, nowMs),
+          admitted: allowance.listZoneAdmitted(),
+          outcomes: health.listTogether(others, nowMs),
+          leaving: directory.listLeaving()
+        }
       }
 
       override noteHeard (gateway: string, heardMs: number): void {
@@ -221,6 +229,7 @@
       override hear (gateway: string, life: string, work: messages.Work, heardMs: number, isOwnZone: boolean): void {
         allowance.hear(gateway, life, work.admitted, heardMs, isOwnZone)
         fleet.hear(gateway, work, heardMs)
+        health.hear(gateway, work.outcomes, heardMs)
         directory.noteAllLeaving(work.leaving, gateway)
       }
 
@@ -228,15 +237,18 @@
         for (const gateway of Object.keys(state.heard)) {
           allowance.forgetGateway(gateway)
           fleet.forgetPeer(gateway)
+          health.forgetPeer(gateway)
         }
         allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted)
         fleet.hear(nameZone(state.zone), state.work, heardMs)
+        health.hear(nameZone(state.zone), state.work.outcomes, heardMs)
         directory.noteAllLeaving(state.work.leaving, state.teller)
       }
 
       override forgetZone (lost: string): void {
         allowance.forgetZone(lost)
         fleet.forgetPeer(nameZone(lost))
+        health.forgetPeer(nameZone(lost))
       }
     }()
   }
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -25,6 +25,8 @@
   offered: z.record(z.string(), z.object({ prefill: z.number(), decode: z.number() })),
   /** Servers that change their stage by order of the gateway. */
   switching: z.array(z.string()),
+  /** Recent sends by server, and how many of them failed. */
+  outcomes: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** Servers that have said that they leave, with the start of their life in milliseconds since the Unix epoch, or 0. */
   leaving: z.record(z.string(), z.number())
 })
--- a/src/gateway/plain_choice.ts
+++ b/src/gateway/plain_choice.ts
@@ -71,7 +71,7 @@
     const pause = this.health.isPaused(server.id, nowMs) ? 1_000 : 0
     const distance = server.zone === this.zone ? 0 : otherZonePenalty
     return (busy + 0.5) / server.slots * (1 + answerMs / 100) +
-      failureWeight * this.health.getFailureRate(server.id) ** 2 + distance + pause
+      failureWeight * this.health.getFailureRate(server.id, nowMs) ** 2 + distance + pause
   }
 
   private getLoad (server: string): Load {
--- a/src/gateway/prompt_reader.ts
+++ b/src/gateway/prompt_reader.ts
@@ -98,7 +98,9 @@
       return 'the caller left'
     }
     if (outcome.kind === 'answered') {
-      health.note(server.id, 'error', this.now())
+      if (!dialect.readAnswer(outcome.status, outcome.rawHeaders).isNotRun) {
+        health.note(server.id, 'error', this.now())
+      }
       if (outcome.status === relays.misdirected) {
         directory.noteMisdirected(server.id)
       }
--- a/tests/gateway/peer_book.test.ts
+++ b/tests/gateway/peer_book.test.ts
@@ -35,11 +35,11 @@
   }
 
   override describe (): messages.Work {
-    return { ...this.fleet.describe(this.clock.monotonicMs()), admitted: this.allowance.listAdmitted(), leaving: {} }
+    return { ...this.fleet.describe(this.clock.monotonicMs()), admitted: this.allowance.listAdmitted(), outcomes: {}, leaving: {} }
   }
 
   override describeZone (others: readonly string[]): messages.Work {
-    return { ...this.fleet.describeTogether(others, this.clock.monotonicMs()), admitted: this.allowance.listZoneAdmitted(), leaving: {} }
+    return { ...this.fleet.describeTogether(others, this.clock.monotonicMs()), admitted: this.allowance.listZoneAdmitted(), outcomes: {}, leaving: {} }
   }
 
   override noteHeard (node: string, heardMs: number): void {
@@ -245,7 +245,7 @@
 
 test.describe('A gateway that hears another one beside the sum of its zone', () => {
   const work: messages.Work = {
-    admitted: { grants: 0 }, bookings: { engine: { runs: 1, tokens: 100, unread: 0 } }, offered: {}, switching: [], leaving: {}
+    admitted: { grants: 0 }, bookings: { engine: { runs: 1, tokens: 100, unread: 0 } }, offered: {}, switching: [], outcomes: {}, leaving: {}
   }
   const sum: messages.ZoneState = {
     zone: 'b', teller: 'b0', boot: 'b0-1', sequence: 1, heard: { b0: 0, b1: 10 }, work: { ...work, bookings: { engine: { runs: 2, tokens: 200, unread: 0 } } }
