--- a/tools/proof_page.ts
+++ b/tools/proof_page.ts
@@ -17,7 +17,22 @@
 `
 
 export function createPage (): string {
-  return heading + proofTable.points.map((point, index) => createSection(point, index + 1)).join('\n')
+  return heading + proofTable.points.map((point, index) => createSection(point, index + 1)).join('\n') + createGatewaySection()
+}
+
+function createGatewaySection (): string {
+  const rows = proofTable.gatewayFaults.map(({ fault, found, tests }) => `| ${fault} | ${found} | ${tests.join('; ')} |`)
+  return [
+    '',
+    '## Gateways: what operators of similar systems met',
+    '',
+    'Tests below `platform/tests/`, by file and the beginning of their names.',
+    '',
+    '| fault | found when it was tried | tests |',
+    '| --- | --- | --- |',
+    ...rows,
+    ''
+  ].join('\n')
 }
 
 function createSection (point: proofTable.Point, number: number): string {
--- a/tools/proof_table.ts
+++ b/tools/proof_table.ts
@@ -174,3 +174,50 @@
     unproved: 'An entry cut off from the store and from all peers for longer than 10 s'
   }
 ]
+
+/** A fault that operators of similar systems met, and whether a gateway can meet it. */
+export interface GatewayFault {
+  readonly fault: string
+  /** What was found when it was tried. */
+  readonly found: string
+  /** Test files below `platform/tests/`, and the beginning of the tests' names. */
+  readonly tests: readonly string[]
+}
+
+export const gatewayFaults: readonly GatewayFault[] = [
+  {
+    fault: 'A late second copy of an answer on a connection in use again',
+    found: 'the next caller never got it, but the answer to a prefill was not checked, and the connection stayed in use; the pool checks every answer and drops the connection',
+    tests: ['server_trouble: never gives a late second copy', 'server_trouble: never has a generation go on from the prompt of another request']
+  },
+  {
+    fault: 'Requests just accepted, cut off in a planned stop under load',
+    found: 'not found',
+    tests: ['planned_stop: answers every request that was passed on', 'gateway: reports not ready, finishes a stream']
+  },
+  {
+    fault: 'Slow sound streams cut; stalled ones with a byte now and then never ended',
+    found: 'stalled ones went on to the end of the route\'s time; only whole events count as progress now',
+    tests: ['server_trouble: ends a stalled stream', 'server_trouble: does not cut a sound stream']
+  },
+  {
+    fault: 'Work run again, or called not run, after its answer was lost',
+    found: 'not found',
+    tests: ['gateway: sends a call that must not run twice only once', 'gateway: answers in time where the server is silent, without a promise']
+  },
+  {
+    fault: 'A machine silent for a while, whose work was started again or given up',
+    found: 'not found',
+    tests: ['server_trouble: neither ends nor starts again what runs']
+  },
+  {
+    fault: 'An answer broken off halfway, passed on as complete',
+    found: 'not found',
+    tests: ['gateway: does not frame as whole', 'gateway: does not let a stream that must not run twice look whole', 'gateway: does not take for the rest of a stream what is no event']
+  },
+  {
+    fault: 'Bytes without end, in a head or a body',
+    found: 'bodies and events were collected without a bound; both are bounded, and the connection is closed',
+    tests: ['server_trouble: ends a call, tells that it may have run, and stays small', 'server_trouble: breaks a stream off whose event never ends']
+  }
+]
