Assume that a zone goes on admitting as before while its sum stays out

Cause: between the last sum of one relay and the first of the next a zone's admissions are known to nobody elsewhere. Change: the smoothed rate of a zone is charged while its sum is late, for 3 s at most, and given back when the sum comes; what was assumed stands where another relay's count begins. The arrivals of the model are spread over the gateways now; all at one moment had looked like a fault of relays.

--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -28,12 +28,27 @@
   admitted: number
 }
 
+/** Weight of the newest growth of a zone's totals in the smoothed rate. */
+const newestRateWeight = 0.3
+/** Longest time without the sum of a zone for which its gateways are taken to go on as before, in milliseconds: by then they are heard one by one. */
+const longestGapMs = 3_000
+/** Time without the sum of a zone from which on that is assumed, in parts of the time after which a gateway counts as silent. */
+const assumingPart = 1 / 3
+
 /** What a gateway, or the gateways of a zone together, have said to have admitted. */
 interface Source {
   readonly boot: string
   readonly admitted: Map<string, number>
 }
 
+/** The sums of a zone, and how fast its totals grow, in units a millisecond by workspace. */
+interface ZoneSource extends Source {
+  readonly heardMs: number
+  readonly rates: Map<string, number>
+  /** Units charged by workspace since then because the zone is taken to go on as before. */
+  readonly assumed: Map<string, number>
+}
+
 export type AllowanceVerdict =
   | { readonly kind: 'admitted' }
   | { readonly kind: 'refused', readonly retryAfterMs: number }
@@ -43,7 +58,7 @@
   /** When each other gateway was last heard, in milliseconds. */
   private readonly peers = new Map<string, number>()
   private readonly gatewaySources = new Map<string, Source>()
-  private readonly zoneSources = new Map<string, Source>()
+  private readonly zoneSources = new Map<string, ZoneSource>()
   /** Units that the other gateways of the own zone were heard to admit, in this life. */
   private readonly heardInZone = new Map<string, number>()
   private silenceMs = exchangePlans.leastSilenceMs
@@ -94,7 +109,13 @@
   /** Takes in the totals that another gateway has admitted in its life. */
   hear (name: string, boot: string, admitted: Readonly<Record<string, number>>, nowMs: number, isOwnZone = false): void {
     this.noteHeard(name, nowMs)
-    for (const [workspace, units] of this.takeGrowth(this.gatewaySources, name, boot, admitted)) {
+    const source = this.gatewaySources.get(name)
+    if (source === undefined || source.boot !== boot) {
+      // What was admitted before the gateway was first heard is not known to fall into the current window.
+      this.gatewaySources.set(name, { boot, admitted: new Map(Object.entries(admitted)) })
+      return
+    }
+    for (const [workspace, units] of this.takeGrowth(source, admitted)) {
       if (isOwnZone) {
         this.heardInZone.set(workspace, (this.heardInZone.get(workspace) ?? 0) + units)
       }
@@ -102,8 +123,27 @@
   }
 
   /** Takes in the totals that the gateways of another zone have admitted, by the count of one of them in its life. */
-  hearZone (zone: string, boot: string, admitted: Readonly<Record<string, number>>): void {
-    this.takeGrowth(this.zoneSources, zone, boot, admitted)
+  hearZone (zone: string, boot: string, admitted: Readonly<Record<string, number>>, nowMs: number): void {
+    const source = this.zoneSources.get(zone)
+    const elapsedMs = Math.max(1, nowMs - (source?.heardMs ?? nowMs))
+    const rates = source?.rates ?? new Map<string, number>()
+    if (source === undefined || source.boot !== boot) {
+      // Another relay counts from another beginning: what is assumed of the time between the two stands.
+      if (source !== undefined) {
+        this.assumeAll(source, nowMs, 0)
+      }
+      this.zoneSources.set(zone, { boot, admitted: new Map(Object.entries(admitted)), heardMs: nowMs, rates, assumed: new Map() })
+      return
+    }
+    for (const [workspace, units] of source.assumed) {
+      this.take(workspace, -units)
+    }
+    const growth = this.takeGrowth(source, admitted)
+    for (const workspace of Object.keys(admitted)) {
+      const before = rates.get(workspace) ?? 0
+      rates.set(workspace, before + ((growth.get(workspace) ?? 0) / elapsedMs - before) * newestRateWeight)
+    }
+    this.zoneSources.set(zone, { ...source, heardMs: nowMs, assumed: new Map() })
   }
 
   /** Forgets the count of a zone: its gateways are heard one by one now. */
@@ -162,30 +202,42 @@
     return admitted
   }
 
+  /** Charges what a zone has probably admitted since its last sum, if that is older than the time in milliseconds. */
+  private assumeAll (source: ZoneSource, nowMs: number, fromMs: number): void {
+    const gapMs = Math.min(longestGapMs, nowMs - source.heardMs)
+    if (gapMs < fromMs) {
+      return
+    }
+    for (const [workspace, rate] of source.rates) {
+      const units = Math.max(0, rate * gapMs)
+      this.take(workspace, units - (source.assumed.get(workspace) ?? 0))
+      source.assumed.set(workspace, units)
+    }
+  }
+
   /** Takes totals out of the buckets, as far as they have grown; returns by how much. */
-  private takeGrowth (
-    sources: Map<string, Source>, name: string, boot: string, admitted: Readonly<Record<string, number>>
-  ): Map<string, number> {
+  private takeGrowth (source: Source, admitted: Readonly<Record<string, number>>): Map<string, number> {
     const growth = new Map<string, number>()
-    const source = sources.get(name)
-    if (source === undefined || source.boot !== boot) {
-      // What was admitted before the source was first heard is not known to fall into the current window.
-      sources.set(name, { boot, admitted: new Map(Object.entries(admitted)) })
-      return growth
-    }
     for (const [workspace, total] of Object.entries(admitted)) {
       const units = total - (source.admitted.get(workspace) ?? 0)
       source.admitted.set(workspace, total)
-      const bucket = this.buckets.get(workspace)
-      if (bucket !== undefined && units !== 0) {
-        // Totals also fall, by refunds.
-        bucket.level = Math.min(this.getDepth(bucket.workspace), bucket.level - units)
+      if (units !== 0 && this.take(workspace, units)) {
         growth.set(workspace, units)
       }
     }
     return growth
   }
 
+  /** Takes units out of a bucket; fewer than none where totals fell by refunds. Tells whether there is one. */
+  private take (workspace: string, units: number): boolean {
+    const bucket = this.buckets.get(workspace)
+    if (bucket === undefined) {
+      return false
+    }
+    bucket.level = Math.min(this.getDepth(bucket.workspace), bucket.level - units)
+    return true
+  }
+
   private refill (workspace: routing.RoutedWorkspace, nowMs: number): Bucket {
     const gateways = this.peers.size + 1
     const found = this.buckets.get(workspace.name)
@@ -196,6 +248,9 @@
       return created
     }
     found.workspace = workspace
+    for (const source of this.zoneSources.values()) {
+      this.assumeAll(source, nowMs, this.silenceMs * assumingPart)
+    }
     const elapsedMs = Math.max(0, nowMs - found.updatedMs)
     found.updatedMs = nowMs
     const heardPart = (gateways - this.countSilent(nowMs)) / gateways
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -239,7 +239,7 @@
           fleet.forgetPeer(gateway)
           health.forgetPeer(gateway)
         }
-        allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted)
+        allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted, clock.monotonicMs())
         fleet.hear(nameZone(state.zone), state.work, heardMs)
         health.hear(nameZone(state.zone), state.work.outcomes, heardMs)
         directory.noteAllLeaving(state.work.leaving, state.teller)
--- a/tests/gateway/allowance_share.test.ts
+++ b/tests/gateway/allowance_share.test.ts
@@ -197,13 +197,24 @@
     test.it('do not count what another relay of a zone had counted before', () => {
       const share = new allowances.AllowanceShare(tolerance)
       share.charge(workspace, 200, 0)
-      share.hearZone('b', 'b0 first', { grants: 0 })
-      share.hearZone('b', 'b1 first', { grants: 10_000_000 })
+      share.hearZone('b', 'b0 first', { grants: 0 }, 0)
+      share.hearZone('b', 'b1 first', { grants: 10_000_000 }, 500)
       assert.equal(share.charge(workspace, 4_400, 2_000).kind, 'admitted')
-      share.hearZone('b', 'b1 first', { grants: 10_200_000 })
+      share.hearZone('b', 'b1 first', { grants: 10_200_000 }, 1_000)
       assert.equal(share.charge(workspace, 4_400, 2_000).kind, 'refused')
     })
 
+    test.it('take what a zone admits to go on between the sums of two relays', () => {
+      const share = new allowances.AllowanceShare(tolerance)
+      share.charge(workspace, 200, 0)
+      for (let nowMs = 0; nowMs <= 4_000; nowMs += 100) {
+        share.hearZone('b', 'b0 first', { grants: workspace.rate / 1000 * nowMs }, nowMs)
+        share.charge(workspace, 0, nowMs)
+      }
+      share.hearZone('b', 'b1 first', { grants: 0 }, 6_000)
+      assert.equal(share.charge(workspace, workspace.burst, 6_000).kind, 'refused')
+    })
+
     test.it('follow a total that falls by a refund', () => {
       const share = new allowances.AllowanceShare(tolerance)
       share.charge(workspace, 200, 0)
--- a/tests/gateway/peer_book.test.ts
+++ b/tests/gateway/peer_book.test.ts
@@ -56,7 +56,7 @@
       this.allowance.forgetGateway(node)
       this.fleet.forgetPeer(node)
     }
-    this.allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted)
+    this.allowance.hearZone(state.zone, `${state.teller} ${state.boot}`, state.work.admitted, this.clock.monotonicMs())
     this.fleet.hear(`zone ${state.zone}`, state.work, heardMs)
   }
 
@@ -297,7 +297,8 @@
     const units = 4_400
     const perStep = workspace.rate * 4 * stepMs / 1000 / units / fleet.nodes.length
     fleet.play(forMs, node => {
-      const due = Math.floor((fleet.nowMs / stepMs + 1) * perStep) - Math.floor(fleet.nowMs / stepMs * perStep)
+      const step = fleet.nowMs / stepMs + fleet.nodes.indexOf(node) / fleet.nodes.length / perStep
+      const due = Math.floor((step + 1) * perStep) - Math.floor(step * perStep)
       for (let request = 0; request < due; request += 1) {
         fleet.ask(node, units)
       }
