--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -9,7 +9,7 @@
 /** How long a server that answered in place of another is left out, in milliseconds: until the store has told of the change. */
 const misdirectedMs = 3_000
 /** Longest time that a server is left alone because it asked for it, in milliseconds: beyond any planned pause. */
-const longestRestMs = 600_000
+const longestBackOffMs = 600_000
 /** How long it is remembered that a server said that it leaves, in milliseconds: longer than any server takes to end. */
 const leavingMemoryMs = 600_000
 
@@ -30,7 +30,7 @@
   private readonly misdirected = new Map<string, number>()
   private readonly leaving = new Map<string, Leaving>()
   /** Until when a server is left alone, in milliseconds. */
-  private readonly resting = new Map<string, number>()
+  private readonly backOffs = new Map<string, number>()
   private readonly unreadable = new Set<string>()
   private byService = new Map<string, routing.RoutedServer[]>()
 
@@ -59,7 +59,7 @@
     this.servers.set(id, server)
     this.byService.clear()
     if (before?.bornMs !== server.bornMs) {
-      this.resting.delete(id)
+      this.backOffs.delete(id)
     }
     if (before === undefined || before.state !== server.state || before.stage !== server.stage || before.bornMs !== server.bornMs) {
       this.misdirected.delete(id)
@@ -100,7 +100,7 @@
       }
       this.byService.set(service, list)
     }
-    if (this.misdirected.size + this.leaving.size + this.resting.size === 0) {
+    if (this.misdirected.size + this.leaving.size + this.backOffs.size === 0) {
       return list
     }
     const nowMs = this.system.clock.monotonicMs()
@@ -109,21 +109,21 @@
 
   /** Tells whether a server that the store lists as ready may get new work, as far as its own answers go. */
   private isOpen (server: routing.RoutedServer, nowMs: number): boolean {
-    return (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isResting(server.id, nowMs) && !this.isLeaving(server, nowMs)
+    return (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isBackingOff(server.id, nowMs) && !this.isLeaving(server, nowMs)
   }
 
   /** Tells whether a server has asked to be left alone for now. */
-  isResting (id: string, nowMs: number): boolean {
-    return (this.resting.get(id) ?? 0) > nowMs
+  isBackingOff (id: string, nowMs: number): boolean {
+    return (this.backOffs.get(id) ?? 0) > nowMs
   }
 
   /** Milliseconds until the first server of a service that asked to be left alone may get work again, if any did. */
-  getRestMs (service: string): number | undefined {
+  getBackOffMs (service: string): number | undefined {
     const nowMs = this.system.clock.monotonicMs()
     let leastMs: number | undefined
-    for (const [id, untilMs] of this.resting) {
+    for (const [id, untilMs] of this.backOffs) {
       if (untilMs <= nowMs) {
-        this.resting.delete(id)
+        this.backOffs.delete(id)
       } else if (this.servers.get(id)?.service === service) {
         leastMs = Math.min(leastMs ?? Infinity, untilMs - nowMs)
       }
@@ -145,16 +145,16 @@
   }
 
   /** Notes that a server wants nothing for a time in milliseconds. */
-  noteResting (server: routing.RoutedServer, forMs: number): void {
+  noteBackOff (server: routing.RoutedServer, forMs: number): void {
     const nowMs = this.system.clock.monotonicMs()
-    const untilMs = nowMs + Math.min(forMs, longestRestMs)
-    const before = this.resting.get(server.id) ?? 0
+    const untilMs = nowMs + Math.min(forMs, longestBackOffMs)
+    const before = this.backOffs.get(server.id) ?? 0
     if (untilMs <= before || this.isOtherLife(server)) {
       return
     }
-    this.resting.set(server.id, untilMs)
+    this.backOffs.set(server.id, untilMs)
     if (before <= nowMs) {
-      this.system.log.info('server wants a rest', { server: server.id, service: server.service, forMs: Math.round(forMs) })
+      this.system.log.info('server asked to back off', { server: server.id, service: server.service, forMs: Math.round(forMs) })
     }
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -53,13 +53,13 @@
 
   /**
    * Says that no server of the request's service took it, and in how many milliseconds to come back; later where all of them
-   * want a rest.
+   * asked to back off.
    */
   protected createNoServerFailure (retryAfterMs: number): failures.Failure {
     const { directory } = this.context
     const service = this.request.service.name
-    const restMs = directory.listReady(service).length === 0 ? directory.getRestMs(service) : undefined
-    return failures.createFailure('not_run', 'no_server', [service], Math.max(retryAfterMs, restMs ?? 0))
+    const backOffMs = directory.listReady(service).length === 0 ? directory.getBackOffMs(service) : undefined
+    return failures.createFailure('not_run', 'no_server', [service], Math.max(retryAfterMs, backOffMs ?? 0))
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
  */
 import * as http from 'node:http'
 import * as allowances from './allowance_share.js'
-import * as books from './peer_book.js'
+import * as peerTables from './peer_table.js'
 import * as choices from './plain_choice.js'
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
@@ -50,7 +50,7 @@
   private readonly ingress: ingresses.Ingress
   private readonly readiness: ingresses.ReadinessListener
   private readonly metricsServer: http.Server
-  private readonly book: books.PeerBook
+  private readonly peerTable: peerTables.PeerTable
   private readonly peers: peerExchanges.Peers
   private readonly members: members.Members
   private readonly duty: duties.OrderDuty
@@ -116,11 +116,11 @@
     })
     this.duty = new duties.OrderDuty(this.context, store, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot,
-      (node, withinMs) => this.book.listHeard(withinMs).includes(node), found => this.setMembers(found))
+      (node, withinMs) => this.peerTable.listHeard(withinMs).includes(node), found => this.setMembers(found))
     const observer = new mirrors.SplitObserver([follower, directory, this.members, this.duty])
     this.mirror = new mirrors.StoreMirror(store, allKeys, system, observer, options.timing.watchHoldMs)
-    this.book = new books.PeerBook(this.createParty(), system.clock, system.log)
-    this.peers = new peerExchanges.Peers(this.book, options.zone, this.mirror, system)
+    this.peerTable = new peerTables.PeerTable(this.createParty(), system.clock, system.log)
+    this.peers = new peerExchanges.Peers(this.peerTable, options.zone, this.mirror, system)
   }
 
   private get isReady (): boolean {
@@ -186,17 +186,17 @@
     if (facts.isLeaving) {
       directory.noteLeaving(server.id, server.bornMs, this.options.node)
     }
-    if (facts.restMs !== undefined && facts.restMs > 0) {
-      directory.noteResting(server, facts.restMs)
+    if (facts.backOffMs !== undefined && facts.backOffMs > 0) {
+      directory.noteBackOff(server, facts.backOffMs)
     }
   }
 
-  private createParty (): books.PeerParty {
+  private createParty (): peerTables.PeerParty {
     const { allowance, directory, fleet, health } = this.context
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, mirror } = this
-    return new class extends books.PeerParty {
+    return new class extends peerTables.PeerParty {
       override readonly node = node
       override readonly zone = zone
       override readonly boot = boot
@@ -271,8 +271,8 @@
   }
 
   private setMembers (found: ReadonlyMap<string, members.Member>): void {
-    this.book.setMembers(found)
-    this.context.allowance.setPeers([...found.keys()], this.book.silenceMs)
+    this.peerTable.setMembers(found)
+    this.context.allowance.setPeers([...found.keys()], this.peerTable.silenceMs)
     this.context.retries.setGateways(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
   }
@@ -283,7 +283,7 @@
     this.meter.gauge('gateway_store_age_ms', {}, Number.isFinite(ageMs) ? ageMs : -1)
     this.meter.gauge('gateway_waiting', {}, this.context.rooms.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
-    this.meter.gauge('gateway_peers', {}, this.book.listHeard(heardMs).length)
+    this.meter.gauge('gateway_peers', {}, this.peerTable.listHeard(heardMs).length)
     this.meter.gauge('configuration_version', {}, this.context.routing.table?.document.version ?? 0)
   }
 }
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -129,12 +129,12 @@
       }
       return { again: 'retry' in reading ? reading.retry : '' }
     }
-    if (this.context.directory.isResting(place.server.id, this.now())) {
+    if (this.context.directory.isBackingOff(place.server.id, this.now())) {
       this.releasePlace(place)
       if (reading.cache !== undefined) {
         this.releaseCache(reading.cache)
       }
-      return { again: 'the server wants a rest' }
+      return { again: 'the server asked to back off' }
     }
     if (!this.trySend()) {
       this.releasePlace(place)
--- a/src/gateway/peer_book.ts
+++ b/src/gateway/peer_table.ts
@@ -42,7 +42,7 @@
   readonly state: messages.ZoneState
 }
 
-export class PeerBook {
+export class PeerTable {
   private readonly peers = new Map<string, Peer>()
   private readonly zones = new Map<string, Zone>()
   private readonly plan: exchangePlans.ExchangePlan
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -8,7 +8,7 @@
 import * as http from 'node:http'
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
-import * as books from './peer_book.js'
+import * as peerTables from './peer_table.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
@@ -32,7 +32,7 @@
   private stopTick: host.Stop | undefined
 
   constructor (
-    private readonly book: books.PeerBook,
+    private readonly table: peerTables.PeerTable,
     private readonly zone: string,
     private readonly mirror: mirrors.StoreMirror,
     private readonly system: host.System
@@ -40,7 +40,7 @@
     this.rpc.addMethod('peer.exchange', message => {
       const news = messages.PeerNews.parse(message)
       this.take(news)
-      return this.book.tell(news.own.node)
+      return this.table.tell(news.own.node)
     })
     this.rpc.addMethod('mirror.read', () => this.mirror.takeSnapshot())
     this.server = http.createServer((request, response) => {
@@ -74,33 +74,33 @@
   }
 
   private tick (): void {
-    for (const peer of this.book.listDue()) {
+    for (const peer of this.table.listDue()) {
       this.exchange(peer)
     }
-    const tickMs = Math.max(shortestTickMs, this.book.periodMs / ticksPerPeriod)
+    const tickMs = Math.max(shortestTickMs, this.table.periodMs / ticksPerPeriod)
     this.stopTick = this.system.clock.after(tickMs, () => this.tick())
   }
 
-  private exchange (peer: books.Peer): void {
+  private exchange (peer: peerTables.Peer): void {
     peer.isCalling = true
     peer.exchangedMs = this.system.clock.monotonicMs()
     const isNear = peer.zone === this.zone
-    this.call(peer.address, 'peer.exchange', this.book.tell(peer.node), exchangeTimeoutMs, isNear).then(answer => {
+    this.call(peer.address, 'peer.exchange', this.table.tell(peer.node), exchangeTimeoutMs, isNear).then(answer => {
       this.take(messages.PeerNews.parse(answer))
-    }).catch((error: unknown) => this.book.noteSilence(peer, error)).finally(() => {
+    }).catch((error: unknown) => this.table.noteSilence(peer, error)).finally(() => {
       peer.isCalling = false
     })
   }
 
   private take (news: messages.PeerNews): void {
-    const sender = this.book.take(news)
+    const sender = this.table.take(news)
     if (sender !== undefined) {
       this.catchUp(news.own, sender)
     }
   }
 
   /** Takes a newer copy of the store where the store itself has been silent. */
-  private catchUp (state: messages.PeerState, peer: books.Peer): void {
+  private catchUp (state: messages.PeerState, peer: peerTables.Peer): void {
     if (!this.mirror.isLeftBehind(state.revision) || peer.isCopying) {
       return
     }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -83,7 +83,7 @@
   /** The server is about to leave. */
   readonly isLeaving: boolean
   /** How long the server wants nothing more from this gateway, in milliseconds. */
-  readonly restMs: number | undefined
+  readonly backOffMs: number | undefined
 }
 
 /** A prompt that a server has read. */
--- a/tests/gateway/peer_book.test.ts
+++ b/tests/gateway/peer_table.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
 import * as allowances from '../../src/gateway/allowance_share.js'
-import * as books from '../../src/gateway/peer_book.js'
+import * as peerTables from '../../src/gateway/peer_table.js'
 import * as fleets from '../../src/gateway/engine_fleet.js'
 import * as healths from '../../src/gateway/server_health.js'
 import * as host from '../../src/host/types.js'
@@ -18,11 +18,11 @@
 const tolerance = { windowMs: 8_000, overPart: 0.1, slack: 190_000 }
 
 /** One gateway: what it knows of the others, of engines and of allowances. */
-class Node extends books.PeerParty {
+class Node extends peerTables.PeerParty {
   readonly clock = new manualClocks.ManualClock()
   readonly fleet: fleets.EngineFleet
   readonly allowance = new allowances.AllowanceShare(tolerance)
-  readonly book: books.PeerBook
+  readonly table: peerTables.PeerTable
   override readonly revision = 1
   isDead = false
 
@@ -30,7 +30,7 @@
     super()
     this.clock.pause(nowMs)
     this.fleet = new fleets.EngineFleet(zone, new healths.ServerHealth(), new seededRandom.SeededRandom(1))
-    this.book = new books.PeerBook(this, this.clock as host.Clock, new nodeSystems.SilentLog())
+    this.table = new peerTables.PeerTable(this, this.clock as host.Clock, new nodeSystems.SilentLog())
     this.allowance.setWorkspaces([workspace], nowMs)
   }
 
@@ -103,7 +103,7 @@
           continue
         }
         act(node)
-        for (const peer of node.book.listDue()) {
+        for (const peer of node.table.listDue()) {
           this.exchange(node, peer)
         }
       }
@@ -141,7 +141,7 @@
   check (): void {
     const living = this.nodes.filter(node => !node.isDead && !this.frozen.has(node))
     for (const node of living) {
-      assert.equal(node.book.listHeard(node.book.silenceMs).filter(name => living.some(other => other.node === name)).length, living.length - 1, `${node.node} at ${this.nowMs}`)
+      assert.equal(node.table.listHeard(node.table.silenceMs).filter(name => living.some(other => other.node === name)).length, living.length - 1, `${node.node} at ${this.nowMs}`)
       assert.equal(node.fleet.getLoad('engine', node.clock.monotonicMs()).runs, living.length, `${node.node} at ${this.nowMs}`)
     }
   }
@@ -155,12 +155,12 @@
   private listMembers (): void {
     for (const node of this.nodes) {
       const others = this.nodes.filter(other => other.node !== node.node)
-      node.book.setMembers(new Map(others.map(other => [other.node, { address: other.node, zone: other.zone }])))
-      node.allowance.setPeers(others.map(other => other.node), node.book.silenceMs)
+      node.table.setMembers(new Map(others.map(other => [other.node, { address: other.node, zone: other.zone }])))
+      node.allowance.setPeers(others.map(other => other.node), node.table.silenceMs)
     }
   }
 
-  private exchange (from: Node, peer: books.Peer): void {
+  private exchange (from: Node, peer: peerTables.Peer): void {
     const to = this.nodes.find(node => node.node === peer.node) as Node
     peer.exchangedMs = from.clock.monotonicMs()
     this.exchanges += 1
@@ -169,8 +169,8 @@
     if (to.isDead || this.frozen.has(to) || isCut) {
       return
     }
-    to.book.take(from.book.tell(to.node))
-    from.book.take(to.book.tell(from.node))
+    to.table.take(from.table.tell(to.node))
+    from.table.take(to.table.tell(from.node))
   }
 }
 
@@ -184,7 +184,7 @@
       fleet.check()
     }
     // Three pairs of relays; each of 300 pairs without them.
-    const pairs = fleet.betweenZones / 5 / (1_000 / (fleet.nodes[0]?.book.periodMs ?? 0))
+    const pairs = fleet.betweenZones / 5 / (1_000 / (fleet.nodes[0]?.table.periodMs ?? 0))
     assert.ok(pairs < 10, `${pairs} pairs exchange between zones`)
   })
 
@@ -194,7 +194,7 @@
     for (const fleet of [small, large]) {
       fleet.play(3_000)
     }
-    const [few, many] = [small, large].map(fleet => messages.encode((fleet.nodes[0] as Node).book.tell('g01'), false).body.length) as [number, number]
+    const [few, many] = [small, large].map(fleet => messages.encode((fleet.nodes[0] as Node).table.tell('g01'), false).body.length) as [number, number]
     // What grows is the list of gateways that the sum stands for.
     assert.ok(many < few + 20 * 16, `${few} and ${many} bytes`)
   })
@@ -205,11 +205,11 @@
       fleet.play(3_000)
       const relay = fleet.nodes[0] as Node
       relay.isDead = true
-      const silenceMs = relay.book.silenceMs
+      const silenceMs = relay.table.silenceMs
       for (let round = 0; round < 20; round += 1) {
         fleet.play(100)
         for (const node of fleet.nodes.filter(other => !other.isDead)) {
-          const heard = node.book.listHeard(silenceMs).filter(name => name !== relay.node)
+          const heard = node.table.listHeard(silenceMs).filter(name => name !== relay.node)
           assert.equal(heard.length, fleet.nodes.length - 2, `${node.node} at ${fleet.nowMs}`)
         }
       }
@@ -255,37 +255,37 @@
 
   function create (): Node {
     const node = new Node('a0', 'a', 'first', 10_000)
-    node.book.setMembers(new Map([['b0', { address: 'b0', zone: 'b' }], ['b1', { address: 'b1', zone: 'b' }]]))
+    node.table.setMembers(new Map([['b0', { address: 'b0', zone: 'b' }], ['b1', { address: 'b1', zone: 'b' }]]))
     return node
   }
 
   test.it('counts it once while the sum stands', () => {
     const node = create()
-    node.book.take({ own: relay, zones: [{ ageMs: 0, state: sum }] })
-    node.book.take({ own: direct, zones: [] })
+    node.table.take({ own: relay, zones: [{ ageMs: 0, state: sum }] })
+    node.table.take({ own: direct, zones: [] })
     assert.equal(node.fleet.getLoad('engine', 10_000).runs, 2)
   })
 
   test.it('counts it alone when the sum has become old, and the sum alone when that is back', () => {
     const node = create()
-    node.book.take({ own: relay, zones: [{ ageMs: 0, state: sum }] })
+    node.table.take({ own: relay, zones: [{ ageMs: 0, state: sum }] })
     node.clock.pause(1_500)
-    node.book.take({ own: direct, zones: [] })
+    node.table.take({ own: direct, zones: [] })
     assert.equal(node.fleet.getLoad('engine', 11_500).runs, 1)
-    node.book.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, sequence: 2 } }] })
+    node.table.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, sequence: 2 } }] })
     assert.equal(node.fleet.getLoad('engine', 11_500).runs, 2)
   })
 
   test.it('charges what one by one was charged not again with the sum that comes back', () => {
     const node = create()
     const flooded = { ...work, admitted: { grants: 200_000 } }
-    node.book.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, work: { ...work, admitted: { grants: 0 } } } }] })
+    node.table.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, work: { ...work, admitted: { grants: 0 } } } }] })
     node.clock.pause(1_500)
-    node.book.take({ own: { ...direct, work: { ...work, admitted: { grants: 0 } } }, zones: [] })
-    node.book.take({ own: { ...direct, work: flooded }, zones: [] })
+    node.table.take({ own: { ...direct, work: { ...work, admitted: { grants: 0 } } }, zones: [] })
+    node.table.take({ own: { ...direct, work: flooded }, zones: [] })
     const before = node.allowance.charge(workspace, 4_400, 11_500)
     assert.equal(before.kind, 'refused')
-    node.book.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, sequence: 2, work: flooded } }] })
+    node.table.take({ own: relay, zones: [{ ageMs: 0, state: { ...sum, sequence: 2, work: flooded } }] })
     const after = node.allowance.charge(workspace, 4_400, 11_500)
     assert.deepEqual(after, before)
   })
