--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -27,6 +27,8 @@
 const roomRetryMs = 3_000
 /** Memory that is booked for a run's output, in parts of the expected length: in a burst the peaks of runs meet. */
 const bookedOutputPart = 0.9
+/** Memory that is asked for with a reservation, in the same parts: the engine must have it at once, and the run needs it by and by. */
+const reservedOutputPart = 0.5
 /** Part of the stated bound that is expected where the caller gives no estimate. */
 const expectedOutputPart = 0.5
 
@@ -61,8 +63,14 @@
     return Math.min(maximumOutputTokens, hintedOutputTokens ?? maximumOutputTokens * expectedOutputPart)
   }
 
-  private get neededTokens (): number {
-    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * bookedOutputPart) / prompts.blockTokens + 1) * prompts.blockTokens
+  /** Memory that the run is let in by. */
+  private get bookedTokens (): number {
+    return this.countTokens(bookedOutputPart)
+  }
+
+  /** Memory that is reserved at the engine. */
+  private get reservedTokens (): number {
+    return this.countTokens(reservedOutputPart)
   }
 
   /** When the first event must come to be in time. */
@@ -228,7 +236,7 @@
     const hasServers = directory.listReady(this.request.service.name).length > 0
     this.log('no room', {
       service: this.request.service.name,
-      neededTokens: this.neededTokens,
+      neededTokens: this.bookedTokens,
       refusals: refused,
       waiting: this.context.rooms.length,
       waitedMs: Math.round(this.now() - this.request.arrivedMs)
@@ -279,9 +287,9 @@
       return undefined
     }
     const servers = directory.listReady(this.request.service.name)
-    const [best] = fleet.rankDecode(servers, profile, this.neededTokens, this.now())
+    const [best] = fleet.rankDecode(servers, profile, this.bookedTokens, this.now())
     if (best !== undefined) {
-      fleet.bookDecode(this.request.serial, best.id, this.neededTokens)
+      fleet.bookDecode(this.request.serial, best.id, this.bookedTokens)
     }
     return best
   }
@@ -295,7 +303,7 @@
   private async takeHold (server: routing.RoutedServer): Promise<{ readonly kind: 'taken', readonly hold: string } | { readonly kind: 'refused' }> {
     const { dialect, health, pool } = this.context
     const ttlMs = Math.min(this.request.service.engine?.maximumHoldMs ?? holdMarginMs, this.estimateReadingMs() * 2 + holdMarginMs)
-    const outcome = await pool.call(server, dialect.writeHold(server, this.neededTokens, ttlMs), holdAnswerMs)
+    const outcome = await pool.call(server, dialect.writeHold(server, this.reservedTokens, ttlMs), holdAnswerMs)
     if (outcome.kind !== 'answered') {
       const isPaused = health.note(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
       this.log('room refused', { server: server.id, reason: outcome.reason, leftOut: isPaused })
@@ -307,7 +315,7 @@
     }
     this.context.fleet.noteRefusal(server.id, prompts.fullMs, this.now())
     this.context.meter.count('gateway_room_refused_total', {})
-    this.log('room refused', { server: server.id, status: outcome.status, neededTokens: this.neededTokens })
+    this.log('room refused', { server: server.id, status: outcome.status, neededTokens: this.reservedTokens })
     return { kind: 'refused' }
   }
 
@@ -349,6 +357,11 @@
     })
   }
 
+  /** Returns the memory of the prompt and a part of the expected output, in whole blocks. */
+  private countTokens (outputPart: number): number {
+    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * outputPart) / prompts.blockTokens + 1) * prompts.blockTokens
+  }
+
   private releasePlace (place: Place | undefined): void {
     this.context.fleet.releaseDecode(this.request.serial)
     if (place?.hold !== undefined) {
