--- a/src/gateway/allowance_share.ts
+++ b/src/gateway/allowance_share.ts
@@ -21,13 +21,6 @@
 /** Debt that small requests may leave, in parts of the burst: they are not shut out by the large ones of their workspace. */
 const smallDebtPart = 0.5
 
-interface Bucket {
-  workspace: routing.RoutedWorkspace
-  level: number
-  updatedMs: number
-  admitted: number
-}
-
 /** Weight of the newest growth of a zone's totals in the smoothed rate. */
 const newestRateWeight = 0.3
 /** Longest time without the sum of a zone for which its gateways are taken to go on as before, in milliseconds: by then they are heard one by one. */
@@ -35,6 +28,13 @@
 /** Time without the sum of a zone from which on that is assumed, in parts of the time after which a gateway counts as silent. */
 const assumingPart = 1 / 3
 
+interface Bucket {
+  workspace: routing.RoutedWorkspace
+  level: number
+  updatedMs: number
+  admitted: number
+}
+
 /** What a gateway, or the gateways of a zone together, have said to have admitted. */
 interface Source {
   readonly boot: string
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -107,11 +107,6 @@
     return list.filter(server => this.isOpen(server, nowMs))
   }
 
-  /** Tells whether a server that the store lists as ready may get new work, as far as its own answers go. */
-  private isOpen (server: routing.RoutedServer, nowMs: number): boolean {
-    return (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isBackingOff(server.id, nowMs) && !this.isLeaving(server, nowMs)
-  }
-
   /** Tells whether a server has asked to be left alone for now. */
   isBackingOff (id: string, nowMs: number): boolean {
     return (this.backOffs.get(id) ?? 0) > nowMs
@@ -194,6 +189,11 @@
     return listed
   }
 
+  /** Tells whether a server that the store lists as ready may get new work, as far as its own answers go. */
+  private isOpen (server: routing.RoutedServer, nowMs: number): boolean {
+    return (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isBackingOff(server.id, nowMs) && !this.isLeaving(server, nowMs)
+  }
+
   private isLeaving (server: routing.RoutedServer, nowMs: number): boolean {
     const leaving = this.leaving.get(server.id)
     return leaving !== undefined && leaving.bornMs === server.bornMs && leaving.untilMs > nowMs
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -70,6 +70,9 @@
   readonly aheadTokens: number
 }
 
+const noBooking: EngineBooking = { runs: 0, tokens: 0, unread: 0 }
+const noLoad: splits.OfferedLoad = { prefill: 0, decode: 0 }
+
 interface Peer {
   readonly heardMs: number
   readonly bookings: ReadonlyMap<string, EngineBooking>
@@ -177,13 +180,12 @@
 
   /** Load that all gateways' callers offer to a service. */
   getOffered (service: string, nowMs: number): splits.OfferedLoad {
-    let { prefill, decode } = this.meters.get(service)?.read(nowMs) ?? { prefill: 0, decode: 0 }
+    let sum = this.meters.get(service)?.read(nowMs) ?? noLoad
     for (const peer of this.peers.values()) {
       const offered = nowMs - peer.heardMs > peerLifeMs ? undefined : peer.offered[service]
-      prefill += offered?.prefill ?? 0
-      decode += offered?.decode ?? 0
+      sum = offered === undefined ? sum : addLoads(sum, offered)
     }
-    return { prefill, decode }
+    return sum
   }
 
   /** Sets the servers that change their stage by order of this gateway. */
@@ -223,13 +225,11 @@
       if (peer === undefined || nowMs - peer.heardMs > peerLifeMs) {
         continue
       }
-      for (const [server, { runs, tokens, unread }] of peer.bookings) {
-        const sum = bookings[server] ?? { runs: 0, tokens: 0, unread: 0 }
-        bookings[server] = { runs: sum.runs + runs, tokens: sum.tokens + tokens, unread: sum.unread + unread }
+      for (const [server, booking] of peer.bookings) {
+        bookings[server] = addBookings(bookings[server] ?? noBooking, booking)
       }
-      for (const [service, { prefill, decode }] of Object.entries(peer.offered)) {
-        const sum = offered[service] ?? { prefill: 0, decode: 0 }
-        offered[service] = { prefill: sum.prefill + prefill, decode: sum.decode + decode }
+      for (const [service, load] of Object.entries(peer.offered)) {
+        offered[service] = addLoads(offered[service] ?? noLoad, load)
       }
       for (const server of peer.switching) {
         switching.add(server)
@@ -299,16 +299,12 @@
 
   /** Sum of all gateways' bookings at a server. */
   getLoad (server: string, nowMs: number): EngineBooking {
-    let { runs, tokens, unread } = this.own.get(server) ?? { runs: 0, tokens: 0, unread: 0 }
+    let sum = this.own.get(server) ?? noBooking
     for (const peer of this.peers.values()) {
       const booking = nowMs - peer.heardMs > peerLifeMs ? undefined : peer.bookings.get(server)
-      if (booking !== undefined) {
-        runs += booking.runs
-        tokens += booking.tokens
-        unread += booking.unread
-      }
+      sum = booking === undefined ? sum : addBookings(sum, booking)
     }
-    return { runs, tokens, unread }
+    return sum
   }
 
   private getSpread (): number {
@@ -337,7 +333,14 @@
   }
 
   private add (server: string, runs: number, tokens: number, unread: number): void {
-    const before = this.own.get(server) ?? { runs: 0, tokens: 0, unread: 0 }
-    this.own.set(server, { runs: before.runs + runs, tokens: before.tokens + tokens, unread: before.unread + unread })
+    this.own.set(server, addBookings(this.own.get(server) ?? noBooking, { runs, tokens, unread }))
   }
 }
+
+function addBookings (a: EngineBooking, b: EngineBooking): EngineBooking {
+  return { runs: a.runs + b.runs, tokens: a.tokens + b.tokens, unread: a.unread + b.unread }
+}
+
+function addLoads (a: splits.OfferedLoad, b: splits.OfferedLoad): splits.OfferedLoad {
+  return { prefill: a.prefill + b.prefill, decode: a.decode + b.decode }
+}
