Follow a store that comes back from a copy

Cause: the copy of the store, the copies between gateways, leases, conditions and fencing numbers were ordered by revision alone. After a restoration revisions go back and are given out again, so all later changes were passed over until the count had passed the old one. Change: the client joins the generation of the store's history and the revision to one position that only grows; everything behind it is ordered by positions. Entries of servers are ordered within a life by their own count of writes, so a server that was known to leave, or to be gone, gets no work by an older entry.

--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -106,6 +106,8 @@
   state: z.enum(['ready', 'draining']),
   stage: EngineStage.optional(),
   /** Start of this life of the server, in milliseconds since the Unix epoch. */
-  bornMs: z.number().optional()
+  bornMs: z.number().optional(),
+  /** Counts what the server has written of itself in this life: of two entries the one with more is the newer. */
+  writes: z.number().optional()
 })
 export type RoutedServer = z.infer<typeof RoutedServer>
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -19,6 +19,12 @@
   readonly untilMs: number
 }
 
+/** The last entry of a server that left the list while the store was sound. */
+interface Departure {
+  readonly server: routing.RoutedServer
+  readonly untilMs: number
+}
+
 interface Lapse {
   readonly server: routing.RoutedServer
   readonly untilMs: number
@@ -27,6 +33,7 @@
 export class Directory extends mirrors.MirrorObserver {
   private readonly servers = new Map<string, routing.RoutedServer>()
   private readonly lapses = new Map<string, Lapse>()
+  private readonly departures = new Map<string, Departure>()
   private readonly misdirected = new Map<string, number>()
   private readonly leaving = new Map<string, Leaving>()
   /** Until when a server is left alone, in milliseconds. */
@@ -53,8 +60,13 @@
       return
     }
     this.unreadable.delete(id)
-    this.lapses.delete(id)
     const server = read.unsafeCoerce()
+    if (this.isOutdated(server)) {
+      this.system.log.info('older entry of a server passed over', { server: id, state: server.state, writes: server.writes, revision: item.revision })
+      return
+    }
+    this.lapses.delete(id)
+    this.departures.delete(id)
     const before = this.servers.get(id)
     this.servers.set(id, server)
     this.byService.clear()
@@ -82,6 +94,7 @@
       this.lapses.set(id, { server, untilMs: returnsUntilMs })
       return
     }
+    this.noteDeparture(server)
     this.departed(server)
   }
 
@@ -205,6 +218,26 @@
     return listed !== undefined && listed.bornMs !== server.bornMs
   }
 
+  /** Tells whether an entry is older than what is known of the same life of the server: a restored store holds such ones. */
+  private isOutdated (server: routing.RoutedServer): boolean {
+    const departure = this.departures.get(server.id)
+    const known = this.servers.get(server.id) ?? this.lapses.get(server.id)?.server ?? departure?.server
+    if (known?.writes === undefined || server.writes === undefined || server.bornMs === undefined || known.bornMs !== server.bornMs) {
+      return false
+    }
+    return server.writes < known.writes || (known === departure?.server && server.writes === known.writes)
+  }
+
+  private noteDeparture (server: routing.RoutedServer): void {
+    const nowMs = this.system.clock.monotonicMs()
+    for (const [id, { untilMs }] of this.departures) {
+      if (untilMs <= nowMs) {
+        this.departures.delete(id)
+      }
+    }
+    this.departures.set(server.id, { server, untilMs: nowMs + leavingMemoryMs })
+  }
+
   private dropLapses (): void {
     if (this.lapses.size === 0) {
       return
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -80,6 +80,10 @@
 
   override removed (key: string): void {
     const node = key.slice(prefix.length)
+    if (key === prefix + this.options.node) {
+      this.lease.recheck()
+      return
+    }
     if (key.startsWith(prefix) && this.members.has(node) && !this.lapsed.has(node)) {
       this.awaitSilence(node)
     }
--- a/src/gateway/mirror.ts
+++ b/src/gateway/mirror.ts
@@ -4,6 +4,7 @@
  */
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
+import * as positions from '../contracts/store_position.js'
 
 /** Pause before the store is asked again after a failure, in milliseconds; grows with each failure in a row. */
 const firstPauseMs = 60
@@ -159,6 +160,9 @@
       }
       const page = read.unsafeCoerce()
       revision ??= page.revision
+      if (positions.getGeneration(page.revision) !== positions.getGeneration(revision)) {
+        return failures.fail(failures.createFailure('not_run', 'store_conflict', ['the store was restored between two pages']))
+      }
       for (const entry of page.entries) {
         items.push({ key: entry.key, value: entry.value, revision: entry.modRevision })
       }
@@ -201,7 +205,8 @@
     }
   }
 
-  private replace (snapshot: MirrorSnapshot, mayReturn: boolean): void {
+  private replace (snapshot: MirrorSnapshot, mayLapse: boolean): void {
+    const mayReturn = this.noteRestoration(snapshot) || mayLapse
     const found = new Set<string>()
     for (const item of snapshot.items) {
       found.add(item.key)
@@ -219,6 +224,23 @@
     this.observer.updated()
   }
 
+  /** Tells whether the store has been restored since the copy was made: what is missing then may be written again. */
+  private noteRestoration (snapshot: MirrorSnapshot): boolean {
+    const generation = positions.getGeneration(snapshot.revision)
+    if (!this.isLoaded || generation <= positions.getGeneration(this.knownRevision)) {
+      return false
+    }
+    this.outageEndedMs = this.system.clock.monotonicMs()
+    this.system.log.warn('store restored from a copy', {
+      generation,
+      revision: positions.getRevision(snapshot.revision),
+      before: positions.getRevision(this.knownRevision),
+      items: snapshot.items.length,
+      itemsBefore: this.items.size
+    })
+    return true
+  }
+
   private advance (revision: number): void {
     if (revision > this.knownRevision) {
       this.knownRevision = revision
--- a/src/gateway/order_duty.ts
+++ b/src/gateway/order_duty.ts
@@ -6,6 +6,7 @@
 import * as host from '../host/types.js'
 import * as leases from './store_lease.js'
 import * as mirrors from './mirror.js'
+import * as positions from '../contracts/store_position.js'
 import * as routing from '../contracts/routing.js'
 import * as splits from './stage_split.js'
 
@@ -85,23 +86,23 @@
   override removed (removedKey: string): void {
     if (removedKey === key) {
       this.isTaken = false
-      this.lease.hurry()
+      this.lease.recheck()
     }
   }
 
   override updated (): void {
     if (!this.isLoaded) {
       this.isLoaded = true
-      this.lease.hurry()
+      this.lease.recheck()
     }
   }
 
   private gain (revision: number): void {
     const { system, settings } = this.context
-    this.fence = revision
+    this.fence = positions.createFence(revision)
     // The holder before may have ordered until its lease ended.
     this.mayOrderFromMs = system.clock.monotonicMs() + settings.timing.orderLeaseMs
-    system.log.info('order duty taken over', { fence: revision, pauseMs: settings.timing.orderLeaseMs })
+    system.log.info('order duty taken over', { fence: this.fence, pauseMs: settings.timing.orderLeaseMs })
   }
 
   private drop (reason: string): void {
--- a/src/gateway/store_lease.ts
+++ b/src/gateway/store_lease.ts
@@ -6,6 +6,8 @@
 
 /** Renewals within the life of a lease; two may be lost. */
 const renewalsPerLease = 3
+/** Within this time a key that was lost is tried for again, in milliseconds: many processes may lose theirs at once. */
+const reentryMs = 300
 /** Time by which the right counts as lost before the store would end it, in milliseconds. */
 const safetyMs = 300
 
@@ -85,9 +87,9 @@
     }
   }
 
-  /** Tries for the key now, for it was seen to be free. */
-  hurry (): void {
-    if (this.revision === undefined && !this.isStopped && !this.isStepping) {
+  /** Tries for the key, or for the next renewal, now: the key was seen to be gone. */
+  recheck (): void {
+    if (!this.isStopped && !this.isStepping) {
       this.stopTimer?.()
       this.start()
     }
@@ -95,6 +97,7 @@
 
   private async step (): Promise<void> {
     const isIdle = this.revision === undefined && !this.leased.mayTry()
+    const wasHeld = this.revision !== undefined
     const failure = isIdle ? undefined : this.revision === undefined ? await this.acquire() : await this.renew()
     if (this.isStopped) {
       return
@@ -102,8 +105,10 @@
     if (failure !== undefined && this.revision !== undefined && !this.isHeld) {
       this.lose(failure)
     }
-    const periodMs = this.leased.ttlMs / renewalsPerLease
-    this.stopTimer = this.system.clock.after(periodMs * (0.8 + this.system.random.nextUnit() * 0.2), () => this.start())
+    const isLost = wasHeld && this.revision === undefined
+    const unit = this.system.random.nextUnit()
+    const waitMs = isLost ? reentryMs * unit : this.leased.ttlMs / renewalsPerLease * (0.8 + unit * 0.2)
+    this.stopTimer = this.system.clock.after(waitMs, () => this.start())
   }
 
   private async acquire (): Promise<string | undefined> {
--- a/standins/store_core.ts
+++ b/standins/store_core.ts
@@ -53,6 +53,17 @@
   /** Events of the last `historyLength` commits are kept for watches that start at an earlier revision. */
   constructor (private readonly clock: host.Clock, private readonly historyLength = standardHistoryLength) {}
 
+  /** Returns a store that holds a copy's rows, without their leases, and goes on from its revision. */
+  static restore (clock: host.Clock, copy: { readonly rows: readonly host.StoreEntry[], readonly revision: number }): StoreCore {
+    const core = new StoreCore(clock)
+    core.currentRevision = copy.revision
+    core.lastForgotten = copy.revision
+    for (const { key, value, createRevision, modRevision } of copy.rows) {
+      core.rows.set(key, { key, value, createRevision, modRevision, version: 1, lease: undefined })
+    }
+    return core
+  }
+
   get revision (): number {
     return this.currentRevision
   }
