Choose plain servers by the chance that an answer is lost

Hypothesis: under lost answers calls that may run once go to servers that lose them, because the failure rate counts squared beside the load and the zone; a linear weight of its excess over the best server keeps them where they are answered, and repeatable calls make room. Ruled out: leaving servers out altogether, which happens from the second silent send on already. Change: weight 20 (7 for calls that may be repeated) times the excess of the failure rate over the least; the rate decays with time and is the larger of the own and the shared sum. An error of a repeatable call counts against a server only if another server then answered.

--- a/src/gateway/plain_choice.ts
+++ b/src/gateway/plain_choice.ts
@@ -1,12 +1,20 @@
 /**
  * Chooses the server of a plain service for a call.
+ *
+ * Pattern: some servers lose answers while the sound ones can just carry the calls that may run only once. Those go to the sound
+ * ones until these are crowded; calls that may be repeated make room for them.
  */
 import * as healths from './server_health.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
 
-/** How much the failure rate of a server weighs beside its load. */
-const failureWeight = 6
+/**
+ * What a server's failures weigh beside its load, where 1 is the load that fills its slots: a call that may run only once is lost
+ * with its answer, one that may be repeated is late. The rates are compared with that of the best server, for some requests
+ * fail wherever they run.
+ */
+const lossWeight = 20
+const delayWeight = 7
 /** Added to the load of a server in another zone: worth more than half of its slots. */
 const otherZonePenalty = 0.6
 /** Age after which a reported load says nothing, in milliseconds. */
@@ -42,17 +50,19 @@
     this.loads.delete(server)
   }
 
-  /** Returns the best server that is not excluded; paused ones only where there is no other. */
+  /** Returns the best server that is not excluded; paused ones only where there is no other. `unit` breaks ties, from 0 to 1. */
   choose (
-    servers: readonly routing.RoutedServer[], excluded: ReadonlySet<string>, nowMs: number, unit: number
+    servers: readonly routing.RoutedServer[], excluded: ReadonlySet<string>, isRepeatable: boolean, nowMs: number, unit: number
   ): routing.RoutedServer | undefined {
+    const candidates = servers.filter(({ id }) => !excluded.has(id))
+    const rates = candidates.map(({ id }) => this.health.getFailureRate(id, nowMs))
+    const leastRate = Math.min(...rates)
+    const weight = isRepeatable ? delayWeight : lossWeight
     let best: routing.RoutedServer | undefined
     let bestScore = Infinity
-    for (const server of servers) {
-      if (excluded.has(server.id)) {
-        continue
-      }
-      const score = this.score(server, nowMs) + unit * 1e-3 * (server.id < (best?.id ?? '') ? 1 : -1)
+    for (const [index, server] of candidates.entries()) {
+      const failing = weight * ((rates[index] ?? 0) - leastRate)
+      const score = this.score(server, nowMs) + failing + unit * 1e-3 * (server.id < (best?.id ?? '') ? 1 : -1)
       if (score < bestScore) {
         best = server
         bestScore = score
@@ -70,8 +80,7 @@
     const answerMs = this.health.getAnswerMs(server.id) ?? 0
     const pause = this.health.isPaused(server.id, nowMs) ? 1_000 : 0
     const distance = server.zone === this.zone ? 0 : otherZonePenalty
-    return (busy + 0.5) / server.slots * (1 + answerMs / 100) +
-      failureWeight * this.health.getFailureRate(server.id, nowMs) ** 2 + distance + pause
+    return (busy + 0.5) / server.slots * (1 + answerMs / 100) + distance + pause
   }
 
   private getLoad (server: string): Load {
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -4,6 +4,7 @@
 import * as connectionPools from './connection_pool.js'
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
+import * as healths from './server_health.js'
 import * as routing from '../contracts/routing.js'
 import * as relays from './stream_relay.js'
 import * as types from './types.js'
@@ -25,11 +26,24 @@
   | { readonly kind: 'answered', readonly server: routing.RoutedServer, readonly answer: Answered }
   | { readonly kind: 'not_run' | 'may_have_run', readonly server: routing.RoutedServer, readonly reason: string, readonly isTimeout?: boolean }
 
+/** A send whose answer was an error, of which it isn't known yet whether the server or the request is at fault. */
+interface DoubtfulSend {
+  readonly server: string
+  readonly elapsedMs: number
+}
+
 export class PlainExchange extends exchanges.Exchange {
   private readonly tried = new Set<string>()
   private runs = 0
+  private doubtful: DoubtfulSend | undefined
 
   override async run (): Promise<exchanges.ExchangeEnd> {
+    const end = await this.runAtServers()
+    this.settleDoubt('error')
+    return end
+  }
+
+  private async runAtServers (): Promise<exchanges.ExchangeEnd> {
     const isRepeatable = this.request.route.kind === 'idempotent'
     let fallback: SendResult & { readonly kind: 'answered' } | undefined
     let last: SendResult | undefined
@@ -59,11 +73,12 @@
   private choose (): routing.RoutedServer | undefined {
     const { directory, plainChoice, system } = this.context
     const servers = directory.listReady(this.request.service.name)
-    return plainChoice.choose(servers, this.tried, this.now(), system.random.nextUnit())
+    const isRepeatable = this.request.route.kind === 'idempotent'
+    return plainChoice.choose(servers, this.tried, isRepeatable, this.now(), system.random.nextUnit())
   }
 
   private async send (server: routing.RoutedServer, isRepeatable: boolean): Promise<SendResult> {
-    const { dialect, health, plainChoice, pool, directory } = this.context
+    const { dialect, plainChoice, pool, directory } = this.context
     const sentMs = this.now()
     const leftMs = this.remainingMs() - returnMs
     const isLast = !isRepeatable || this.runs + 1 >= this.request.route.maximumServers
@@ -79,10 +94,7 @@
     plainChoice.finish(server.id, facts?.load, this.now())
     const result = judge(server, outcome, facts)
     if (!this.reply.isGone) {
-      const isPaused = health.note(server.id, rate(outcome, result), this.now(), elapsedMs)
-      if (isPaused) {
-        this.context.system.log.warn('server left out', { server: server.id, reason: outcome.kind === 'answered' ? 'answers' : outcome.reason })
-      }
+      this.noteHealth(server.id, outcome, result, elapsedMs)
     }
     if (outcome.kind === 'answered' && outcome.status === relays.misdirected) {
       directory.noteMisdirected(server.id)
@@ -101,6 +113,29 @@
     return result
   }
 
+  private noteHealth (server: string, outcome: connectionPools.CallOutcome, result: SendResult, elapsedMs: number): void {
+    let ended = rate(outcome, result)
+    if (ended === 'error' && result.kind === 'answered') {
+      if (this.doubtful === undefined) {
+        this.doubtful = { server, elapsedMs }
+        return
+      }
+      // Two servers that fail alike say that the request is at fault.
+      ended = 'good'
+      this.settleDoubt(ended)
+    }
+    if (this.context.health.note(server, ended, this.now(), elapsedMs)) {
+      this.context.system.log.warn('server left out', { server, reason: outcome.kind === 'answered' ? 'answers' : outcome.reason })
+    }
+  }
+
+  private settleDoubt (outcome: healths.SendOutcome): void {
+    if (this.doubtful !== undefined) {
+      this.context.health.note(this.doubtful.server, outcome, this.now(), this.doubtful.elapsedMs)
+      this.doubtful = undefined
+    }
+  }
+
   private give (result: SendResult & { readonly kind: 'answered' }): exchanges.ExchangeEnd {
     this.reply.answer(result.answer.status, result.answer.rawHeaders, result.answer.body)
     return { outcome: result.answer.status < 500 ? 'answered' : 'failed', status: result.answer.status, server: result.server.id }
@@ -142,7 +177,7 @@
   return { kind: 'answered', server, answer: outcome }
 }
 
-function rate (outcome: connectionPools.CallOutcome, result: SendResult): 'good' | 'error' | 'unreachable' | 'silent' {
+function rate (outcome: connectionPools.CallOutcome, result: SendResult): healths.SendOutcome {
   if (outcome.kind === 'unsent') {
     return 'unreachable'
   }
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -8,8 +8,6 @@
 /** How a send to a server ended, as far as the server's health goes. */
 export type SendOutcome = 'good' | 'error' | 'unreachable' | 'silent'
 
-/** Weight of the newest outcome in the failure rate: about ten sends are remembered. */
-const newestWeight = 0.1
 /** Weight of the newest time in the smoothed time. */
 const newestTimeWeight = 0.15
 /** First time that a server without an answer is left out, in milliseconds; doubled with each further one. */
@@ -29,7 +27,6 @@
 export type Outcomes = [sends: number, failures: number]
 
 interface ServerRecord {
-  failureRate: number
   answerMs: number | undefined
   pausedUntilMs: number
   misses: number
@@ -49,7 +46,6 @@
   /** Notes the outcome of a send; `elapsedMs` is the time to the answer. Returns true if the server is newly left out. */
   note (server: string, outcome: SendOutcome, nowMs: number, elapsedMs?: number): boolean {
     const record = this.getRecord(server)
-    record.failureRate += ((outcome === 'good' ? 0 : 1) - record.failureRate) * newestWeight
     const [sends, failures] = readOutcomes(record, nowMs)
     record.outcomes[0] = sends + 1
     record.outcomes[1] = failures + (outcome === 'good' ? 0 : 1)
@@ -78,16 +74,17 @@
     return (this.servers.get(server)?.pausedUntilMs ?? 0) > nowMs
   }
 
-  /** Share of recent sends that failed, from 0 to 1: of the own last ones or of all gateways', whichever is worse. */
+  /** Share of recent sends that failed, from 0 to 1: of the own ones or of all gateways', whichever is worse. */
   getFailureRate (server: string, nowMs: number): number {
     const record = this.servers.get(server)
     let [sends, failures] = record === undefined ? [0, 0] : readOutcomes(record, nowMs)
+    const own = failures / (sends + assumedSends)
     for (const { outcomes, heardMs } of this.heard.values()) {
       const told = nowMs - heardMs > heardLifeMs ? undefined : outcomes[server]
       sends += told?.[0] ?? 0
       failures += told?.[1] ?? 0
     }
-    return Math.max(record?.failureRate ?? 0, failures / (sends + assumedSends))
+    return Math.max(own, failures / (sends + assumedSends))
   }
 
   /** Takes in the outcomes of another gateway, or of all gateways of another zone. */
@@ -139,7 +136,7 @@
     if (found !== undefined) {
       return found
     }
-    const created = { failureRate: 0, answerMs: undefined, pausedUntilMs: 0, misses: 0, outcomes: [0, 0] as Outcomes, summedMs: 0 }
+    const created = { answerMs: undefined, pausedUntilMs: 0, misses: 0, outcomes: [0, 0] as Outcomes, summedMs: 0 }
     this.servers.set(server, created)
     return created
   }
