--- a/src/metrics/prometheus_meter.ts
+++ b/src/metrics/prometheus_meter.ts
@@ -38,10 +38,7 @@
   private readonly histograms = new Map<string, Map<string, Series>>()
   private readonly labelSets = new Map<string, Set<string>>()
 
-  constructor () {
-    super()
-    prometheus.collectDefaultMetrics({ register: this.registry })
-  }
+  private isWatchingProcess = false
 
   override count (name: catalog.CounterName, labels: types.Labels, by = 1): void {
     this.getCounter(name, labels).inc(this.bound(name, labels), by)
@@ -64,7 +61,12 @@
   }
 
   /** Returns everything as Prometheus text. */
+  /** The metrics of the process itself are collected from the first call on, for they take time at a start. */
   render (): Promise<string> {
+    if (!this.isWatchingProcess) {
+      this.isWatchingProcess = true
+      prometheus.collectDefaultMetrics({ register: this.registry })
+    }
     return this.registry.metrics()
   }
 
