A plain server that is full counts as sound

Found by the test of servers that ask to back off, which failed with the linear weight: a rejection counted as a failure, so a server that was full for a moment was avoided for seconds, and calls went to those that lose answers. A rejection counts only where the server's own load says that it isn't full.

--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -94,7 +94,7 @@
     plainChoice.finish(server.id, facts?.load, this.now())
     const result = judge(server, outcome, facts)
     if (!this.reply.isGone) {
-      this.noteHealth(server.id, outcome, result, elapsedMs)
+      this.noteHealth(server.id, rate(outcome, result, facts), result, elapsedMs)
     }
     if (outcome.kind === 'answered' && outcome.status === relays.misdirected) {
       directory.noteMisdirected(server.id)
@@ -113,8 +113,8 @@
     return result
   }
 
-  private noteHealth (server: string, outcome: connectionPools.CallOutcome, result: SendResult, elapsedMs: number): void {
-    let ended = rate(outcome, result)
+  private noteHealth (server: string, outcome: healths.SendOutcome, result: SendResult, elapsedMs: number): void {
+    let ended = outcome
     if (ended === 'error' && result.kind === 'answered') {
       if (this.doubtful === undefined) {
         this.doubtful = { server, elapsedMs }
@@ -125,7 +125,7 @@
       this.settleDoubt(ended)
     }
     if (this.context.health.note(server, ended, this.now(), elapsedMs)) {
-      this.context.system.log.warn('server left out', { server, reason: outcome.kind === 'answered' ? 'answers' : outcome.reason })
+      this.context.system.log.warn('server left out', { server, reason: result.kind === 'answered' ? 'answers' : result.reason })
     }
   }
 
@@ -177,12 +177,17 @@
   return { kind: 'answered', server, answer: outcome }
 }
 
-function rate (outcome: connectionPools.CallOutcome, result: SendResult): healths.SendOutcome {
+/** A server that is full and says so is sound: its load keeps further calls away. */
+function rate (outcome: connectionPools.CallOutcome, result: SendResult, facts: types.AnswerFacts | undefined): healths.SendOutcome {
   if (outcome.kind === 'unsent') {
     return 'unreachable'
   }
   if (outcome.kind !== 'answered') {
     return 'silent'
   }
+  if (facts?.isNotRun === true) {
+    const { load } = facts
+    return load === undefined || load.running + load.waiting >= load.slots ? 'good' : 'error'
+  }
   return result.kind === 'answered' && outcome.status < 500 ? 'good' : 'error'
 }
