Estimate outputs by a regression; let late callers wait behind those in time

Hypothesis: callers' estimates are right in the middle and far off one by one, so bookings by them run out at one engine and lie idle at another. Change: a regression between the logarithms, learned from answers that end, drawn to a first belief. Callers that come back. Hypothesis: who was sent away for want of room and comes back late should not be sent away once more. The time that is missing of the usual patience tells them.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,6 +9,7 @@
 import type * as healths from './server_health.js'
 import type * as host from '../host/types.js'
 import type * as metrics from '../metrics/types.js'
+import type * as outputs from './output_estimate.js'
 import type * as retries from './retry_share.js'
 import type * as rooms from './room_queue.js'
 import type * as settings from './settings.js'
@@ -25,6 +26,7 @@
   readonly directory: directories.Directory
   readonly plainChoice: choices.PlainChoice
   readonly fleet: fleets.EngineFleet
+  readonly outputs: outputs.OutputEstimate
   readonly rooms: rooms.RoomQueue
   readonly allowance: allowances.AllowanceShare
   readonly retries: retries.RetryShare
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,6 +19,8 @@
   readonly workspace: string | undefined
   readonly priority: number
   readonly arrivedMs: number
+  /** When the caller has probably asked first: goals count from there. */
+  readonly askedMs: number
   /** When the caller has left or the route's time is over. */
   readonly endsMs: number
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import * as messages from './peer_messages.js'
 import * as mirrors from './mirror.js'
 import * as peerExchanges from './peers.js'
+import * as outputs from './output_estimate.js'
 import * as retries from './retry_share.js'
 import * as rooms from './room_queue.js'
 import * as routing from '../contracts/routing.js'
@@ -90,6 +91,7 @@
       directory,
       plainChoice,
       fleet,
+      outputs: new outputs.OutputEstimate(),
       rooms: new rooms.RoomQueue(() => this.startPumping()),
       allowance: new allowances.AllowanceShare(options.allowance),
       retries: new retries.RetryShare(options.retries),
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -7,6 +7,7 @@
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
 import * as prompts from './prompt_reader.js'
+import type * as rooms from './room_queue.js'
 import * as relays from './stream_relay.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -23,6 +24,8 @@
 const holdMarginMs = 600
 /** Time from the end of the prefill to the first event, in milliseconds: transfer, the first step and the way back. */
 const firstEventMs = 60
+/** Part of the time until a caller gives up a stream without an event that a late one waits for room. */
+const lateWaitPart = 0.85
 /** When a caller may come back that found no room, in milliseconds: about the time in which a full server's runs end. */
 const roomRetryMs = 3_000
 /** Memory that is booked for a run's output, in parts of the expected length: in a burst the peaks of runs meet. */
@@ -50,6 +53,7 @@
 export class GenerationExchange extends exchanges.Exchange {
   private readonly cutter = new cutters.EventCutter()
   private readonly prompt = new prompts.PromptReader(this.context, this.request, this.reply)
+  private readonly expectedOutput = this.estimateOutput()
   private mayHaveRun = false
   private firstByteMs: number | undefined
   private bytes = 0
@@ -58,11 +62,6 @@
     return prompts.getSizes(this.request.arrival)
   }
 
-  private get expectedOutput (): number {
-    const { maximumOutputTokens, hintedOutputTokens } = this.sizes
-    return Math.min(maximumOutputTokens, hintedOutputTokens ?? maximumOutputTokens * expectedOutputPart)
-  }
-
   /** Memory that the run is let in by. */
   private get bookedTokens (): number {
     return this.countTokens(bookedOutputPart)
@@ -75,7 +74,7 @@
 
   /** When the first event must come to be in time. */
   private get goalAtMs (): number {
-    return this.request.arrivedMs + this.request.route.goalMs
+    return this.request.askedMs + this.request.route.goalMs
   }
 
   /** Time without an event after which a stream is given up. */
@@ -111,6 +110,13 @@
     return this.refuse(this.createNoServerFailure(prompts.noServerRetryMs), server)
   }
 
+  private estimateOutput (): number {
+    const { maximumOutputTokens, hintedOutputTokens } = this.sizes
+    return hintedOutputTokens === undefined
+      ? maximumOutputTokens * expectedOutputPart
+      : this.context.outputs.estimate(this.request.service.name, hintedOutputTokens, maximumOutputTokens)
+  }
+
   private noteOffered (): void {
     const { fleet } = this.context
     const { service } = this.request
@@ -168,6 +174,7 @@
       promptTokens: this.sizes.promptTokens,
       maximumOutputTokens: this.sizes.maximumOutputTokens,
       hintedOutputTokens: this.sizes.hintedOutputTokens,
+      resumedAfter: this.request.arrival.resumeAfter,
       bytes: this.bytes,
       firstEventMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs - this.request.arrivedMs),
       elapsedMs: Math.round(this.now() - this.request.arrivedMs)
@@ -180,6 +187,7 @@
         health.note(server, 'good', this.now())
         if (this.firstByteMs !== undefined && this.request.arrival.resumeAfter === undefined) {
           fleet.noteAnswer(this.request.service.name, this.expectedOutput, this.now() - this.firstByteMs)
+          this.context.outputs.observe(this.request.service.name, this.sizes.hintedOutputTokens ?? 0, this.cutter.events)
         }
         this.reply.end()
         return { outcome: 'answered', status: 200, server }
@@ -239,6 +247,7 @@
       neededTokens: this.bookedTokens,
       refusals: refused,
       waiting: this.context.rooms.length,
+      askedBeforeMs: this.request.arrivedMs - this.request.askedMs,
       waitedMs: Math.round(this.now() - this.request.arrivedMs)
     })
     return hasServers
@@ -265,8 +274,8 @@
         id: this.request.serial,
         priority: this.request.priority,
         expectedOutputTokens: this.expectedOutput,
-        sinceMs: this.request.arrivedMs,
-        latestMs: this.goalAtMs - firstEventMs - this.estimateReadingMs(),
+        sinceMs: this.request.askedMs,
+        ...this.planStart(),
         tryTake: () => {
           server = this.tryBook()
           return server !== undefined
@@ -280,6 +289,16 @@
     })
   }
 
+  /** A caller that was sent away and is late in any case is not sent away again while it waits for the first event. */
+  private planStart (): Pick<rooms.Waiter, 'latestMs' | 'isLate'> {
+    const { arrivedMs } = this.request
+    const neededMs = firstEventMs + this.estimateReadingMs()
+    const inTimeMs = this.goalAtMs - neededMs
+    return inTimeMs > arrivedMs || this.request.askedMs === arrivedMs
+      ? { latestMs: inTimeMs, isLate: false }
+      : { latestMs: arrivedMs + Math.min(this.stallMs, this.remainingMs()) * lateWaitPart - neededMs, isLate: true }
+  }
+
   private tryBook (): routing.RoutedServer | undefined {
     const { directory, fleet } = this.context
     const profile = this.request.service.engine
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -4,6 +4,7 @@
 import type * as http from 'node:http'
 import * as allowances from './allowance_share.js'
 import * as bodies from './body_reader.js'
+import * as callerPatience from './caller_patience.js'
 import * as contexts from './context.js'
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
@@ -32,6 +33,7 @@
 }
 
 export class RequestHandler {
+  private readonly patience = new callerPatience.CallerPatience()
   private serial = 0
   private underWay = 0
 
@@ -59,6 +61,8 @@
       meter.observe('gateway_request_ms', { end: end.outcome }, this.now() - arrivedMs)
       this.context.system.log.info('request ended', {
         request: arrival.id,
+        workspace: arrival.keyHash === undefined ? undefined : this.context.routing.table?.findWorkspace(arrival.keyHash)?.name,
+        tokens: countTokens(arrival),
         outcome: end.outcome,
         status: end.status,
         reason: end.reason,
@@ -96,6 +100,7 @@
     }
     const { route, service, workspace, units } = admitted.unsafeCoerce()
     const patienceMs = Math.min(waitMs, route.timeoutMs - timeoutMarginMs)
+    const askedMs = arrivedMs - this.patience.note(route.name, waitMs, arrivedMs)
     this.serial += 1
     this.context.retries.earn(service.name, this.now())
     const admittedRequest: exchanges.AdmittedRequest = {
@@ -107,6 +112,7 @@
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
       arrivedMs,
+      askedMs,
       endsMs: arrivedMs + patienceMs
     }
     const isGeneration = route.kind === 'stream' && service.engine !== undefined
--- a/src/gateway/room_queue.ts
+++ b/src/gateway/room_queue.ts
@@ -2,7 +2,8 @@
  * Generations that wait for room at a decode server, and the order in which they get it.
  *
  * Pattern: more generations arrive than the decode servers' memory holds. Those that are more urgent go first; among
- * equals short ones have a head start over long ones; nobody waits longer than it can be in time.
+ * equals short ones have a head start over long ones; nobody waits longer than it can be in time. Callers that were sent away
+ * and are late in any case take what the others leave, and are not sent away again while they can be served.
  */
 
 /** Head start of a generation over one that is a token longer, in milliseconds: about the time for which each holds room beyond the other, scaled to the wait that is left. */
@@ -17,8 +18,10 @@
   readonly priority: number
   readonly expectedOutputTokens: number
   readonly sinceMs: number
-  /** Latest time at which a start still serves the caller in time. */
+  /** Latest time at which a start still serves the caller: in time, or at all where it is late in any case. */
   readonly latestMs: number
+  /** The caller was sent away before and cannot be served in time any more. */
+  readonly isLate: boolean
   /** Tries to take room; false when there is none for it. */
   readonly tryTake: () => boolean
   /** Called once: the room was taken, or the request cannot be in time any more. */
@@ -70,6 +73,9 @@
   if (a.priority !== b.priority) {
     return a.priority - b.priority
   }
+  if (a.isLate !== b.isLate) {
+    return a.isLate ? 1 : -1
+  }
   return rank(a) - rank(b)
 }
 
--- /dev/null
+++ b/tests/gateway/caller_patience.test.ts
@@ -0,0 +1,74 @@
+/**
+ * Callers that were sent away in a burst and come back with less time left.
+ */
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as callerPatience from '../../src/gateway/caller_patience.js'
+import * as rooms from '../../src/gateway/room_queue.js'
+
+test.describe('Callers that come back', () => {
+  test.it('are known by the time that is missing', () => {
+    const patience = new callerPatience.CallerPatience()
+    for (let request = 0; request < 20; request += 1) {
+      assert.equal(patience.note('r', 14_000, request * 100), 0)
+    }
+    assert.equal(patience.note('r', 10_300, 2_100), 3_700)
+    assert.equal(patience.note('another', 10_300, 2_100), 0)
+  })
+
+  test.it('are not confused with callers that never wait longer', () => {
+    const patience = new callerPatience.CallerPatience()
+    for (let request = 0; request < 40; request += 1) {
+      patience.note('r', request % 3 === 0 ? 8_000 : 14_000, request * 100)
+    }
+    assert.equal(patience.note('r', 8_000, 4_100), 0)
+    assert.equal(patience.note('r', 7_000, 4_200), 1_000)
+  })
+
+  test.it('are not seen behind one caller that waits for long', () => {
+    const patience = new callerPatience.CallerPatience()
+    patience.note('r', 600_000, 0)
+    for (let request = 0; request < 40; request += 1) {
+      assert.equal(patience.note('r', 14_000, request * 100), 0)
+    }
+  })
+
+  test.it('are forgotten with the figures of an earlier configuration', () => {
+    const patience = new callerPatience.CallerPatience()
+    for (let request = 0; request < 20; request += 1) {
+      patience.note('r', 14_000, request)
+    }
+    assert.equal(patience.note('r', 5_000, 60_000), 0)
+  })
+
+  test.it('take what those that can be in time leave, and are not sent away with them', () => {
+    const queue = new rooms.RoomQueue()
+    const ends: string[] = []
+    let free = 0
+    const wait = (id: string, isLate: boolean, latestMs: number): void => queue.add({
+      id,
+      priority: 1,
+      expectedOutputTokens: 4_000,
+      sinceMs: isLate ? 1_200 : 4_900,
+      latestMs,
+      isLate,
+      tryTake: () => {
+        free -= 1
+        return free >= 0
+      },
+      settle: isTaken => ends.push(`${id} ${isTaken ? 'placed' : 'sent away'}`)
+    })
+    wait('back', true, 8_000)
+    wait('new', false, 5_600)
+    wait('newer', false, 5_700)
+    free = 1
+    queue.pump(5_000)
+    assert.deepEqual(ends, ['new placed'])
+    free = 0
+    queue.pump(5_800)
+    assert.deepEqual(ends, ['new placed', 'newer sent away'])
+    free = 1
+    queue.pump(6_000)
+    assert.deepEqual(ends, ['new placed', 'newer sent away', 'back placed'])
+  })
+})
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -153,6 +153,7 @@
       expectedOutputTokens: 500,
       sinceMs: 0,
       latestMs: 600,
+      isLate: false,
       tryTake: () => log.length < 2,
       settle: taken => log.push(`${id}:${taken}`),
       ...more
