--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -70,6 +70,12 @@
   readonly aheadTokens: number
 }
 
+interface FoundSwitching {
+  /** Stage that the list of servers gave then; another one says that the change is over. */
+  readonly from: routing.EngineStage | undefined
+  readonly untilMs: number
+}
+
 const noBooking: EngineBooking = { runs: 0, tokens: 0, unread: 0 }
 const noLoad: splits.OfferedLoad = { prefill: 0, decode: 0 }
 
@@ -91,6 +97,8 @@
   private readonly own = new Map<string, EngineBooking>()
   private readonly meters = new Map<string, splits.LoadMeter>()
   private switching: ReadonlySet<string> = new Set()
+  /** Servers that were found to change their stage, by whose order ever. */
+  private readonly foundSwitching = new Map<string, FoundSwitching>()
   private otherGateways = 0
 
   constructor (private readonly zone: string, private readonly health: healths.ServerHealth, private readonly random: host.Random) {}
@@ -193,6 +201,11 @@
     this.switching = new Set(servers)
   }
 
+  /** Notes that a server changes its stage: it is left out, here and at the gateways that hear of it, for a time in milliseconds or until the list tells of the change. */
+  noteSwitching (server: routing.RoutedServer, forMs: number, nowMs: number): void {
+    this.foundSwitching.set(server.id, { from: server.stage, untilMs: nowMs + forMs })
+  }
+
   /** Leaves a server out for a time, in milliseconds, because it has just refused work. */
   noteRefusal (server: string, forMs: number, nowMs: number): void {
     this.refusals.set(server, Math.max(this.refusals.get(server) ?? 0, nowMs + forMs))
@@ -200,6 +213,7 @@
 
   forgetServer (server: string): void {
     this.refusals.delete(server)
+    this.foundSwitching.delete(server)
     this.rates.delete(server)
   }
 
@@ -211,7 +225,19 @@
         bookings[server] = booking
       }
     }
-    return { bookings, offered: this.listOffered(nowMs), switching: [...this.switching] }
+    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs) }
+  }
+
+  private listSwitching (nowMs: number): string[] {
+    const found: string[] = []
+    for (const [server, { untilMs }] of this.foundSwitching) {
+      if (untilMs > nowMs) {
+        found.push(server)
+      } else {
+        this.foundSwitching.delete(server)
+      }
+    }
+    return [...new Set([...this.switching, ...found])]
   }
 
   /** Returns what this gateway and those heard under the names have under way together. */
@@ -316,6 +342,12 @@
       (this.refusals.get(server.id) ?? 0) > nowMs) {
       return false
     }
+    const found = this.foundSwitching.get(server.id)
+    if (found !== undefined && found.from !== server.stage) {
+      this.foundSwitching.delete(server.id)
+    } else if (found !== undefined && found.untilMs > nowMs) {
+      return false
+    }
     for (const peer of this.peers.values()) {
       if (nowMs - peer.heardMs <= peerLifeMs && peer.switching.has(server.id)) {
         return false
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -230,6 +230,22 @@
     assert.equal(fleet.rankDecode(decodes, profile, 100, 1_600).length, 1)
   })
 
+  test.it('are left out at all gateways when one has found that they change their stage, whoever has ordered it', () => {
+    const [finder, other] = [1, 2].map(seed => new fleets.EngineFleet('a', new healths.ServerHealth(), new seededRandom.SeededRandom(seed))) as
+      [fleets.EngineFleet, fleets.EngineFleet]
+    finder.noteSwitching(decodes[0] as routing.RoutedServer, 6_000, 0)
+    other.hear('finder', finder.describe(100), 100)
+    for (const fleet of [finder, other]) {
+      assert.deepEqual(fleet.rankDecode(decodes, profile, 100, 110).map(server => server.id), ['d2'])
+    }
+    assert.equal(finder.rankDecode(decodes, profile, 100, 6_001).length, 2)
+    assert.deepEqual(finder.describe(6_001).switching, [])
+    finder.noteSwitching(decodes[0] as routing.RoutedServer, 6_000, 7_000)
+    const changed = { ...decodes[0] as routing.RoutedServer, stage: 'prefill' as const }
+    assert.equal(finder.choosePrefill([changed], 100, new Set(), 7_100, undefined)?.server.id, 'd1')
+    assert.deepEqual(finder.describe(7_200).switching, [])
+  })
+
   test.it('read a prompt where it is read first', () => {
     const fleet = new fleets.EngineFleet('a', new healths.ServerHealth(), new seededRandom.SeededRandom(1))
     const prefills = [createServer('p1', { stage: 'prefill' }), createServer('p2', { stage: 'prefill' })]
