--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -70,6 +70,7 @@
   readonly aheadTokens: number
 }
 
+/** A change of stage that a server reported. */
 interface FoundSwitching {
   /** Stage that the list of servers gave then; another one says that the change is over. */
   readonly from: routing.EngineStage | undefined
@@ -97,7 +98,7 @@
   private readonly own = new Map<string, EngineBooking>()
   private readonly meters = new Map<string, splits.LoadMeter>()
   private switching: ReadonlySet<string> = new Set()
-  /** Servers that were found to change their stage, by whose order ever. */
+  /** Servers that were found to change their stage, whoever ordered it. */
   private readonly foundSwitching = new Map<string, FoundSwitching>()
   private otherGateways = 0
 
@@ -201,7 +202,10 @@
     this.switching = new Set(servers)
   }
 
-  /** Notes that a server changes its stage: it is left out, here and at the gateways that hear of it, for a time in milliseconds or until the list tells of the change. */
+  /**
+   * Notes that a server changes its stage: it is left out, here and at the gateways that hear of it, for a time in milliseconds or
+   * until the list of servers tells of the change.
+   */
   noteSwitching (server: routing.RoutedServer, forMs: number, nowMs: number): void {
     this.foundSwitching.set(server.id, { from: server.stage, untilMs: nowMs + forMs })
   }
