One piece for each: copies of the stand-in's store, what has expired, what may be repeated; the check of a stage in a file of its own

Read over the whole change. A copy of the store's rows had a second shape beside the core's; the directory dropped what has expired in two loops; a plain call read twice whether it may be repeated; patience was counted for plain calls, which have no use for it. The question to an engine that may change its stage moves out of the longest file.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -175,11 +175,7 @@
     }
     this.leaving.set(id, { bornMs, untilMs: nowMs + leavingMemoryMs })
     this.system.log.info('server says that it leaves', { server: id, bornMs, teller })
-    for (const [known, { untilMs }] of this.leaving) {
-      if (untilMs <= nowMs) {
-        this.leaving.delete(known)
-      }
-    }
+    dropExpired(this.leaving, nowMs)
   }
 
   /** Takes in which servers another gateway knows to leave, with the start of their life, or 0 where it is not known. */
@@ -230,11 +226,7 @@
 
   private noteDeparture (server: routing.RoutedServer): void {
     const nowMs = this.system.clock.monotonicMs()
-    for (const [id, { untilMs }] of this.departures) {
-      if (untilMs <= nowMs) {
-        this.departures.delete(id)
-      }
-    }
+    dropExpired(this.departures, nowMs)
     this.departures.set(server.id, { server, untilMs: nowMs + leavingMemoryMs })
   }
 
@@ -262,3 +254,11 @@
     }
   }
 }
+
+function dropExpired (items: Map<string, { readonly untilMs: number }>, nowMs: number): void {
+  for (const [id, { untilMs }] of items) {
+    if (untilMs <= nowMs) {
+      items.delete(id)
+    }
+  }
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,7 +19,7 @@
   readonly workspace: string | undefined
   readonly priority: number
   readonly arrivedMs: number
-  /** When the caller has probably asked first: goals count from there. */
+  /** When the caller has probably asked first: the goal of a generation counts from there. */
   readonly askedMs: number
   /** When the caller has left or the route's time is over. */
   readonly endsMs: number
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -7,9 +7,10 @@
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
 import * as prompts from './prompt_reader.js'
-import type * as rooms from './room_queue.js'
 import * as relays from './stream_relay.js'
+import type * as rooms from './room_queue.js'
 import * as routing from '../contracts/routing.js'
+import * as stageChecks from './stage_check.js'
 import * as types from './types.js'
 
 /** Times that a generation is placed anew at most. */
@@ -20,8 +21,6 @@
 const refusingMs = 1_500
 /** Longest wait for the answer to a reservation, in milliseconds: a few round trips between zones. */
 const holdAnswerMs = 120
-/** Longest wait for a server's report, in milliseconds. */
-const reportAnswerMs = 300
 /** Time kept in a reservation beyond the expected prefill, in milliseconds. */
 const holdMarginMs = 600
 /** Time from the end of the prefill to the first event, in milliseconds: transfer, the first step and the way back. */
@@ -55,6 +54,7 @@
 export class GenerationExchange extends exchanges.Exchange {
   private readonly cutter = new cutters.EventCutter()
   private readonly prompt = new prompts.PromptReader(this.context, this.request, this.reply)
+  private readonly stageCheck = new stageChecks.StageCheck(this.context, this.request, this.reply)
   private readonly expectedOutput = this.estimateOutput()
   private mayHaveRun = false
   private firstByteMs: number | undefined
@@ -207,7 +207,7 @@
           directory.noteMisdirected(server)
         } else if (place.hold !== undefined) {
           fleet.noteRefusal(server, refusingMs, this.now())
-          this.checkSwitching(place.server).catch((error: unknown) => this.log('report not read', { server, reason: String(error) }))
+          this.stageCheck.run(place.server, refusingMs).catch((error: unknown) => this.log('report not read', { server, reason: String(error) }))
         }
         return { again: end.reason }
       case 'lost':
@@ -222,21 +222,6 @@
     }
   }
 
-  /**
-   * Asks a server that granted room and refused the run whether it changes its stage. The gateway that ordered the change may have
-   * been cut off before it told the others, and each of them would have prompts read in vain.
-   */
-  private async checkSwitching (server: routing.RoutedServer): Promise<void> {
-    const { dialect, fleet, pool } = this.context
-    const outcome = await pool.call(server, dialect.writeReportRequest(server), reportAnswerMs)
-    const report = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readReport(outcome.body) : undefined
-    const isSwitching = report?.isRight() === true && report.unsafeCoerce().isBusy
-    if (isSwitching) {
-      fleet.noteSwitching(server, this.request.service.engine?.switchMs ?? refusingMs, this.now())
-    }
-    this.log('run refused though room was granted', { server: server.id, isSwitching, stage: server.stage })
-  }
-
   /** Takes room at a decode server, at once or as soon as there is some while the caller can still be served in time. */
   private async placeRun (): Promise<Placing> {
     let refused = 0
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -37,6 +37,10 @@
   private runs = 0
   private doubtful: DoubtfulSend | undefined
 
+  private get isRepeatable (): boolean {
+    return this.request.route.kind === 'idempotent'
+  }
+
   override async run (): Promise<exchanges.ExchangeEnd> {
     const end = await this.runAtServers()
     this.settleDoubt('error')
@@ -44,7 +48,7 @@
   }
 
   private async runAtServers (): Promise<exchanges.ExchangeEnd> {
-    const isRepeatable = this.request.route.kind === 'idempotent'
+    const { isRepeatable } = this
     let fallback: SendResult & { readonly kind: 'answered' } | undefined
     let last: SendResult | undefined
     while (this.sends < maximumSends && this.remainingMs() > returnMs + leastSendMs) {
@@ -52,7 +56,7 @@
       if (server === undefined || !this.trySend()) {
         break
       }
-      const result = await this.send(server, isRepeatable)
+      const result = await this.send(server)
       if (this.reply.isGone) {
         return this.abandoned(server.id)
       }
@@ -73,12 +77,12 @@
   private choose (): routing.RoutedServer | undefined {
     const { directory, plainChoice, system } = this.context
     const servers = directory.listReady(this.request.service.name)
-    const isRepeatable = this.request.route.kind === 'idempotent'
-    return plainChoice.choose(servers, this.tried, isRepeatable, this.now(), system.random.nextUnit())
+    return plainChoice.choose(servers, this.tried, this.isRepeatable, this.now(), system.random.nextUnit())
   }
 
-  private async send (server: routing.RoutedServer, isRepeatable: boolean): Promise<SendResult> {
+  private async send (server: routing.RoutedServer): Promise<SendResult> {
     const { dialect, plainChoice, pool, directory } = this.context
+    const { isRepeatable } = this
     const sentMs = this.now()
     const leftMs = this.remainingMs() - returnMs
     const isLast = !isRepeatable || this.runs + 1 >= this.request.route.maximumServers
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -100,7 +100,8 @@
     }
     const { route, service, workspace, units } = admitted.unsafeCoerce()
     const patienceMs = Math.min(waitMs, route.timeoutMs - timeoutMarginMs)
-    const askedMs = arrivedMs - this.patience.note(route.name, waitMs, arrivedMs)
+    const isGeneration = route.kind === 'stream' && service.engine !== undefined
+    const askedMs = isGeneration ? arrivedMs - this.patience.note(route.name, waitMs, arrivedMs) : arrivedMs
     this.serial += 1
     this.context.retries.earn(service.name, this.now())
     const admittedRequest: exchanges.AdmittedRequest = {
@@ -115,7 +116,6 @@
       askedMs,
       endsMs: arrivedMs + patienceMs
     }
-    const isGeneration = route.kind === 'stream' && service.engine !== undefined
     const exchange = isGeneration
       ? new generations.GenerationExchange(this.context, admittedRequest, reply)
       : new plains.PlainExchange(this.context, admittedRequest, reply)
--- a/standins/store_core.ts
+++ b/standins/store_core.ts
@@ -54,12 +54,12 @@
   constructor (private readonly clock: host.Clock, private readonly historyLength = standardHistoryLength) {}
 
   /** Returns a store that holds a copy's rows, without their leases, and goes on from its revision. */
-  static restore (clock: host.Clock, copy: { readonly rows: readonly host.StoreEntry[], readonly revision: number }): StoreCore {
+  static restore (clock: host.Clock, copy: Copy): StoreCore {
     const core = new StoreCore(clock)
     core.currentRevision = copy.revision
     core.lastForgotten = copy.revision
-    for (const { key, value, createRevision, modRevision } of copy.rows) {
-      core.rows.set(key, { key, value, createRevision, modRevision, version: 1, lease: undefined })
+    for (const row of copy.rows) {
+      core.rows.set(row.key, { ...row, lease: undefined })
     }
     return core
   }
