Gateways read and log the limits that servers name

Two metrics count the limits in force and the requests sent under them, and each send names the limit of its server. Routing is unchanged.

--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -32,8 +32,21 @@
   | { readonly kind: 'answered', readonly status: number, readonly rawHeaders: readonly string[], readonly body: buffer.Buffer }
   | { readonly kind: 'unsent' | 'lost' | 'silent', readonly reason: string }
 
-/** Receives the facts about a server that the headers of each answer state. */
-export type AnswerListener = (server: routing.RoutedServer, facts: types.AnswerFacts) => void
+/** An answer's head, with the request that it came on. */
+export interface AnswerHead {
+  readonly server: routing.RoutedServer
+  readonly facts: types.AnswerFacts
+  /** When the request was sent, on the monotonic clock, in milliseconds. */
+  readonly sentMs: number
+  /** Whether the answer belongs to the request. */
+  readonly isMatching: boolean
+}
+
+/** Receives the requests that are sent to servers, and the heads of their answers. */
+export abstract class SendListener {
+  abstract sent (server: routing.RoutedServer): void
+  abstract answered (head: AnswerHead): void
+}
 
 export class ConnectionPool {
   private readonly idle = new Map<string, IdleConnection[]>()
@@ -41,18 +54,20 @@
   constructor (
     private readonly clock: host.Clock,
     private readonly dialect: types.Dialect,
-    private readonly onAnswer: AnswerListener
+    private readonly listener: SendListener
   ) {}
 
   /** Sends a request on an idle or new connection. With `mustSendOnce`, connections that the server may be closing are avoided. */
   send (server: routing.RoutedServer, request: types.OutgoingRequest, mustSendOnce: boolean, observer: connections.AnswerObserver): connections.ActiveSend {
     const { address } = server
     const connection = this.take(address, mustSendOnce) ?? new connections.ServerConnection(address)
+    const sentMs = this.clock.monotonicMs()
     const readFacts = (status: number, rawHeaders: readonly string[]): types.AnswerFacts => {
       const facts = this.dialect.readAnswer(status, rawHeaders)
-      this.onAnswer(server, facts)
+      this.listener.answered({ server, facts, sentMs, isMatching: facts.requestId === request.requestId })
       return facts
     }
+    this.listener.sent(server)
     const poolingObserver = new PoolingObserver(observer, request.requestId, readFacts, (isClean, idleMs) => {
       if (isClean && !connection.isBroken) {
         this.keep(address, { connection, sinceMs: this.clock.monotonicMs(), idleMs })
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -12,6 +12,7 @@
 import type * as outputs from './output_estimate.js'
 import type * as retries from './retry_budget.js'
 import type * as capacityQueues from './capacity_queue.js'
+import type * as serverLimits from './server_limits.js'
 import type * as settings from './settings.js'
 import type * as tables from './routing_table.js'
 import type * as types from './types.js'
@@ -23,6 +24,7 @@
   readonly dialect: types.Dialect
   readonly pool: connectionPools.ConnectionPool
   readonly health: healths.ServerHealth
+  readonly limits: serverLimits.ServerLimits
   readonly directory: directories.Directory
   readonly plainChoice: choices.PlainChoice
   readonly fleet: fleets.EngineFleet
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import * as capacityQueues from './capacity_queue.js'
 import * as routing from '../contracts/routing.js'
 import * as routingFollowers from './routing_follower.js'
+import * as serverLimits from './server_limits.js'
 import * as settings from './settings.js'
 import * as types from './types.js'
 
@@ -71,7 +72,8 @@
   ) {
     this.boot = system.random.nextId()
     const health = new healths.ServerHealth()
-    const pool = new connectionPools.ConnectionPool(system.clock, dialect, (server, facts) => this.recordAnswer(server, facts))
+    const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener())
+    const limits = new serverLimits.ServerLimits(system.log)
     const fleet = new fleets.EngineFleet(options.zone, health, system.random)
     const plainChoice = new choices.PlainChoice(options.zone, health)
     const directory = new directories.Directory(documents, system, server => {
@@ -79,6 +81,7 @@
       health.forget(server.id)
       fleet.forgetServer(server.id)
       plainChoice.forget(server.id)
+      limits.forget(server.id)
     })
     this.context = {
       system,
@@ -87,6 +90,7 @@
       dialect,
       pool,
       health,
+      limits,
       directory,
       plainChoice,
       fleet,
@@ -181,15 +185,37 @@
     await this.peers.close()
   }
 
+  private createSendListener (): connectionPools.SendListener {
+    const gateway = this
+    return new class extends connectionPools.SendListener {
+      override sent (server: routing.RoutedServer): void {
+        gateway.recordSend(server)
+      }
+
+      override answered (head: connectionPools.AnswerHead): void {
+        gateway.recordAnswer(head)
+      }
+    }()
+  }
+
+  private recordSend (server: routing.RoutedServer): void {
+    if (this.context.limits.getLimit(server, this.system.clock.monotonicMs()) !== undefined) {
+      this.meter.count('gateway_limited_sends_total', {})
+    }
+  }
+
   /** Records the facts about a server that an answer states. */
-  private recordAnswer (server: routing.RoutedServer, facts: types.AnswerFacts): void {
-    const { directory } = this.context
+  private recordAnswer ({ server, facts, sentMs, isMatching }: connectionPools.AnswerHead): void {
+    const { directory, limits } = this.context
     if (facts.isLeaving) {
       directory.recordLeaving(server.id, server.bornMs, this.options.node)
     }
     if (facts.backOffMs !== undefined && facts.backOffMs > 0) {
       directory.recordBackOff(server, facts.backOffMs)
     }
+    if (isMatching) {
+      limits.recordAnswer(server, facts, sentMs, this.system.clock.monotonicMs())
+    }
   }
 
   private createParty (): peerTables.LocalGateway {
@@ -284,6 +310,7 @@
     this.meter.gauge('gateway_store_age_ms', {}, Number.isFinite(ageMs) ? ageMs : -1)
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
+    this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
     this.meter.gauge('gateway_peers', {}, this.peerTable.listSeen(peerPresenceMs).length)
     this.meter.gauge('configuration_version', {}, this.context.routing.table?.document.version ?? 0)
   }
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -177,6 +177,7 @@
       hintedOutputTokens: this.sizes.hintedOutputTokens,
       resumedAfter: this.request.arrival.resumeAfter,
       bytes: this.bytes,
+      limitPerSecond: this.context.limits.getLimit(place.server, this.now()),
       firstEventMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs - this.request.arrivedMs),
       elapsedMs: Math.round(this.now() - this.request.arrivedMs)
     })
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -112,6 +112,7 @@
       outcome: result.kind,
       status: outcome.kind === 'answered' ? outcome.status : undefined,
       reason: result.kind === 'answered' ? undefined : result.reason,
+      limitPerSecond: this.context.limits.getLimit(server, this.now()),
       elapsedMs: Math.round(elapsedMs)
     })
     return result
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -86,6 +86,7 @@
       status: outcome.kind === 'answered' ? outcome.status : undefined,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       promptTokens,
+      limitPerSecond: this.context.limits.getLimit(server, this.now()),
       expectedMs: Math.round(expectedMs),
       elapsedMs: Math.round(this.now() - sentMs)
     })
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -84,6 +84,8 @@
   readonly isLeaving: boolean
   /** Time for which the server asks this gateway to send it nothing, in milliseconds. */
   readonly backOffMs: number | undefined
+  /** Requests a second that the server takes from all gateways together; undefined if it states no limit. */
+  readonly limitPerSecond: number | undefined
 }
 
 /** A prompt that a server has prefilled. */
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -51,6 +51,8 @@
   gateway_room_refused_total: createMetric('counter', [], 'Reservations that decode servers refused.'),
   gateway_waiting: createMetric('gauge', [], 'Generations that wait for room.'),
   gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
+  gateway_server_limits: createMetric('gauge', [], 'Servers whose answers state a limit of requests a second.'),
+  gateway_limited_sends_total: createMetric('counter', [], 'Requests sent to servers with a limit in force, control calls included.'),
   gateway_orders_total: createMetric('counter', ['outcome'], 'Orders to engines by outcome.'),
   gateway_store_age_ms: createMetric('gauge', [], 'Time since the store confirmed the copy of it, in milliseconds.'),
   gateway_peers: createMetric('gauge', [], 'Other gateways heard within the last two seconds.'),
