One gateway issues the permits of a server with a limit, for the whole fleet

Cause: the limit is a bound that a server sets for all gateways together, and no gateway knew it, acted on it or told others. Each chose servers by load and health alone.

A limit is now a belief that is kept for each process of a server, with its age, and is gossiped. For each server one gateway, chosen by rendezvous hashing among the responsive ones in the server's zone, issues permits from one token bucket; every send to the server takes a permit first, and what is sent without one is counted at the one place that all sends pass and debited. Why not shares by gossip: at 2.5 requests a second and 24 gateways a share is a request in ten seconds, so that shares are left unused or saved up and spent together. While the issuer does not answer, a gateway uses its even share; in a partition each side issues its part. Plain calls pass a server over and go to the next; generations wait in the queue for a permit as for memory, take no reservation at a limited engine (a second request) and leave the prompt to the decode server where prefill servers have no permit. What no server may take is refused at once as not run, with times to come back that follow each other as fast as the limits allow.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -10,7 +10,9 @@
 import type * as host from '../host/types.js'
 import type * as metrics from '../metrics/types.js'
 import type * as outputs from './output_estimate.js'
+import type * as permits from './permits.js'
 import type * as retries from './retry_budget.js'
+import type * as returnSchedules from './return_schedule.js'
 import type * as capacityQueues from './capacity_queue.js'
 import type * as serverLimits from './server_limits.js'
 import type * as settings from './settings.js'
@@ -25,6 +27,8 @@
   readonly pool: connectionPools.ConnectionPool
   readonly health: healths.ServerHealth
   readonly limits: serverLimits.ServerLimits
+  readonly permits: permits.Permits
+  readonly returns: returnSchedules.ReturnSchedule
   readonly directory: directories.Directory
   readonly plainChoice: choices.PlainChoice
   readonly fleet: fleets.EngineFleet
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,6 +4,7 @@
 import type * as buffer from 'node:buffer'
 import * as contexts from './context.js'
 import * as failures from '../contracts/failure.js'
+import type * as permits from './permits.js'
 import * as replies from './caller_reply.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -66,6 +67,10 @@
 
 export abstract class Exchange extends RequestScope {
   protected sendCount = 0
+  /** Number of servers passed over because there was no permit for them. */
+  protected passedOver = 0
+  /** Least time until a permit of one of them may be had, in milliseconds. */
+  private permitWaitMs = Infinity
 
   abstract run (): Promise<ExchangeEnd>
 
@@ -79,6 +84,40 @@
     return true
   }
 
+  /** Takes a permit for the next send to a server; returns its source, or undefined if the server's limit allows none now. */
+  protected async takePermit (server: routing.RoutedServer): Promise<permits.PermitSource | undefined> {
+    const verdict = await this.context.permits.take(server)
+    if (verdict.kind === 'granted') {
+      return verdict.source
+    }
+    this.passedOver += 1
+    this.permitWaitMs = Math.min(this.permitWaitMs, verdict.waitMs)
+    return undefined
+  }
+
+  /** Returns the failure for a request that no server may take because of its limit, with a retry time of `waitMs` at least. */
+  protected createLimitFailure (servers: readonly routing.RoutedServer[], waitMs = 0): failures.Failure {
+    const { limits, permits: permitBook, returns } = this.context
+    const service = this.request.service.name
+    const nowMs = this.now()
+    const nextMs = Math.max(waitMs, Number.isFinite(this.permitWaitMs) ? this.permitWaitMs : 0)
+    const perSecond = permitBook.getSharePerSecond(servers)
+    const retryAfterMs = returns.schedule(service, nextMs, perSecond, nowMs)
+    const [nearest] = servers.filter(server => limits.getLimit(server, nowMs) !== undefined)
+    this.log('servers at their limits', {
+      service,
+      passedOver: this.passedOver,
+      server: nearest?.id,
+      limitPerSecond: nearest === undefined ? undefined : limits.getLimit(nearest, nowMs),
+      ageMs: nearest === undefined ? undefined : limits.getAgeMs(nearest.id, nowMs),
+      issuer: nearest === undefined ? undefined : permitBook.getIssuer(nearest),
+      sharePerSecond: Number(perSecond.toFixed(2)),
+      waitMs: Math.round(nextMs),
+      retryAfterMs
+    })
+    return failures.createFailure('not_run', 'servers_limited', [service], retryAfterMs)
+  }
+
   protected refuse (failure: failures.Failure, server?: string): ExchangeEnd {
     const status = this.reply.fail(failure)
     return { outcome: failure.verdict === 'not_run' ? 'refused' : 'failed', status, server, reason: failure.code }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,13 +15,16 @@
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as ingresses from './ingress.js'
+import * as issuerChoices from './issuer_choice.js'
 import * as members from './members.js'
 import * as meters from '../metrics/prometheus_meter.js'
 import * as messages from './peer_messages.js'
 import * as replicas from './store_replica.js'
 import * as peerExchanges from './peer_exchange.js'
+import * as permits from './permits.js'
 import * as outputs from './output_estimate.js'
 import * as retries from './retry_budget.js'
+import * as returnSchedules from './return_schedule.js'
 import * as capacityQueues from './capacity_queue.js'
 import * as routing from '../contracts/routing.js'
 import * as routingFollowers from './routing_follower.js'
@@ -54,6 +57,7 @@
   private readonly peerTable: peerTables.PeerTable
   private readonly peers: peerExchanges.PeerExchange
   private readonly members: members.Members
+  private readonly issuers: issuerChoices.IssuerChoice
   private readonly stageCoordinator: stageCoordinators.StageCoordinator
   private readonly storeReplica: replicas.StoreReplica
   private readonly boot: string
@@ -74,6 +78,8 @@
     const health = new healths.ServerHealth()
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener())
     const limits = new serverLimits.ServerLimits(system.log)
+    this.issuers = new issuerChoices.IssuerChoice(options, node => this.peerTable.isResponsive(node))
+    const permitBook = new permits.Permits(options.node, limits, this.issuers, this.createPermitChannel(), system)
     const fleet = new fleets.EngineFleet(options.zone, health, system.random)
     const plainChoice = new choices.PlainChoice(options.zone, health)
     const directory = new directories.Directory(documents, system, server => {
@@ -82,6 +88,7 @@
       fleet.forgetServer(server.id)
       plainChoice.forget(server.id)
       limits.forget(server.id)
+      permitBook.forget(server.id)
     })
     this.context = {
       system,
@@ -91,6 +98,8 @@
       pool,
       health,
       limits,
+      permits: permitBook,
+      returns: new returnSchedules.ReturnSchedule(),
       directory,
       plainChoice,
       fleet,
@@ -125,7 +134,7 @@
     const observer = new replicas.CompositeObserver([follower, directory, this.members, this.stageCoordinator])
     this.storeReplica = new replicas.StoreReplica(store, allKeysPrefix, system, observer, options.timing.watchHoldMs)
     this.peerTable = new peerTables.PeerTable(this.createParty(), system.clock, system.log)
-    this.peers = new peerExchanges.PeerExchange(this.peerTable, options.zone, this.storeReplica, system)
+    this.peers = new peerExchanges.PeerExchange(this.peerTable, options.zone, this.storeReplica, system, order => permitBook.decide(order))
   }
 
   private get isReady (): boolean {
@@ -198,7 +207,17 @@
     }()
   }
 
+  private createPermitChannel (): permits.PermitChannel {
+    const gateway = this
+    return new class extends permits.PermitChannel {
+      override ask (node: string, order: messages.PermitOrder): Promise<messages.PermitGrant> {
+        return gateway.peers.ask(node, order)
+      }
+    }()
+  }
+
   private recordSend (server: routing.RoutedServer): void {
+    this.context.permits.recordSend(server)
     if (this.context.limits.getLimit(server, this.system.clock.monotonicMs()) !== undefined) {
       this.meter.count('gateway_limited_sends_total', {})
     }
@@ -219,7 +238,7 @@
   }
 
   private createParty (): peerTables.LocalGateway {
-    const { allowance, directory, fleet, health } = this.context
+    const { allowance, directory, fleet, health, limits } = this.context
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, storeReplica: replica } = this
@@ -235,7 +254,7 @@
       override describe (): messages.GatewayStatus {
         const nowMs = clock.monotonicMs()
         return {
-          ...fleet.describe(nowMs), admitted: allowance.listAdmitted(), outcomes: health.listOutcomes(nowMs), leaving: directory.listLeaving()
+          ...fleet.describe(nowMs), admitted: allowance.listAdmitted(), outcomes: health.listOutcomes(nowMs), leaving: directory.listLeaving(), limits: limits.listReported(nowMs)
         }
       }
 
@@ -245,7 +264,8 @@
           ...fleet.aggregate(others, nowMs),
           admitted: allowance.listZoneAdmitted(),
           outcomes: health.aggregateOutcomes(others, nowMs),
-          leaving: directory.listLeaving()
+          leaving: directory.listLeaving(),
+          limits: limits.listReported(nowMs)
         }
       }
 
@@ -258,6 +278,7 @@
         fleet.updatePeer(gateway, work, heardMs)
         health.updatePeer(gateway, work.outcomes, heardMs)
         directory.mergeLeaving(work.leaving, gateway)
+        limits.merge(work.limits ?? {}, gateway, heardMs, clock.monotonicMs())
       }
 
       override updateZone (state: messages.ZoneAggregate, heardMs: number): void {
@@ -270,6 +291,7 @@
         fleet.updatePeer(createZoneName(state.zone), state.work, heardMs)
         health.updatePeer(createZoneName(state.zone), state.work.outcomes, heardMs)
         directory.mergeLeaving(state.work.leaving, state.teller)
+        limits.merge(state.work.limits ?? {}, state.teller, heardMs, clock.monotonicMs())
       }
 
       override forgetZone (lostZone: string): void {
@@ -299,6 +321,7 @@
 
   private setMembers (found: ReadonlyMap<string, members.Member>): void {
     this.peerTable.setMembers(found)
+    this.issuers.setOthers([...found].map(([node, { zone }]) => ({ node, zone })))
     this.context.allowance.setPeers([...found.keys()], this.peerTable.unresponsiveAfterMs)
     this.context.retries.setGatewayCount(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -9,6 +9,7 @@
 import * as promptPrefills from './prompt_prefill.js'
 import * as relays from './stream_relay.js'
 import type * as capacityQueues from './capacity_queue.js'
+import type * as permits from './permits.js'
 import * as routing from '../contracts/routing.js'
 import * as stageChecks from './stage_check.js'
 import * as types from './types.js'
@@ -46,6 +47,7 @@
 interface Placement {
   readonly server: routing.RoutedServer
   readonly reservation: string | undefined
+  readonly permit: permits.PermitSource
 }
 
 type PlacementResult = { readonly place: Placement } | { readonly failure: failures.Failure }
@@ -178,6 +180,8 @@
       resumedAfter: this.request.arrival.resumeAfter,
       bytes: this.bytes,
       limitPerSecond: this.context.limits.getLimit(place.server, this.now()),
+      permit: place.permit === 'none' ? undefined : place.permit,
+      passedOver: this.passedOver === 0 ? undefined : this.passedOver,
       firstEventMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs - this.request.arrivedMs),
       elapsedMs: Math.round(this.now() - this.request.arrivedMs)
     })
@@ -208,6 +212,8 @@
         } else if (place.reservation !== undefined) {
           fleet.recordRefusal(server, stageChangeExclusionMs, this.now())
           this.stageCheck.run(place.server, stageChangeExclusionMs).catch((error: unknown) => this.log('engine report not read', { server, reason: String(error) }))
+        } else {
+          fleet.recordRefusal(server, promptPrefills.fullServerExclusionMs, this.now())
         }
         return { retryReason: end.reason }
       case 'lost':
@@ -230,9 +236,21 @@
       if (server === undefined) {
         return { failure: this.createNoCapacityFailure(refused) }
       }
+      const permit = await this.takePermit(server)
+      if (permit === undefined) {
+        this.context.fleet.releaseDecode(this.request.serial)
+        if (this.reply.isGone || this.now() >= this.planQueueing().latestMs) {
+          return { failure: this.createNoCapacityFailure(refused) }
+        }
+        continue
+      }
+      if (permit !== 'none') {
+        // A reservation would use up a second request of the limit.
+        return { place: { server, reservation: undefined, permit } }
+      }
       const reserved = await this.reserve(server)
       if (reserved.kind === 'taken') {
-        return { place: { server, reservation: reserved.reservation } }
+        return { place: { server, reservation: reserved.reservation, permit } }
       }
       refused += 1
       this.context.fleet.releaseDecode(this.request.serial)
@@ -244,7 +262,10 @@
 
   private createNoCapacityFailure (refused: number): failures.Failure {
     const { directory } = this.context
-    const hasServers = directory.listReady(this.request.service.name).length > 0
+    const servers = directory.listReady(this.request.service.name)
+    if (this.areAllLimited(servers)) {
+      return this.createLimitFailure(servers, this.estimatePermitWaitMs(servers))
+    }
     this.log('no decode capacity', {
       service: this.request.service.name,
       neededTokens: this.committedTokens,
@@ -253,7 +274,7 @@
       askedBeforeMs: this.request.arrivedMs - this.request.firstAttemptMs,
       waitedMs: Math.round(this.now() - this.request.arrivedMs)
     })
-    return hasServers
+    return servers.length > 0
       ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], capacityRetryMs)
       : this.createNoServerFailure(promptPrefills.noServerRetryMs)
   }
@@ -262,10 +283,13 @@
   private awaitCapacity (): Promise<routing.RoutedServer | undefined> {
     const { capacityQueue: rooms } = this.context
     const committed = this.tryCommit()
-    const hasServers = this.context.directory.listReady(this.request.service.name).length > 0
-    if (committed !== undefined || this.reply.hasStarted || !hasServers) {
+    const servers = this.context.directory.listReady(this.request.service.name)
+    if (committed !== undefined || this.reply.hasStarted || servers.length === 0) {
       return Promise.resolve(committed)
     }
+    if (this.areAllLimited(servers) && this.now() + this.estimatePermitWaitMs(servers) > this.planQueueing().latestMs) {
+      return Promise.resolve(undefined)
+    }
     return new Promise(resolve => {
       let server: routing.RoutedServer | undefined
       const leave = (): void => {
@@ -292,6 +316,21 @@
     })
   }
 
+  /** Tells whether each server that can decode has a limit. */
+  private areAllLimited (servers: readonly routing.RoutedServer[]): boolean {
+    const nowMs = this.now()
+    const decodeServers = servers.filter(({ stage }) => stage === 'decode')
+    return decodeServers.length > 0 && decodeServers.every(server => this.context.limits.getLimit(server, nowMs) !== undefined)
+  }
+
+  /** Estimates the time until the limits of the servers allow this request after those that are queued, in milliseconds. */
+  private estimatePermitWaitMs (servers: readonly routing.RoutedServer[]): number {
+    const { capacityQueue, permits: permitBook } = this.context
+    const decodeServers = servers.filter(({ stage }) => stage === 'decode')
+    const nextMs = Math.min(...decodeServers.map(server => permitBook.getWaitMs(server)))
+    return nextMs + capacityQueue.length * 1000 / Math.max(permitBook.getSharePerSecond(decodeServers), Number.EPSILON)
+  }
+
   /** Returns until when the request may be queued. A retry that is late in any case is not refused again while its caller still waits for the first event. */
   private planQueueing (): Pick<capacityQueues.Waiter, 'latestMs' | 'isLate'> {
     const { arrivedMs } = this.request
@@ -303,12 +342,12 @@
   }
 
   private tryCommit (): routing.RoutedServer | undefined {
-    const { directory, fleet } = this.context
+    const { directory, fleet, permits: permitBook } = this.context
     const profile = this.request.service.engine
     if (profile === undefined) {
       return undefined
     }
-    const servers = directory.listReady(this.request.service.name)
+    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
     const [best] = fleet.rankDecode(servers, profile, this.committedTokens, this.now())
     if (best !== undefined) {
       fleet.bookDecode(this.request.serial, best.id, this.committedTokens)
@@ -317,8 +356,8 @@
   }
 
   private estimatePrefillMs (): number {
-    const { directory, fleet } = this.context
-    const servers = directory.listReady(this.request.service.name)
+    const { directory, fleet, permits: permitBook } = this.context
+    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
     return fleet.choosePrefill(servers, this.sizes.promptTokens, new Set(), this.now(), undefined)?.readyMs ?? 0
   }
 
@@ -386,6 +425,9 @@
 
   private releasePlacement (place: Placement | undefined): void {
     this.context.fleet.releaseDecode(this.request.serial)
+    if (place !== undefined && place.permit !== 'none') {
+      this.context.permits.giveBack(place.server)
+    }
     if (place?.reservation !== undefined) {
       const { dialect, pool } = this.context
       pool.call(place.server, dialect.writeReservationRelease(place.server, place.reservation), reservationTimeoutMs)
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -13,6 +13,7 @@
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
 import * as messages from './peer_messages.js'
+import * as permits from './permits.js'
 import * as replicas from './store_replica.js'
 
 /** Checks for due exchanges in each exchange period, and the shortest interval between them in milliseconds. */
@@ -22,10 +23,12 @@
 const exchangeTimeoutMs = 400
 /** Time-out of a read of another gateway's store replica, in milliseconds. */
 const replicaTimeoutMs = 1_000
+/** Time-out of an order for permits, in milliseconds: callers wait for it. */
+const permitTimeoutMs = 80
 /** Header that tells whether the caller is in the same zone, which selects the compression of the answer. */
 const sameZoneHeader = 'x-same-zone'
 
-export class PeerExchange {
+export class PeerExchange extends permits.PermitChannel {
   private readonly agent = new undici.Agent({ connect: { timeout: exchangeTimeoutMs }, pipelining: 1, connections: 2, keepAliveTimeout: 5_000 })
   private readonly server: http.Server
   private readonly rpc = new jsonRpc.JSONRPCServer()
@@ -35,13 +38,16 @@
     private readonly table: peerTables.PeerTable,
     private readonly zone: string,
     private readonly replica: replicas.StoreReplica,
-    private readonly system: host.System
+    private readonly system: host.System,
+    decidePermits: (order: messages.PermitOrder) => messages.PermitGrant
   ) {
+    super()
     this.rpc.addMethod('peer.exchange', message => {
       const news = messages.GossipMessage.parse(message)
       this.receive(news)
       return this.table.createMessage(news.own.node)
     })
+    this.rpc.addMethod('permits.order', message => decidePermits(messages.PermitOrder.parse(message)))
     this.rpc.addMethod('mirror.read', () => this.replica.takeSnapshot())
     this.server = http.createServer((request, response) => {
       this.serve(request, response).catch((error: unknown) => {
@@ -73,6 +79,14 @@
     }
   }
 
+  override async ask (node: string, order: messages.PermitOrder): Promise<messages.PermitGrant> {
+    const peer = this.table.find(node)
+    if (peer === undefined) {
+      throw new Error('not a member')
+    }
+    return messages.PermitGrant.parse(await this.call(peer.address, 'permits.order', order, permitTimeoutMs, peer.zone === this.zone))
+  }
+
   private tick (): void {
     for (const peer of this.table.listDue()) {
       this.exchange(peer)
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -15,6 +15,13 @@
 
 const CommittedLoad = z.object({ runs: z.number(), tokens: z.number(), unread: z.number() })
 
+/**
+ * What a server last stated about its limit: requests a second from all gateways together, or -1 for no limit; the start time of the
+ * server's process in milliseconds since the Unix epoch, or 0; and the time since the statement was last true, in milliseconds.
+ */
+const LimitStatement = z.tuple([z.number(), z.number(), z.number()])
+export type LimitStatement = z.infer<typeof LimitStatement>
+
 /** Load committed to engines, and other inputs to the choice of a server. */
 const GatewayStatus = z.object({
   /** Units admitted since the process started, by workspace. */
@@ -28,7 +35,9 @@
   /** Recent requests by server, and how many of them failed. */
   outcomes: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** Servers that have announced that they are leaving, with the start time of the incarnation in milliseconds since the Unix epoch, or 0. */
-  leaving: z.record(z.string(), z.number())
+  leaving: z.record(z.string(), z.number()),
+  /** Limits that servers state; absent where there are none, and from gateways that do not know limits. */
+  limits: z.record(z.string(), LimitStatement).optional()
 })
 export type GatewayStatus = z.infer<typeof GatewayStatus>
 
@@ -66,6 +75,26 @@
 })
 export type GossipMessage = z.infer<typeof GossipMessage>
 
+/** A gateway's order for permits of a server, to the gateway that issues them. */
+export const PermitOrder = z.object({
+  /** The gateway that orders. */
+  node: z.string(),
+  server: z.string(),
+  wanted: z.number().int().nonnegative(),
+  /** Requests that the gateway sent without a permit since its last order; negative for permits that it did not use. */
+  spent: z.number().int(),
+  statement: LimitStatement.optional()
+})
+export type PermitOrder = z.infer<typeof PermitOrder>
+
+export const PermitGrant = z.object({
+  granted: z.number().int().nonnegative(),
+  /** Time after which a gateway that got fewer permits than it wanted may order again, in milliseconds. */
+  waitMs: z.number().nonnegative(),
+  statement: LimitStatement.optional()
+})
+export type PermitGrant = z.infer<typeof PermitGrant>
+
 /** All keys of the store replica. */
 export const Snapshot = z.object({
   revision: z.number(),
--- a/src/gateway/peer_table.ts
+++ b/src/gateway/peer_table.ts
@@ -62,6 +62,15 @@
     return this.plan.periodMs
   }
 
+  find (node: string): Peer | undefined {
+    return this.peers.get(node)
+  }
+
+  /** Tells whether a gateway has been seen recently, by itself or by the relay of its zone. */
+  isResponsive (node: string): boolean {
+    return this.now() - (this.peers.get(node)?.lastSeenMs ?? -Infinity) < this.unresponsiveAfterMs
+  }
+
   /** Names of the gateways that were seen within the time in milliseconds. */
   listSeen (withinMs: number): readonly string[] {
     const nowMs = this.now()
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -5,6 +5,7 @@
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
 import * as healths from './server_health.js'
+import type * as permits from './permits.js'
 import * as routing from '../contracts/routing.js'
 import * as relays from './stream_relay.js'
 import * as types from './types.js'
@@ -26,6 +27,12 @@
   | { readonly kind: 'answered', readonly server: routing.RoutedServer, readonly answer: Answered }
   | { readonly kind: 'not_run' | 'may_have_run', readonly server: routing.RoutedServer, readonly reason: string, readonly isTimeout?: boolean }
 
+/** A server chosen for a call, with the permit to send it there. */
+interface PlacedCall {
+  readonly server: routing.RoutedServer
+  readonly permit: permits.PermitSource
+}
+
 /** A send that was answered with an error, while it is open whether the server or the request is at fault. */
 interface InconclusiveSend {
   readonly server: string
@@ -52,11 +59,16 @@
     let fallback: SendResult & { readonly kind: 'answered' } | undefined
     let last: SendResult | undefined
     while (this.sendCount < maximumSends && this.remainingMs() > returnMarginMs + minimumSendMs) {
-      const server = this.choose()
-      if (server === undefined || !this.trySend()) {
+      const placed = await this.choose()
+      if (placed === undefined) {
+        break
+      }
+      const { server } = placed
+      if (this.reply.isGone || !this.trySend()) {
+        this.context.permits.giveBack(server)
         break
       }
-      const result = await this.send(server)
+      const result = await this.send(placed)
       if (this.reply.isGone) {
         return this.createAbandonedEnd(server.id)
       }
@@ -71,16 +83,32 @@
         break
       }
     }
+    if (this.reply.isGone) {
+      return this.createAbandonedEnd()
+    }
     return fallback === undefined ? this.sendFailure(last) : this.sendAnswer(fallback)
   }
 
-  private choose (): routing.RoutedServer | undefined {
-    const { directory, plainChoice, system } = this.context
-    const servers = directory.listReady(this.request.service.name)
-    return plainChoice.choose(servers, this.triedServers, this.isRepeatable, this.now(), system.random.nextUnit())
+  /** Chooses a server and takes a permit for it; passes over servers whose limits allow no request now. */
+  private async choose (): Promise<PlacedCall | undefined> {
+    const { directory, health, plainChoice, system } = this.context
+    const excluded = new Set(this.triedServers)
+    for (;;) {
+      const servers = directory.listReady(this.request.service.name)
+      const server = plainChoice.choose(servers, excluded, this.isRepeatable, this.now(), system.random.nextUnit())
+      // A server that does not answer is no substitute for one that takes the request a little later.
+      if (server === undefined || (excluded.size > this.triedServers.size && health.isPaused(server.id, this.now()))) {
+        return undefined
+      }
+      const permit = await this.takePermit(server)
+      if (permit !== undefined) {
+        return { server, permit }
+      }
+      excluded.add(server.id)
+    }
   }
 
-  private async send (server: routing.RoutedServer): Promise<SendResult> {
+  private async send ({ server, permit }: PlacedCall): Promise<SendResult> {
     const { dialect, plainChoice, pool, directory } = this.context
     const { isRepeatable } = this
     const sentMs = this.now()
@@ -113,6 +141,8 @@
       status: outcome.kind === 'answered' ? outcome.status : undefined,
       reason: result.kind === 'answered' ? undefined : result.reason,
       limitPerSecond: this.context.limits.getLimit(server, this.now()),
+      permit: permit === 'none' ? undefined : permit,
+      passedOver: this.passedOver === 0 ? undefined : this.passedOver,
       elapsedMs: Math.round(elapsedMs)
     })
     return result
@@ -156,7 +186,10 @@
     if (this.possibleRuns > 0) {
       return this.refuse(failures.createFailure('may_have_run', 'server_failed', [service, 'an earlier send may have run']))
     }
-    return this.refuse(this.createNoServerFailure(noServerRetryMs), last?.server.id)
+    const failure = this.passedOver === 0
+      ? this.createNoServerFailure(noServerRetryMs)
+      : this.createLimitFailure(this.context.directory.listReady(service))
+    return this.refuse(failure, last?.server.id)
   }
 }
 
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -39,19 +39,30 @@
 
   /** Prefills the prompt at a prefill server, or leaves that to the decode server where this is better for all runs. */
   async run (decodeServer: routing.RoutedServer): Promise<PrefillResult> {
-    const { directory, fleet } = this.context
+    const { directory, fleet, permits } = this.context
     const tried = new Set<string>()
+    const passedOver = new Set<string>()
     let reason = ''
     while (tried.size < maximumPrefillServers && !this.reply.isGone) {
-      const servers = directory.listReady(this.request.service.name)
-      const choice = fleet.choosePrefill(servers, getSizes(this.request.arrival).promptTokens, tried, this.now(), decodeServer.zone)
+      const servers = permits.selectAvailable(directory.listReady(this.request.service.name))
+      const excluded = new Set([...tried, ...passedOver])
+      const choice = fleet.choosePrefill(servers, getSizes(this.request.arrival).promptTokens, excluded, this.now(), decodeServer.zone)
       const unloadedMs = fleet.estimatePrefillMs('', getSizes(this.request.arrival).promptTokens, this.now())
       const { runs } = fleet.getLoad(decodeServer.id, this.now())
       if (choice === undefined || prefillPlacements.shouldPrefillAtDecode(choice.readyMs, unloadedMs, runs - 1)) {
         this.log('prefill left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, emptyMs: unloadedMs, runs })
         return { cache: undefined }
       }
+      if ((await permits.take(choice.server)).kind === 'refused') {
+        passedOver.add(choice.server.id)
+        continue
+      }
+      if (this.reply.isGone) {
+        permits.giveBack(choice.server)
+        break
+      }
       if (this.prefillCount > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
+        permits.giveBack(choice.server)
         return { failure: this.createNoServerFailure(noServerRetryMs) }
       }
       this.prefillCount += 1
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -1,27 +1,43 @@
 /**
  * Limits that servers state in their answers: the requests a second that a server takes from all gateways together.
  *
- * A limit belongs to one process of a server and holds for as long as its answers state it. Performs no input or output.
+ * A limit belongs to one process of a server and holds for as long as its answers state it. Gateways report statements to each
+ * other; of two about the same process the later one counts. Performs no input or output.
  */
 import * as host from '../host/types.js'
+import * as messages from './peer_messages.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
 
 /** Time for which an unconfirmed statement is kept, in milliseconds: any request to the server within it renews the statement. */
 const retentionMs = 600_000
+/** Time for which the end of a limit is reported to other gateways, in milliseconds. */
+const endReportMs = 10_000
+/** Limit on the statements in one message to another gateway; half of them are the latest changes, the rest take turns. */
+const reportedStatements = 8
+/** Least difference in age with which another gateway's statement of the same value counts as later, in milliseconds: its age lacks the time in transit. */
+const refreshMs = 1_000
+/** Value that stands for a server without a limit in messages. */
+const noLimit = -1
 
-/** The latest statement of a server's process about its limit. */
+/** The latest statement of a server's process about its limit. Times are on the monotonic clock, in milliseconds. */
 interface Statement {
   /** Requests a second; undefined if the server states no limit any more. */
   readonly perSecond: number | undefined
   /** Start time of the server's process in milliseconds since the Unix epoch, or 0. */
   readonly bornMs: number
-  /** When it was last true, on the monotonic clock, in milliseconds. */
+  /** When it was last true. */
   readonly observedMs: number
+  /** When the limit changed to this value, as this gateway learned it. */
+  readonly changedMs: number
 }
 
+type NewStatement = Omit<Statement, 'changedMs'>
+
 export class ServerLimits {
   private readonly statements = new Map<string, Statement>()
+  /** Position in the statements from which the next message takes those that have not changed lately. */
+  private nextReported = 0
 
   constructor (private readonly log: host.Log) {}
 
@@ -41,6 +57,17 @@
     return isInForce ? statement.perSecond : undefined
   }
 
+  /** Requests a second by the latest statement of a server, whichever of its processes made it. */
+  getStatedLimit (server: string): number | undefined {
+    return this.statements.get(server)?.perSecond
+  }
+
+  /** Time since the latest statement of a server was last true, in milliseconds. */
+  getAgeMs (server: string, nowMs: number): number | undefined {
+    const statement = this.statements.get(server)
+    return statement === undefined ? undefined : Math.round(nowMs - statement.observedMs)
+  }
+
   /**
    * Records what an answer states. Only the server's signed answer to a request that was sent after the last statement of the limit
    * ends it: an earlier request may have been answered before the server set the limit.
@@ -54,6 +81,51 @@
     }
   }
 
+  /** Returns the statement about a server as a message carries it. */
+  describe (server: string, nowMs: number): messages.LimitStatement | undefined {
+    const statement = this.statements.get(server)
+    return statement === undefined ? undefined : createMessage(statement, nowMs)
+  }
+
+  /** Returns statements for a message to another gateway, those that changed last first; undefined if there are none. */
+  listReported (nowMs: number): Record<string, messages.LimitStatement> | undefined {
+    const current: [string, Statement][] = []
+    for (const [server, statement] of this.statements) {
+      if (nowMs - statement.observedMs > retentionMs) {
+        this.statements.delete(server)
+      } else if (statement.perSecond !== undefined || nowMs - statement.changedMs <= endReportMs) {
+        current.push([server, statement])
+      }
+    }
+    if (current.length === 0) {
+      return undefined
+    }
+    if (current.length > reportedStatements) {
+      current.sort(([, a], [, b]) => b.changedMs - a.changedMs)
+    }
+    const changedLast = current.slice(0, reportedStatements / 2)
+    const others = current.slice(reportedStatements / 2)
+    const reported = new Map(changedLast)
+    for (let count = 0; count < Math.min(others.length, reportedStatements / 2); count += 1) {
+      this.nextReported = (this.nextReported + 1) % others.length
+      const [server, statement] = others[this.nextReported] as [string, Statement]
+      reported.set(server, statement)
+    }
+    return Object.fromEntries([...reported].map(([server, statement]) => [server, createMessage(statement, nowMs)]))
+  }
+
+  /** Merges statements that another gateway reported as of a time on the monotonic clock. */
+  merge (reported: Readonly<Record<string, messages.LimitStatement>>, teller: string, asOfMs: number, nowMs: number): void {
+    for (const [server, [perSecond, bornMs, ageMs]] of Object.entries(reported)) {
+      const next = { perSecond: perSecond === noLimit ? undefined : perSecond, bornMs, observedMs: asOfMs - Math.max(0, ageMs) }
+      const last = this.statements.get(server)
+      const isKnown = last?.perSecond === next.perSecond && last?.bornMs === bornMs && next.observedMs - last.observedMs < refreshMs
+      if (!isKnown) {
+        this.apply(server, next, nowMs, teller)
+      }
+    }
+  }
+
   /** Drops the statement of a server that has been removed. */
   forget (server: string): void {
     if (this.statements.delete(server)) {
@@ -61,13 +133,14 @@
     }
   }
 
-  private apply (server: string, next: Statement, nowMs: number, teller: string | undefined): void {
+  private apply (server: string, next: NewStatement, nowMs: number, teller: string | undefined): void {
     const last = this.statements.get(server)
     if (last !== undefined && (next.bornMs < last.bornMs || (next.bornMs === last.bornMs && next.observedMs <= last.observedMs))) {
       return
     }
-    this.statements.set(server, next)
-    if (last?.perSecond !== next.perSecond) {
+    const hasChanged = last?.perSecond !== next.perSecond
+    this.statements.set(server, { ...next, changedMs: hasChanged ? nowMs : last?.changedMs ?? nowMs })
+    if (hasChanged) {
       this.log.info(next.perSecond === undefined ? 'server limit ended' : 'server limit in force', {
         server,
         perSecond: next.perSecond,
@@ -79,3 +152,7 @@
     }
   }
 }
+
+function createMessage ({ perSecond, bornMs, observedMs }: Statement, nowMs: number): messages.LimitStatement {
+  return [perSecond ?? noLimit, bornMs, Math.round(nowMs - observedMs)]
+}
--- a/src/gateway/stage_check.ts
+++ b/src/gateway/stage_check.ts
@@ -14,7 +14,11 @@
 export class StageCheck extends exchanges.RequestScope {
   /** Excludes a server that reports an order in progress, at all gateways; for `standardMs` where its profile sets no time. */
   async run (server: routing.RoutedServer, standardMs: number): Promise<void> {
-    const { dialect, fleet, pool } = this.context
+    const { dialect, fleet, permits, pool } = this.context
+    if ((await permits.take(server)).kind === 'refused') {
+      this.log('engine report not read', { server: server.id, reason: 'the limit of the server allows no request now' })
+      return
+    }
     const outcome = await pool.call(server, dialect.writeReportRequest(server), reportAnswerMs)
     const report = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readReport(outcome.body) : undefined
     const isSwitching = report?.isRight() === true && report.unsafeCoerce().isBusy
--- a/src/gateway/stage_coordinator.ts
+++ b/src/gateway/stage_coordinator.ts
@@ -157,7 +157,7 @@
     }
     let best: routing.RoutedServer | undefined
     let bestLoad = Infinity
-    for (const server of servers) {
+    for (const server of this.context.permits.selectAvailable(servers)) {
       if (server.stage !== change.from || this.pendingOrders.has(server.id) || this.context.health.isPaused(server.id, nowMs)) {
         continue
       }
@@ -171,7 +171,11 @@
   }
 
   private async order (service: string, server: routing.RoutedServer, to: routing.EngineStage): Promise<void> {
-    const { dialect, meter, pool, settings, system } = this.context
+    const { dialect, meter, permits, pool, settings, system } = this.context
+    if ((await permits.take(server)).kind === 'refused') {
+      system.log.info('no stage change order', { server: server.id, reason: 'the limit of the server allows no request now' })
+      return
+    }
     const report = await pool.call(server, dialect.writeReportRequest(server), callTimeoutMs)
     const read = report.kind === 'answered' && report.status === 200 ? dialect.readReport(report.body) : undefined
     if (read === undefined || read.isLeft() || this.fencingToken === undefined || !this.lease.isHeld) {
@@ -186,8 +190,13 @@
       system.log.info('no stage change order', { server: server.id, reason: isBusy ? 'the server is carrying out another order' : 'the server is already at the stage' })
       return
     }
+    if ((await permits.take(server)).kind === 'refused') {
+      system.log.info('no stage change order', { server: server.id, reason: 'the limit of the server allows no order now' })
+      return
+    }
     if (!await this.lease.verify() || this.fencingToken !== fencingToken) {
       system.log.info('no stage change order', { server: server.id, fence: fencingToken, reason: 'the store did not confirm the coordinator lease' })
+      permits.giveBack(server)
       return
     }
     this.pendingOrders.set(server.id, { to, untilMs: system.clock.monotonicMs() + effectTimeoutMs })
--- a/tools/code_advice.ts
+++ b/tools/code_advice.ts
@@ -29,6 +29,7 @@
   request_exceeds_burst: 'If the workspace should send such requests, raise its burst.',
   queue_full: 'Too little capacity, or a server that is stuck.',
   target_unreachable: 'Too little capacity for the model\'s targets.',
+  servers_limited: 'The servers state how many requests a second they take: `server limit in force` and `servers at their limits` in the log. Ask their owners why.',
   share_exceeded: 'The workspace sends more than its share while the servers are full: it is refused first. Nothing to do, unless its allowance is too small.',
   memory_exhausted: 'Too little memory for decoding: add decode servers.',
   entry_overloaded: 'Too few entries, or requests that do not end: `limits.requestsInFlight`.',
