Limits in virtual time while gateways freeze, restart, join and are cut off, and while servers change them

2, 3, 6 and 24 gateways before three servers with a limit of 5 a second, under three times as many requests. All arrivals count, also those of gateways in trouble.

--- a/tests/gateway/permit_fleet.test.ts
+++ b/tests/gateway/permit_fleet.test.ts
@@ -15,13 +15,18 @@
   return fleet
 }
 
-/** Checks the arrivals from the named gateways, or from all. */
-function assertWithinLimit (server: fleets.LimitedServer, gateways?: ReadonlySet<string>): void {
-  const arrivals = server.arrivals.filter(({ gateway }) => gateways === undefined || gateways.has(gateway))
-  const excess = limitChecks.findLimitExcess(arrivals.map(({ atMs }) => atMs), server.limitChanges)
+/** Checks the arrivals from all gateways, or from those that are not excused in a time. */
+function assertWithinLimit (server: fleets.LimitedServer, counts?: limitChecks.ArrivalFilter): void {
+  const excess = limitChecks.findLimitExcess(server.arrivals, server.limitChanges, counts)
   assert.equal(excess, undefined, `${server.id} at ${server.perSecond} a second: ${JSON.stringify(excess)}`)
 }
 
+function assertAllWithinLimits (fleet: fleets.PermitFleet): void {
+  for (const server of fleet.servers) {
+    assertWithinLimit(server)
+  }
+}
+
 /** Fraction of what the limits allowed in a time that arrived. */
 function measureUse (server: fleets.LimitedServer, fromMs: number, toMs: number): number {
   const allowed = limitChecks.countAllowed(server.limitChanges, fromMs, toMs) as number
@@ -55,4 +60,140 @@
       })
     }
   }
+
+  test.describe('while gateways are in trouble', () => {
+    const perSecond = 5
+
+    /** Three limited servers under three times as many requests; `disturb` runs ten seconds after the limits were named. */
+    async function play (gatewayCount: number, disturb: (fleet: fleets.PermitFleet) => Promise<void>): Promise<{ fleet: fleets.PermitFleet, startMs: number, endMs: number }> {
+      const fleet = createFleet(gatewayCount, 3)
+      const servers = zones.map(zone => fleet.addServer(zone))
+      for (const server of servers) {
+        server.nameLimit(perSecond)
+      }
+      const load = fleet.load(3 * 3 * perSecond, 40_000)
+      await fleet.clock.advance(10_000)
+      const startMs = fleet.clock.monotonicMs()
+      await disturb(fleet)
+      const endMs = fleet.clock.monotonicMs()
+      await load
+      return { fleet, startMs, endMs }
+    }
+
+    for (const gatewayCount of [2, 3, 6, 24]) {
+      test.describe(`${gatewayCount} gateways`, () => {
+        test.it('all together keep the limits while each of them is restarted, one after the other', async () => {
+          const { fleet } = await play(gatewayCount, async ({ gateways, clock }) => {
+            for (const gateway of gateways) {
+              gateway.isRunning = false
+              await clock.advance(500)
+              gateway.restart()
+              await clock.advance(500)
+            }
+          })
+          assertAllWithinLimits(fleet)
+        })
+
+        test.it('keep and use the limits while one of them is frozen, and when it goes on', async () => {
+          const { fleet, startMs, endMs } = await play(gatewayCount, async fleet => {
+            fleet.freeze(fleet.gateways[0] as fleets.SimulatedGateway)
+            await fleet.clock.advance(6_000)
+            fleet.thaw(fleet.gateways[0] as fleets.SimulatedGateway)
+          })
+          for (const server of fleet.servers) {
+            assertWithinLimit(server)
+            const use = measureUse(server, startMs, endMs)
+            assert.ok(use >= (gatewayCount === 2 ? 0.5 : 0.75), `${server.id}: ${use} while one was frozen`)
+            assert.ok(measureUse(server, endMs + 1_000, endMs + 11_000) >= 0.9)
+          }
+        })
+
+        test.it('keep the limits together while a zone is cut off from the others, and use them', async () => {
+          const { fleet, startMs, endMs } = await play(gatewayCount, async fleet => {
+            fleet.setCut(fleet.gateways.filter(({ zone }) => zone === 'a'), true)
+            await fleet.clock.advance(10_000)
+            fleet.setCut(fleet.gateways.filter(({ zone }) => zone === 'a'), false)
+          })
+          for (const server of fleet.servers) {
+            assertWithinLimit(server)
+            assert.ok(measureUse(server, startMs + 2_000, endMs) >= 0.9, `${server.id}: ${measureUse(server, startMs + 2_000, endMs)}`)
+          }
+        })
+
+        test.it('keep the limits together while none reaches another', async () => {
+          const { fleet } = await play(gatewayCount, async fleet => {
+            for (const gateway of fleet.gateways) {
+              fleet.setCut([gateway], true)
+            }
+            await fleet.clock.advance(10_000)
+            fleet.cuts.clear()
+          })
+          assertAllWithinLimits(fleet)
+        })
+
+        test.it('keep the limits while others join', async () => {
+          const { fleet } = await play(gatewayCount, async fleet => {
+            for (let number = 0; number < 6; number += 1) {
+              fleet.addGateway(zones[number % 3] as string)
+              await fleet.clock.advance(400)
+            }
+          })
+          assertAllWithinLimits(fleet)
+        })
+      })
+    }
+  })
+
+  test.describe('when servers change their limits', () => {
+    for (const gatewayCount of [1, 6, 24]) {
+      test.it(`follow them down and up, and use a server fully after the end of its limit, with ${gatewayCount} gateways`, async () => {
+        const fleet = createFleet(gatewayCount, 4)
+        const [first, second] = [fleet.addServer('a'), fleet.addServer('b')] as [fleets.LimitedServer, fleets.LimitedServer]
+        second.nameLimit(2)
+        const load = fleet.load(60, 40_000)
+        for (const perSecond of [20, 4, 12, 3]) {
+          first.nameLimit(perSecond)
+          await fleet.clock.advance(8_000)
+          assertWithinLimit(first)
+        }
+        assertWithinLimit(second)
+        first.nameLimit(undefined)
+        await fleet.clock.advance(3_000)
+        const endedMs = fleet.clock.monotonicMs()
+        await fleet.clock.advance(2_000)
+        const refusedBefore = fleet.gateways.reduce((sum, { counts }) => sum + counts.refused, 0)
+        await load
+        assert.ok(first.arrivals.filter(({ atMs }) => atMs > endedMs).length > 3 * 25)
+        assert.equal(fleet.gateways.reduce((sum, { counts }) => sum + counts.refused, 0), refusedBefore)
+      })
+
+      test.it(`do not apply them to a new process of the server, with ${gatewayCount} gateways`, async () => {
+        const fleet = createFleet(gatewayCount, 5)
+        const server = fleet.addServer('a')
+        server.nameLimit(0.3)
+        const load = fleet.load(20, 30_000)
+        await fleet.clock.advance(10_000)
+        server.bornMs += 1
+        server.nameLimit(undefined)
+        await fleet.clock.advance(2_000)
+        const restartedMs = fleet.clock.monotonicMs()
+        await load
+        assert.ok(server.arrivals.filter(({ atMs }) => atMs > restartedMs).length > 0.9 * 20 * 18)
+      })
+
+      test.it(`notice the end of a limit of none at all, with ${gatewayCount} gateways`, async () => {
+        const fleet = createFleet(gatewayCount, 6)
+        const server = fleet.addServer('a')
+        server.nameLimit(0)
+        const load = fleet.load(10, 30_000)
+        await fleet.clock.advance(15_000)
+        assertWithinLimit(server)
+        server.nameLimit(undefined)
+        await fleet.clock.advance(5_000)
+        const endedMs = fleet.clock.monotonicMs()
+        await load
+        assert.ok(server.arrivals.filter(({ atMs }) => atMs > endedMs).length > 0.9 * 10 * 10)
+      })
+    }
+  })
 })
