Random troubles and changes of limits in virtual time; servers without a permit are sorted out before the choice

A plain call asked each server without a permit in turn, which is quadratic in the servers of a service where all have limits.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -67,10 +67,8 @@
 
 export abstract class Exchange extends RequestScope {
   protected sendCount = 0
-  /** Number of servers passed over because there was no permit for them. */
+  /** Number of times that a server was passed over because its limit allowed no request. */
   protected passedOver = 0
-  /** Least time until a permit of one of them may be had, in milliseconds. */
-  private permitWaitMs = Infinity
 
   abstract run (): Promise<ExchangeEnd>
 
@@ -91,29 +89,48 @@
       return verdict.source
     }
     this.passedOver += 1
-    this.permitWaitMs = Math.min(this.permitWaitMs, verdict.waitMs)
     return undefined
   }
 
+  /** Returns the ready servers of the request's service without those known to have no permit now, which count as passed over. */
+  protected selectAvailable (): readonly routing.RoutedServer[] {
+    const servers = this.context.directory.listReady(this.request.service.name)
+    const available = this.context.permits.selectAvailable(servers)
+    this.passedOver += servers.length - available.length
+    return available
+  }
+
   /** Returns the failure for a request that no server may take because of its limit, with a retry time of `waitMs` at least. */
-  protected createLimitFailure (servers: readonly routing.RoutedServer[], waitMs = 0): failures.Failure {
-    const { limits, permits: permitBook, returns } = this.context
+  protected createLimitFailure (waitMs = 0): failures.Failure {
+    const { directory, limits, permits: permitBook, returns } = this.context
     const service = this.request.service.name
     const nowMs = this.now()
-    const nextMs = Math.max(waitMs, Number.isFinite(this.permitWaitMs) ? this.permitWaitMs : 0)
-    const perSecond = permitBook.getSharePerSecond(servers)
-    const retryAfterMs = returns.schedule(service, nextMs, perSecond, nowMs)
-    const [nearest] = servers.filter(server => limits.getLimit(server, nowMs) !== undefined)
+    const limited = directory.listReady(service).filter(server => limits.getLimit(server, nowMs) !== undefined)
+    let nearest: routing.RoutedServer | undefined
+    let nearestMs = Infinity
+    for (const server of limited) {
+      const nextMs = permitBook.getWaitMs(server)
+      if (nextMs < nearestMs) {
+        nearest = server
+        nearestMs = nextMs
+      }
+    }
+    const sharePerSecond = permitBook.getSharePerSecond(limited)
+    const retryAfterMs = returns.schedule(service, Math.max(waitMs, nearest === undefined ? 0 : nearestMs), sharePerSecond, nowMs)
     this.log('servers at their limits', {
       service,
       passedOver: this.passedOver,
-      server: nearest?.id,
-      limitPerSecond: nearest === undefined ? undefined : limits.getLimit(nearest, nowMs),
-      ageMs: nearest === undefined ? undefined : limits.getAgeMs(nearest.id, nowMs),
-      issuer: nearest === undefined ? undefined : permitBook.getIssuer(nearest),
-      sharePerSecond: Number(perSecond.toFixed(2)),
-      waitMs: Math.round(nextMs),
-      retryAfterMs
+      sharePerSecond: Number(sharePerSecond.toFixed(2)),
+      retryAfterMs,
+      ...(nearest === undefined
+        ? {}
+        : {
+            server: nearest.id,
+            limitPerSecond: limits.getLimit(nearest, nowMs),
+            ageMs: limits.getAgeMs(nearest.id, nowMs),
+            issuer: permitBook.getIssuer(nearest),
+            waitMs: Math.round(nearestMs)
+          })
     })
     return failures.createFailure('not_run', 'servers_limited', [service], retryAfterMs)
   }
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -264,7 +264,7 @@
     const { directory } = this.context
     const servers = directory.listReady(this.request.service.name)
     if (this.areAllLimited(servers)) {
-      return this.createLimitFailure(servers, this.estimatePermitWaitMs(servers))
+      return this.createLimitFailure(this.estimatePermitWaitMs(servers))
     }
     this.log('no decode capacity', {
       service: this.request.service.name,
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -91,13 +91,13 @@
 
   /** Chooses a server and takes a permit for it; passes over servers whose limits allow no request now. */
   private async choose (): Promise<PlacedCall | undefined> {
-    const { directory, health, plainChoice, system } = this.context
+    const { health, plainChoice, system } = this.context
     const excluded = new Set(this.triedServers)
+    const servers = this.selectAvailable()
     for (;;) {
-      const servers = directory.listReady(this.request.service.name)
       const server = plainChoice.choose(servers, excluded, this.isRepeatable, this.now(), system.random.nextUnit())
       // A server that does not answer is no substitute for one that takes the request a little later.
-      if (server === undefined || (excluded.size > this.triedServers.size && health.isPaused(server.id, this.now()))) {
+      if (server === undefined || (this.passedOver > 0 && health.isPaused(server.id, this.now()))) {
         return undefined
       }
       const permit = await this.takePermit(server)
@@ -188,7 +188,7 @@
     }
     const failure = this.passedOver === 0
       ? this.createNoServerFailure(noServerRetryMs)
-      : this.createLimitFailure(this.context.directory.listReady(service))
+      : this.createLimitFailure()
     return this.refuse(failure, last?.server.id)
   }
 }
--- a/tests/gateway/permit_fleet.test.ts
+++ b/tests/gateway/permit_fleet.test.ts
@@ -2,6 +2,7 @@
 import * as test from 'node:test'
 import * as fleets from './permit_fleet.js'
 import * as limitChecks from '../../platform/soak/limit_check.js'
+import * as seededRandom from '../../src/host/seeded_random.js'
 
 const zones = ['a', 'b', 'c']
 /** Time in which a limit becomes known everywhere, in milliseconds. */
@@ -33,6 +34,66 @@
   return server.arrivals.filter(({ atMs }) => atMs >= fromMs && atMs < toMs).length / allowed
 }
 
+/** Six gateways, and from time to time a trouble of one of them or a change of a server's limit, which overlap. */
+class RandomStory {
+  readonly fleet: fleets.PermitFleet
+  private readonly random: seededRandom.SeededRandom
+  private readonly disturbances: { readonly gateway: string, readonly fromMs: number, toMs: number }[] = []
+
+  constructor (seed: number) {
+    this.random = new seededRandom.SeededRandom(seed)
+    this.fleet = createFleet(6, seed)
+    for (const zone of zones) {
+      this.fleet.addServer(zone)
+    }
+  }
+
+  async play (lengthMs: number): Promise<void> {
+    const load = this.fleet.load(90, lengthMs)
+    const endMs = this.fleet.clock.monotonicMs() + lengthMs
+    const troubles: Promise<void>[] = []
+    while (this.fleet.clock.monotonicMs() < endMs - 6_000) {
+      if (this.random.nextUnit() < 0.5) {
+        const server = this.fleet.servers[this.random.nextInteger(this.fleet.servers.length)]
+        server?.nameLimit(this.random.nextUnit() < 0.2 ? undefined : 0.5 + this.random.nextUnit() * 10)
+      } else {
+        troubles.push(this.disturb(this.fleet.gateways[this.random.nextInteger(6)] as fleets.SimulatedGateway))
+      }
+      await this.fleet.clock.advance(this.random.nextUnit() * 2_500)
+    }
+    await load
+    await Promise.all(troubles)
+  }
+
+  isDisturbed (gateway: string | undefined, fromMs: number, toMs: number): boolean {
+    return this.disturbances.some(disturbance => disturbance.gateway === gateway && disturbance.fromMs <= toMs && disturbance.toMs >= fromMs)
+  }
+
+  private async disturb (gateway: fleets.SimulatedGateway): Promise<void> {
+    const { clock } = this.fleet
+    const disturbance = { gateway: gateway.node, fromMs: clock.monotonicMs(), toMs: Infinity }
+    this.disturbances.push(disturbance)
+    const forMs = this.random.nextUnit() * 5_000
+    const draw = this.random.nextInteger(3)
+    if (draw === 0) {
+      this.fleet.freeze(gateway)
+    } else if (draw === 1) {
+      this.fleet.setCut([gateway], true)
+    } else {
+      gateway.isRunning = false
+    }
+    await clock.sleep(forMs)
+    if (draw === 0) {
+      this.fleet.thaw(gateway)
+    } else if (draw === 1) {
+      this.fleet.setCut([gateway], false)
+    } else {
+      gateway.restart()
+    }
+    disturbance.toMs = clock.monotonicMs()
+  }
+}
+
 test.describe('The permits of a fleet before servers with limits', () => {
   for (const gatewayCount of [1, 6, 24]) {
     for (const perSecond of [0.5, 2.5, 7, 40]) {
@@ -144,6 +205,18 @@
     }
   })
 
+  test.describe('through random troubles and changes of limits', () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      test.it(`keep the limits, those in trouble excused: seed ${seed}`, async () => {
+        const story = new RandomStory(seed)
+        await story.play(60_000)
+        for (const server of story.fleet.servers) {
+          assertWithinLimit(server, (gateway, fromMs, toMs) => !story.isDisturbed(gateway, fromMs, toMs))
+        }
+      })
+    }
+  })
+
   test.describe('when servers change their limits', () => {
     for (const gatewayCount of [1, 6, 24]) {
       test.it(`follow them down and up, and use a server fully after the end of its limit, with ${gatewayCount} gateways`, async () => {
