Idle connections to a server are shared out among the gateways

A server accepts a number of connections from all gateways together and resets the rest, which loses calls that must not run twice. A gateway now keeps its even share of three quarters of them, one at least; the rest is for requests in progress.

--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -7,8 +7,10 @@
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
 
-/** Limit on the idle connections kept for a server; the oldest one is closed above it. */
+/** Limit on the idle connections kept for a server; the oldest ones are closed above it. */
 const maximumIdleConnections = 24
+/** Part of the connections that a server accepts which all gateways together may keep idle; the rest is for requests in progress. */
+const idleConnectionsPart = 0.75
 /** Longest idle time of a connection for a request that must not be sent twice, if the server names none. */
 const maximumIdleForOnceMs = 1_000
 /** Longest idle time of a connection for other requests; a dead connection is then detected by a time-out. */
@@ -50,13 +52,21 @@
 
 export class ConnectionPool {
   private readonly idle = new Map<string, IdleConnection[]>()
+  private gateways = 1
 
   constructor (
     private readonly clock: host.Clock,
     private readonly dialect: types.Dialect,
-    private readonly listener: SendListener
+    private readonly listener: SendListener,
+    /** Returns the number of connections that a server accepts from all gateways together, if it is known. */
+    private readonly getMaximumConnections: (server: routing.RoutedServer) => number | undefined
   ) {}
 
+  /** Sets the number of gateways that share the connections of each server. */
+  setGatewayCount (count: number): void {
+    this.gateways = Math.max(1, count)
+  }
+
   /** Sends a request on an idle or new connection. With `mustSendOnce`, connections that the server may be closing are avoided. */
   send (server: routing.RoutedServer, request: types.OutgoingRequest, mustSendOnce: boolean, observer: connections.AnswerObserver): connections.ActiveSend {
     const { address } = server
@@ -70,7 +80,7 @@
     this.listener.sent(server)
     const poolingObserver = new PoolingObserver(observer, request.requestId, readFacts, (isClean, idleMs) => {
       if (isClean && !connection.isBroken) {
-        this.keep(address, { connection, sinceMs: this.clock.monotonicMs(), idleMs })
+        this.keep(server, { connection, sinceMs: this.clock.monotonicMs(), idleMs })
       } else {
         connection.close()
       }
@@ -131,12 +141,14 @@
     return undefined
   }
 
-  private keep (address: string, idle: IdleConnection): void {
-    const list = this.idle.get(address) ?? []
-    this.idle.set(address, list)
+  private keep (server: routing.RoutedServer, idle: IdleConnection): void {
+    const list = this.idle.get(server.address) ?? []
+    this.idle.set(server.address, list)
     list.push(idle)
-    if (list.length > maximumIdleConnections) {
-      list.shift()?.connection.close()
+    const share = (this.getMaximumConnections(server) ?? Infinity) * idleConnectionsPart / this.gateways
+    const limit = Math.max(1, Math.min(maximumIdleConnections, Math.floor(share)))
+    for (const { connection } of list.splice(0, Math.max(0, list.length - limit))) {
+      connection.close()
     }
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -76,7 +76,8 @@
   ) {
     this.boot = system.random.nextId()
     const health = new healths.ServerHealth()
-    const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener())
+    const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
+      ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections)
     const limits = new serverLimits.ServerLimits(system.log)
     this.issuers = new issuerChoices.IssuerChoice(options, node => this.peerTable.isResponsive(node))
     const permitBook = new permits.Permits(options.node, limits, this.issuers, this.createPermitChannel(), system)
@@ -323,6 +324,7 @@
     this.peerTable.setMembers(found)
     this.issuers.setOthers([...found].map(([node, { zone }]) => ({ node, zone })))
     this.context.allowance.setPeers([...found.keys()], this.peerTable.unresponsiveAfterMs)
+    this.context.pool.setGatewayCount(found.size + 1)
     this.context.retries.setGatewayCount(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
   }
