--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -116,7 +116,7 @@
       }
     }
     const sharePerSecond = permitBook.getSharePerSecond(limited)
-    const retryAfterMs = returns.schedule(service, Math.max(waitMs, nearest === undefined ? 0 : nearestMs), sharePerSecond, nowMs)
+    const retryAfterMs = nearest === undefined ? waitMs : returns.schedule(service, Math.max(waitMs, nearestMs), sharePerSecond, nowMs)
     this.log('servers at their limits', {
       service,
       passedOver: this.passedOver,
--- a/tests/gateway/permit_fleet.test.ts
+++ b/tests/gateway/permit_fleet.test.ts
@@ -205,6 +205,41 @@
     }
   })
 
+  test.describe('beside a gateway of the version before, which issues no permits', () => {
+    test.it('keep the limits, and use their shares of those that it would issue', async () => {
+      const fleet = createFleet(3, 7)
+      const [old] = fleet.gateways as [fleets.SimulatedGateway]
+      old.isOld = true
+      const servers = zones.map(zone => fleet.addServer(zone))
+      for (const server of servers) {
+        server.nameLimit(6)
+      }
+      await fleet.load(3 * 3 * 6, 30_000, index => index === 0 ? 0 : 1)
+      for (const server of servers) {
+        assertWithinLimit(server)
+        assert.ok(measureUse(server, settlingMs, 30_000) >= 0.6, `${server.id}: ${measureUse(server, settlingMs, 30_000)}`)
+      }
+    })
+  })
+
+  test.describe('with requests that are sent without a permit', () => {
+    // Guards against control calls, which are not refused, on top of a limit that requests already use up.
+    test.it('count them, and issue fewer permits', async () => {
+      const fleet = createFleet(6, 8)
+      const server = fleet.addServer('a')
+      server.nameLimit(10)
+      const load = fleet.load(60, 30_000)
+      for (let call = 0; call < 200; call += 1) {
+        fleet.callUnpermitted(fleet.gateways[call % 6] as fleets.SimulatedGateway, server)
+        await fleet.clock.advance(150)
+      }
+      await load
+      assertWithinLimit(server)
+      const use = measureUse(server, settlingMs, 30_000)
+      assert.ok(use >= 0.9 && use <= 1.15, `${use}`)
+    })
+  })
+
   test.describe('through random troubles and changes of limits', () => {
     for (let seed = 1; seed <= 20; seed += 1) {
       test.it(`keep the limits, those in trouble excused: seed ${seed}`, async () => {
--- a/tests/gateway/permit_fleet.ts
+++ b/tests/gateway/permit_fleet.ts
@@ -62,6 +62,8 @@
   table: peerTables.PeerTable
   isRunning = true
   isFrozen = false
+  /** Whether it runs a version that neither knows limits nor issues permits. */
+  isOld = false
   /** Work that waits for the end of a freeze. */
   readonly held: (() => void)[] = []
   private choice: issuerChoices.IssuerChoice
@@ -126,7 +128,12 @@
     const choice = new issuerChoices.IssuerChoice({ node, zone }, peer => table.isResponsive(peer))
     const channel = new class extends permits.PermitChannel {
       override ask (to: string, order: messages.PermitOrder): Promise<messages.PermitGrant> {
-        return fleet.deliver(node, to, orderTimeoutMs, gateway => gateway.permits.decide(order))
+        return fleet.deliver(node, to, orderTimeoutMs, gateway => {
+          if (gateway.isOld) {
+            throw new Error('Method not found')
+          }
+          return gateway.permits.decide(order)
+        })
       }
     }()
     return [limits, choice, new permits.Permits(node, limits, choice, channel, fleet.system), table]
@@ -223,7 +230,14 @@
         return
       }
       this.clock.after(networkDelayMs, () => target.run(() => {
-        const result = call(target)
+        let result: Result
+        try {
+          result = call(target)
+        } catch (error) {
+          stopTimer()
+          reject(new Error(String(error)))
+          return
+        }
         this.clock.after(networkDelayMs, () => {
           if (!this.cuts.has(`${to} ${from}`)) {
             stopTimer()
@@ -234,6 +248,11 @@
     })
   }
 
+  /** Sends a call for which no permit was taken, as releases of memory are. */
+  callUnpermitted (gateway: SimulatedGateway, server: LimitedServer): void {
+    gateway.run(() => this.send(gateway, server))
+  }
+
   private exchangeDue (gateway: SimulatedGateway): void {
     for (const peer of gateway.table.listDue()) {
       peer.isCalling = true
