Placement at a decode server in a module of its own; a new issuer is asked at once

Permits are taken in the base of all request scopes. Where all limits are used up, the refusal says so.

A gateway that had taken its issuer for silent went on with its share for up to half a second after another issuer was chosen.

--- a/bench/decision_slopes.ts
+++ b/bench/decision_slopes.ts
@@ -4,8 +4,9 @@
 import * as process from 'node:process'
 import * as agentDecisions from './agent_decisions.js'
 import * as decisions from './decisions.js'
+import * as permitDecisions from './permit_decisions.js'
 
-const measured = [...decisions.measureDecisions(), ...agentDecisions.measureAgentDecisions()]
+const measured = [...decisions.measureDecisions(), ...agentDecisions.measureAgentDecisions(), ...permitDecisions.measurePermitDecisions()]
 if (process.argv.includes('--json')) {
   console.log(JSON.stringify(measured, undefined, 2))
 } else {
--- /dev/null
+++ b/src/gateway/decode_placement.ts
@@ -0,0 +1,247 @@
+/**
+ * Finds the decode server of a generation: capacity by this gateway's account, a permit where the server has a limit, and a
+ * reservation at the server.
+ */
+import type * as capacityQueues from './capacity_queue.js'
+import * as contexts from './context.js'
+import * as exchanges from './exchange.js'
+import * as failures from '../contracts/failure.js'
+import type * as permits from './permits.js'
+import * as promptPrefills from './prompt_prefill.js'
+import * as replies from './caller_reply.js'
+import * as routing from '../contracts/routing.js'
+import * as types from './types.js'
+
+/** Refused reservations after which a request fails. */
+const maximumReservationRefusals = 8
+/** Time-out of a reservation or release: covers a few round trips between zones. */
+export const reservationTimeoutMs = 120
+/** Validity of a reservation beyond the expected prefill. */
+const reservationMarginMs = 600
+/** Time from the end of the prefill to the first event: transfer of the KV cache, first decode step, network back. */
+const firstEventDelayMs = 60
+/** How long a late caller waits for capacity, in parts of the time after which it gives up without an event. */
+const lateWaitPart = 0.85
+/** Retry time without capacity: roughly how long the runs of a full server take. */
+const capacityRetryMs = 3_000
+/** Memory that is committed for a run's output, in parts of the expected length: in a burst the peaks of runs coincide. */
+const committedOutputPart = 0.9
+/** Memory that a reservation requests, in the same parts: the engine must have it at once, while the run needs it gradually. */
+const reservedOutputPart = 0.5
+
+/** A decode server with what has been reserved there. */
+export interface Placement {
+  readonly server: routing.RoutedServer
+  readonly reservation: string | undefined
+  readonly permit: permits.PermitSource
+}
+
+export type PlacementResult = { readonly place: Placement } | { readonly failure: failures.Failure }
+
+export class DecodePlacement extends exchanges.RequestScope {
+  constructor (
+    context: contexts.GatewayContext,
+    request: exchanges.AdmittedRequest,
+    reply: replies.CallerReply,
+    private readonly expectedOutput: number,
+    /** Time without an event after which the caller gives up, in milliseconds. */
+    private readonly stallMs: number
+  ) {
+    super(context, request, reply)
+  }
+
+  /** Number of times that a server was passed over because of its limit; undefined for none. */
+  get passedOverCount (): number | undefined {
+    return this.passedOver === 0 ? undefined : this.passedOver
+  }
+
+  private get sizes (): types.GenerationSizes {
+    return promptPrefills.getSizes(this.request.arrival)
+  }
+
+  /** Memory that the gateway commits for the run when it picks a server. */
+  private get committedTokens (): number {
+    return this.countBlockTokens(committedOutputPart)
+  }
+
+  /** Memory that is reserved at the engine, in tokens. */
+  private get reservedTokens (): number {
+    return this.countBlockTokens(reservedOutputPart)
+  }
+
+  /** When the first event is due to meet the latency goal. */
+  private get goalDeadlineMs (): number {
+    return this.request.firstAttemptMs + this.request.route.goalMs
+  }
+
+  /** Reserves capacity at a decode server, at once or as soon as there is some while the caller can still be served in time. */
+  async reserve (): Promise<PlacementResult> {
+    let refused = 0
+    while (true) {
+      const server = await this.awaitCapacity()
+      if (server === undefined) {
+        return { failure: this.createNoCapacityFailure(refused) }
+      }
+      const permit = await this.takePermit(server)
+      if (permit === undefined) {
+        this.context.fleet.releaseDecode(this.request.serial)
+        if (this.reply.isGone || this.now() >= this.planQueueing().latestMs) {
+          return { failure: this.createNoCapacityFailure(refused) }
+        }
+        continue
+      }
+      if (permit !== 'none') {
+        // A reservation would use up a second request of the limit.
+        return { place: { server, reservation: undefined, permit } }
+      }
+      const reserved = await this.reserveAt(server)
+      if (reserved.kind === 'taken') {
+        return { place: { server, reservation: reserved.reservation, permit } }
+      }
+      refused += 1
+      this.context.fleet.releaseDecode(this.request.serial)
+      if (this.reply.isGone || refused >= maximumReservationRefusals) {
+        return { failure: this.createNoCapacityFailure(refused) }
+      }
+    }
+  }
+
+  private createNoCapacityFailure (refused: number): failures.Failure {
+    const { directory } = this.context
+    const servers = directory.listReady(this.request.service.name)
+    if (this.areAllLimited(servers) && (this.passedOver > 0 || this.estimatePermitWaitMs(servers) > 0)) {
+      return this.createLimitFailure(this.estimatePermitWaitMs(servers))
+    }
+    this.log('no decode capacity', {
+      service: this.request.service.name,
+      neededTokens: this.committedTokens,
+      refusals: refused,
+      waiting: this.context.capacityQueue.length,
+      askedBeforeMs: this.request.arrivedMs - this.request.firstAttemptMs,
+      waitedMs: Math.round(this.now() - this.request.arrivedMs)
+    })
+    return servers.length > 0
+      ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], capacityRetryMs)
+      : this.createNoServerFailure(promptPrefills.noServerRetryMs)
+  }
+
+  /** Commits the load to the best server with capacity, waiting for one while the goal can still be met. */
+  private awaitCapacity (): Promise<routing.RoutedServer | undefined> {
+    const { capacityQueue: rooms } = this.context
+    const committed = this.tryCommit()
+    const servers = this.context.directory.listReady(this.request.service.name)
+    if (committed !== undefined || this.reply.hasStarted || servers.length === 0) {
+      return Promise.resolve(committed)
+    }
+    if (this.areAllLimited(servers) && this.now() + this.estimatePermitWaitMs(servers) > this.planQueueing().latestMs) {
+      return Promise.resolve(undefined)
+    }
+    return new Promise(resolve => {
+      let server: routing.RoutedServer | undefined
+      const leave = (): void => {
+        rooms.remove(this.request.serial)
+        resolve(undefined)
+      }
+      this.reply.gone.signal.addEventListener('abort', leave, { once: true })
+      rooms.add({
+        id: this.request.serial,
+        priority: this.request.priority,
+        expectedOutputTokens: this.expectedOutput,
+        sinceMs: this.request.firstAttemptMs,
+        ...this.planQueueing(),
+        tryReserve: () => {
+          server = this.tryCommit()
+          return server !== undefined
+        },
+        settle: () => {
+          this.reply.gone.signal.removeEventListener('abort', leave)
+          resolve(server)
+        }
+      })
+      rooms.dispatch(this.now())
+    })
+  }
+
+  /** Tells whether each server that can decode has a limit. */
+  private areAllLimited (servers: readonly routing.RoutedServer[]): boolean {
+    const nowMs = this.now()
+    const decodeServers = servers.filter(({ stage }) => stage === 'decode')
+    return decodeServers.length > 0 && decodeServers.every(server => this.context.limits.getLimit(server, nowMs) !== undefined)
+  }
+
+  /** Estimates the time until the limits of the servers allow this request after those that are queued, in milliseconds. */
+  private estimatePermitWaitMs (servers: readonly routing.RoutedServer[]): number {
+    const { capacityQueue, permits: permitBook } = this.context
+    const decodeServers = servers.filter(({ stage }) => stage === 'decode')
+    const nextMs = Math.min(...decodeServers.map(server => permitBook.getWaitMs(server)))
+    return nextMs + capacityQueue.length * 1000 / Math.max(permitBook.getSharePerSecond(decodeServers), Number.EPSILON)
+  }
+
+  /** Returns until when the request may be queued. A retry that is late in any case is not refused again while its caller still waits for the first event. */
+  private planQueueing (): Pick<capacityQueues.Waiter, 'latestMs' | 'isLate'> {
+    const { arrivedMs } = this.request
+    const startMarginMs = firstEventDelayMs + this.estimatePrefillMs()
+    const inTimeMs = this.goalDeadlineMs - startMarginMs
+    return inTimeMs > arrivedMs || this.request.firstAttemptMs === arrivedMs
+      ? { latestMs: inTimeMs, isLate: false }
+      : { latestMs: arrivedMs + Math.min(this.stallMs, this.remainingMs()) * lateWaitPart - startMarginMs, isLate: true }
+  }
+
+  private tryCommit (): routing.RoutedServer | undefined {
+    const { directory, fleet, permits: permitBook } = this.context
+    const profile = this.request.service.engine
+    if (profile === undefined) {
+      return undefined
+    }
+    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
+    const [best] = fleet.rankDecode(servers, profile, this.committedTokens, this.now())
+    if (best !== undefined) {
+      fleet.bookDecode(this.request.serial, best.id, this.committedTokens)
+    }
+    return best
+  }
+
+  private estimatePrefillMs (): number {
+    const { directory, fleet, permits: permitBook } = this.context
+    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
+    return fleet.choosePrefill(servers, this.sizes.promptTokens, new Set(), this.now(), undefined)?.readyMs ?? 0
+  }
+
+  private async reserveAt (server: routing.RoutedServer): Promise<{ readonly kind: 'taken', readonly reservation: string } | { readonly kind: 'refused' }> {
+    const { dialect, health, pool } = this.context
+    const ttlMs = Math.min(this.request.service.engine?.maximumHoldMs ?? reservationMarginMs, this.estimatePrefillMs() * 2 + reservationMarginMs)
+    const outcome = await pool.call(server, dialect.writeReservationRequest(server, this.reservedTokens, ttlMs), reservationTimeoutMs)
+    if (outcome.kind !== 'answered') {
+      const isPaused = health.record(server.id, outcome.kind === 'unsent' ? 'unreachable' : 'silent', this.now())
+      this.log('reservation refused', { server: server.id, reason: outcome.reason, leftOut: isPaused })
+      return { kind: 'refused' }
+    }
+    const hold = outcome.status === 200 ? dialect.readReservation(outcome.body) : undefined
+    if (hold?.isRight() === true) {
+      return { kind: 'taken', reservation: hold.unsafeCoerce() }
+    }
+    this.context.fleet.recordRefusal(server.id, promptPrefills.fullServerExclusionMs, this.now())
+    this.context.meter.count('gateway_room_refused_total', {})
+    this.log('reservation refused', { server: server.id, status: outcome.status, neededTokens: this.reservedTokens })
+    return { kind: 'refused' }
+  }
+
+  /** Releases what was reserved at a server and not used. */
+  release (place: Placement | undefined): void {
+    this.context.fleet.releaseDecode(this.request.serial)
+    if (place !== undefined && place.permit !== 'none') {
+      this.context.permits.giveBack(place.server)
+    }
+    if (place?.reservation !== undefined) {
+      const { dialect, pool } = this.context
+      pool.call(place.server, dialect.writeReservationRelease(place.server, place.reservation), reservationTimeoutMs)
+        .catch((error: unknown) => this.log('reservation not released', { server: place.server.id, reason: String(error) }))
+    }
+    this.context.capacityQueue.dispatch(this.now())
+  }
+
+  /** Returns the memory for the prompt and a part of the expected output, in tokens of whole blocks. */
+  private countBlockTokens (outputPart: number): number {
+    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * outputPart) / promptPrefills.blockTokens + 1) * promptPrefills.blockTokens
+  }
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -35,6 +35,9 @@
 
 /** Base of the classes that serve one request: the request, its reply and the gateway's context. */
 export class RequestScope {
+  /** Number of times that a server was passed over because its limit allowed no request. */
+  protected passedOver = 0
+
   constructor (
     protected readonly context: contexts.GatewayContext,
     protected readonly request: AdmittedRequest,
@@ -63,24 +66,6 @@
     const backOffMs = directory.listReady(service).length === 0 ? directory.getBackOffMs(service) : undefined
     return failures.createFailure('not_run', 'no_server', [service], Math.max(retryAfterMs, backOffMs ?? 0))
   }
-}
-
-export abstract class Exchange extends RequestScope {
-  protected sendCount = 0
-  /** Number of times that a server was passed over because its limit allowed no request. */
-  protected passedOver = 0
-
-  abstract run (): Promise<ExchangeEnd>
-
-  /** Counts a send of the request to a server; returns false if it would exceed the shared retry budget. */
-  protected trySend (): boolean {
-    if (this.sendCount > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
-      this.log('retry not sent', { reason: 'budget', service: this.request.service.name, sends: this.sendCount })
-      return false
-    }
-    this.sendCount += 1
-    return true
-  }
 
   /** Takes a permit for the next send to a server; returns its source, or undefined if the server's limit allows none now. */
   protected async takePermit (server: routing.RoutedServer): Promise<permits.PermitSource | undefined> {
@@ -134,6 +119,22 @@
     })
     return failures.createFailure('not_run', 'servers_limited', [service], retryAfterMs)
   }
+}
+
+export abstract class Exchange extends RequestScope {
+  protected sendCount = 0
+
+  abstract run (): Promise<ExchangeEnd>
+
+  /** Counts a send of the request to a server; returns false if it would exceed the shared retry budget. */
+  protected trySend (): boolean {
+    if (this.sendCount > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
+      this.log('retry not sent', { reason: 'budget', service: this.request.service.name, sends: this.sendCount })
+      return false
+    }
+    this.sendCount += 1
+    return true
+  }
 
   protected refuse (failure: failures.Failure, server?: string): ExchangeEnd {
     const status = this.reply.fail(failure)
--- a/src/gateway/issuer_choice.ts
+++ b/src/gateway/issuer_choice.ts
@@ -8,7 +8,7 @@
  * Excess over a limit that the two sides of a network partition may use together, as a fraction: keeps the limit in use while a
  * gateway restarts.
  */
-const partitionExcess = 0.3
+const partitionExcess = 0.35
 
 /** A gateway of the deployment. */
 export interface FleetMember {
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -20,6 +20,11 @@
 const orderAheadMs = 100
 /** Time constant of the average rate of attempts to take a permit, in milliseconds. */
 const attemptAveragingMs = 1_000
+/**
+ * Longest random delay before the next order after a refused one, in milliseconds: several round trips between zones, so that the
+ * issuer itself has no lead over the others.
+ */
+const orderJitterMs = 8
 /** Orders for which one request waits: the one in progress, and one that includes the request. */
 const maximumOrders = 2
 
@@ -86,7 +91,7 @@
     }
     const account = this.getAccount(server)
     recordAttempt(account, this.now())
-    const verdict = this.takeLocally(account, limit) ?? await this.awaitOrder(server, account, limit)
+    const verdict = this.takeLocally(server, account, limit) ?? await this.awaitOrder(server, account, limit)
     account.taken += verdict.kind === 'granted' ? 1 : 0
     return verdict
   }
@@ -173,14 +178,14 @@
     let verdict: PermitVerdict | undefined
     for (let orders = 0; orders < maximumOrders && verdict === undefined; orders += 1) {
       await this.startOrder(server, account)
-      verdict = this.takeLocally(account, limit)
+      verdict = this.takeLocally(server, account, limit)
     }
     account.waiting -= 1
     return verdict ?? { kind: 'refused', waitMs: orderAheadMs }
   }
 
   /** Decides without the issuer; undefined if it must be asked. */
-  private takeLocally (account: Account, limit: number): PermitVerdict | undefined {
+  private takeLocally (server: routing.RoutedServer, account: Account, limit: number): PermitVerdict | undefined {
     const nowMs = this.now()
     if (account.held > 0 && account.heldUntilMs <= nowMs) {
       account.spent -= account.held
@@ -193,7 +198,7 @@
     if (nowMs < account.emptyUntilMs) {
       return { kind: 'refused', waitMs: account.emptyUntilMs - nowMs }
     }
-    if (nowMs >= account.silentUntilMs) {
+    if (nowMs >= account.silentUntilMs || this.choice.choose(server) !== account.issuer) {
       return undefined
     }
     const waitMs = this.refillShare(account, limit)
@@ -253,7 +258,7 @@
     account.held += grant.granted
     account.heldUntilMs = nowMs + permitLifetimeMs
     if (grant.granted < wanted) {
-      account.emptyUntilMs = nowMs + grant.waitMs
+      account.emptyUntilMs = nowMs + grant.waitMs + this.system.random.nextUnit() * orderJitterMs
     }
   }
 
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -53,7 +53,7 @@
         this.log('prefill left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, emptyMs: unloadedMs, runs })
         return { cache: undefined }
       }
-      if ((await permits.take(choice.server)).kind === 'refused') {
+      if (await this.takePermit(choice.server) === undefined) {
         passedOver.add(choice.server.id)
         continue
       }
