Review of the permits: what a newcomer would stumble over, and three faults

A plain call that waited for a permit went to its server even if that had started to leave meanwhile; it is now chosen anew. Giving back a send without a permit could give back the permit of another request. Servers whose issuer was silent stayed sorted out after another issuer was chosen, until the pause ended; the two places that judged this are one now.

--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -229,8 +229,8 @@
   /** Releases what was reserved at a server and not used. */
   release (place: Placement | undefined): void {
     this.context.fleet.releaseDecode(this.request.serial)
-    if (place !== undefined && place.permit !== 'none') {
-      this.context.permits.giveBack(place.server)
+    if (place !== undefined) {
+      this.context.permits.giveBack(place.server, place.permit)
     }
     if (place?.reservation !== undefined) {
       const { dialect, pool } = this.context
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -96,10 +96,10 @@
     return verdict
   }
 
-  /** Gives back a permit that was taken and not used. */
-  giveBack (server: routing.RoutedServer): void {
+  /** Gives back a permit that was taken and not used; `source` is what `take` returned. */
+  giveBack (server: routing.RoutedServer, source: PermitSource): void {
     const account = this.accounts.get(server.id)
-    if (account !== undefined && account.taken > 0) {
+    if (source !== 'none' && account !== undefined && account.taken > 0) {
       account.taken -= 1
       account.held += 1
       account.heldUntilMs = this.now() + permitLifetimeMs
@@ -122,13 +122,9 @@
 
   /** Returns the time until a permit of a server may be had, in milliseconds; 0 if that is not known to be later. */
   getWaitMs (server: routing.RoutedServer): number {
-    const nowMs = this.now()
-    const limit = this.limits.getLimit(server, nowMs)
+    const limit = this.limits.getLimit(server, this.now())
     const account = this.accounts.get(server.id)
-    if (limit === undefined || account === undefined || (account.held > 0 && account.heldUntilMs > nowMs)) {
-      return 0
-    }
-    return nowMs < account.silentUntilMs ? this.refillShare(account, limit) : Math.max(0, account.emptyUntilMs - nowMs)
+    return limit === undefined || account === undefined ? 0 : this.getKnownWaitMs(server, account, limit) ?? 0
   }
 
   /** Returns the servers of which a permit may be had now, as far as this gateway knows. */
@@ -186,27 +182,45 @@
 
   /** Decides without the issuer; undefined if it must be asked. */
   private takeLocally (server: routing.RoutedServer, account: Account, limit: number): PermitVerdict | undefined {
-    const nowMs = this.now()
-    if (account.held > 0 && account.heldUntilMs <= nowMs) {
-      account.spent -= account.held
-      account.held = 0
+    this.dropExpired(account)
+    const waitMs = this.getKnownWaitMs(server, account, limit)
+    if (waitMs === undefined) {
+      return undefined
+    }
+    if (waitMs > 0) {
+      return { kind: 'refused', waitMs }
     }
     if (account.held > 0) {
       account.held -= 1
       return { kind: 'granted', source: 'issuer' }
     }
+    if (account.share !== undefined) {
+      account.share.level -= 1
+    }
+    return { kind: 'granted', source: 'share' }
+  }
+
+  /** Returns the time until this gateway has a permit, in milliseconds; undefined if the issuer must be asked. */
+  private getKnownWaitMs (server: routing.RoutedServer, account: Account, limit: number): number | undefined {
+    const nowMs = this.now()
+    if (account.held > 0 && account.heldUntilMs > nowMs) {
+      return 0
+    }
     if (nowMs < account.emptyUntilMs) {
-      return { kind: 'refused', waitMs: account.emptyUntilMs - nowMs }
+      return account.emptyUntilMs - nowMs
     }
     if (nowMs >= account.silentUntilMs || this.choice.choose(server) !== account.issuer) {
       return undefined
     }
-    const waitMs = this.refillShare(account, limit)
-    if (account.share === undefined || waitMs > 0) {
-      return { kind: 'refused', waitMs }
+    return this.refillShare(account, limit)
+  }
+
+  /** Counts expired permits as unused. */
+  private dropExpired (account: Account): void {
+    if (account.held > 0 && account.heldUntilMs <= this.now()) {
+      account.spent -= account.held
+      account.held = 0
     }
-    account.share.level -= 1
-    return { kind: 'granted', source: 'share' }
   }
 
   /** Refills this gateway's even share of a limit; returns the time until it holds a permit, in milliseconds. */
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -63,9 +63,9 @@
       if (placed === undefined) {
         break
       }
-      const { server } = placed
+      const { server, permit } = placed
       if (this.reply.isGone || !this.trySend()) {
-        this.context.permits.giveBack(server)
+        this.context.permits.giveBack(server, permit)
         break
       }
       const result = await this.send(placed)
@@ -91,7 +91,7 @@
 
   /** Chooses a server and takes a permit for it; passes over servers whose limits allow no request now. */
   private async choose (): Promise<PlacedCall | undefined> {
-    const { health, plainChoice, system } = this.context
+    const { directory, health, permits: permitBook, plainChoice, system } = this.context
     const excluded = new Set(this.triedServers)
     const servers = this.selectAvailable()
     for (;;) {
@@ -101,9 +101,13 @@
         return undefined
       }
       const permit = await this.takePermit(server)
-      if (permit !== undefined) {
+      if (permit === 'none' || (permit !== undefined && directory.listReady(server.service).includes(server))) {
         return { server, permit }
       }
+      if (permit !== undefined) {
+        // The server has started to leave while the issuer was asked.
+        permitBook.giveBack(server, permit)
+      }
       excluded.add(server.id)
     }
   }
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -53,16 +53,17 @@
         this.log('prefill left to the decode server', { server: decodeServer.id, prefillMs: choice?.readyMs, emptyMs: unloadedMs, runs })
         return { cache: undefined }
       }
-      if (await this.takePermit(choice.server) === undefined) {
+      const permit = await this.takePermit(choice.server)
+      if (permit === undefined) {
         passedOver.add(choice.server.id)
         continue
       }
       if (this.reply.isGone) {
-        permits.giveBack(choice.server)
+        permits.giveBack(choice.server, permit)
         break
       }
       if (this.prefillCount > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
-        permits.giveBack(choice.server)
+        permits.giveBack(choice.server, permit)
         return { failure: this.createNoServerFailure(noServerRetryMs) }
       }
       this.prefillCount += 1
--- a/src/gateway/stage_coordinator.ts
+++ b/src/gateway/stage_coordinator.ts
@@ -190,13 +190,14 @@
       system.log.info('no stage change order', { server: server.id, reason: isBusy ? 'the server is carrying out another order' : 'the server is already at the stage' })
       return
     }
-    if ((await permits.take(server)).kind === 'refused') {
+    const permit = await permits.take(server)
+    if (permit.kind === 'refused') {
       system.log.info('no stage change order', { server: server.id, reason: 'the limit of the server allows no order now' })
       return
     }
     if (!await this.lease.verify() || this.fencingToken !== fencingToken) {
       system.log.info('no stage change order', { server: server.id, fence: fencingToken, reason: 'the store did not confirm the coordinator lease' })
-      permits.giveBack(server)
+      permits.giveBack(server, permit.source)
       return
     }
     this.pendingOrders.set(server.id, { to, untilMs: system.clock.monotonicMs() + effectTimeoutMs })
