--- a/tests/gateway/permit_fleet.test.ts
+++ b/tests/gateway/permit_fleet.test.ts
@@ -116,6 +116,8 @@
               assert.ok(use >= least, `${server.id} in zone ${server.zone}: ${use}`)
               assert.ok(use <= 1.15, `${server.id} in zone ${server.zone}: ${use}`)
             }
+            // Two orders to each of three issuers, there and back.
+            assert.ok(fleet.longestDecisionMs <= 3 * 2 * 2, `decided after ${fleet.longestDecisionMs} ms`)
           })
         }
       })
@@ -179,6 +181,8 @@
             assertWithinLimit(server)
             assert.ok(measureUse(server, startMs + 2_000, endMs) >= 0.9, `${server.id}: ${measureUse(server, startMs + 2_000, endMs)}`)
           }
+          // One order to each of three issuers that do not answer in time.
+          assert.ok(fleet.longestDecisionMs <= 3 * 80 + 12, `decided after ${fleet.longestDecisionMs} ms`)
         })
 
         test.it('keep the limits together while none reaches another', async () => {
--- a/tests/gateway/permit_fleet.ts
+++ b/tests/gateway/permit_fleet.ts
@@ -147,6 +147,8 @@
   readonly servers: LimitedServer[] = []
   /** Pairs of gateways that do not reach each other, as `from to`. */
   readonly cuts = new Set<string>()
+  /** Longest time that a request waited until it was sent or refused. */
+  longestDecisionMs = 0
   /** Time that a server takes for an answer, in milliseconds. */
   answerMs = 30
   private readonly random: seededRandom.SeededRandom
@@ -270,17 +272,24 @@
   /** Serves a request as a plain call: at the first server, in random order, for which there is a permit. */
   private async serve (gateway: SimulatedGateway): Promise<void> {
     const { permits: permitBook } = gateway
+    const arrivedMs = this.clock.monotonicMs()
     const start = this.random.nextInteger(this.servers.length)
     for (const offset of this.servers.keys()) {
       const server = this.servers[(start + offset) % this.servers.length] as LimitedServer
       if ((await permitBook.take(server.entry)).kind === 'granted') {
+        this.recordDecision(arrivedMs)
         gateway.run(() => this.send(gateway, server))
         return
       }
     }
+    this.recordDecision(arrivedMs)
     gateway.counts.refused += 1
   }
 
+  private recordDecision (arrivedMs: number): void {
+    this.longestDecisionMs = Math.max(this.longestDecisionMs, this.clock.monotonicMs() - arrivedMs)
+  }
+
   private send (gateway: SimulatedGateway, server: LimitedServer): void {
     gateway.counts.sent += 1
     const { limits, permits: permitBook } = gateway
