--- a/tools/proof_table.ts
+++ b/tools/proof_table.ts
@@ -232,5 +232,18 @@
     fault: 'Bytes without end, in a head or a body',
     found: 'bodies and events were collected without a bound; both are bounded, and the connection is closed',
     tests: ['server_trouble: ends a call, answers that it may have run, and bounds its memory', 'server_trouble: breaks a stream off whose event never ends']
+  },
+  {
+    fault: 'A server that names a limit of requests a second for all gateways together',
+    found: 'no gateway acted on it (incident LIMIT); one issues the permits of each server',
+    tests: [
+      'server_limit_one_gateway, server_limit_three_gateways, server_limit_six_gateways: send a server no more than its limit',
+      'tests/gateway/permit_fleet: are kept and used; tests/gateway/permit_fleet: keep the limits'
+    ]
+  },
+  {
+    fault: 'A server that accepts a number of connections from all gateways together',
+    found: 'each gateway kept up to 24 idle ones; they are shared out',
+    tests: ['connection_bound: keep no more connections in all than it accepts']
   }
 ]
