Lines of retries state the budget at the time they are sent

A run was logged at its end only, so that one in flight when its gateway was killed left no line, and no line said which number of gateways the budget was divided by.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -77,6 +77,16 @@
     return undefined
   }
 
+  /** Takes a retry out of the budget of the request's service; returns false if none is left. */
+  protected trySpendRetry (purpose: types.ForwardPlan['purpose']): boolean {
+    const { retries } = this.context
+    const service = this.request.service.name
+    const { requests, retries: spent, allowed, gateways } = retries.describe(service, this.now())
+    const isSpent = retries.trySpend(service, this.now())
+    this.log(isSpent ? 'retry sent' : 'retry not sent', { service, purpose, requests, spent, allowed: Number(allowed.toFixed(1)), gateways })
+    return isSpent
+  }
+
   /** Returns the ready servers of the request's service without those known to have no permit now, which count as passed over. */
   protected selectAvailable (): readonly routing.RoutedServer[] {
     const servers = this.context.directory.listReady(this.request.service.name)
@@ -128,8 +138,7 @@
 
   /** Counts a send of the request to a server; returns false if it would exceed the shared retry budget. */
   protected trySend (): boolean {
-    if (this.sendCount > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
-      this.log('retry not sent', { reason: 'budget', service: this.request.service.name, sends: this.sendCount })
+    if (this.sendCount > 0 && !this.trySpendRetry('run')) {
       return false
     }
     this.sendCount += 1
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -74,7 +74,7 @@
         permits.giveBack(choice.server, permit)
         break
       }
-      if (this.prefillCount > 0 && !this.context.retries.trySpend(this.request.service.name, this.now())) {
+      if (this.prefillCount > 0 && !this.trySpendRetry('prefill')) {
         permits.giveBack(choice.server, permit)
         return { failure: this.createNoServerFailure(noServerRetryMs) }
       }
--- a/src/gateway/retry_budget.ts
+++ b/src/gateway/retry_budget.ts
@@ -10,6 +10,17 @@
 const usedBudgetPart = 0.6
 const slotsPerWindow = 10
 
+/** State of the budget of a service, for logs. */
+export interface BudgetState {
+  /** Requests and retries in the current window. */
+  readonly requests: number
+  readonly retries: number
+  /** Retries that this gateway may send in the window. */
+  readonly allowed: number
+  /** Number of gateways that are assumed to share the budget. */
+  readonly gateways: number
+}
+
 interface SlotCounts {
   slot: number
   requests: number
@@ -34,7 +45,16 @@
 
   /** Takes one retry out of the budget; returns false if none is left. */
   trySpend (service: string, nowMs: number): boolean {
-    const current = this.getCounts(service, nowMs)
+    const { retries, allowed } = this.describe(service, nowMs)
+    if (retries + 1 > allowed) {
+      return false
+    }
+    this.getCounts(service, nowMs).retries += 1
+    return true
+  }
+
+  describe (service: string, nowMs: number): BudgetState {
+    this.getCounts(service, nowMs)
     let requests = 0
     let retries = 0
     for (const counts of this.services.get(service) ?? []) {
@@ -42,11 +62,7 @@
       retries += counts.retries
     }
     const allowed = usedBudgetPart * (this.budget.ratio * requests + this.budget.slack / this.gateways)
-    if (retries + 1 > allowed) {
-      return false
-    }
-    current.retries += 1
-    return true
+    return { requests, retries, allowed, gateways: this.gateways }
   }
 
   private getCounts (service: string, nowMs: number): SlotCounts {
