Retries use credit that a process must have earned, so that restarts do not renew the budget

Cause: each life of a process had a budget of its own, and divided the slack by the gateways that it happened to know: itself alone after a rolling stop.

A retry now uses credit. Half of the ratio is issued for each own request, and half of the slack as time passes, by the even share of a gateway whose own entry in the store is certain. Credit is used once and expires after a window by the faster clock; a process starts with none. Retries of a window thus come from the credit of two windows, whoever restarted, joined or was cut off. No message is exchanged. Credit is taken before a retry waits for anything, and who gets none is told at once (`retries_exhausted`).

Virtual time: 1, 6, 24 and 400 gateways, killed, stopped in turn, joining, cut off from the store one after the other.

--- a/src/contracts/diagnostics.ts
+++ b/src/contracts/diagnostics.ts
@@ -58,6 +58,7 @@
 
   // Failures.
   no_server: row('failure', 503, 'No server for "{0}" can be reached.'),
+  retries_exhausted: row('failure', 503, 'The retries of "{0}" that all gateways share are used up for now.'),
   server_leaving: row('failure', 503, 'Server "{0}" is leaving.'),
   server_failed: row('failure', 502, 'Server "{0}" failed: {1}.'),
   server_boot_changed: row('failure', 503, 'The agent of server "{0}" has restarted.'),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,8 +7,12 @@
 import type * as permits from './permits.js'
 import * as replies from './caller_reply.js'
 import * as routing from '../contracts/routing.js'
+import * as sendAccounts from './send_account.js'
 import * as types from './types.js'
 
+/** Retry time of a request that the retry budget stops, in milliseconds: its caller's next request needs no credit. */
+const budgetRetryMs = 500
+
 export interface AdmittedRequest {
   /** Identifier within this gateway, unique even if callers reuse theirs. */
   readonly serial: string
@@ -77,14 +81,34 @@
     return undefined
   }
 
-  /** Takes a retry out of the budget of the request's service; returns false if none is left. */
-  protected trySpendRetry (purpose: types.ForwardPlan['purpose']): boolean {
-    const { retries } = this.context
+  /** Makes sure that the retry budget allows the next send of the request; returns false if not. */
+  protected reserveSend (sends: sendAccounts.SendAccount): boolean {
+    const isAllowed = sends.reserve()
+    if (!isAllowed) {
+      this.logRetry('retry not sent', undefined)
+      this.context.meter.count('gateway_retries_total', { outcome: 'refused' })
+    }
+    return isAllowed
+  }
+
+  /** Counts a send of the request, for which the budget has been asked. */
+  protected recordSend (sends: sendAccounts.SendAccount, purpose: types.ForwardPlan['purpose']): void {
+    if (sends.isRetry) {
+      this.logRetry('retry sent', purpose)
+      this.context.meter.count('gateway_retries_total', { outcome: 'sent' })
+    }
+    sends.recordSend()
+  }
+
+  /** Returns the failure for a request that is not sent again because the retry budget is used up. */
+  protected createBudgetFailure (): failures.Failure {
+    return failures.createFailure('not_run', 'retries_exhausted', [this.request.service.name], budgetRetryMs)
+  }
+
+  private logRetry (message: string, purpose: types.ForwardPlan['purpose'] | undefined): void {
     const service = this.request.service.name
-    const { requests, retries: spent, allowed, gateways } = retries.describe(service, this.now())
-    const isSpent = retries.trySpend(service, this.now())
-    this.log(isSpent ? 'retry sent' : 'retry not sent', { service, purpose, requests, spent, allowed: Number(allowed.toFixed(1)), gateways })
-    return isSpent
+    const { credit, share } = this.context.retries.describe(service)
+    this.log(message, { service, purpose, creditLeft: Number(credit.toFixed(2)), slackShare: Number(share.toFixed(3)) })
   }
 
   /** Returns the ready servers of the request's service without those known to have no permit now, which count as passed over. */
@@ -132,19 +156,10 @@
 }
 
 export abstract class Exchange extends RequestScope {
-  protected sendCount = 0
+  protected readonly sends = new sendAccounts.SendAccount(this.context.retries, this.request.service.name)
 
   abstract run (): Promise<ExchangeEnd>
 
-  /** Counts a send of the request to a server; returns false if it would exceed the shared retry budget. */
-  protected trySend (): boolean {
-    if (this.sendCount > 0 && !this.trySpendRetry('run')) {
-      return false
-    }
-    this.sendCount += 1
-    return true
-  }
-
   protected refuse (failure: failures.Failure, server?: string): ExchangeEnd {
     const status = this.reply.fail(failure)
     return { outcome: failure.verdict === 'not_run' ? 'refused' : 'failed', status, server, reason: failure.code }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,6 +41,8 @@
 /** How often the queue of generations is checked, in addition to the checks when capacity becomes free. */
 const queueCheckPeriodMs = 20
 const gaugePeriodMs = 1_000
+/** How often credit for retries is issued, in milliseconds. */
+const creditPeriodMs = 250
 /** How long a draining gateway accepts connections after it reports not ready: two failed probes and the balancer's reaction time. */
 const balancerLagMs = 2_500
 /** Time reserved for the exit at the end of the grace period. */
@@ -117,7 +119,7 @@
       outputs: new outputs.OutputEstimate(),
       capacityQueue: new capacityQueues.CapacityQueue(() => this.startQueueChecks()),
       allowance: new allowances.AllowanceLimiter(options.allowance),
-      retries: new retries.RetryBudget(options.retries),
+      retries: new retries.RetryBudget(options.retries, system.clock),
       routing: { table: undefined }
     }
     this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, () => system.clock.monotonicMs() < this.lastBeginMs)
@@ -137,6 +139,7 @@
     const follower = new routingFollowers.RoutingFollower(documents, system, table => {
       this.context.routing.table = table
       this.ingress.setLimits(table.document.limits)
+      this.context.retries.setServices(table.document.services.map(({ name }) => name))
       this.context.allowance.setWorkspaces(table.document.workspaces ?? [], system.clock.monotonicMs())
     })
     this.stageCoordinator = new stageCoordinators.StageCoordinator(this.context, store, service => fleet.getOffered(service, system.clock.monotonicMs()))
@@ -167,6 +170,7 @@
     this.members.start()
     this.stageCoordinator.start()
     this.stops.push(system.clock.every(gaugePeriodMs, () => this.setGauges()))
+    this.stops.push(system.clock.every(creditPeriodMs, () => this.context.retries.accrue(this.getShare())))
     for (const seed of options.seeds) {
       this.peers.copyFrom(seed).catch((error: unknown) => {
         system.log.info('store snapshot not fetched from seed', { seed, reason: String(error) })
@@ -366,14 +370,21 @@
     this.issuers.setOthers([...found].map(([node, { zone }]) => ({ node, zone })))
     this.context.allowance.setPeers([...found.keys()], this.peerTable.unresponsiveAfterMs)
     this.context.pool.setGatewayCount(found.size + 1)
-    this.context.retries.setGatewayCount(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
   }
 
+  /** Returns this gateway's even share of what all gateways divide, 0 while it is not certain. */
+  private getShare (): number {
+    return this.storeReplica.isCurrent(this.system.clock.monotonicMs()) ? this.members.getShare(this.storeReplica.revision) : 0
+  }
+
   private setGauges (): void {
     const nowMs = this.system.clock.monotonicMs()
     const ageMs = this.storeReplica.getAgeMs(nowMs)
     this.meter.gauge('gateway_store_age_ms', {}, Number.isFinite(ageMs) ? ageMs : -1)
+    for (const { name } of this.context.routing.table?.document.services ?? []) {
+      this.meter.gauge('gateway_retry_credit', { service: name }, this.context.retries.describe(name).credit)
+    }
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -31,7 +31,7 @@
 export class GenerationExchange extends exchanges.Exchange {
   private readonly splitter = new splitters.EventSplitter()
   private readonly admission = new promptAdmissions.PromptAdmission(this.context, this.request, this.reply, () => this.request.arrival.sharedParts)
-  private readonly promptPrefill = new promptPrefills.PromptPrefill(this.context, this.request, this.reply, this.admission)
+  private readonly promptPrefill = new promptPrefills.PromptPrefill(this.context, this.request, this.reply, this.admission, this.sends)
   private readonly stageCheck = new stageChecks.StageCheck(this.context, this.request, this.reply)
   private readonly expectedOutput = this.estimateOutput()
   private readonly placements = new decodePlacements.DecodePlacement(this.context, this.request, this.reply, this.expectedOutput, this.stallMs)
@@ -56,6 +56,7 @@
     try {
       return await this.runAtServers()
     } finally {
+      this.sends.release()
       this.placements.releaseIsolation()
       this.admission.endTrial()
     }
@@ -65,6 +66,9 @@
     let reason = ''
     let server: string | undefined
     for (let attempt = 0; attempt < maximumPlacements && this.remainingMs() > 0; attempt += 1) {
+      if (!this.reserveSend(this.sends)) {
+        return this.refuse(this.weakenVerdict(this.createBudgetFailure()), server)
+      }
       const admitted = await this.admission.admit()
       if (this.reply.isGone) {
         return this.createAbandonedEnd(server)
@@ -135,10 +139,11 @@
       }
       return { retryReason: obstacle }
     }
-    if (!this.trySend()) {
+    if (!this.reserveSend(this.sends)) {
       this.placements.release(place)
-      return this.refuse(this.weakenVerdict(this.createNoServerFailure(promptPrefills.noServerRetryMs)))
+      return this.refuse(this.weakenVerdict(this.createBudgetFailure()), place.server.id)
     }
+    this.recordSend(this.sends, 'run')
     const end = await this.stream(place, prefill.cache)
     fleet.releaseDecode(this.request.serial)
     this.context.capacityQueue.dispatch(this.now())
@@ -215,6 +220,7 @@
         return { outcome: refusalStatuses.has(end.status) ? 'refused' : 'failed', status: end.status, server }
       case 'not_run':
         if (end.status === undefined) {
+          this.sends.recordUnsent()
           health.record(server, 'unreachable', this.now())
         } else if (end.status === relays.misdirected) {
           directory.recordMisdirected(server)
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -25,6 +25,8 @@
 export class Members extends replicas.ReplicaObserver {
   private readonly lease: leases.StoreLease
   private readonly members = new Map<string, Member>()
+  /** Revision at which the own entry was written; undefined while it may be missing. */
+  private heldRevision: number | undefined
   private readonly pendingRemovals = new Map<string, host.Stop>()
 
   constructor (
@@ -38,6 +40,7 @@
   ) {
     super()
     const address = identities.formatAddress(options.peers)
+    const members = this
     this.lease = new leases.StoreLease(store, system, {
       key: prefix + options.node,
       value: JSON.stringify({ address, boot, zone: options.zone }),
@@ -46,15 +49,26 @@
       mayTry: () => true
     }, new class extends leases.LeaseObserver {
       override held (revision: number): void {
+        members.heldRevision = revision
         system.log.info('registered as a member gateway', { revision })
       }
 
       override lost (reason: string): void {
+        members.heldRevision = undefined
         system.log.warn('lost the lease on the member entry', { reason })
       }
     }())
   }
 
+  /**
+   * Returns this gateway's even share of what all gateways divide. 0 while it is not certain: others may not count a gateway without an
+   * entry, and a replica older than the own entry may miss some of them.
+   */
+  getShare (replicaRevision: number): number {
+    const isCertain = this.lease.isHeld && this.heldRevision !== undefined && replicaRevision >= this.heldRevision
+    return isCertain ? 1 / (this.members.size + 1) : 0
+  }
+
   start (): void {
     this.lease.start()
   }
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -43,7 +43,9 @@
 
 export class PlainExchange extends exchanges.Exchange {
   private readonly triedServers = new Set<string>()
+  private sendCount = 0
   private possibleRuns = 0
+  private isOutOfBudget = false
   private inconclusiveSend: InconclusiveSend | undefined
   private fingerprint: string | undefined
   private readonly admission = new promptAdmissions.PromptAdmission(this.context, this.request, this.reply, () => [this.getFingerprint()])
@@ -54,6 +56,7 @@
 
   override async run (): Promise<exchanges.ExchangeEnd> {
     const end = await this.runAtServers()
+    this.sends.release()
     this.settleInconclusiveSend('error')
     this.admission.endTrial()
     return end
@@ -99,6 +102,10 @@
     let fallback: SendResult & { readonly kind: 'answered' } | undefined
     let last: SendResult | undefined
     while (this.sendCount < maximumSends && this.remainingMs() > returnMarginMs + minimumSendMs) {
+      if (!this.reserveSend(this.sends)) {
+        this.isOutOfBudget = true
+        break
+      }
       const failure = await this.checkAdmission()
       if (failure !== undefined && fallback === undefined && !this.reply.isGone) {
         return this.refuse(failure, last?.server.id)
@@ -111,10 +118,13 @@
         break
       }
       const { server, permit } = placed
-      if (this.reply.isGone || !this.trySend()) {
+      if (this.reply.isGone || !this.reserveSend(this.sends)) {
         this.context.permits.giveBack(server, permit)
+        this.isOutOfBudget = true
         break
       }
+      this.recordSend(this.sends, 'run')
+      this.sendCount += 1
       const result = await this.send(placed)
       if (this.reply.isGone) {
         return this.createAbandonedEnd(server.id)
@@ -172,6 +182,9 @@
       server, remainingMs: leftMs, workspace: this.request.workspace, purpose: 'run'
     })
     const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone.signal, !isRepeatable)
+    if (outcome.kind === 'unsent') {
+      this.sends.recordUnsent()
+    }
     const elapsedMs = this.now() - sentMs
     const facts = outcome.kind === 'answered' ? dialect.readAnswer(outcome.status, outcome.rawHeaders) : undefined
     plainChoice.finish(server.id, facts?.load, this.now())
@@ -238,6 +251,9 @@
     if (this.possibleRuns > 0) {
       return this.refuse(failures.createFailure('may_have_run', 'server_failed', [service, 'an earlier send may have run']))
     }
+    if (this.isOutOfBudget) {
+      return this.refuse(this.createBudgetFailure(), last?.server.id)
+    }
     const failure = this.passedOver === 0
       ? this.createNoServerFailure(noServerRetryMs)
       : this.createLimitFailure()
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -9,6 +9,7 @@
 import * as replies from './caller_reply.js'
 import * as relays from './stream_relay.js'
 import * as routing from '../contracts/routing.js'
+import * as sendAccounts from './send_account.js'
 import * as types from './types.js'
 
 /** Block size of the engines' KV cache, in tokens. */
@@ -38,13 +39,12 @@
 }
 
 export class PromptPrefill extends exchanges.RequestScope {
-  private prefillCount = 0
-
   constructor (
     context: contexts.GatewayContext,
     request: exchanges.AdmittedRequest,
     reply: replies.CallerReply,
-    private readonly admission: promptAdmissions.PromptAdmission
+    private readonly admission: promptAdmissions.PromptAdmission,
+    private readonly sends: sendAccounts.SendAccount
   ) {
     super(context, request, reply)
   }
@@ -74,11 +74,11 @@
         permits.giveBack(choice.server, permit)
         break
       }
-      if (this.prefillCount > 0 && !this.trySpendRetry('prefill')) {
+      if (!this.reserveSend(this.sends)) {
         permits.giveBack(choice.server, permit)
-        return { failure: this.createNoServerFailure(noServerRetryMs) }
+        return { failure: this.createBudgetFailure() }
       }
-      this.prefillCount += 1
+      this.recordSend(this.sends, 'prefill')
       tried.add(choice.server.id)
       const result = await this.prefillAt(choice.server, choice.readyMs)
       if (typeof result !== 'string') {
@@ -105,6 +105,11 @@
     const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone.signal)
     const prefilled = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
     const succeeded = prefilled?.isRight() === true
+    if (outcome.kind === 'unsent') {
+      this.sends.recordUnsent()
+    } else {
+      this.sends.recordPrefilled()
+    }
     fleet.releasePrefill(this.request.serial, this.now(), succeeded)
     this.context.meter.observe('gateway_prefill_ms', {}, this.now() - sentMs)
     this.log('prefill', {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -103,7 +103,7 @@
     const isGeneration = route.kind === 'stream' && service.engine !== undefined
     const estimatedFirstAttemptMs = isGeneration ? arrivedMs - this.firstAttempts.estimateElapsedMs(route.name, callerTimeoutMs, arrivedMs) : arrivedMs
     this.serial += 1
-    this.context.retries.recordRequest(service.name, this.now())
+    this.context.retries.recordRequest(service.name)
     const admittedRequest: exchanges.AdmittedRequest = {
       serial: String(this.serial),
       arrival,
--- /dev/null
+++ b/src/gateway/send_account.ts
@@ -0,0 +1,59 @@
+/**
+ * Accounts for the sends of one request against the retry budget. Its first send is free, and so is its first prefill.
+ */
+import * as retryBudgets from './retry_budget.js'
+
+export class SendAccount {
+  private counted = 0
+  private hasPrefilled = false
+  /** Credit for the next send. */
+  private reserved: retryBudgets.RetryCredit | undefined
+  /** Credit that the latest send used. */
+  private used: retryBudgets.RetryCredit | undefined
+
+  constructor (private readonly retries: retryBudgets.RetryBudget, private readonly service: string) {}
+
+  /** Whether the next send is a retry. */
+  get isRetry (): boolean {
+    return this.counted > 0
+  }
+
+  /** Makes sure that there is credit for the next send; returns false if not. */
+  reserve (): boolean {
+    if (!this.isRetry || (this.reserved !== undefined && !this.retries.isExpired(this.reserved))) {
+      return true
+    }
+    this.reserved = this.retries.take(this.service)
+    return this.reserved !== undefined
+  }
+
+  /** Counts a send, for which credit was reserved. */
+  recordSend (): void {
+    this.counted += 1
+    this.used = this.reserved
+    this.reserved = undefined
+  }
+
+  /** Takes back the latest send, which has not reached a server. */
+  recordUnsent (): void {
+    this.counted -= 1
+    this.reserved = this.used
+    this.used = undefined
+  }
+
+  /** Records that the latest send was a prefill. */
+  recordPrefilled (): void {
+    if (!this.hasPrefilled) {
+      this.hasPrefilled = true
+      this.recordUnsent()
+    }
+  }
+
+  /** Gives back the credit that was not used. */
+  release (): void {
+    if (this.reserved !== undefined) {
+      this.retries.giveBack(this.reserved)
+      this.reserved = undefined
+    }
+  }
+}
--- a/src/gateway/store_replica.ts
+++ b/src/gateway/store_replica.ts
@@ -97,6 +97,11 @@
     return this.confirmedMs === undefined ? Infinity : nowMs - this.confirmedMs
   }
 
+  /** Whether the store has answered lately, so that the replica includes what was written a moment ago. */
+  isCurrent (nowMs: number): boolean {
+    return this.getAgeMs(nowMs) <= this.watchHoldMs + outageMarginMs
+  }
+
   start (): void {
     this.load().catch((error: unknown) => this.system.log.error('store replica stopped', { error: String(error) }))
   }
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -48,6 +48,8 @@
   gateway_first_event_ms: createMetric('histogram', [], 'Time from the arrival of a generation to its first event, in milliseconds.'),
   gateway_prefill_ms: createMetric('histogram', [], 'Time of a prefill, in milliseconds.'),
   gateway_sends_total: createMetric('counter', ['outcome'], 'Sends of requests to servers by outcome.'),
+  gateway_retries_total: createMetric('counter', ['outcome'], 'Sends of requests after the first, by whether the retry budget allowed them (sent, refused).'),
+  gateway_retry_credit: createMetric('gauge', ['service'], 'Retries of a service that this gateway may send now.'),
   gateway_room_refused_total: createMetric('counter', [], 'Reservations that decode servers refused.'),
   gateway_waiting: createMetric('gauge', [], 'Generations that wait for room.'),
   gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
--- a/tools/code_advice.ts
+++ b/tools/code_advice.ts
@@ -35,6 +35,7 @@
   share_exceeded: 'The workspace sends more than its share while the servers are full: it is refused first. Nothing to do, unless its allowance is too small.',
   memory_exhausted: 'Too little memory for decoding: add decode servers.',
   entry_overloaded: 'Too few entries, or requests that do not end: `limits.requestsInFlight`.',
+  retries_exhausted: 'Servers fail or refuse more requests than the shared budget allows to send again: `sent` and `stream ended` lines name them.',
   no_server: 'No agent that serves it answers: `mulberryflow status`, `mulberryflow server list`.',
   server_leaving: 'Nothing; another server is chosen.',
   server_failed: 'Look at that server.',
