--- a/src/gateway/allowance_limiter.ts
+++ b/src/gateway/allowance_limiter.ts
@@ -239,11 +239,10 @@
   }
 
   private refill (workspace: routing.RoutedWorkspace, nowMs: number): Bucket {
-    const gateways = this.peerLastSeenMs.size + 1
     const found = this.buckets.get(workspace.name)
     if (found === undefined) {
-      // A gateway that has just started does not know past usage, so it begins with an even share of the burst.
-      const created = { workspace, level: workspace.burst / gateways, updatedMs: nowMs, admitted: 0 }
+      // What was admitted before is not known, and the gateways may start again at any time: each start with saved-up units would renew them.
+      const created = { workspace, level: 0, updatedMs: nowMs, admitted: 0 }
       this.buckets.set(workspace.name, created)
       return created
     }
@@ -253,6 +252,7 @@
     }
     const elapsedMs = Math.max(0, nowMs - found.updatedMs)
     found.updatedMs = nowMs
+    const gateways = this.peerLastSeenMs.size + 1
     const responsivePart = (gateways - this.countUnresponsive(nowMs)) / gateways
     const excess = Math.min(maximumPartitionPart, partitionPart * this.getToleratedExcess(workspace) / this.getWindowUnits(workspace))
     const ratePart = Math.min(1, responsivePart * (1 + excess))
--- a/tests/gateway/allowance_limiter.test.ts
+++ b/tests/gateway/allowance_limiter.test.ts
@@ -128,6 +128,23 @@
       }
       assert.ok(findLargestWindow(fleet.uses) <= getBound())
     })
+
+    // Guards against units that each start saves up anew, whole at each gateway that does not know the others yet.
+    test.it('keeps usage within the bound of a window when all gateways restart again and again', () => {
+      const fleet = new Fleet(6)
+      for (let step = 0; step < 200; step += 1) {
+        fleet.step(new Set())
+        if (step % 20 === 0) {
+          for (let index = 0; index < 6; index += 1) {
+            fleet.restart(index)
+          }
+        }
+        for (let charge = 0; charge < 30; charge += 1) {
+          fleet.charge(charge % 6, 4_400)
+        }
+      }
+      assert.ok(findLargestWindow(fleet.uses) <= getBound(), String(findLargestWindow(fleet.uses)))
+    })
   })
 
   test.describe('within the rate of a workspace', () => {
