A planned stop refuses requests that may outlast it, and cuts none without an answer

Once the balancer has had time to notice, a request is taken only if its time is over before the process ends; others are refused as not run. What is left just before the end gets a final answer: not run if no server has got it, may have run otherwise (that part has no test of its own yet).

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -97,7 +97,7 @@
       this.logRetry('retry sent', purpose)
       this.context.meter.count('gateway_retries_total', { outcome: 'sent' })
     }
-    sends.recordSend()
+    sends.recordSend(purpose)
   }
 
   /** Returns the failure for a request that is not sent again because the retry budget is used up. */
@@ -158,6 +158,11 @@
 export abstract class Exchange extends RequestScope {
   protected readonly sends = new sendAccounts.SendAccount(this.context.retries, this.request.service.name)
 
+  /** Whether a server may have run the request. */
+  get mayHaveRun (): boolean {
+    return this.sends.hasSentRun
+  }
+
   abstract run (): Promise<ExchangeEnd>
 
   protected refuse (failure: failures.Failure, server?: string): ExchangeEnd {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -48,8 +48,8 @@
 /** Time reserved for the exit at the end of the grace period. */
 const exitMarginMs = 400
 const drainPollMs = 50
-/** Part of the grace period in which new requests are accepted; the rest is for finishing them. */
-const beginPart = 0.6
+/** Time before the exit at which the requests that are left get a final answer, for the answers to be sent. */
+const finalAnswerMs = 200
 /** How recently a gateway must have been seen to count in the `gateway_peers` gauge. */
 const peerPresenceMs = 2_000
 
@@ -72,8 +72,9 @@
   private isDraining = false
   private isCheckingQueue = false
   private isExpediting = false
-  /** When the gateway stops accepting requests. */
-  private lastBeginMs = Infinity
+  /** Until when all requests are accepted, and when those accepted later must have ended. */
+  private acceptsAllUntilMs = Infinity
+  private lastEndMs = Infinity
 
   constructor (
     private readonly system: host.System,
@@ -122,7 +123,7 @@
       retries: new retries.RetryBudget(options.retries, system.clock),
       routing: { table: undefined }
     }
-    this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, () => system.clock.monotonicMs() < this.lastBeginMs)
+    this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, endMs => this.mayBegin(endMs))
     this.ingress = new ingresses.Ingress((request, response) => {
       this.handler.handle(request, response).catch((error: unknown) => {
         system.log.error('request not handled', { error: String(error) })
@@ -184,12 +185,17 @@
     const { clock, log } = this.system
     const startedMs = clock.monotonicMs()
     this.isDraining = true
-    this.lastBeginMs = startedMs + this.options.timing.graceMs * beginPart
+    const endMs = startedMs + this.options.timing.graceMs - exitMarginMs
+    this.acceptsAllUntilMs = startedMs + balancerLagMs
+    this.lastEndMs = endMs - finalAnswerMs
     log.info('stopping', { inFlight: this.handler.inFlight, connections: this.ingress.connections })
     const left = Promise.all([this.members.leave(), this.stageCoordinator.leave()])
     await clock.sleep(balancerLagMs)
     this.ingress.stopAccepting()
-    const endMs = startedMs + this.options.timing.graceMs - exitMarginMs
+    while (this.handler.inFlight > 0 && clock.monotonicMs() < this.lastEndMs) {
+      await clock.sleep(drainPollMs)
+    }
+    this.handler.endRemaining()
     while (this.handler.inFlight > 0 && clock.monotonicMs() < endMs) {
       await clock.sleep(drainPollMs)
     }
@@ -197,6 +203,11 @@
     await Promise.race([left, clock.sleep(drainPollMs)])
   }
 
+  /** Tells whether a request that has an answer or no time left at `endMs` can be served before this process ends. */
+  private mayBegin (endMs: number): boolean {
+    return this.system.clock.monotonicMs() < this.acceptsAllUntilMs || endMs <= this.lastEndMs
+  }
+
   /** Closes everything at once. */
   async close (): Promise<void> {
     for (const stop of this.stops) {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -35,7 +35,7 @@
   private readonly stageCheck = new stageChecks.StageCheck(this.context, this.request, this.reply)
   private readonly expectedOutput = this.estimateOutput()
   private readonly placements = new decodePlacements.DecodePlacement(this.context, this.request, this.reply, this.expectedOutput, this.stallMs)
-  private mayHaveRun = false
+  private wasLost = false
   /** Whether the answer has begun beyond doubt at the latest server. */
   private hasBegun = false
   private firstByteMs: number | undefined
@@ -92,7 +92,7 @@
       }
       reason = end.retryReason
     }
-    if (this.mayHaveRun) {
+    if (this.wasLost) {
       return this.refuse(failures.createFailure('may_have_run', 'stream_interrupted', [reason]), server)
     }
     return this.refuse(this.createNoServerFailure(promptPrefills.noServerRetryMs), server)
@@ -233,7 +233,7 @@
         return { retryReason: end.reason }
       case 'lost':
         health.record(server, 'silent', this.now())
-        this.mayHaveRun = true
+        this.wasLost = true
         if (!this.request.route.isResumable || this.remainingMs() <= 0) {
           return this.refuse(this.remainingMs() <= 0
             ? failures.createFailure('may_have_run', 'request_timeout', [Math.round(this.now() - this.request.arrivedMs)])
@@ -306,6 +306,6 @@
 
   /** Weakens the verdict of a failure if an earlier placement may have run the request. */
   private weakenVerdict (failure: failures.Failure): failures.Failure {
-    return this.mayHaveRun ? failures.withVerdict(failure, 'may_have_run') : failure
+    return this.wasLost ? failures.withVerdict(failure, 'may_have_run') : failure
   }
 }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -35,18 +35,29 @@
 export class RequestHandler {
   private readonly firstAttempts = new firstAttemptEstimates.FirstAttemptEstimate()
   private serial = 0
-  private inFlightCount = 0
+  /** Requests without a final answer, with their exchanges once they are admitted. */
+  private readonly active = new Map<replies.CallerReply, exchanges.Exchange | undefined>()
 
-  /** `mayKeepAlive`: connections stay open after an answer. `mayBegin`: a request that arrives now can still be served before this process ends. */
+  /** `mayKeepAlive`: connections stay open after an answer. `mayBegin`: a request that must end by a time on the monotonic clock, in milliseconds, may be accepted. */
   constructor (
     private readonly context: contexts.GatewayContext,
     private readonly mayKeepAlive: () => boolean,
-    private readonly mayBegin: () => boolean
+    private readonly mayBegin: (endMs: number) => boolean
   ) {}
 
   /** Number of requests without a final answer. */
   get inFlight (): number {
-    return this.inFlightCount
+    return this.active.size
+  }
+
+  /** Ends all requests with a final answer; those that no server has got are refused as not run. */
+  endRemaining (): void {
+    for (const [reply, exchange] of this.active) {
+      const verdict = exchange?.mayHaveRun === true ? 'may_have_run' : 'not_run'
+      this.context.system.log.warn('request ended by the stop', { verdict, hasStarted: reply.hasStarted })
+      reply.fail(failures.createFailure(verdict, 'shutting_down', [], shutdownRetryMs))
+      reply.gone.abort()
+    }
   }
 
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -54,7 +65,7 @@
     const arrivedMs = this.now()
     const arrival = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
     const reply = new replies.CallerReply(response, dialect, arrival, this.mayKeepAlive)
-    this.inFlightCount += 1
+    this.active.set(reply, undefined)
     try {
       const end = await this.serve(request, arrival, reply, arrivedMs)
       meter.count('requests_total', { workspace: '', end: end.outcome })
@@ -74,7 +85,7 @@
       this.context.system.log.error('request failed by a defect', { request: arrival.id, error: error instanceof Error ? error.stack : String(error) })
       reply.fail(failures.createFailure('may_have_run', 'internal', ['see the log']))
     } finally {
-      this.inFlightCount -= 1
+      this.active.delete(reply)
     }
   }
 
@@ -87,9 +98,6 @@
     if (body.isLeft()) {
       return this.refuse(reply, body.extract() as failures.Failure)
     }
-    if (!this.mayBegin()) {
-      return this.refuse(reply, failures.createFailure('not_run', 'shutting_down', [], shutdownRetryMs))
-    }
     const table = this.context.routing.table
     if (table === undefined) {
       return this.refuse(reply, failures.createFailure('not_run', 'not_ready', [], notReadyRetryMs))
@@ -100,6 +108,12 @@
     }
     const { route, service, workspace, units } = admitted.unsafeCoerce()
     const effectiveTimeoutMs = Math.min(callerTimeoutMs, route.timeoutMs - timeoutMarginMs)
+    if (!this.mayBegin(arrivedMs + effectiveTimeoutMs)) {
+      if (workspace !== undefined) {
+        this.context.allowance.refund(workspace.name, units)
+      }
+      return this.refuse(reply, failures.createFailure('not_run', 'shutting_down', [], shutdownRetryMs))
+    }
     const isGeneration = route.kind === 'stream' && service.engine !== undefined
     const estimatedFirstAttemptMs = isGeneration ? arrivedMs - this.firstAttempts.estimateElapsedMs(route.name, callerTimeoutMs, arrivedMs) : arrivedMs
     this.serial += 1
@@ -119,6 +133,7 @@
     const exchange = isGeneration
       ? new generations.GenerationExchange(this.context, admittedRequest, reply)
       : new plains.PlainExchange(this.context, admittedRequest, reply)
+    this.active.set(reply, exchange)
     const end = await exchange.run()
     if (end.outcome === 'refused' && workspace !== undefined) {
       this.context.allowance.refund(workspace.name, units)
--- a/src/gateway/send_account.ts
+++ b/src/gateway/send_account.ts
@@ -3,8 +3,11 @@
  * accepts; a prefill that a server rejects counts like any other send.
  */
 import * as retryBudgets from './retry_budget.js'
+import * as types from './types.js'
 
 export class SendAccount {
+  /** Whether the request was sent to a server to be run. */
+  hasSentRun = false
   private counted = 0
   private hasPrefilled = false
   /** Credit for the next send. */
@@ -29,7 +32,8 @@
   }
 
   /** Counts a send, for which credit was reserved. */
-  recordSend (): void {
+  recordSend (purpose: types.ForwardPlan['purpose'] = 'run'): void {
+    this.hasSentRun ||= purpose === 'run'
     this.counted += 1
     this.used = this.reserved
     this.reserved = undefined
