Odd entries in the store cost the good ones nothing

Here an address with a port out of range, or a host that is none, was taken for a server: requests failed with 500, and the timer of the call that threw ended the process ("Cannot access 'activeSend' before initialization"). Deep nesting, infinite numbers and wrong types were refused before.

A call that throws leaves no timer, and an entry that an observer fails on does not end the watch.

--- a/src/contracts/identity.ts
+++ b/src/contracts/identity.ts
@@ -1,6 +1,7 @@
 /**
  * Identities: which process is meant, and in which of its lives.
  */
+import * as net from 'node:net'
 import * as z from 'zod'
 
 export const Role = z.enum(['entry', 'agent'])
@@ -27,6 +28,14 @@
 })
 export type Identity = z.infer<typeof Identity>
 
+const highestPort = 65_535
+
+/** Text of an address as it stands in entries of the store and in messages: `IP:PORT`. */
+export const AddressText = z.string().refine(text => {
+  const [host = '', port = '', ...rest] = text.split(':')
+  return rest.length === 0 && net.isIPv4(host) && /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= highestPort
+}, 'expected IP:PORT')
+
 export function formatAddress (address: Address): string {
   return `${address.host}:${address.port}`
 }
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -95,20 +95,26 @@
   ): Promise<CallOutcome> {
     return new Promise(resolve => {
       const limitBytes = request.requestId === undefined ? maximumOwnAnswerBytes : maximumAnswerBytes
+      const stops: host.Stop[] = []
       const observer = new BufferingObserver(limitBytes, () => activeSend.abort(), outcome => {
-        stopTimer()
-        cancelled?.removeEventListener('abort', cancel)
+        for (const stop of stops) {
+          stop()
+        }
         resolve(outcome)
       })
+      // First, because a send that throws must leave no timer behind.
+      const activeSend = this.send(server, request, mustSendOnce, observer)
+      if (observer.isSettled) {
+        return
+      }
       const cancel = (): void => {
         observer.settle({ kind: 'lost', reason: 'cancelled' })
         activeSend.abort()
       }
-      const stopTimer = this.clock.after(timeoutMs, () => {
+      stops.push(() => cancelled?.removeEventListener('abort', cancel), this.clock.after(timeoutMs, () => {
         observer.settle({ kind: 'silent', reason: `no answer within ${Math.round(timeoutMs)} ms` })
         activeSend.abort()
-      })
-      const activeSend = this.send(server, request, mustSendOnce, observer)
+      }))
       cancelled?.addEventListener('abort', cancel)
     })
   }
@@ -231,7 +237,7 @@
   private rawHeaders: readonly string[] = []
   private readonly chunks: buffer.Buffer[] = []
   private bytes = 0
-  private isSettled = false
+  isSettled = false
 
   constructor (
     private readonly limitBytes: number,
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,6 +1,7 @@
 /**
  * The backend servers, as listed in the store.
  */
+import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as replicas from './store_replica.js'
 import * as routing from '../contracts/routing.js'
@@ -56,7 +57,7 @@
     const id = item.key.slice(this.documents.serverPrefix.length)
     const read = this.documents.readServer(id, item.value)
     if (read.isLeft()) {
-      this.ignoreEntry(id, item)
+      this.ignoreEntry(id, item, (read.extract() as failures.Failure).message)
       return
     }
     this.unreadable.delete(id)
@@ -244,10 +245,10 @@
     }
   }
 
-  private ignoreEntry (id: string, item: replicas.ReplicaItem): void {
+  private ignoreEntry (id: string, item: replicas.ReplicaItem, reason: string): void {
     if (!this.unreadable.has(id)) {
       this.unreadable.add(id)
-      this.system.log.warn('cannot parse a server entry', { server: id, revision: item.revision })
+      this.system.log.warn('cannot parse a server entry', { server: id, revision: item.revision, reason })
     }
     if (this.servers.delete(id)) {
       this.byService.clear()
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -148,7 +148,7 @@
       (node, withinMs) => this.peerTable.listSeen(withinMs).includes(node), found => this.setMembers(found))
     const blocked = new blockedParts.BlockedParts(store, system, this.evidence)
     this.evidence.onBlock = part => blocked.save(part)
-    const observer = new replicas.CompositeObserver([follower, directory, this.members, this.stageCoordinator, blocked])
+    const observer = new replicas.CompositeObserver([follower, directory, this.members, this.stageCoordinator, blocked], system.log)
     this.storeReplica = new replicas.StoreReplica(store, allKeysPrefix, system, observer, options.timing.watchHoldMs)
     this.peerTable = new peerTables.PeerTable(this.createParty(), system.clock, system.log)
     this.peers = new peerExchanges.PeerExchange(this.peerTable, options.zone, this.storeReplica, system, order => permitBook.decide(order), order => trials.decide(order))
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -14,7 +14,7 @@
 /** Time for which a gateway whose entry is missing stays a member, in milliseconds; extended by the same time while it is responsive. */
 const removalDelayMs = 3_000
 
-const Entry = z.object({ address: z.string(), boot: z.string(), zone: z.string() })
+const Entry = z.object({ address: identities.AddressText, boot: z.string(), zone: z.string() })
 
 /** Another gateway: its gossip address and its availability zone. */
 export interface Member {
--- a/src/gateway/store_replica.ts
+++ b/src/gateway/store_replica.ts
@@ -41,19 +41,28 @@
 
 /** Forwards changes to several observers, each of which selects its own keys. */
 export class CompositeObserver extends ReplicaObserver {
-  constructor (private readonly observers: readonly ReplicaObserver[]) {
+  constructor (private readonly observers: readonly ReplicaObserver[], private readonly log: host.Log) {
     super()
   }
 
   override put (item: ReplicaItem): void {
     for (const observer of this.observers) {
-      observer.put(item)
+      this.handle(item.key, () => observer.put(item))
     }
   }
 
   override removed (key: string, returnsUntilMs: number | undefined): void {
     for (const observer of this.observers) {
-      observer.removed(key, returnsUntilMs)
+      this.handle(key, () => observer.removed(key, returnsUntilMs))
+    }
+  }
+
+  /** An entry that an observer fails on must not end the watch, which would find it again and again. */
+  private handle (key: string, change: () => void): void {
+    try {
+      change()
+    } catch (error) {
+      this.log.error('entry of the store not handled', { key, error: error instanceof Error ? error.stack : String(error) })
     }
   }
 
