The end of a trial counts in full when its own part accounts for an end just before

A plain request that crashed two servers within 100 ms, the second as its trial, was taken for a common failure of both, so that a third crash was needed to block it; gateways killed meanwhile started over. The rule was kept.

An earlier end of a server that lost a prompt with a part of the trial is no sign of another cause.

--- a/src/gateway/prompt_guard.ts
+++ b/src/gateway/prompt_guard.ts
@@ -35,6 +35,8 @@
 interface LostServer {
   readonly server: routing.RoutedServer
   readonly atMs: number
+  /** Parts of the prompts without an answer that were lost there. */
+  readonly parts: ReadonlySet<string>
   /** Whether a trial was lost there, which accounts for the end of the server. */
   readonly hasTrial: boolean
 }
@@ -95,12 +97,12 @@
   }
 
   /** Records that the connection of a run broke at a server, which may have ended for any reason. */
-  recordLoss (server: routing.RoutedServer, isTrial = false): void {
+  recordLoss (server: routing.RoutedServer, isTrial = false, parts: readonly string[] = []): void {
     const nowMs = this.now()
     const recent = this.losses.filter(({ atMs }) => nowMs - atMs <= 2 * commonCauseMs)
-    const hasTrial = isTrial || recent.some(loss => loss.server.id === server.id && loss.hasTrial)
-    this.losses = recent.filter(loss => loss.server.id !== server.id).slice(-maximumLosses)
-    this.losses.push({ server, atMs: nowMs, hasTrial })
+    const before = recent.find(loss => loss.server.id === server.id)
+    this.losses = recent.filter(loss => loss !== before).slice(-maximumLosses)
+    this.losses.push({ server, atMs: nowMs, hasTrial: isTrial || before?.hasTrial === true, parts: new Set([...before?.parts ?? [], ...parts]) })
   }
 
   /**
@@ -108,7 +110,7 @@
    * trial, whether it was the only one.
    */
   async recordLostPrompt (server: routing.RoutedServer, prompt: Prompt, isTrial: boolean): Promise<void> {
-    this.recordLoss(server, isTrial)
+    this.recordLoss(server, isTrial, prompt.parts)
     if (prompt.parts.length === 0) {
       return
     }
@@ -143,10 +145,14 @@
     })
   }
 
-  /** Gives the end of a server its full weight unless other servers ended at the same time. */
+  /**
+   * Gives the end of a server its full weight unless other servers ended at the same time. An earlier end that a trial's own parts account
+   * for is no sign of a common cause.
+   */
   private async weighEnd (server: routing.RoutedServer, { parts, workspace }: Prompt, isTrial: boolean, lostMs: number): Promise<void> {
     await this.system.clock.sleep(commonCauseMs)
-    const others = this.losses.filter(({ server: { id }, atMs, hasTrial }) => id !== server.id && !hasTrial && Math.abs(atMs - lostMs) <= commonCauseMs)
+    const isExplained = (loss: LostServer): boolean => loss.hasTrial || (isTrial && parts.some(part => loss.parts.has(part)))
+    const others = this.losses.filter(loss => loss.server.id !== server.id && Math.abs(loss.atMs - lostMs) <= commonCauseMs && !isExplained(loss))
     const ended = await Promise.all(others.map(async other => await this.confirmEnd(other.server)))
     if (ended.includes(true)) {
       this.system.log.info('servers ended together', { server: server.id, others: ended.filter(hasEnded => hasEnded).length, parts: parts.join(',') })
