Credit for retries expires after a window however often it is looked at

Time was summed over reads, each by the faster clock. The wall clock counts whole milliseconds, so that time ran ahead the more often it was read, and credit expired early. A lead of the wall clock now counts as a suspension from 100 ms on. The new test fails without the change.

--- a/src/gateway/elapsed_time.ts
+++ b/src/gateway/elapsed_time.ts
@@ -1,26 +1,29 @@
 /**
- * Time by the faster of the monotonic and the wall clock. The monotonic clock stands still while the VM is suspended, and the wall
- * clock may be set back; what must expire in time is measured by this.
+ * Time that includes suspensions of the VM, in which the monotonic clock stands still: what must expire in time is measured by it. A
+ * wall clock that is set forward looks like a suspension; one that is set back changes nothing.
  */
 import * as host from '../host/types.js'
 
+/** Lead of the wall clock over the monotonic one that is not a suspension, in milliseconds: rounding and adjustments of its rate. */
+const toleratedLeadMs = 100
+
 export class ElapsedTime {
-  private monotonicMs: number
-  private wallMs: number
-  private totalMs = 0
+  /** Difference between the two clocks when it was last taken over. */
+  private differenceMs: number
+  private suspendedMs = 0
 
   constructor (private readonly clock: host.Clock) {
-    this.monotonicMs = clock.monotonicMs()
-    this.wallMs = clock.wallMs()
+    this.differenceMs = clock.wallMs() - clock.monotonicMs()
   }
 
-  /** Returns the time since the construction, in milliseconds. */
+  /** Returns milliseconds since an arbitrary start; never decreases. */
   read (): number {
     const monotonicMs = this.clock.monotonicMs()
-    const wallMs = this.clock.wallMs()
-    this.totalMs += Math.max(0, monotonicMs - this.monotonicMs, wallMs - this.wallMs)
-    this.monotonicMs = monotonicMs
-    this.wallMs = wallMs
-    return this.totalMs
+    const differenceMs = this.clock.wallMs() - monotonicMs
+    if (Math.abs(differenceMs - this.differenceMs) > toleratedLeadMs) {
+      this.suspendedMs += Math.max(0, differenceMs - this.differenceMs)
+      this.differenceMs = differenceMs
+    }
+    return monotonicMs + this.suspendedMs
   }
 }
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -118,9 +118,9 @@
         break
       }
       const { server, permit } = placed
-      if (this.reply.isGone || !this.reserveSend(this.sends)) {
+      this.isOutOfBudget = !this.reserveSend(this.sends)
+      if (this.reply.isGone || this.isOutOfBudget) {
         this.context.permits.giveBack(server, permit)
-        this.isOutOfBudget = true
         break
       }
       this.recordSend(this.sends, 'run')
--- a/tests/gateway/retry_budget.test.ts
+++ b/tests/gateway/retry_budget.test.ts
@@ -121,6 +121,24 @@
       assert.equal(retryBudget.take('s'), undefined)
     })
 
+    // Guards against credit that expires early because the wall clock counts whole milliseconds.
+    test.it('keeps credit for the window however often it is looked at', () => {
+      const clock = new class extends manualClock.ManualClock {
+        override wallMs (): number {
+          return Math.floor(super.wallMs())
+        }
+      }()
+      const retryBudget = new retries.RetryBudget(budget, clock)
+      for (let request = 0; request < 10; request += 1) {
+        retryBudget.recordRequest('s')
+      }
+      for (let look = 0; look < 30_000; look += 1) {
+        clock.pause(0.3)
+        assert.ok(retryBudget.describe('s').credit > 0)
+      }
+      assert.notEqual(retryBudget.take('s'), undefined)
+    })
+
     test.it('returns credit to the time that it was issued at', () => {
       const clock = new manualClock.ManualClock()
       const retryBudget = new retries.RetryBudget(budget, clock)
