--- a/tools/proof_table.ts
+++ b/tools/proof_table.ts
@@ -249,6 +249,29 @@
       'tests/gateway/prompt_fleet: send nothing with a part after three ends; tests/gateway/prompt_fleet: block nothing where servers end for other reasons'
     ]
   },
+  {
+    fault: 'A budget or allowance that all gateways share, while they end and start again',
+    found: 'each life of a process had a budget of its own, divided by the gateways that it knew (incident BUDGET, restarts); allowances were saved up anew',
+    tests: [
+      'retry_bound: stay within the budget of a window', 'tests/gateway/retry_budget: holds while',
+      'tests/gateway/allowance_limiter: keeps usage within the bound of a window when all gateways restart again and again'
+    ]
+  },
+  {
+    fault: 'A request that crashes each server that begins to run it',
+    found: 'found by its content or its parts; two crashes within 100 ms were taken for a common failure',
+    tests: ['deadly_elsewhere: a plain call and its repeats end three servers at most', 'deadly_elsewhere: a plain call whose repeat ends the next server at once']
+  },
+  {
+    fault: 'An odd entry of another writer in a list of the store',
+    found: 'an address with a port out of range ended processes, and requests failed; such entries are refused where they are decoded',
+    tests: ['odd_entries: cost the good ones nothing', 'odd_entries: do not keep a gateway that starts later from the list']
+  },
+  {
+    fault: 'A request that comes late in the grace of a planned stop',
+    found: 'it was taken and cut at the end of the process; it is refused as not run unless its time is over before',
+    tests: ['planned_stop: refuses those that may outlast it as not run']
+  },
   {
     fault: 'A refusal written once more, half heads, errors after a stream has begun',
     found: 'a refusal of the same request was believed on the same connection; streams that ended inside an event looked whole; the others not found',
