The line of a request that a stop ends names it; an observer that fails after a batch does not end the watch

Found while the whole change was read again: the line had neither id nor age, and the guard around entries left out the call after a batch.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -32,11 +32,19 @@
   readonly units: number
 }
 
+/** A request without a final answer. */
+interface ActiveRequest {
+  readonly arrival: types.Arrival
+  readonly arrivedMs: number
+  /** Undefined until the request is admitted. */
+  exchange: exchanges.Exchange | undefined
+}
+
 export class RequestHandler {
   private readonly firstAttempts = new firstAttemptEstimates.FirstAttemptEstimate()
   private serial = 0
-  /** Requests without a final answer, with their exchanges once they are admitted. */
-  private readonly active = new Map<replies.CallerReply, exchanges.Exchange | undefined>()
+  /** Requests without a final answer. */
+  private readonly active = new Map<replies.CallerReply, ActiveRequest>()
 
   /** `mayKeepAlive`: connections stay open after an answer. `mayBegin`: a request that must end by a time on the monotonic clock, in milliseconds, may be accepted. */
   constructor (
@@ -52,9 +60,11 @@
 
   /** Ends all requests with a final answer; those that no server has got are refused as not run. */
   endRemaining (): void {
-    for (const [reply, exchange] of this.active) {
+    for (const [reply, { arrival, arrivedMs, exchange }] of this.active) {
       const verdict = exchange?.mayHaveRun === true ? 'may_have_run' : 'not_run'
-      this.context.system.log.warn('request ended by the stop', { verdict, hasStarted: reply.hasStarted })
+      this.context.system.log.warn('request ended by the stop', {
+        request: arrival.id, verdict, hasStarted: reply.hasStarted, elapsedMs: Math.round(this.now() - arrivedMs)
+      })
       reply.fail(failures.createFailure(verdict, 'shutting_down', [], shutdownRetryMs))
       reply.gone.abort()
     }
@@ -65,9 +75,10 @@
     const arrivedMs = this.now()
     const arrival = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
     const reply = new replies.CallerReply(response, dialect, arrival, this.mayKeepAlive)
-    this.active.set(reply, undefined)
+    const active: ActiveRequest = { arrival, arrivedMs, exchange: undefined }
+    this.active.set(reply, active)
     try {
-      const end = await this.serve(request, arrival, reply, arrivedMs)
+      const end = await this.serve(request, active, reply)
       meter.count('requests_total', { workspace: '', end: end.outcome })
       meter.observe('gateway_request_ms', { end: end.outcome }, this.now() - arrivedMs)
       this.context.system.log.info('request ended', {
@@ -90,8 +101,9 @@
   }
 
   private async serve (
-    request: http.IncomingMessage, arrival: types.Arrival, reply: replies.CallerReply, arrivedMs: number
+    request: http.IncomingMessage, active: ActiveRequest, reply: replies.CallerReply
   ): Promise<exchanges.ExchangeEnd> {
+    const { arrival, arrivedMs } = active
     const limits = this.context.routing.table?.document.limits
     const callerTimeoutMs = arrival.callerTimeoutMs ?? defaultTimeoutMs
     const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, callerTimeoutMs, this.context.system.clock)
@@ -133,7 +145,7 @@
     const exchange = isGeneration
       ? new generations.GenerationExchange(this.context, admittedRequest, reply)
       : new plains.PlainExchange(this.context, admittedRequest, reply)
-    this.active.set(reply, exchange)
+    active.exchange = exchange
     const end = await exchange.run()
     if (end.outcome === 'refused' && workspace !== undefined) {
       this.context.allowance.refund(workspace.name, units)
--- a/src/gateway/store_replica.ts
+++ b/src/gateway/store_replica.ts
@@ -58,7 +58,7 @@
   }
 
   /** An entry that an observer fails on must not end the watch, which would find it again and again. */
-  private handle (key: string, change: () => void): void {
+  private handle (key: string | undefined, change: () => void): void {
     try {
       change()
     } catch (error) {
@@ -68,7 +68,7 @@
 
   override updated (): void {
     for (const observer of this.observers) {
-      observer.updated()
+      this.handle(undefined, () => observer.updated())
     }
   }
 }
