--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -13,6 +13,8 @@
   /** Requests that it began to run, in order, with their ends. */
   runs = []
   born = Date.now()
+  /** Bytes that are sent once, in place of the next answer to a plain request. */
+  spoiledAnswer
   #server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
     const chunks = []
     request.on('data', chunk => chunks.push(chunk))
@@ -75,6 +77,13 @@
     const signed = { ...echo, 'Server-Stamp': `${this.id}.${run.id}` }
     if (headers['token-count'] === undefined) {
       setTimeout(() => {
+        if (this.spoiledAnswer !== undefined) {
+          run.end = 'answer spoiled'
+          this.record(`server ${this.id} answers ${run.id} with ${JSON.stringify(this.spoiledAnswer)}`)
+          request.socket.end(this.spoiledAnswer)
+          this.spoiledAnswer = undefined
+          return
+        }
         run.end = 'answered'
         response.writeHead(200, { ...signed, 'Content-Length': plainBytes }).end(run.id.padEnd(plainBytes, '.'))
       }, this.options.workMs)
