--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -21,7 +21,10 @@
     request.on('end', () => this.#answer(request, response, Buffer.concat(chunks).toString()))
   })
 
-  /** `options`: `service`, `stage`, `events` of a stream, `eventMs` between them, `workMs` of a plain request, `isUnframed`. */
+  /**
+   * `options`: `service`, `stage`, `events` of a stream, `eventMs` between them, `workMs` of a plain request, `isUnframed` (answers have
+   * neither a length nor chunks), `resetShare` (share of the plain answers that are broken off by a reset in their middle).
+   */
   constructor (id, options, record) {
     this.id = id
     this.options = options
@@ -65,7 +68,7 @@
       sendJson(response, { kv_handle: crypto.randomBytes(6).toString('hex'), tokens: Number(headers['token-count'].split(',')[0]), version: 1 }, echo)
       return
     }
-    const run = { id: headers['request-id'], path, body, server: this.id, end: 'running' }
+    const run = { id: headers['request-id'], path, body, server: this.id, end: 'running', atMs: performance.now() }
     this.runs.push(run)
     this.record(`server ${this.id} runs ${run.id} ${path}`)
     response.on('close', () => {
@@ -84,14 +87,34 @@
           this.spoiledAnswer = undefined
           return
         }
-        run.end = 'answered'
-        response.writeHead(200, { ...signed, 'Content-Length': plainBytes }).end(run.id.padEnd(plainBytes, '.'))
+        this.#answerPlain(request, response, signed, run)
       }, this.options.workMs)
       return
     }
     this.#stream(response, signed, run, Number(headers['last-event-id'] ?? 0))
   }
 
+  #answerPlain (request, response, signed, run) {
+    const { isUnframed, resetShare = 0 } = this.options
+    const body = run.id.padEnd(plainBytes, '.')
+    if (!isUnframed) {
+      run.end = 'answered'
+      response.writeHead(200, { ...signed, 'Content-Length': plainBytes }).end(body)
+      return
+    }
+    const { socket } = request
+    const head = Object.entries({ ...signed, Connection: 'close' }).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    const isReset = Math.random() < resetShare
+    run.end = isReset ? 'reset' : 'answered'
+    socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${isReset ? body.slice(0, plainBytes / 2) : body}`)
+    if (isReset) {
+      this.record(`server ${this.id} resets the connection in the middle of its answer to ${run.id}`)
+      socket.resetAndDestroy()
+    } else {
+      socket.end()
+    }
+  }
+
   #stream (response, signed, run, after) {
     const { events, eventMs, isUnframed } = this.options
     if (isUnframed) {
