Review case 1: three pauses in a run

Cause: one run had only two such requests, so that a run without any was near. Done: the gateway stands still three times in a run.

--- a/review/1/scenario.mjs
+++ b/review/1/scenario.mjs
@@ -13,6 +13,8 @@
 /** Time from the opening of a connection to the whole head of its request; `header_timeout_ms` is 3,000, `idle_timeout_ms` 15,000. */
 const openAheadMs = 2_000
 const freezeMs = 1_500
+/** How often the gateway stands still, and the time before each pause. */
+const freezeCount = 3
 const warmUpMs = 6_000
 const afterMs = 2_000
 const deadlineMs = 1_500
@@ -55,13 +57,15 @@
 }
 
 const all = Array.from({ length: clientCount }, (_value, index) => book(index + 1))
-await deployments.pause(warmUpMs)
-if (hasTrouble) {
-  record(`${stopped.name} stands still for ${freezeMs} ms`)
-  stopped.signal('SIGSTOP')
-  await deployments.pause(freezeMs)
-  stopped.signal('SIGCONT')
-  record(`${stopped.name} goes on`)
+for (let freeze = 0; freeze < freezeCount; freeze += 1) {
+  await deployments.pause(warmUpMs)
+  if (hasTrouble) {
+    record(`${stopped.name} stands still for ${freezeMs} ms`)
+    stopped.signal('SIGSTOP')
+    await deployments.pause(freezeMs)
+    stopped.signal('SIGCONT')
+    record(`${stopped.name} goes on`)
+  }
 }
 await deployments.pause(afterMs)
 phase.isOver = true
