A 408 belongs to the request that it answers; nothing is handled behind a refusal

After a pause of the process Node's check of head time-outs runs before the sockets are read, so a head that lay in the socket in time counted as late. The 408 was written with socket.end(), which closes only the sending side: the parser went on, and the request in the socket was passed on. Nothing tied a refusal of the parser to a request.

The class: every refusal of the parser, every close. The new CallerConnection decides which requests of a connection are handled and how it ends: - time-outs (head, idle, body) take effect only after the sockets have been read; - once the close is decided no request is handled; what the caller still sends is read and discarded until it closes too (1 s at most), because unread bytes would reset the connection, and the refusal with it; - requests are handled one after the other, so none has been passed on when the answer before it closes the connection; - a refusal is written only where it can be taken for the answer to what could not be read: not in front of or inside an earlier answer, and not to a caller that has sent nothing; - a body that cannot be parsed is refused at once; CONNECT gets an answer. Requests that are read and not handled are logged ("request dropped") and counted.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -3,29 +3,36 @@
  */
 import * as buffer from 'node:buffer'
 import type * as http from 'node:http'
+import * as eventLoop from './event_loop.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 
 /**
  * Reads up to the limit. The rest of a longer body is read and discarded, so that the refusal reaches the caller.
- * Fails with `body_too_large`, `body_too_slow` after `timeoutMs`, or `caller_gone`.
+ * Fails with `body_too_large`, `body_too_slow` after `timeoutMs`, or `caller_gone` when `gone` is aborted or the caller breaks off.
  */
 export function readBody (
-  request: http.IncomingMessage, limitBytes: number, timeoutMs: number, clock: host.Clock
+  request: http.IncomingMessage, limitBytes: number, timeoutMs: number, clock: host.Clock, gone: AbortSignal
 ): Promise<failures.Result<buffer.Buffer | undefined>> {
   return new Promise(resolve => {
+    let isSettled = false
     const finish = (result: failures.Result<buffer.Buffer | undefined>): void => {
+      isSettled = true
+      chunks.length = 0
       stopTimer()
+      gone.removeEventListener('abort', failGone)
       resolve(result)
     }
-    const stopTimer = clock.after(timeoutMs, () => {
-      resolve(failures.fail(failures.createFailure('not_run', 'body_too_slow', [Math.round(timeoutMs)])))
-    })
+    const stopTimer = clock.after(timeoutMs, () => eventLoop.afterSocketReads(() => {
+      if (!isSettled) {
+        finish(failures.fail(failures.createFailure('not_run', 'body_too_slow', [Math.round(timeoutMs)])))
+      }
+    }))
     const chunks: buffer.Buffer[] = []
     let bytes = 0
     request.on('data', (chunk: buffer.Buffer) => {
       bytes += chunk.length
-      if (bytes <= limitBytes) {
+      if (bytes <= limitBytes && !isSettled) {
         chunks.push(chunk)
       }
     })
@@ -38,6 +45,7 @@
       finish(failures.succeed(isEmpty ? undefined : buffer.Buffer.concat(chunks)))
     })
     const failGone = (): void => finish(failures.fail(failures.createFailure('not_run', 'caller_gone')))
+    gone.addEventListener('abort', failGone)
     request.on('error', failGone)
     request.on('close', () => {
       if (!request.complete) {
--- /dev/null
+++ b/src/gateway/caller_connection.ts
@@ -0,0 +1,210 @@
+/**
+ * A caller's connection: which of its requests are handled, and how it ends.
+ *
+ * Requests are handled one at a time, so that none has been passed on when the answer before it closes the connection. Once the close is decided
+ * no further request is handled. The gateway then closes its sending side behind the last answer, and reads and discards what the caller still
+ * sends: closing a socket with unread bytes would reset the connection, and the answer with it.
+ */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as eventLoop from './event_loop.js'
+import * as host from '../host/types.js'
+
+/** How long the caller may take to close its side: a round trip and a lost packet. */
+const lingerMs = 1_000
+
+const lateHeadCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+const headOverflowCode = 'HPE_HEADER_OVERFLOW'
+const callerEndCode = 'HPE_INVALID_EOF_STATE'
+const parserCodes = /^(HPE_|ERR_HTTP_)/
+
+const badRequestStatus = 400
+const methodNotAllowedStatus = 405
+const requestTimeoutStatus = 408
+const headOverflowStatus = 431
+
+/** A request and its response. */
+interface CallerExchange {
+  readonly request: http.IncomingMessage
+  readonly response: http.ServerResponse
+}
+
+/** Why a request that was read is not handled. */
+export type DropReason = 'caller_gone' | 'connection_closing'
+
+/** Receives the requests of callers. */
+export abstract class RequestListener {
+  abstract received (request: http.IncomingMessage, response: http.ServerResponse): void
+  /** A request that was read and is not handled: no answer could reach its caller. */
+  abstract dropped (request: http.IncomingMessage, reason: DropReason): void
+}
+
+export class CallerConnection {
+  private readonly waiting: CallerExchange[] = []
+  private current: CallerExchange | undefined
+  private requestCount = 0
+  private isClosing = false
+  private stopLinger: host.Stop | undefined
+
+  constructor (
+    private readonly socket: net.Socket,
+    private readonly listener: RequestListener,
+    private readonly clock: host.Clock,
+    private readonly log: host.Log
+  ) {
+    // Node's server ends a connection so after its last answer, and destroys it with what lies unread.
+    socket.destroySoon = () => this.close()
+    socket.on('close', () => {
+      this.stopLinger?.()
+      for (const { request } of this.waiting.splice(0)) {
+        this.drop(request, 'caller_gone')
+      }
+    })
+  }
+
+  /** Whether a request has no complete answer yet. */
+  get isBusy (): boolean {
+    return this.current !== undefined || this.waiting.length > 0
+  }
+
+  /** Takes a request from the parser. It is handled in its turn. */
+  receive (request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.requestCount += 1
+    if (this.isClosing) {
+      this.drop(request, 'connection_closing')
+      return
+    }
+    this.waiting.push({ request, response })
+    this.handleNext()
+  }
+
+  /** Closes the connection behind the answer in progress. */
+  close (): void {
+    if (this.isClosing) {
+      return
+    }
+    this.isClosing = true
+    for (const { request } of this.waiting.splice(0)) {
+      this.drop(request, 'connection_closing')
+    }
+    if (this.current === undefined) {
+      this.endSending()
+    }
+  }
+
+  /** Closes the connection if the caller has sent nothing when its idle time-out has expired. */
+  expireIdle (): void {
+    const { bytesRead } = this.socket
+    eventLoop.afterSocketReads(() => {
+      if (this.socket.bytesRead === bytesRead && !this.isBusy) {
+        this.close()
+      }
+    })
+  }
+
+  /** Answers what the parser cannot read. An error of the connection itself ends it. */
+  refuse (error: NodeJS.ErrnoException): void {
+    if (this.isClosing) {
+      return
+    }
+    if (error.code === lateHeadCode) {
+      const { requestCount } = this
+      eventLoop.afterSocketReads(() => {
+        if (this.requestCount === requestCount) {
+          this.refuseLateHead()
+        }
+      })
+      return
+    }
+    if (!this.socket.writable || !parserCodes.test(error.code ?? '') || (error.code === callerEndCode && this.isBusy)) {
+      this.socket.destroy()
+      return
+    }
+    this.answerUnreadable(error.code === headOverflowCode ? headOverflowStatus : badRequestStatus, error.code)
+  }
+
+  /** Answers a request to open a tunnel, after which the server no longer reads the connection. */
+  refuseTunnel (): void {
+    this.socket.on('error', () => {})
+    this.socket.resume()
+    this.answerUnreadable(methodNotAllowedStatus, 'CONNECT')
+  }
+
+  /** A caller that has sent nothing gets no status, which its first request could be taken to be answered by. */
+  private refuseLateHead (): void {
+    if (this.socket.bytesRead === 0) {
+      this.log.info('connection closed', { reason: 'no request in time' })
+      this.close()
+      return
+    }
+    this.answerUnreadable(requestTimeoutStatus, lateHeadCode)
+  }
+
+  /**
+   * Closes the connection, with a status if that can only be taken for the answer to what could not be read: it is not written behind
+   * or into the answer to an earlier request.
+   */
+  private answerUnreadable (status: number, reason: string | undefined): void {
+    if (this.isClosing) {
+      return
+    }
+    const broken = this.findBroken()
+    const isAnswered = broken !== undefined || !this.isBusy
+    this.log.info('request not readable', { reason, status: isAnswered ? status : undefined })
+    if (broken !== undefined) {
+      this.waiting.length = 0
+      this.begin(broken)
+      broken.response.writeHead(status, { 'Content-Length': '0', Connection: 'close' }).end()
+    } else if (isAnswered) {
+      this.socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    }
+    this.close()
+  }
+
+  /** Returns the only request without an answer if its body is what cannot be read. */
+  private findBroken (): CallerExchange | undefined {
+    const open = [this.current, ...this.waiting].filter(exchange => exchange !== undefined)
+    const [first] = open
+    return first !== undefined && open.length === 1 && !first.request.complete && !first.response.headersSent ? first : undefined
+  }
+
+  private handleNext (): void {
+    if (this.current !== undefined) {
+      return
+    }
+    const next = this.waiting.shift()
+    if (next === undefined) {
+      return
+    }
+    this.begin(next)
+    this.listener.received(next.request, next.response)
+  }
+
+  private begin (exchange: CallerExchange): void {
+    if (this.current === exchange) {
+      return
+    }
+    this.current = exchange
+    exchange.response.once('close', () => {
+      this.current = undefined
+      if (this.isClosing) {
+        this.endSending()
+      } else {
+        this.handleNext()
+      }
+    })
+  }
+
+  private drop (request: http.IncomingMessage, reason: DropReason): void {
+    this.listener.dropped(request, reason)
+    request.resume()
+  }
+
+  private endSending (): void {
+    this.socket.end(() => {
+      if (!this.socket.destroyed) {
+        this.stopLinger = this.clock.after(lingerMs, () => this.socket.destroy())
+      }
+    })
+  }
+}
--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -107,7 +107,7 @@
   fail (failure: failures.Failure): number {
     const stated = diagnostics.diagnostics[failure.code].status
     const status = notRunStatuses.has(stated) && failure.verdict !== 'not_run' ? badGatewayStatus : stated
-    if (this.isGone || this.isDone) {
+    if (this.isGone || this.isDone || this.response.writableEnded) {
       return status
     }
     if (this.response.headersSent) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
 import * as blockedParts from './blocked_parts.js'
+import * as callerConnections from './caller_connection.js'
 import * as crashEvidences from './crash_evidence.js'
 import * as directories from './directory.js'
 import * as stageCoordinators from './stage_coordinator.js'
@@ -124,12 +125,7 @@
       routing: { table: undefined }
     }
     this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, endMs => this.mayBegin(endMs))
-    this.ingress = new ingresses.Ingress((request, response) => {
-      this.handler.handle(request, response).catch((error: unknown) => {
-        system.log.error('request not handled', { error: String(error) })
-        response.destroy()
-      })
-    }, system.log)
+    this.ingress = new ingresses.Ingress(this.createRequestListener(), system.clock, system.log)
     this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady)
     this.metricsServer = http.createServer((_request, response) => {
       this.meter.render().then(text => response.end(text), (error: unknown) => {
@@ -222,6 +218,22 @@
     await this.peers.close()
   }
 
+  private createRequestListener (): callerConnections.RequestListener {
+    const gateway = this
+    return new class extends callerConnections.RequestListener {
+      override received (request: http.IncomingMessage, response: http.ServerResponse): void {
+        gateway.handler.handle(request, response).catch((error: unknown) => {
+          gateway.system.log.error('request not handled', { error: String(error) })
+          response.destroy()
+        })
+      }
+
+      override dropped (request: http.IncomingMessage, reason: callerConnections.DropReason): void {
+        gateway.handler.recordDropped(request, reason)
+      }
+    }()
+  }
+
   private createSendListener (): connectionPools.SendListener {
     const gateway = this
     return new class extends connectionPools.SendListener {
--- a/src/gateway/ingress.ts
+++ b/src/gateway/ingress.ts
@@ -6,6 +6,7 @@
  */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as callerConnections from './caller_connection.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
@@ -18,28 +19,36 @@
 
 export class Ingress {
   private readonly server: http.Server
-  private readonly sockets = new Set<net.Socket>()
+  private readonly callers = new Map<net.Socket, callerConnections.CallerConnection>()
 
-  constructor (
-    handle: (request: http.IncomingMessage, response: http.ServerResponse) => void,
-    private readonly log: host.Log
-  ) {
+  constructor (listener: callerConnections.RequestListener, clock: host.Clock, log: host.Log) {
     this.server = http.createServer({
       maxHeaderSize: maximumParsedHeadBytes,
       connectionsCheckingInterval: slowCallerCheckPeriodMs,
       keepAlive: true,
       noDelay: true
-    }, handle)
+    }, (request, response) => this.callers.get(request.socket)?.receive(request, response))
     this.server.requestTimeout = 0
-    this.server.on('connection', socket => {
-      this.sockets.add(socket)
-      socket.on('close', () => this.sockets.delete(socket))
+    this.server.on('connection', (socket: net.Socket) => {
+      this.callers.set(socket, new callerConnections.CallerConnection(socket, listener, clock, log))
+      socket.on('close', () => this.callers.delete(socket))
     })
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => this.reject(error, socket))
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => this.callers.get(socket)?.refuse(error))
+    this.server.on('connect', (request: http.IncomingMessage) => this.callers.get(request.socket)?.refuseTunnel())
+    this.server.on('timeout', (socket: net.Socket) => this.callers.get(socket)?.expireIdle())
   }
 
   get connections (): number {
-    return this.sockets.size
+    return this.callers.size
+  }
+
+  /** Number of connections with a request that has no complete answer yet. */
+  get busyConnections (): number {
+    let count = 0
+    for (const caller of this.callers.values()) {
+      count += caller.isBusy ? 1 : 0
+    }
+    return count
   }
 
   async start (address: identities.Address): Promise<void> {
@@ -65,18 +74,6 @@
     this.server.close()
     this.server.closeAllConnections()
   }
-
-  private reject (error: NodeJS.ErrnoException, socket: net.Socket): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy()
-      return
-    }
-    const status = error.code === 'HPE_HEADER_OVERFLOW'
-      ? '431 Request Header Fields Too Large'
-      : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
-    this.log.info('request not readable', { reason: error.code, status })
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-  }
 }
 
 /** Answers the balancer's probe. */
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -4,6 +4,7 @@
 import type * as http from 'node:http'
 import * as allowances from './allowance_limiter.js'
 import * as bodies from './body_reader.js'
+import type * as callerConnections from './caller_connection.js'
 import * as firstAttemptEstimates from './first_attempt_estimate.js'
 import * as contexts from './context.js'
 import * as exchanges from './exchange.js'
@@ -70,6 +71,14 @@
     }
   }
 
+  /** Records a request that was read and is not handled. */
+  recordDropped (request: http.IncomingMessage, reason: callerConnections.DropReason): void {
+    const { dialect, meter, system } = this.context
+    const { id } = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
+    meter.count('gateway_requests_dropped_total', { reason })
+    system.log.info('request dropped', { request: id, reason, verdict: 'not_run' })
+  }
+
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { dialect, meter } = this.context
     const arrivedMs = this.now()
@@ -106,7 +115,7 @@
     const { arrival, arrivedMs } = active
     const limits = this.context.routing.table?.document.limits
     const callerTimeoutMs = arrival.callerTimeoutMs ?? defaultTimeoutMs
-    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, callerTimeoutMs, this.context.system.clock)
+    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, callerTimeoutMs, this.context.system.clock, reply.gone.signal)
     if (body.isLeft()) {
       return this.refuse(reply, body.extract() as failures.Failure)
     }
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -45,6 +45,7 @@
 
   // Gateways.
   gateway_request_ms: createMetric('histogram', ['end'], 'Time from the arrival of a request to its final answer, by end, in milliseconds.'),
+  gateway_requests_dropped_total: createMetric('counter', ['reason'], 'Requests that were read and not handled, because their callers had left or their connections were being closed.'),
   gateway_first_event_ms: createMetric('histogram', [], 'Time from the arrival of a generation to its first event, in milliseconds.'),
   gateway_prefill_ms: createMetric('histogram', [], 'Time of a prefill, in milliseconds.'),
   gateway_sends_total: createMetric('counter', ['outcome'], 'Sends of requests to servers by outcome.'),
