A planned stop closes connections behind the last answer, and nothing is passed on behind a close

A stream that had begun before the SIGTERM could not say `Connection: close`; at its end the gateway closed its sending side only. The parser went on, and a booking that crossed the close was passed on although no answer could be written any more.

--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -75,9 +75,6 @@
   end (): void {
     this.isDone = true
     this.response.end()
-    if (!this.mayKeepAlive()) {
-      this.closeAfterFinish()
-    }
   }
 
   /** Sends the server's complete answer. */
@@ -122,12 +119,6 @@
     return status
   }
 
-  /** Closes a connection whose answer started before it was known that the connection must close. */
-  private closeAfterFinish (): void {
-    const { socket } = this.response
-    this.response.once('finish', () => socket?.end())
-  }
-
   private addConnectionHeader (rawHeaders: readonly string[]): string[] {
     // The unread rest of a request must not be parsed as the next one.
     const isComplete = this.response.req.complete
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -51,6 +51,8 @@
 const drainPollMs = 50
 /** Time before the exit at which the requests that are left get a final answer, for the answers to be sent. */
 const finalAnswerMs = 200
+/** Time for callers to close their sides of the connections that are left at the exit. */
+const finalCloseMs = 200
 /** How recently a gateway must have been seen to count in the `gateway_peers` gauge. */
 const peerPresenceMs = 2_000
 
@@ -188,15 +190,30 @@
     const left = Promise.all([this.members.leave(), this.stageCoordinator.leave()])
     await clock.sleep(balancerLagMs)
     this.ingress.stopAccepting()
-    while (this.handler.inFlight > 0 && clock.monotonicMs() < this.lastEndMs) {
-      await clock.sleep(drainPollMs)
-    }
+    await this.waitWhile(() => this.isBusy, this.lastEndMs)
     this.handler.endRemaining()
-    while (this.handler.inFlight > 0 && clock.monotonicMs() < endMs) {
+    await this.waitWhile(() => this.isBusy, endMs)
+    const unanswered = this.ingress.busyConnections
+    const closedMs = clock.monotonicMs()
+    const { connections } = this.ingress
+    this.ingress.closeConnections()
+    await this.waitWhile(() => this.ingress.connections > unanswered, closedMs + finalCloseMs)
+    log.info('stopped', {
+      inFlight: this.handler.inFlight, unanswered, closed: connections, open: this.ingress.connections, elapsedMs: Math.round(clock.monotonicMs() - startedMs)
+    })
+    await Promise.race([left, clock.sleep(drainPollMs)])
+  }
+
+  /** Whether a caller still waits for an answer, or for the rest of one. */
+  private get isBusy (): boolean {
+    return this.handler.inFlight > 0 || this.ingress.busyConnections > 0
+  }
+
+  private async waitWhile (condition: () => boolean, untilMs: number): Promise<void> {
+    const { clock } = this.system
+    while (condition() && clock.monotonicMs() < untilMs) {
       await clock.sleep(drainPollMs)
     }
-    log.info('stopped', { inFlight: this.handler.inFlight, elapsedMs: Math.round(clock.monotonicMs() - startedMs) })
-    await Promise.race([left, clock.sleep(drainPollMs)])
   }
 
   /** Tells whether a request that has an answer or no time left at `endMs` can be served before this process ends. */
--- a/src/gateway/ingress.ts
+++ b/src/gateway/ingress.ts
@@ -5,7 +5,7 @@
  * rewrite headers and hide how a response ends.
  */
 import * as http from 'node:http'
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import * as callerConnections from './caller_connection.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
@@ -64,10 +64,17 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  /** Stops accepting connections and closes those without a request. */
+  /** Stops accepting connections; the open ones are used on. */
   stopAccepting (): void {
-    this.server.close()
-    this.server.closeIdleConnections()
+    // The HTTP server's own method would also destroy idle connections, with requests that lie in them.
+    net.Server.prototype.close.call(this.server)
+  }
+
+  /** Closes each connection behind the answer in progress on it; what callers send afterwards is discarded. */
+  closeConnections (): void {
+    for (const caller of this.callers.values()) {
+      caller.close()
+    }
   }
 
   close (): void {
