No answer of a peer holds the thread or ends the process; late work is not sent on for callers that left

The HTTP client asserts on what servers send. Without a message of its own, Node's assert words a failure from the source text of the caller: it reads and parses the file, and the bundle is one long line. Afterwards the gateway read the requests that had piled up and passed each on before it read the end of its connection.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -1,8 +1,9 @@
 /**
  * Buffers the body of a caller's request.
  */
-import * as buffer from 'node:buffer'
+import type * as buffer from 'node:buffer'
 import type * as http from 'node:http'
+import * as byteCollectors from './byte_collector.js'
 import * as eventLoop from './event_loop.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
@@ -18,7 +19,6 @@
     let isSettled = false
     const finish = (result: failures.Result<buffer.Buffer | undefined>): void => {
       isSettled = true
-      chunks.length = 0
       stopTimer()
       gone.removeEventListener('abort', failGone)
       resolve(result)
@@ -28,12 +28,12 @@
         finish(failures.fail(failures.createFailure('not_run', 'body_too_slow', [Math.round(timeoutMs)])))
       }
     }))
-    const chunks: buffer.Buffer[] = []
+    const body = new byteCollectors.ByteCollector()
     let bytes = 0
     request.on('data', (chunk: buffer.Buffer) => {
       bytes += chunk.length
       if (bytes <= limitBytes && !isSettled) {
-        chunks.push(chunk)
+        body.add(chunk)
       }
     })
     request.on('end', () => {
@@ -42,7 +42,7 @@
         return
       }
       const isEmpty = bytes === 0 && request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined
-      finish(failures.succeed(isEmpty ? undefined : buffer.Buffer.concat(chunks)))
+      finish(failures.succeed(isEmpty ? undefined : body.view()))
     })
     const failGone = (): void => finish(failures.fail(failures.createFailure('not_run', 'caller_gone')))
     gone.addEventListener('abort', failGone)
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -44,6 +44,8 @@
   private current: CallerExchange | undefined
   private requestCount = 0
   private isClosing = false
+  /** Whether the connection closes once what was read is answered. */
+  private closesWhenIdle = false
   private stopLinger: host.Stop | undefined
 
   constructor (
@@ -67,7 +69,7 @@
     return this.current !== undefined || this.waiting.length > 0
   }
 
-  /** Takes a request from the parser. It is handled in its turn. */
+  /** Takes a request from the parser. It is handled in its turn, and unless its caller has left. */
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
     this.requestCount += 1
     if (this.isClosing) {
@@ -75,7 +77,7 @@
       return
     }
     this.waiting.push({ request, response })
-    this.handleNext()
+    eventLoop.afterSocketReads(() => this.handleNext())
   }
 
   /** Closes the connection behind the answer in progress. */
@@ -141,8 +143,8 @@
   }
 
   /**
-   * Closes the connection, with a status if that can only be taken for the answer to what could not be read: it is not written behind
-   * or into the answer to an earlier request.
+   * Closes the connection, with a status if that can only be taken for the answer to what could not be read. Behind earlier requests it closes
+   * without one, once they are answered.
    */
   private answerUnreadable (status: number, reason: string | undefined): void {
     if (this.isClosing) {
@@ -155,10 +157,13 @@
       this.waiting.length = 0
       this.begin(broken)
       broken.response.writeHead(status, { 'Content-Length': '0', Connection: 'close' }).end()
+      this.close()
     } else if (isAnswered) {
       this.socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+      this.close()
+    } else {
+      this.closesWhenIdle = true
     }
-    this.close()
   }
 
   /** Returns the only request without an answer if its body is what cannot be read. */
@@ -176,6 +181,11 @@
     if (next === undefined) {
       return
     }
+    if (this.socket.destroyed || this.socket.readableEnded) {
+      this.drop(next.request, 'caller_gone')
+      this.handleNext()
+      return
+    }
     this.begin(next)
     this.listener.received(next.request, next.response)
   }
@@ -189,6 +199,8 @@
       this.current = undefined
       if (this.isClosing) {
         this.endSending()
+      } else if (this.closesWhenIdle && this.waiting.length === 0) {
+        this.close()
       } else {
         this.handleNext()
       }
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -16,6 +16,8 @@
 const maximumIdleMs = 600_000
 /** Limit on the identifiers that are kept for a connection: more requests than a request is sent again within. */
 const maximumRequestIds = 32
+/** Code of the error of a connection that was reset. */
+const resetCode = 'CONNECTION_RESET'
 /** Limit on the head of a server's answer. */
 const maximumHeadBytes = 65_536
 
@@ -106,11 +108,17 @@
     this.client.destroy().catch(() => {})
   }
 
-  /** Detects resets ahead of the HTTP client, which treats a reset as the end of an answer without a length. */
+  /**
+   * Detects resets ahead of the HTTP client, which takes a reset for the end of an answer without a length, and fails an assertion, without
+   * an end of the request, if the answer is paused then. It does not know the code that the error gets.
+   */
   private watchSocket (socket: net.Socket): void {
-    socket.on('error', () => {
+    socket.on('error', (error: NodeJS.ErrnoException) => {
       this.wasReset = true
       this.isBroken = true
+      if (error.code === 'ECONNRESET') {
+        error.code = resetCode
+      }
     })
     socket.on('end', () => {
       this.isBroken = true
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -1,8 +1,9 @@
 /**
  * A pool of idle connections for each server, and calls over them.
  */
-import * as buffer from 'node:buffer'
+import type * as buffer from 'node:buffer'
 import * as net from 'node:net'
+import * as byteCollectors from './byte_collector.js'
 import * as connections from './connection.js'
 import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
@@ -235,8 +236,7 @@
 class BufferingObserver extends connections.AnswerObserver {
   private status = 0
   private rawHeaders: readonly string[] = []
-  private readonly chunks: buffer.Buffer[] = []
-  private bytes = 0
+  private readonly bytes = new byteCollectors.ByteCollector()
   isSettled = false
 
   constructor (
@@ -263,18 +263,16 @@
     if (this.isSettled) {
       return
     }
-    this.bytes += chunk.length
-    if (this.bytes > this.limitBytes) {
-      this.chunks.length = 0
+    this.bytes.add(chunk)
+    if (this.bytes.length > this.limitBytes) {
+      this.bytes.clear()
       this.settle({ kind: 'lost', reason: `the answer is longer than ${this.limitBytes} bytes` })
       this.abort()
-      return
     }
-    this.chunks.push(chunk)
   }
 
   override ended (): void {
-    this.settle({ kind: 'answered', status: this.status, rawHeaders: this.rawHeaders, body: buffer.Buffer.concat(this.chunks) })
+    this.settle({ kind: 'answered', status: this.status, rawHeaders: this.rawHeaders, body: this.bytes.view() })
   }
 
   override failed (failure: connections.TransportFailure): void {
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -2,7 +2,8 @@
  * Splits a stream of server-sent events into whole events, so that an interrupted stream can resume after the last
  * whole one.
  */
-import * as buffer from 'node:buffer'
+import type * as buffer from 'node:buffer'
+import * as byteCollectors from './byte_collector.js'
 
 /** Limit on one event, because a server may send bytes without end. */
 const maximumEventBytes = 262_144
@@ -15,7 +16,7 @@
 const fieldLine = /^[^:\r\n]/m
 
 export class EventSplitter {
-  private partial: buffer.Buffer = buffer.Buffer.alloc(0)
+  private readonly partial = new byteCollectors.ByteCollector()
   /** Identifier of the last whole event. */
   lastId: string | undefined
   /** Number of whole events so far; comments do not count. */
@@ -28,11 +29,17 @@
 
   /** Adds bytes and returns those that complete events. */
   push (chunk: buffer.Buffer): buffer.Buffer {
-    const bytes = this.partial.length === 0 ? chunk : buffer.Buffer.concat([this.partial, chunk])
-    const end = findLastBoundary(bytes, Math.max(0, this.partial.length - 2))
+    const searchedLength = Math.max(0, this.partial.length - 2)
+    this.partial.add(chunk)
+    const bytes = this.partial.view()
+    const end = findLastBoundary(bytes, searchedLength)
     const whole = bytes.subarray(0, end)
-    this.partial = bytes.subarray(end)
-    for (const event of end === 0 ? [] : whole.toString('latin1').split(eventEnd)) {
+    if (end === 0) {
+      return whole
+    }
+    this.partial.clear()
+    this.partial.add(bytes.subarray(end))
+    for (const event of whole.toString('latin1').split(eventEnd)) {
       this.eventCount += fieldLine.test(event) ? 1 : 0
       const id = idLine.exec(event)?.[1]
       if (id !== undefined) {
@@ -44,12 +51,12 @@
 
   /** Whether the bytes after the last whole event are part of another one; empty lines are not. */
   get isInsideEvent (): boolean {
-    return this.partial.some(byte => byte !== newline && byte !== carriageReturn)
+    return this.partial.view().some(byte => byte !== newline && byte !== carriageReturn)
   }
 
   /** Discards a partial event of an interrupted stream. */
   discardPartial (): void {
-    this.partial = buffer.Buffer.alloc(0)
+    this.partial.clear()
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,6 +35,7 @@
 import * as routingFollowers from './routing_follower.js'
 import * as serverLimits from './server_limits.js'
 import * as settings from './settings.js'
+import * as stallMonitors from './stall_monitor.js'
 import * as types from './types.js'
 
 /** Prefix of all keys in the store. One watch covers them all, because calls to the store are limited in number and billed. */
@@ -71,6 +72,7 @@
   private readonly evidence: crashEvidences.CrashEvidence
   private readonly storeReplica: replicas.StoreReplica
   private readonly boot: string
+  private readonly stalls: stallMonitors.StallMonitor
   private readonly stops: host.Stop[] = []
   private isDraining = false
   private isCheckingQueue = false
@@ -87,6 +89,7 @@
     documents: types.StoredDocuments
   ) {
     this.boot = system.random.nextId()
+    this.stalls = new stallMonitors.StallMonitor(system.log)
     const health = new healths.ServerHealth()
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
       ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections)
@@ -169,7 +172,10 @@
     this.members.start()
     this.stageCoordinator.start()
     this.stops.push(system.clock.every(gaugePeriodMs, () => this.setGauges()))
-    this.stops.push(system.clock.every(creditPeriodMs, () => this.context.retries.accrue(this.getShare())))
+    this.stops.push(system.clock.every(creditPeriodMs, () => {
+      this.stalls.tick(system.clock.monotonicMs(), creditPeriodMs)
+      this.context.retries.accrue(this.getShare())
+    }))
     for (const seed of options.seeds) {
       this.peers.copyFrom(seed).catch((error: unknown) => {
         system.log.info('store snapshot not fetched from seed', { seed, reason: String(error) })
@@ -425,6 +431,7 @@
     for (const { name } of this.context.routing.table?.document.services ?? []) {
       this.meter.gauge('gateway_retry_credit', { service: name }, this.context.retries.describe(name).credit)
     }
+    this.meter.gauge('gateway_stall_ms', {}, this.stalls.getLongestMs(nowMs))
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -9,6 +9,7 @@
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
 import * as peerTables from './peer_table.js'
+import * as byteCollectors from './byte_collector.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
@@ -32,7 +33,7 @@
 const sameZoneHeader = 'x-same-zone'
 
 export class PeerExchange extends permits.PermitChannel implements partTrials.TrialChannel {
-  private readonly agent = new undici.Agent({ connect: { timeout: exchangeTimeoutMs }, pipelining: 1, connections: 2, keepAliveTimeout: 5_000 })
+  private readonly agent = new undici.Agent({ connect: { timeout: exchangeTimeoutMs }, pipelining: 1, connections: 2, keepAliveTimeout: 5_000, maxResponseSize: messages.maximumMessageBytes })
   private readonly server: http.Server
   private readonly rpc = new jsonRpc.JSONRPCServer({
     errorListener: (message, data) => this.system.log.warn('message of another gateway not accepted', { reason: message, error: String(data).slice(0, loggedErrorLength) })
@@ -176,17 +177,15 @@
   }
 
   private async serve (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const chunks: buffer.Buffer[] = []
-    let bytes = 0
+    const body = new byteCollectors.ByteCollector()
     for await (const chunk of request) {
-      bytes += (chunk as buffer.Buffer).length
-      if (bytes > messages.maximumMessageBytes) {
+      body.add(chunk as buffer.Buffer)
+      if (body.length > messages.maximumMessageBytes) {
         response.writeHead(413, { connection: 'close' }).end()
         return
       }
-      chunks.push(chunk as buffer.Buffer)
     }
-    const message = messages.decode(buffer.Buffer.concat(chunks), request.headers['content-encoding'])
+    const message = messages.decode(body.view(), request.headers['content-encoding'])
     const encoded = messages.encode(await this.rpc.receive(message as jsonRpc.JSONRPCRequest), request.headers[sameZoneHeader] === '1')
     response.sendDate = false
     response.writeHead(200, { ...encoded.headers, 'content-length': encoded.body.length }).end(encoded.body)
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -4,6 +4,7 @@
 import * as buffer from 'node:buffer'
 import * as zlib from 'node:zlib'
 import * as z from 'zod'
+import * as collections from '../contracts/collections.js'
 
 /** Largest message before compression, in bytes; a store replica with a large configuration is smaller. */
 export const maximumMessageBytes = 16_777_216
@@ -25,7 +26,7 @@
 /** Evidence on a part of prompts: ends of servers on which it was in flight without an answer, and the latest answer that began on it. */
 export const PartStatement = z.object({
   /** Server process, workspace of the run, weight of the evidence, age in milliseconds, and the other parts of the run. */
-  ends: z.array(z.tuple([z.string(), z.string(), z.number(), z.number(), z.array(z.string())])),
+  ends: collections.list(z.tuple([z.string(), z.string(), z.number(), z.number(), collections.list(z.string())])),
   /** Workspace of the run, and age in milliseconds. */
   answer: z.tuple([z.string(), z.number()]).optional()
 })
@@ -34,21 +35,21 @@
 /** Load committed to engines, and other inputs to the choice of a server. */
 const GatewayStatus = z.object({
   /** Units admitted since the process started, by workspace. */
-  admitted: z.record(z.string(), z.number()),
+  admitted: collections.dictionary(z.number()),
   /** Committed load, by server. */
-  bookings: z.record(z.string(), CommittedLoad),
+  bookings: collections.dictionary(CommittedLoad),
   /** Load that callers offer, by service, as a number of busy engines. */
-  offered: z.record(z.string(), z.object({ prefill: z.number(), decode: z.number() })),
+  offered: collections.dictionary(z.object({ prefill: z.number(), decode: z.number() })),
   /** Servers that are changing their stage, by order of the gateway or as observed by it. */
-  switching: z.array(z.string()),
+  switching: collections.list(z.string()),
   /** Recent requests by server, and how many of them failed. */
-  outcomes: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  outcomes: collections.dictionary(z.tuple([z.number(), z.number()])),
   /** Servers that have announced that they are leaving, with the start time of the incarnation in milliseconds since the Unix epoch, or 0. */
-  leaving: z.record(z.string(), z.number()),
+  leaving: collections.dictionary(z.number()),
   /** Limits that servers state; absent where there are none, and from gateways that do not know limits. */
-  limits: z.record(z.string(), LimitStatement).optional(),
+  limits: collections.dictionary(LimitStatement).optional(),
   /** Evidence on parts of prompts that may end servers; absent where there is none, and from gateways that do not know it. */
-  parts: z.record(z.string(), PartStatement).optional()
+  parts: collections.dictionary(PartStatement).optional()
 })
 export type GatewayStatus = z.infer<typeof GatewayStatus>
 
@@ -73,7 +74,7 @@
   /** Sequence number of the aggregate since the process started. */
   sequence: z.number(),
   /** Gateways included in the aggregate, with the time since each was last seen, in milliseconds. */
-  heard: z.record(z.string(), z.number()),
+  heard: collections.dictionary(z.number()),
   work: GatewayStatus
 })
 export type ZoneAggregate = z.infer<typeof ZoneAggregate>
@@ -82,7 +83,7 @@
 export const GossipMessage = z.object({
   own: PeerState,
   /** Zone aggregates, with their ages in milliseconds. */
-  zones: z.array(z.object({ ageMs: z.number(), state: ZoneAggregate }))
+  zones: collections.list(z.object({ ageMs: z.number(), state: ZoneAggregate }))
 })
 export type GossipMessage = z.infer<typeof GossipMessage>
 
@@ -109,26 +110,26 @@
 /** A gateway's request to try a prompt with suspected parts, or the end of a trial, to the gateway that grants trials of the parts. */
 export const TrialOrder = z.object({
   node: z.string(),
-  parts: z.array(z.string()),
+  parts: collections.list(z.string()),
   /** Identifies the trial among those of the gateway. */
   trial: z.string(),
   isFinished: z.boolean(),
   /** What the gateway knows of the parts. */
-  evidence: z.record(z.string(), PartStatement)
+  evidence: collections.dictionary(PartStatement)
 })
 export type TrialOrder = z.infer<typeof TrialOrder>
 
 export const TrialGrant = z.object({
   isGranted: z.boolean(),
   /** What the granting gateway knows of the parts. */
-  evidence: z.record(z.string(), PartStatement)
+  evidence: collections.dictionary(PartStatement)
 })
 export type TrialGrant = z.infer<typeof TrialGrant>
 
 /** All keys of the store replica. */
 export const Snapshot = z.object({
   revision: z.number(),
-  items: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() }))
+  items: collections.list(z.object({ key: z.string(), value: z.string(), revision: z.number() }))
 })
 
 /** A message as sent over HTTP. */
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -1,7 +1,8 @@
 /**
  * Forwards the stream of a server to a caller.
  */
-import * as buffer from 'node:buffer'
+import type * as buffer from 'node:buffer'
+import * as byteCollectors from './byte_collector.js'
 import * as connections from './connection.js'
 import * as splitters from './event_splitter.js'
 import * as replies from './caller_reply.js'
@@ -40,8 +41,7 @@
   private status = 0
   private rawHeaders: readonly string[] = []
   private mode: 'waiting' | 'streaming' | 'collecting' | 'unusable' = 'waiting'
-  private readonly collected: buffer.Buffer[] = []
-  private collectedBytes = 0
+  private readonly collected = new byteCollectors.ByteCollector()
   private isSettled = false
   /** Whether an earlier server has started the stream. */
   private isContinuation = false
@@ -105,9 +105,8 @@
 
   override received (chunk: buffer.Buffer): void {
     if (this.mode === 'collecting') {
-      this.collectedBytes += chunk.length
-      if (this.collectedBytes <= maximumFailureBytes) {
-        this.collected.push(chunk)
+      if (this.collected.length <= maximumFailureBytes) {
+        this.collected.add(chunk)
       }
       return
     }
@@ -161,11 +160,11 @@
       this.finish({ kind: 'not_run', status, reason: `status ${status}` })
       return
     }
-    if (notRunStatuses.has(status) || this.collectedBytes > maximumFailureBytes) {
+    if (notRunStatuses.has(status) || this.collected.length > maximumFailureBytes) {
       this.finish({ kind: 'lost', reason: `status ${status} without the statement that it did not run`, isBroken: false })
       return
     }
-    this.finish({ kind: 'answered', status, rawHeaders, body: buffer.Buffer.concat(this.collected) })
+    this.finish({ kind: 'answered', status, rawHeaders, body: this.collected.view() })
   }
 
   override failed (failure: connections.TransportFailure): void {
--- /dev/null
+++ b/tests/gateway/connection.test.ts
@@ -0,0 +1,88 @@
+import * as assert from 'node:assert/strict'
+import * as net from 'node:net'
+import * as test from 'node:test'
+import * as timers from 'node:timers/promises'
+import * as connections from '../../src/gateway/connection.js'
+
+/** Records an answer; may pause it at its first bytes. */
+class RecordingObserver extends connections.AnswerObserver {
+  text = ''
+  readonly end: Promise<string>
+  activeSend: connections.ActiveSend | undefined
+  private settle: (end: string) => void = () => {}
+
+  constructor (private readonly pauses: boolean) {
+    super()
+    this.end = new Promise(resolve => {
+      this.settle = resolve
+    })
+  }
+
+  override started (): void {}
+
+  override received (chunk: Buffer): void {
+    this.text += chunk.toString()
+    if (this.pauses) {
+      this.activeSend?.pause()
+    }
+  }
+
+  override ended (isClean: boolean): void {
+    this.settle(isClean ? 'whole, and the connection may be used again' : 'whole')
+  }
+
+  override failed ({ kind }: connections.TransportFailure): void {
+    this.settle(kind)
+  }
+}
+
+test.describe('A connection to a server', () => {
+  const defects: unknown[] = []
+  const recordDefect = (error: unknown): void => {
+    defects.push(error)
+  }
+
+  /** Sends a request to a server that does what `answer` does with the connection once it has got the request. */
+  async function request (answer: (socket: net.Socket) => void, pauses = false): Promise<{ readonly end: string, readonly text: string }> {
+    const server = net.createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => answer(socket))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const connection = new connections.ServerConnection(`127.0.0.1:${(server.address() as net.AddressInfo).port}`)
+    const observer = new RecordingObserver(pauses)
+    observer.activeSend = connection.send({ requestId: 'r', method: 'GET', path: '/', headers: ['Host', 'x'], body: undefined }, observer)
+    const end = await Promise.race([observer.end, timers.setTimeout(3_000, 'no end')])
+    connection.close()
+    server.close()
+    return { end, text: observer.text }
+  }
+
+  test.before(() => process.on('uncaughtException', recordDefect))
+  test.after(() => process.off('uncaughtException', recordDefect))
+  test.beforeEach(() => {
+    defects.length = 0
+  })
+
+  test.describe('that is reset while the answer is paused', () => {
+    // Guards against a failed assertion of the HTTP client, after which the request has no end.
+    test.it('fails the request', async () => {
+      const { end } = await request(socket => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\nsome bytes')
+        setTimeout(() => socket.resetAndDestroy(), 50)
+      }, true)
+      assert.deepEqual(defects, [])
+      assert.equal(end, 'lost')
+    })
+  })
+
+  test.describe('on which the status is none', () => {
+    for (const status of ['000', '001', '099']) {
+      test.it(`fails the request: ${status}`, async () => {
+        const { end } = await request(socket => socket.end(`HTTP/1.1 ${status} \r\nContent-Length: 0\r\n\r\n`))
+        assert.deepEqual(defects, [])
+        assert.equal(end, 'lost')
+      })
+    }
+  })
+})
