Answers state their own end towards callers: by a length or by chunks, the last of which proves that they are whole

An answer without framing was passed on without framing. The operating system closes the sockets of a killed process orderly, so the end of the gateway looked like the end of the answer. Chunks would have shown it, but the gateway itself could take a reset server for one that had ended: where a reset is found together with the last bytes, libuv reports an end.

One design: - plain answers, which are known whole, state their length; streams come in chunks, and the last chunk is sent only when the server's answer is known to be whole: ended by its own framing, or orderly where it has none, and not inside an event; - a reset with the last bytes is told from an end by the connection's other side, which a reset connection no longer has; - callers of HTTP/1.0 know no chunks: an answer without a length is held back for them until it is whole, 4 MB at most, and then states its length. If it breaks off, they get a failure; streams that may be resumed are.

Cost for resumed streams: a resumable stream without framing that its server resets right behind its last event now counts as broken off and is resumed at another server (one send of the retry budget, and a prompt read again unless it is kept); it counted as whole before. A caller whose gateway is killed may resume, too, where it had stopped before. Chunks cost 6 to 8 bytes for each write and 5 at the end.

--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -1,8 +1,12 @@
 /**
  * The response to a caller: the server's bytes, or a failure of the gateway.
+ *
+ * What the caller gets states its own end: by a length if the whole answer is known, by chunks otherwise. The last chunk is sent only
+ * when the server's answer is known to be whole, so an answer that breaks off is seen to, also when the gateway is killed.
  */
 import type * as buffer from 'node:buffer'
 import type * as http from 'node:http'
+import * as byteCollectors from './byte_collector.js'
 import * as diagnostics from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
 import * as types from './types.js'
@@ -10,13 +14,25 @@
 /** Bytes buffered for a slow caller before the server's stream is paused. */
 const highWaterMarkBytes = 131_072
 
+/** Limit on an answer that is held back, equal to the default limit on a caller's body. */
+const maximumHeldBytes = 4_194_304
+
+const noContentStatus = 204
+const notModifiedStatus = 304
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const badGatewayStatus = 502
 
+/** An answer that is held back until it is whole, because its caller does not understand chunks. */
+interface HeldAnswer {
+  readonly status: number
+  readonly headers: readonly string[]
+  readonly body: byteCollectors.ByteCollector
+}
+
 export class CallerReply {
   readonly gone = new AbortController()
   private isDone = false
-  private endsWithConnection = false
+  private held: HeldAnswer | undefined
 
   constructor (
     private readonly response: http.ServerResponse,
@@ -36,26 +52,27 @@
     return this.gone.signal.aborted
   }
 
+  /** Whether the head of a server's answer has been taken over. */
   get hasStarted (): boolean {
-    return this.response.headersSent
+    return this.response.headersSent || this.held !== undefined
   }
 
   /**
-   * Starts the server's answer. An answer without a length or chunked encoding ends with the connection here too: framing that the
-   * server never gave would make a truncated answer look complete. With `mayGrow`, a length is replaced by
-   * chunks, because another server may continue the answer.
+   * Starts the server's answer. With `mayGrow`, a length is replaced by chunks, because another server may continue the answer. To callers
+   * of HTTP/1.0 an answer without a length is sent when it is whole: its end could not be told from the end of the gateway.
    */
   start (status: number, rawHeaders: readonly string[], mayGrow = false): void {
-    if (!this.isGone) {
-      if (!isFramed(rawHeaders)) {
-        this.response.useChunkedEncodingByDefault = false
-        this.response.shouldKeepAlive = false
-        this.endsWithConnection = true
-      }
-      const returned = this.dialect.selectReturned(rawHeaders)
-      this.response.writeHead(status, this.addConnectionHeader(mayGrow ? withoutLength(returned) : returned))
-      this.response.flushHeaders()
+    if (this.isGone) {
+      return
+    }
+    const returned = this.dialect.selectReturned(rawHeaders)
+    const headers = mayGrow ? withoutLength(returned) : returned
+    if (!hasLength(headers) && !this.understandsChunks) {
+      this.held = { status, headers, body: new byteCollectors.ByteCollector() }
+      return
     }
+    this.response.writeHead(status, this.addConnectionHeader(headers))
+    this.response.flushHeaders()
   }
 
   /** Returns false when the buffer for the caller is full. */
@@ -63,6 +80,14 @@
     if (this.isGone) {
       return true
     }
+    if (this.held !== undefined) {
+      this.held.body.add(chunk)
+      if (this.held.body.length > maximumHeldBytes) {
+        this.abort()
+        this.gone.abort()
+      }
+      return true
+    }
     this.response.write(chunk)
     return this.response.writableLength < highWaterMarkBytes
   }
@@ -72,28 +97,27 @@
     this.response.once('drain', action)
   }
 
+  /** Ends an answer that is whole. */
   end (): void {
+    if (this.held !== undefined) {
+      const { status, headers, body } = this.held
+      this.send(status, headers, body.view())
+      return
+    }
     this.isDone = true
     this.response.end()
   }
 
   /** Sends the server's complete answer. */
   answer (status: number, rawHeaders: readonly string[], body: buffer.Buffer): void {
-    if (this.isGone) {
-      return
+    if (!this.isGone) {
+      this.send(status, this.dialect.selectReturned(rawHeaders), body)
     }
-    this.start(status, rawHeaders)
-    this.isDone = true
-    this.response.end(body)
   }
 
-  /** Destroys the connection, so that a truncated answer cannot look complete: one that ends with its connection must be reset. */
+  /** Destroys the connection before the end that the framing states, so that a truncated answer cannot look complete. */
   abort (): void {
     this.isDone = true
-    const { socket } = this.response
-    if (this.endsWithConnection && socket !== null) {
-      socket.resetAndDestroy()
-    }
     this.response.destroy()
   }
 
@@ -119,6 +143,19 @@
     return status
   }
 
+  private get understandsChunks (): boolean {
+    const { httpVersionMajor, httpVersionMinor } = this.response.req
+    return httpVersionMajor === 1 && httpVersionMinor >= 1
+  }
+
+  private send (status: number, headers: readonly string[], body: buffer.Buffer): void {
+    const hasBody = this.response.req.method !== 'HEAD' && status !== noContentStatus && status !== notModifiedStatus
+    const length = hasLength(headers) || !hasBody ? [] : ['Content-Length', String(body.length)]
+    this.response.writeHead(status, this.addConnectionHeader([...headers, ...length]))
+    this.isDone = true
+    this.response.end(body)
+  }
+
   private addConnectionHeader (rawHeaders: readonly string[]): string[] {
     // The unread rest of a request must not be parsed as the next one.
     const isComplete = this.response.req.complete
@@ -136,11 +173,19 @@
   return kept
 }
 
+function hasLength (rawHeaders: readonly string[]): boolean {
+  return hasHeader(rawHeaders, 'content-length')
+}
+
 /** Tells whether an answer states a length or comes in chunks; otherwise it ends with its connection. */
 export function isFramed (rawHeaders: readonly string[]): boolean {
+  return hasLength(rawHeaders) || hasHeader(rawHeaders, 'transfer-encoding')
+}
+
+/** `name` is in lower case. */
+function hasHeader (rawHeaders: readonly string[], name: string): boolean {
   for (let index = 0; index < rawHeaders.length; index += 2) {
-    const name = (rawHeaders[index] as string).toLowerCase()
-    if (name === 'content-length' || name === 'transfer-encoding') {
+    if ((rawHeaders[index] as string).toLowerCase() === name) {
       return true
     }
   }
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -121,6 +121,8 @@
       }
     })
     socket.on('end', () => {
+      // A reset that is found together with the last bytes is reported as an end; the connection then has no other side any more.
+      this.wasReset ||= socket.remoteAddress === undefined
       this.isBroken = true
     })
   }
--- a/tests/gateway/connection.test.ts
+++ b/tests/gateway/connection.test.ts
@@ -76,6 +76,31 @@
     })
   })
 
+  test.describe('with an answer that ends with it', () => {
+    const head = 'HTTP/1.1 200 OK\r\n\r\n'
+
+    // Guards against a reset that is found together with the last bytes, and reported as an end.
+    test.it('fails the request when it is reset right behind the last bytes', async () => {
+      for (let count = 0; count < 50; count += 1) {
+        const { end } = await request(socket => {
+          socket.write(`${head}${'x'.repeat(400)}`)
+          socket.resetAndDestroy()
+        })
+        assert.equal(end, 'lost')
+      }
+    })
+
+    test.it('has a whole answer when it is ended', async () => {
+      for (let count = 0; count < 50; count += 1) {
+        assert.deepEqual(await request(socket => socket.end(`${head}some bytes`)), { end: 'whole', text: 'some bytes' })
+        assert.deepEqual(await request(socket => {
+          socket.write(`${head}some `)
+          setTimeout(() => socket.end('bytes'), 2)
+        }), { end: 'whole', text: 'some bytes' })
+      }
+    })
+  })
+
   test.describe('on which the status is none', () => {
     for (const status of ['000', '001', '099']) {
       test.it(`fails the request: ${status}`, async () => {
