--- a/tools/cut.ts
+++ b/tools/cut.ts
@@ -13,6 +13,8 @@
   isSilent: boolean
   /** Whether nothing comes back. */
   isOneWay: boolean
+  /** Whether bytes were swallowed; an orderly end would then make the rest look whole. */
+  hasSwallowed: boolean
 }
 
 export class Cut {
@@ -110,7 +112,7 @@
       return
     }
     const far = net.connect({ host: this.target.host, port: this.target.port, noDelay: true, allowHalfOpen: true })
-    const pair = { near, far, isSilent: this.mode === 'silent', isOneWay: this.mode === 'one_way' }
+    const pair = { near, far, isSilent: this.mode === 'silent', isOneWay: this.mode === 'one_way', hasSwallowed: false }
     this.pairs.add(pair)
     this.forward(pair, near, far)
     this.forward(pair, far, near)
@@ -119,6 +121,7 @@
   private forward (pair: Pair, from: net.Socket, to: net.Socket): void {
     from.on('data', chunk => {
       if (pair.isSilent || (pair.isOneWay && from === pair.far)) {
+        pair.hasSwallowed = true
         return
       }
       if (this.delayMs > 0) {
@@ -129,7 +132,10 @@
       this.pass(chunk, from, to)
     })
     from.on('end', () => {
-      if (!pair.isSilent) {
+      // A reset that is found together with the last bytes is reported as an end; the connection then has no other side any more.
+      if (!pair.isSilent && (pair.hasSwallowed || from.remoteAddress === undefined)) {
+        this.reset(pair)
+      } else if (!pair.isSilent) {
         to.end()
       }
     })
