A refusal is not written, nor logged, on a connection that has ended meanwhile

A late head is judged two turns of the event loop after its time-out; its caller may have left by then. The write went nowhere; the log said that it was refused.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -134,7 +134,7 @@
 
   /** A caller that has sent nothing gets no status, which its first request could be taken to be answered by. */
   private refuseLateHead (): void {
-    if (this.socket.bytesRead === 0) {
+    if (this.socket.bytesRead === 0 && !this.socket.destroyed) {
       this.log.info('connection closed', { reason: 'no request in time' })
       this.close()
       return
@@ -147,7 +147,7 @@
    * without one, once they are answered.
    */
   private answerUnreadable (status: number, reason: string | undefined): void {
-    if (this.isClosing) {
+    if (this.isClosing || this.socket.destroyed) {
       return
     }
     const broken = this.findBroken()
