An answer with heads before the final one, or tiny pieces, without end is given up

A server that floods a gateway with interim heads, or with one-byte chunks, took the thread for as long as its request lasted: there was no final head to count bytes from, and a body's limit of 4 MB is four million pieces. Now 32 interim heads, and 16,384 pieces of less than 16 bytes on average within a second, end the answer as lost. Slow streams in small pieces go on; a whole answer in 10,000 pieces arrives.

connection.test.ts: both have no end within 3 s before, and fail the request now.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -4,6 +4,7 @@
 import type * as net from 'node:net'
 import * as buffer from 'node:buffer'
 import * as undici from 'undici'
+import * as host from '../host/types.js'
 import * as types from './types.js'
 
 /** Covers several round trips between zones and one lost packet. */
@@ -21,6 +22,13 @@
 /** Limit on the head of a server's answer. */
 const maximumHeadBytes = 65_536
 
+/** Limit on the heads before the final one of an answer. */
+const maximumInterimHeads = 32
+/** Pieces of a body, with fewer bytes on average, that may come within a time: each piece takes the thread for a moment. */
+const maximumSmallPieces = 16_384
+const smallPieceBytes = 16
+const smallPiecesMs = 1_000
+
 /** `unsent`: no byte of the request was sent; `lost`: the server may have run it. */
 export type TransportFailure = { readonly kind: 'unsent' | 'lost', readonly reason: string }
 
@@ -49,7 +57,7 @@
   private readonly client: undici.Client
   private wasReset = false
 
-  constructor (address: string) {
+  constructor (address: string, private readonly clock: host.Clock) {
     const connect = undici.buildConnector({ timeout: connectTimeoutMs, keepAlive: true })
     this.client = new undici.Client(`http://${address}`, {
       pipelining: 1,
@@ -81,7 +89,7 @@
   }
 
   send (request: types.OutgoingRequest, observer: AnswerObserver): ActiveSend {
-    const handler = new AnswerHandler(observer, () => this.wasReset)
+    const handler = new AnswerHandler(observer, this.clock, () => this.wasReset)
     if (request.requestId !== undefined) {
       this.requestIds.push(request.requestId)
       this.requestIds.splice(0, this.requestIds.length - maximumRequestIds)
@@ -134,8 +142,13 @@
   private isDone = false
   private hasFraming = false
   private mayKeepAlive = true
+  private interimHeads = 0
+  private pieces = 0
+  /** Bytes of the latest pieces, and when they began to be counted. */
+  private bytes = 0
+  private countedFromMs = 0
 
-  constructor (private readonly observer: AnswerObserver, private readonly wasReset: () => boolean) {}
+  constructor (private readonly observer: AnswerObserver, private readonly clock: host.Clock, private readonly wasReset: () => boolean) {}
 
   abort (): void {
     this.isAborted = true
@@ -159,6 +172,10 @@
 
   onResponseStart (controller: undici.Dispatcher.DispatchController, status: number): void {
     if (status < 200) {
+      this.interimHeads += 1
+      if (this.interimHeads > maximumInterimHeads) {
+        controller.abort(new Error(`more than ${maximumInterimHeads} heads before the final one`))
+      }
       return
     }
     const rawHeaders = decodeHeaders(controller.rawHeaders)
@@ -174,10 +191,28 @@
     this.observer.started(status, rawHeaders)
   }
 
-  onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: buffer.Buffer): void {
+  onResponseData (controller: undici.Dispatcher.DispatchController, chunk: buffer.Buffer): void {
+    if (this.comesInTooManyPieces(chunk.length)) {
+      controller.abort(new Error(`${maximumSmallPieces} pieces of ${this.bytes} bytes in all within ${smallPiecesMs} ms`))
+      return
+    }
     this.observer.received(chunk)
   }
 
+  private comesInTooManyPieces (bytes: number): boolean {
+    const nowMs = this.pieces % maximumSmallPieces === 0 ? this.clock.monotonicMs() : undefined
+    if (nowMs !== undefined) {
+      if (this.pieces > 0 && this.bytes < maximumSmallPieces * smallPieceBytes && nowMs - this.countedFromMs < smallPiecesMs) {
+        return true
+      }
+      this.countedFromMs = nowMs
+      this.bytes = 0
+    }
+    this.pieces += 1
+    this.bytes += bytes
+    return false
+  }
+
   onResponseEnd (): void {
     if (this.isDone) {
       return
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -72,7 +72,7 @@
   /** Sends a request on an idle or new connection. With `mustSendOnce`, connections that the server may be closing are avoided. */
   send (server: routing.RoutedServer, request: types.OutgoingRequest, mustSendOnce: boolean, observer: connections.AnswerObserver): connections.ActiveSend {
     const { address } = server
-    const connection = this.take(address, mustSendOnce, request.requestId) ?? new connections.ServerConnection(address)
+    const connection = this.take(address, mustSendOnce, request.requestId) ?? new connections.ServerConnection(address, this.clock)
     const sentMs = this.clock.monotonicMs()
     const readFacts = (status: number, rawHeaders: readonly string[]): types.AnswerFacts => {
       const facts = this.dialect.readAnswer(status, rawHeaders)
--- a/tests/gateway/connection.test.ts
+++ b/tests/gateway/connection.test.ts
@@ -3,6 +3,7 @@
 import * as test from 'node:test'
 import * as timers from 'node:timers/promises'
 import * as connections from '../../src/gateway/connection.js'
+import * as nodeSystems from '../../src/host/node_system.js'
 
 /** Records an answer; may pause it at its first bytes. */
 class RecordingObserver extends connections.AnswerObserver {
@@ -37,6 +38,7 @@
 }
 
 test.describe('A connection to a server', () => {
+  const { clock } = nodeSystems.createSilentSystem()
   const defects: unknown[] = []
   const recordDefect = (error: unknown): void => {
     defects.push(error)
@@ -49,7 +51,7 @@
       socket.once('data', () => answer(socket))
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    const connection = new connections.ServerConnection(`127.0.0.1:${(server.address() as net.AddressInfo).port}`)
+    const connection = new connections.ServerConnection(`127.0.0.1:${(server.address() as net.AddressInfo).port}`, clock)
     const observer = new RecordingObserver(pauses)
     observer.activeSend = connection.send({ requestId: 'r', method: 'GET', path: '/', headers: ['Host', 'x'], body: undefined }, observer)
     const end = await Promise.race([observer.end, timers.setTimeout(3_000, 'no end')])
@@ -101,6 +103,37 @@
     })
   })
 
+  test.describe('on which the server sends without end', () => {
+    function sendWithoutEnd (socket: net.Socket, start: string, piece: string): void {
+      const text = piece.repeat(4_096)
+      const send = (): void => {
+        if (!socket.destroyed && socket.write(text)) {
+          setImmediate(send)
+        }
+      }
+      socket.on('drain', send)
+      socket.write(start)
+      send()
+    }
+
+    // Guards against answers whose parsing takes the thread until the deadline of their request.
+    test.it('fails the request: heads before the final one', async () => {
+      const { end } = await request(socket => sendWithoutEnd(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'))
+      assert.equal(end, 'lost')
+    })
+
+    test.it('fails the request: pieces of one byte', async () => {
+      const { end, text } = await request(socket => sendWithoutEnd(socket, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\na\r\n'))
+      assert.equal(end, 'lost')
+      assert.ok(text.length < 100_000, `${text.length}`)
+    })
+
+    test.it('has a whole answer in 10,000 pieces of one byte', async () => {
+      const { text } = await request(socket => socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\na\r\n'.repeat(10_000)}0\r\n\r\n`))
+      assert.equal(text, 'a'.repeat(10_000))
+    })
+  })
+
   test.describe('on which the status is none', () => {
     for (const status of ['000', '001', '099']) {
       test.it(`fails the request: ${status}`, async () => {
