Answers that were ready when the gateway stood still are delivered: time-outs of sends take effect after the sockets are read

eventLoop.afterTimeout calls back two turns of the event loop later, and not at all if the answer came meanwhile. Used for calls, streams (deadline and stall) and callers' bodies.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -23,11 +23,9 @@
       gone.removeEventListener('abort', failGone)
       resolve(result)
     }
-    const stopTimer = clock.after(timeoutMs, () => eventLoop.afterSocketReads(() => {
-      if (!isSettled) {
-        finish(failures.fail(failures.createFailure('not_run', 'body_too_slow', [Math.round(timeoutMs)])))
-      }
-    }))
+    const stopTimer = eventLoop.afterTimeout(clock, timeoutMs, () => {
+      finish(failures.fail(failures.createFailure('not_run', 'body_too_slow', [Math.round(timeoutMs)])))
+    })
     const body = new byteCollectors.ByteCollector()
     let bytes = 0
     request.on('data', (chunk: buffer.Buffer) => {
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -5,6 +5,7 @@
 import * as net from 'node:net'
 import * as byteCollectors from './byte_collector.js'
 import * as connections from './connection.js'
+import * as eventLoop from './event_loop.js'
 import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -112,7 +113,7 @@
         observer.settle({ kind: 'lost', reason: 'cancelled' })
         activeSend.abort()
       }
-      stops.push(() => cancelled?.removeEventListener('abort', cancel), this.clock.after(timeoutMs, () => {
+      stops.push(() => cancelled?.removeEventListener('abort', cancel), eventLoop.afterTimeout(this.clock, timeoutMs, () => {
         observer.settle({ kind: 'silent', reason: `no answer within ${Math.round(timeoutMs)} ms` })
         activeSend.abort()
       }))
--- a/src/gateway/event_loop.ts
+++ b/src/gateway/event_loop.ts
@@ -1,6 +1,7 @@
 /**
  * Order of timers and sockets in the event loop.
  */
+import * as host from '../host/types.js'
 
 /**
  * Calls back once the event loop has read what lies in the sockets, and the ends of connections behind it. When the process has stood still,
@@ -10,3 +11,17 @@
 export function afterSocketReads (action: () => void): void {
   setImmediate(() => setImmediate(action))
 }
+
+/** Calls back when the time in milliseconds is over and what had come until then has been read. */
+export function afterTimeout (clock: host.Clock, timeoutMs: number, action: () => void): host.Stop {
+  let isStopped = false
+  const stop = clock.after(timeoutMs, () => afterSocketReads(() => {
+    if (!isStopped) {
+      action()
+    }
+  }))
+  return () => {
+    isStopped = true
+    stop()
+  }
+}
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -5,6 +5,7 @@
  */
 import * as splitters from './event_splitter.js'
 import * as decodePlacements from './decode_placement.js'
+import * as eventLoop from './event_loop.js'
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
 import * as promptAdmissions from './prompt_admission.js'
@@ -269,10 +270,10 @@
           relay.stop(`no event for ${Math.round(stalledMs)} ms`)
           return
         }
-        stopStallTimer = system.clock.after(this.stallMs - stalledMs, checkStall)
+        stopStallTimer = eventLoop.afterTimeout(system.clock, this.stallMs - stalledMs, checkStall)
       }
-      let stopStallTimer = system.clock.after(this.stallMs, checkStall)
-      const stopTimer = system.clock.after(Math.max(0, this.remainingMs()), () => relay.stop('request deadline exceeded'))
+      let stopStallTimer = eventLoop.afterTimeout(system.clock, this.stallMs, checkStall)
+      const stopTimer = eventLoop.afterTimeout(system.clock, Math.max(0, this.remainingMs()), () => relay.stop('request deadline exceeded'))
       const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
         server: place.server,
         remainingMs: this.remainingMs(),
