A connection keeps 32 requests waiting at most, and closes behind their answers

Requests are handled one after the other now, so a caller that pipelines without reading would have been able to make a gateway keep any number of them. Those beyond the bound are not handled, and the connection closes behind the last answer. Test: 200 pipelined requests get as many answers as ran, and an orderly end.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -13,6 +13,9 @@
 /** How long the caller may take to close its side: a round trip and a lost packet. */
 const lingerMs = 1_000
 
+/** Requests that may wait for the answer to one before them on the same connection. */
+const maximumWaiting = 32
+
 const lateHeadCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const headOverflowCode = 'HPE_HEADER_OVERFLOW'
 const callerEndCode = 'HPE_INVALID_EOF_STATE'
@@ -44,7 +47,7 @@
   private current: CallerExchange | undefined
   private requestCount = 0
   private isClosing = false
-  /** Whether the connection closes once what was read is answered. */
+  /** Whether the connection closes once what was taken is answered; nothing more is. */
   private closesWhenIdle = false
   private stopLinger: host.Stop | undefined
 
@@ -72,7 +75,8 @@
   /** Takes a request from the parser. It is handled in its turn, and unless its caller has left. */
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
     this.requestCount += 1
-    if (this.isClosing) {
+    this.closesWhenIdle ||= this.waiting.length >= maximumWaiting
+    if (this.isClosing || this.closesWhenIdle) {
       this.drop(request, 'connection_closing')
       return
     }
