Empty lines behind the last event of a resumable stream reach the caller

The body of a resumable stream lacked bytes of its server's. They are written before the end now; broken_answers.test.ts, "with the empty lines at its end", fails without it.

--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -54,6 +54,13 @@
     return this.partial.view().some(byte => byte !== newline && byte !== carriageReturn)
   }
 
+  /** Removes and returns the bytes after the last whole event. */
+  takePartial (): buffer.Buffer {
+    const rest = this.partial.view()
+    this.partial.clear()
+    return rest
+  }
+
   /** Discards a partial event of an interrupted stream. */
   discardPartial (): void {
     this.partial.clear()
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -141,7 +141,7 @@
   override ended (): void {
     if (this.mode === 'streaming') {
       const isInsideEvent = this.splitter.isInsideEvent
-      this.splitter.discardPartial()
+      const rest = this.splitter.takePartial()
       if (isInsideEvent) {
         this.finish({ kind: 'lost', reason: 'the stream ends inside an event', isBroken: true })
         return
@@ -151,6 +151,10 @@
         this.finish({ kind: 'lost', reason: 'the stream ends without an event', isBroken: true })
         return
       }
+      // Empty lines behind the last event belong to the server's body.
+      if (this.isResumable && rest.length > 0) {
+        this.reply.write(rest)
+      }
       this.recordEvents(1)
       this.finish({ kind: 'completed' })
       return
