The forwarder of tests passes an end on behind the bytes that it holds up

Node reports the end of a paused socket at once, and the forwarder passed it on ahead of a chunk that it held up: the chunk was lost and the end orderly, which no network does. Ends and closes wait for held bytes now. cut.test.ts: nothing arrives before, all bytes after.

--- a/tests/tools/cut.test.ts
+++ b/tests/tools/cut.test.ts
@@ -91,4 +91,21 @@
     socket.end()
     await ended
   })
+
+  // Guards against a forwarder that makes a broken answer look whole.
+  test.it('passes the end on behind bytes that it holds up', async () => {
+    const server = net.createServer(socket => socket.on('error', () => {}).end('bytes'))
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const slow = new cuts.Cut({ host: '127.0.0.1', port: (server.address() as net.AddressInfo).port })
+    slow.delay(100)
+    const socket = net.connect(await slow.listen('127.0.0.1', 0), '127.0.0.1')
+    let received = ''
+    socket.on('data', chunk => {
+      received += chunk.toString()
+    })
+    await new Promise(resolve => socket.once('close', resolve))
+    assert.equal(received, 'bytes')
+    server.close()
+    await slow.close()
+  })
 })
--- a/tools/cut.ts
+++ b/tools/cut.ts
@@ -119,6 +119,16 @@
   }
 
   private forward (pair: Pair, from: net.Socket, to: net.Socket): void {
+    let isHolding = false
+    const afterHeld: Array<() => void> = []
+    // Node reports the end of a paused socket at once, ahead of bytes that are held up here.
+    const inOrder = (action: () => void): void => {
+      if (isHolding && from.errored === null) {
+        afterHeld.push(action)
+      } else {
+        action()
+      }
+    }
     from.on('data', chunk => {
       if (pair.isSilent || (pair.isOneWay && from === pair.far)) {
         pair.hasSwallowed = true
@@ -126,21 +136,31 @@
       }
       if (this.delayMs > 0) {
         from.pause()
-        setTimeout(() => this.pass(chunk, from, to), this.delayMs)
+        isHolding = true
+        setTimeout(() => {
+          isHolding = false
+          this.pass(chunk, from, to)
+          for (const action of afterHeld.splice(0)) {
+            action()
+          }
+        }, this.delayMs)
         return
       }
       this.pass(chunk, from, to)
     })
     from.on('end', () => {
       // A reset that is found together with the last bytes is reported as an end; the connection then has no other side any more.
-      if (!pair.isSilent && (pair.hasSwallowed || from.remoteAddress === undefined)) {
-        this.reset(pair)
-      } else if (!pair.isSilent) {
-        to.end()
-      }
+      const wasReset = from.remoteAddress === undefined
+      inOrder(() => {
+        if (!pair.isSilent && (pair.hasSwallowed || wasReset)) {
+          this.reset(pair)
+        } else if (!pair.isSilent) {
+          to.end()
+        }
+      })
     })
     from.on('error', () => {})
-    from.on('close', () => this.noteClosed(pair, from, to))
+    from.on('close', () => inOrder(() => this.noteClosed(pair, from, to)))
   }
 
   private pass (chunk: Buffer, from: net.Socket, to: net.Socket): void {
