--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -30,6 +30,8 @@
 interface CallerExchange {
   readonly request: http.IncomingMessage
   readonly response: http.ServerResponse
+  /** On the monotonic clock. */
+  readonly readMs: number
 }
 
 /** Why a request that was read is not handled. */
@@ -38,8 +40,8 @@
 /** Receives the requests of callers. */
 export abstract class RequestListener {
   abstract received (request: http.IncomingMessage, response: http.ServerResponse): void
-  /** A request that was read and is not handled: no answer could reach its caller. */
-  abstract dropped (request: http.IncomingMessage, reason: DropReason): void
+  /** A request that was read and is not handled, because no answer could reach its caller; `ageMs` is the time since it was read. */
+  abstract dropped (request: http.IncomingMessage, reason: DropReason, ageMs: number): void
 }
 
 export class CallerConnection {
@@ -61,9 +63,7 @@
     socket.destroySoon = () => this.close()
     socket.on('close', () => {
       this.stopLinger?.()
-      for (const { request } of this.waiting.splice(0)) {
-        this.drop(request, 'caller_gone')
-      }
+      this.dropWaiting('caller_gone')
     })
   }
 
@@ -74,13 +74,14 @@
 
   /** Takes a request from the parser. It is handled in its turn, and unless its caller has left. */
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const exchange = { request, response, readMs: this.clock.monotonicMs() }
     this.requestCount += 1
     this.closesWhenIdle ||= this.waiting.length >= maximumWaiting
     if (this.isClosing || this.closesWhenIdle) {
-      this.drop(request, 'connection_closing')
+      this.drop(exchange, 'connection_closing')
       return
     }
-    this.waiting.push({ request, response })
+    this.waiting.push(exchange)
     eventLoop.afterSocketReads(() => this.handleNext())
   }
 
@@ -90,9 +91,7 @@
       return
     }
     this.isClosing = true
-    for (const { request } of this.waiting.splice(0)) {
-      this.drop(request, 'connection_closing')
-    }
+    this.dropWaiting('connection_closing')
     if (this.current === undefined) {
       this.endSending()
     }
@@ -186,7 +185,7 @@
       return
     }
     if (this.socket.destroyed || this.socket.readableEnded) {
-      this.drop(next.request, 'caller_gone')
+      this.drop(next, 'caller_gone')
       this.handleNext()
       return
     }
@@ -211,8 +210,14 @@
     })
   }
 
-  private drop (request: http.IncomingMessage, reason: DropReason): void {
-    this.listener.dropped(request, reason)
+  private dropWaiting (reason: DropReason): void {
+    for (const exchange of this.waiting.splice(0)) {
+      this.drop(exchange, reason)
+    }
+  }
+
+  private drop ({ request, readMs }: CallerExchange, reason: DropReason): void {
+    this.listener.dropped(request, reason, this.clock.monotonicMs() - readMs)
     request.resume()
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -251,8 +251,8 @@
         })
       }
 
-      override dropped (request: http.IncomingMessage, reason: callerConnections.DropReason): void {
-        gateway.handler.recordDropped(request, reason)
+      override dropped (request: http.IncomingMessage, reason: callerConnections.DropReason, ageMs: number): void {
+        gateway.handler.recordDropped(request, reason, ageMs)
       }
     }()
   }
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -4,6 +4,7 @@
 import * as buffer from 'node:buffer'
 import * as zlib from 'node:zlib'
 import * as z from 'zod'
+import * as boundedJson from '../contracts/bounded_json.js'
 import * as collections from '../contracts/collections.js'
 
 /** Largest message before compression, in bytes; a store replica with a large configuration is smaller. */
@@ -149,8 +150,8 @@
   }
 }
 
-/** Throws if the bytes are not JSON, or exceed the size limit once decompressed. */
+/** Throws if the bytes are not JSON, or exceed the limits on size and values once decompressed. */
 export function decode (bytes: buffer.Buffer, encoding: string | undefined): unknown {
   const text = encoding === 'deflate' ? zlib.inflateSync(bytes, { maxOutputLength: maximumMessageBytes }) : bytes
-  return JSON.parse(text.toString('utf8'))
+  return boundedJson.parseBounded(text)
 }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -72,11 +72,11 @@
   }
 
   /** Records a request that was read and is not handled. */
-  recordDropped (request: http.IncomingMessage, reason: callerConnections.DropReason): void {
+  recordDropped (request: http.IncomingMessage, reason: callerConnections.DropReason, ageMs: number): void {
     const { dialect, meter, system } = this.context
     const { id } = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
     meter.count('gateway_requests_dropped_total', { reason })
-    system.log.info('request dropped', { request: id, reason, verdict: 'not_run' })
+    system.log.info('request dropped', { request: id, reason, verdict: 'not_run', ageMs: Math.round(ageMs) })
   }
 
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
