The line of a request tells whether its answer left, and which side closed the connection first

The logs could not tell which: 'abandoned' and 'cancelled' stood for callers that left, for connections that the gateway had closed first, and for requests that a stop had ended with an answer; 'answered' was written when the answer was handed over, also if it never left.

'request ended' is written when the answer has left the process or its connection has ended. An answer that did not wholly leave has 'answer' (none, begun, handed_over), 'closedBy', 'closeReason' and the unwritten bytes, and the outcome 'cut' where the gateway closed first; answers left at the exit are told before it. Sends say why they were cancelled. A request that the stop ends has the outcome of its answer. One line a request as before. Counter gateway_answers_lost_total by closing side and stage.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -7,6 +7,7 @@
  */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as deliveries from './answer_delivery.js'
 import * as eventLoop from './event_loop.js'
 import * as host from '../host/types.js'
 
@@ -39,7 +40,7 @@
 
 /** Receives the requests of callers. */
 export abstract class RequestListener {
-  abstract received (request: http.IncomingMessage, response: http.ServerResponse): void
+  abstract received (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery): void
   /** A request that was read and is not handled, because no answer could reach its caller; `ageMs` is the time since it was read. */
   abstract dropped (request: http.IncomingMessage, reason: DropReason, ageMs: number): void
 }
@@ -49,9 +50,12 @@
   private current: CallerExchange | undefined
   private requestCount = 0
   private isClosing = false
-  /** Whether the connection closes once what was taken is answered; nothing more is. */
-  private closesWhenIdle = false
+  /** Why the connection closes once what was taken is answered, if it does; nothing more is taken then. */
+  private idleCloseReason: deliveries.CloseReason | undefined
   private stopLinger: host.Stop | undefined
+  private closing: deliveries.Closing = { closedBy: 'nobody' }
+  /** Of the request that is handled. */
+  private delivery: deliveries.AnswerDelivery | undefined
 
   constructor (
     private readonly socket: net.Socket,
@@ -60,7 +64,10 @@
     private readonly log: host.Log
   ) {
     // Node's server ends a connection so after its last answer, and destroys it with what lies unread.
-    socket.destroySoon = () => this.close()
+    socket.destroySoon = () => this.close('last_answer')
+    // Ahead of Node's own listeners, which close the other side.
+    socket.prependListener('end', () => this.recordCallerEnd())
+    socket.prependListener('error', () => this.recordCallerEnd())
     socket.on('close', () => {
       this.stopLinger?.()
       this.dropWaiting('caller_gone')
@@ -76,8 +83,10 @@
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
     const exchange = { request, response, readMs: this.clock.monotonicMs() }
     this.requestCount += 1
-    this.closesWhenIdle ||= this.waiting.length >= maximumWaiting
-    if (this.isClosing || this.closesWhenIdle) {
+    if (this.waiting.length >= maximumWaiting) {
+      this.idleCloseReason ??= 'too_many_waiting'
+    }
+    if (this.isClosing || this.idleCloseReason !== undefined) {
       this.drop(exchange, 'connection_closing')
       return
     }
@@ -86,23 +95,29 @@
   }
 
   /** Closes the connection behind the answer in progress. */
-  close (): void {
+  close (reason: deliveries.CloseReason): void {
     if (this.isClosing) {
       return
     }
     this.isClosing = true
+    this.recordClosing({ closedBy: 'gateway', closeReason: reason })
     this.dropWaiting('connection_closing')
     if (this.current === undefined) {
       this.endSending()
     }
   }
 
+  /** Reports the answer in progress as it is, because the process ends. */
+  abandon (): void {
+    this.delivery?.settle()
+  }
+
   /** Closes the connection if the caller has sent nothing when its idle time-out has expired. */
   expireIdle (): void {
     const { bytesRead } = this.socket
     eventLoop.afterSocketReads(() => {
       if (this.socket.bytesRead === bytesRead && !this.isBusy) {
-        this.close()
+        this.close('idle')
       }
     })
   }
@@ -139,7 +154,7 @@
   private refuseLateHead (): void {
     if (this.socket.bytesRead === 0 && !this.socket.destroyed) {
       this.log.info('connection closed', { reason: 'no request in time' })
-      this.close()
+      this.close('idle')
       return
     }
     this.answerUnreadable(requestTimeoutStatus, lateHeadCode)
@@ -160,12 +175,12 @@
       this.waiting.length = 0
       this.begin(broken)
       broken.response.writeHead(status, { 'Content-Length': '0', Connection: 'close' }).end()
-      this.close()
+      this.close('unreadable')
     } else if (isAnswered) {
       this.socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-      this.close()
+      this.close('unreadable')
     } else {
-      this.closesWhenIdle = true
+      this.idleCloseReason ??= 'unreadable'
     }
   }
 
@@ -189,25 +204,43 @@
       this.handleNext()
       return
     }
-    this.begin(next)
-    this.listener.received(next.request, next.response)
+    this.listener.received(next.request, next.response, this.begin(next))
   }
 
-  private begin (exchange: CallerExchange): void {
-    if (this.current === exchange) {
-      return
+  private begin (exchange: CallerExchange): deliveries.AnswerDelivery {
+    if (this.current === exchange && this.delivery !== undefined) {
+      return this.delivery
     }
     this.current = exchange
+    const delivery = new deliveries.AnswerDelivery(exchange.response, this.socket, () => this.closing)
+    this.delivery = delivery
     exchange.response.once('close', () => {
+      if (this.socket.destroyed) {
+        this.recordClosing({ closedBy: 'gateway', closeReason: 'destroyed' })
+      }
+      delivery.settle()
       this.current = undefined
+      this.delivery = undefined
       if (this.isClosing) {
         this.endSending()
-      } else if (this.closesWhenIdle && this.waiting.length === 0) {
-        this.close()
+      } else if (this.idleCloseReason !== undefined && this.waiting.length === 0) {
+        this.close(this.idleCloseReason)
       } else {
         this.handleNext()
       }
     })
+    return delivery
+  }
+
+  private recordCallerEnd (): void {
+    this.recordClosing(this.socket.writableEnded ? { closedBy: 'gateway', closeReason: 'other' } : { closedBy: 'caller' })
+  }
+
+  /** Records which side closes the connection, unless the other one has before. */
+  private recordClosing (closing: deliveries.Closing): void {
+    if (this.closing.closedBy === 'nobody') {
+      this.closing = closing
+    }
   }
 
   private dropWaiting (reason: DropReason): void {
--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -6,6 +6,7 @@
  */
 import type * as buffer from 'node:buffer'
 import type * as http from 'node:http'
+import type * as deliveries from './answer_delivery.js'
 import * as byteCollectors from './byte_collector.js'
 import * as diagnostics from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
@@ -29,8 +30,11 @@
   readonly body: byteCollectors.ByteCollector
 }
 
+/** Why no answer reaches the caller any more; the reason of the signal `gone`, for logs. */
+export type GoneReason = 'caller left' | 'connection closed by the gateway' | 'ended by the stop'
+
 export class CallerReply {
-  readonly gone = new AbortController()
+  private readonly goneController = new AbortController()
   private isDone = false
   private held: HeldAnswer | undefined
 
@@ -38,18 +42,34 @@
     private readonly response: http.ServerResponse,
     private readonly dialect: types.Dialect,
     private readonly arrival: types.Arrival | undefined,
-    private readonly mayKeepAlive: () => boolean
+    private readonly mayKeepAlive: () => boolean,
+    private readonly delivery: deliveries.AnswerDelivery
   ) {
     response.on('close', () => {
       if (!this.isDone) {
-        this.gone.abort()
+        this.abandon(this.delivery.closing.closedBy === 'caller' ? 'caller left' : 'connection closed by the gateway')
       }
     })
     response.on('error', () => {})
   }
 
+  /** Aborted, with a `GoneReason`, when no answer reaches the caller any more. */
+  get gone (): AbortSignal {
+    return this.goneController.signal
+  }
+
   get isGone (): boolean {
-    return this.gone.signal.aborted
+    return this.gone.aborted
+  }
+
+  /** Resolves with how far the answer got, once that is final. */
+  get delivered (): Promise<deliveries.Delivery> {
+    return this.delivery.settled
+  }
+
+  /** Ends the work on the request, for which no answer is needed any more. */
+  abandon (reason: GoneReason): void {
+    this.goneController.abort(reason)
   }
 
   /** Whether the head of a server's answer has been taken over. */
@@ -84,7 +104,7 @@
       this.held.body.add(chunk)
       if (this.held.body.length > maximumHeldBytes) {
         this.abort()
-        this.gone.abort()
+        this.abandon('connection closed by the gateway')
       }
       return true
     }
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -110,7 +110,7 @@
         return
       }
       const cancel = (): void => {
-        observer.settle({ kind: 'lost', reason: 'cancelled' })
+        observer.settle({ kind: 'lost', reason: `cancelled: ${String(cancelled?.reason)}` })
         activeSend.abort()
       }
       stops.push(() => cancelled?.removeEventListener('abort', cancel), eventLoop.afterTimeout(this.clock, timeoutMs, () => {
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -153,7 +153,7 @@
         rooms.remove(this.request.serial)
         resolve(undefined)
       }
-      this.reply.gone.signal.addEventListener('abort', leave, { once: true })
+      this.reply.gone.addEventListener('abort', leave, { once: true })
       rooms.add({
         id: this.request.serial,
         priority: this.request.priority,
@@ -165,7 +165,7 @@
           return server !== undefined
         },
         settle: () => {
-          this.reply.gone.signal.removeEventListener('abort', leave)
+          this.reply.gone.removeEventListener('abort', leave)
           resolve(server)
         }
       })
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  */
 import * as http from 'node:http'
 import * as allowances from './allowance_limiter.js'
+import type * as deliveries from './answer_delivery.js'
 import * as peerTables from './peer_table.js'
 import * as choices from './plain_choice.js'
 import * as connectionPools from './connection_pool.js'
@@ -204,6 +205,7 @@
     const { connections } = this.ingress
     this.ingress.closeConnections()
     await this.waitWhile(() => this.ingress.connections > unanswered, closedMs + finalCloseMs)
+    this.ingress.abandonAnswers()
     log.info('stopped', {
       inFlight: this.handler.inFlight, unanswered, closed: connections, open: this.ingress.connections, elapsedMs: Math.round(clock.monotonicMs() - startedMs)
     })
@@ -244,8 +246,8 @@
   private createRequestListener (): callerConnections.RequestListener {
     const gateway = this
     return new class extends callerConnections.RequestListener {
-      override received (request: http.IncomingMessage, response: http.ServerResponse): void {
-        gateway.handler.handle(request, response).catch((error: unknown) => {
+      override received (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery): void {
+        gateway.handler.handle(request, response, delivery).catch((error: unknown) => {
           gateway.system.log.error('request not handled', { error: String(error) })
           response.destroy()
         })
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -254,7 +254,7 @@
           stopTimer()
           stopStallTimer()
           stopWatching()
-          this.reply.gone.signal.removeEventListener('abort', leave)
+          this.reply.gone.removeEventListener('abort', leave)
           this.firstByteMs ??= relay.firstByteMs
           this.bytes += relay.bytes
           resolve(end)
@@ -263,7 +263,7 @@
           this.recordBegin(place.server)
         })
       const stopWatching = this.context.guard.watch({ ...this.admission.prompt, isTrial: this.admission.isTrial, stop: reason => relay.stop(reason) })
-      const leave = (): void => relay.stop('caller disconnected')
+      const leave = (): void => relay.stop(`cancelled: ${String(this.reply.gone.reason)}`)
       const checkStall = (): void => {
         const stalledMs = relay.isPaused ? 0 : this.now() - relay.lastProgressMs
         if (stalledMs >= this.stallMs) {
@@ -284,7 +284,7 @@
         resumeAfter: isResumable ? this.splitter.lastId : undefined
       })
       relay.attach(pool.send(place.server, outgoing, !isResumable, relay))
-      this.reply.gone.signal.addEventListener('abort', leave, { once: true })
+      this.reply.gone.addEventListener('abort', leave, { once: true })
     })
   }
 
--- a/src/gateway/ingress.ts
+++ b/src/gateway/ingress.ts
@@ -73,7 +73,14 @@
   /** Closes each connection behind the answer in progress on it; what callers send afterwards is discarded. */
   closeConnections (): void {
     for (const caller of this.callers.values()) {
-      caller.close()
+      caller.close('exit')
+    }
+  }
+
+  /** Reports the answers that the process leaves unfinished at its end. */
+  abandonAnswers (): void {
+    for (const caller of this.callers.values()) {
+      caller.abandon()
     }
   }
 
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -181,7 +181,7 @@
     const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
       server, remainingMs: leftMs, workspace: this.request.workspace, purpose: 'run'
     })
-    const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone.signal, !isRepeatable)
+    const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone, !isRepeatable)
     if (outcome.kind === 'unsent') {
       this.sends.recordUnsent()
     }
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -102,7 +102,7 @@
       server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill'
     })
     const waitMs = Math.min(this.remainingMs(), expectedMs * prefillTimeoutFactor + prefillMarginMs)
-    const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone.signal)
+    const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone)
     const prefilled = outcome.kind === 'answered' && outcome.status === 200 ? dialect.readPrefilled(outcome.body) : undefined
     const succeeded = prefilled?.isRight() === true
     if (succeeded) {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -2,6 +2,7 @@
  * Admission control for callers' requests: limits, route, key and allowance. Admitted requests run as an exchange.
  */
 import type * as http from 'node:http'
+import type * as deliveries from './answer_delivery.js'
 import * as allowances from './allowance_limiter.js'
 import * as bodies from './body_reader.js'
 import type * as callerConnections from './caller_connection.js'
@@ -39,8 +40,13 @@
   readonly arrivedMs: number
   /** Undefined until the request is admitted. */
   exchange: exchanges.Exchange | undefined
+  /** How the stop of the gateway ended the request, if it did. */
+  stopEnd: exchanges.ExchangeEnd | undefined
 }
 
+/** `cut`: the gateway closed the connection before the answer had left. */
+type Outcome = exchanges.ExchangeEnd['outcome'] | 'cut'
+
 export class RequestHandler {
   private readonly firstAttempts = new firstAttemptEstimates.FirstAttemptEstimate()
   private serial = 0
@@ -61,13 +67,14 @@
 
   /** Ends all requests with a final answer; those that no server has got are refused as not run. */
   endRemaining (): void {
-    for (const [reply, { arrival, arrivedMs, exchange }] of this.active) {
-      const verdict = exchange?.mayHaveRun === true ? 'may_have_run' : 'not_run'
+    for (const [reply, active] of this.active) {
+      const verdict = active.exchange?.mayHaveRun === true ? 'may_have_run' : 'not_run'
       this.context.system.log.warn('request ended by the stop', {
-        request: arrival.id, verdict, hasStarted: reply.hasStarted, elapsedMs: Math.round(this.now() - arrivedMs)
+        request: active.arrival.id, verdict, hasStarted: reply.hasStarted, elapsedMs: Math.round(this.now() - active.arrivedMs)
       })
-      reply.fail(failures.createFailure(verdict, 'shutting_down', [], shutdownRetryMs))
-      reply.gone.abort()
+      const status = reply.fail(failures.createFailure(verdict, 'shutting_down', [], shutdownRetryMs))
+      active.stopEnd = { outcome: verdict === 'not_run' ? 'refused' : 'failed', status, reason: 'shutting_down' }
+      reply.abandon('ended by the stop')
     }
   }
 
@@ -79,34 +86,56 @@
     system.log.info('request dropped', { request: id, reason, verdict: 'not_run', ageMs: Math.round(ageMs) })
   }
 
-  async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const { dialect, meter } = this.context
+  async handle (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery): Promise<void> {
+    const { dialect, system } = this.context
     const arrivedMs = this.now()
     const arrival = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
-    const reply = new replies.CallerReply(response, dialect, arrival, this.mayKeepAlive)
-    const active: ActiveRequest = { arrival, arrivedMs, exchange: undefined }
+    const reply = new replies.CallerReply(response, dialect, arrival, this.mayKeepAlive, delivery)
+    const active: ActiveRequest = { arrival, arrivedMs, exchange: undefined, stopEnd: undefined }
     this.active.set(reply, active)
+    let end: exchanges.ExchangeEnd
     try {
-      const end = await this.serve(request, active, reply)
-      meter.count('requests_total', { workspace: '', end: end.outcome })
-      meter.observe('gateway_request_ms', { end: end.outcome }, this.now() - arrivedMs)
-      this.context.system.log.info('request ended', {
-        request: arrival.id,
-        workspace: arrival.keyHash === undefined ? undefined : this.context.routing.table?.findWorkspace(arrival.keyHash)?.name,
-        tokens: countTokens(arrival),
-        outcome: end.outcome,
-        status: end.status,
-        reason: end.reason,
-        server: end.server,
-        version: this.context.routing.table?.document.version,
-        elapsedMs: Math.round(this.now() - arrivedMs)
-      })
+      end = await this.serve(request, active, reply)
     } catch (error) {
-      this.context.system.log.error('request failed by a defect', { request: arrival.id, error: error instanceof Error ? error.stack : String(error) })
-      reply.fail(failures.createFailure('may_have_run', 'internal', ['see the log']))
+      system.log.error('request failed by a defect', { request: arrival.id, error: error instanceof Error ? error.stack : String(error) })
+      const status = reply.fail(failures.createFailure('may_have_run', 'internal', ['see the log']))
+      end = { outcome: 'failed', status, reason: 'internal' }
     } finally {
       this.active.delete(reply)
     }
+    const elapsedMs = this.now() - arrivedMs
+    this.recordEnd(active, active.stopEnd ?? end, await reply.delivered, elapsedMs)
+  }
+
+  /** Records how a request ended; `elapsedMs` is the time until its answer was decided. */
+  private recordEnd ({ arrival, arrivedMs }: ActiveRequest, end: exchanges.ExchangeEnd, delivery: deliveries.Delivery, elapsedMs: number): void {
+    const { meter, routing: { table }, system } = this.context
+    const outcome = judgeOutcome(end, delivery)
+    meter.count('requests_total', { workspace: '', end: outcome })
+    meter.observe('gateway_request_ms', { end: outcome }, elapsedMs)
+    const fields = {
+      request: arrival.id,
+      workspace: arrival.keyHash === undefined ? undefined : table?.findWorkspace(arrival.keyHash)?.name,
+      tokens: countTokens(arrival),
+      outcome,
+      status: end.status,
+      reason: end.reason,
+      server: end.server,
+      version: table?.document.version,
+      elapsedMs: Math.round(elapsedMs)
+    }
+    if (delivery.stage === 'written') {
+      system.log.info('request ended', fields)
+      return
+    }
+    const { stage, closedBy, closeReason, unwrittenBytes } = delivery
+    meter.count('gateway_answers_lost_total', { closed_by: closedBy, stage })
+    const lost = { ...fields, answer: stage, closedBy, closeReason, unwrittenBytes, closedMs: Math.round(this.now() - arrivedMs) }
+    if (closedBy === 'caller') {
+      system.log.info('request ended', lost)
+    } else {
+      system.log.warn('request ended', lost)
+    }
   }
 
   private async serve (
@@ -115,7 +144,7 @@
     const { arrival, arrivedMs } = active
     const limits = this.context.routing.table?.document.limits
     const callerTimeoutMs = arrival.callerTimeoutMs ?? defaultTimeoutMs
-    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, callerTimeoutMs, this.context.system.clock, reply.gone.signal)
+    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, callerTimeoutMs, this.context.system.clock, reply.gone)
     if (body.isLeft()) {
       return this.refuse(reply, body.extract() as failures.Failure)
     }
@@ -206,6 +235,14 @@
   }
 }
 
+/** Corrects the outcome of a request whose answer did not leave the gateway. */
+function judgeOutcome (end: exchanges.ExchangeEnd, delivery: deliveries.Delivery): Outcome {
+  if (delivery.stage === 'written') {
+    return end.outcome
+  }
+  return delivery.closedBy === 'caller' ? 'abandoned' : 'cut'
+}
+
 function countTokens (arrival: types.Arrival): number | undefined {
   const { sizes } = arrival
   return sizes === undefined ? undefined : sizes.promptTokens + sizes.maximumOutputTokens
--- a/src/host/node_system.ts
+++ b/src/host/node_system.ts
@@ -101,7 +101,12 @@
   return new NodeSystem(new rateLimitedLogs.RateLimitedLog(new PinoLog(logger), clock))
 }
 
+/** Creates a system that logs to `log`. */
+export function createSystem (log: host.Log): host.System {
+  return new NodeSystem(log)
+}
+
 /** Creates a system that does not log. */
 export function createSilentSystem (): host.System {
-  return new NodeSystem(new SilentLog())
+  return createSystem(new SilentLog())
 }
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -20,7 +20,7 @@
 
 export const metrics = {
   // Entries.
-  requests_total: createMetric('counter', ['workspace', 'end'], 'Requests of callers by end: answered, refused (did not run), failed, abandoned (the caller left).'),
+  requests_total: createMetric('counter', ['workspace', 'end'], 'Requests of callers by end: answered, refused (did not run), failed, abandoned (the caller left), cut (a gateway closed the connection before the answer had left).'),
   request_failures_total: createMetric('counter', ['code'], 'Requests that were refused or failed, by code.'),
   retries_total: createMetric('counter', ['reason'], 'Further attempts of generations, by the code of the failure before.'),
   time_to_first_token_ms: createMetric('histogram', ['model'], 'Time from the arrival of a request to its first text, in milliseconds.'),
@@ -46,6 +46,7 @@
   // Gateways.
   gateway_request_ms: createMetric('histogram', ['end'], 'Time from the arrival of a request to its final answer, by end, in milliseconds.'),
   gateway_requests_dropped_total: createMetric('counter', ['reason'], 'Requests that were read and not handled, because their callers had left or their connections were being closed.'),
+  gateway_answers_lost_total: createMetric('counter', ['closed_by', 'stage'], 'Requests whose answers did not wholly leave the gateway, by the side that closed the connection first (caller, gateway) and by how far the answer got: none, begun, handed_over (whole, and not all of it written).'),
   gateway_first_event_ms: createMetric('histogram', [], 'Time from the arrival of a generation to its first event, in milliseconds.'),
   gateway_prefill_ms: createMetric('histogram', [], 'Time of a prefill, in milliseconds.'),
   gateway_sends_total: createMetric('counter', ['outcome'], 'Sends of requests to servers by outcome.'),
