A run that the gateway stops does not count as broken off by its server

Callers that left before their first event, and streams stopped for stalling, were logged as 'aborted' and counted as lost at their server: each cost a connection to it, to check whether it had ended, and a loss in the evidence on prompts.

StreamRelay.stop aborted the send first; the abort fails the answer at once, with the connection as the one that broke, before the reason of the stop was recorded.

The end is now recorded before the abort.

--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -72,8 +72,12 @@
 
   /** Aborts the server's stream. */
   stop (reason: string): void {
+    if (!this.isSettled) {
+      this.splitter.discardPartial()
+      // Before the abort, which fails the answer.
+      this.finish({ kind: 'lost', reason, isBroken: false })
+    }
     this.activeSend?.abort()
-    this.finish({ kind: 'lost', reason, isBroken: false })
   }
 
   override started (status: number, rawHeaders: readonly string[]): void {
@@ -172,6 +176,9 @@
   }
 
   override failed (failure: connections.TransportFailure): void {
+    if (this.isSettled) {
+      return
+    }
     this.splitter.discardPartial()
     this.finish(failure.kind === 'unsent'
       ? { kind: 'not_run', status: undefined, reason: failure.reason }
