A stop takes its steps after what came in time has been read

Callers saw: while a gateway stopped on a machine short of processor time, a request that had come in time on a kept connection got no byte and a closed connection, and a connection that the operating system had accepted in time was reset.

The steps of a stop (no more connections, end of what is left, close) follow a timer. After the process has stood still, expired timers run before the sockets are read: the last look found nothing to do, and closed connections with whole requests in them. They were not passed on, but were read as whole and dropped, however long ago they had been sent. All other time-outs already take effect after the sockets have been read; the stop did not.

Each step now waits for two turns of the event loop, in which connections are accepted and what lies in the sockets is read; a request that is read counts as work, and the stop waits for its answer.

--- a/src/gateway/event_loop.ts
+++ b/src/gateway/event_loop.ts
@@ -12,6 +12,11 @@
   setImmediate(() => setImmediate(action))
 }
 
+/** Resolves once the event loop has read what lies in the sockets, see `afterSocketReads`. */
+export function readSockets (): Promise<void> {
+  return new Promise(resolve => afterSocketReads(resolve))
+}
+
 /** Calls back when the time in milliseconds is over and what had come until then has been read. */
 export function afterTimeout (clock: host.Clock, timeoutMs: number, action: () => void): host.Stop {
   let isStopped = false
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import * as callerConnections from './caller_connection.js'
 import * as crashEvidences from './crash_evidence.js'
 import * as directories from './directory.js'
+import * as eventLoop from './event_loop.js'
 import * as stageCoordinators from './stage_coordinator.js'
 import * as fleets from './engine_fleet.js'
 import * as guards from './prompt_guard.js'
@@ -196,6 +197,7 @@
     log.info('stopping', { inFlight: this.handler.inFlight, connections: this.ingress.connections })
     const left = Promise.all([this.members.leave(), this.stageCoordinator.leave()])
     await clock.sleep(balancerLagMs)
+    await eventLoop.readSockets()
     this.ingress.stopAccepting()
     await this.waitWhile(() => this.isBusy, this.lastEndMs)
     this.handler.endRemaining()
@@ -217,10 +219,13 @@
     return this.handler.inFlight > 0 || this.ingress.busyConnections > 0
   }
 
+  /** Waits while the condition holds, until a time on the monotonic clock, and until what has come by then has been read. */
   private async waitWhile (condition: () => boolean, untilMs: number): Promise<void> {
     const { clock } = this.system
+    await eventLoop.readSockets()
     while (condition() && clock.monotonicMs() < untilMs) {
       await clock.sleep(drainPollMs)
+      await eventLoop.readSockets()
     }
   }
 
