A silent stream is left by its caller before the gateway ends it

Callers saw: a begun stream whose server fell silent was closed by the gateway at the very moment at which callers leave one, a transit time before they did: a request without a whole answer, in a planned stop too, although a server's silence is no reason to end an answer sooner.

The stall time-out was the callers' patience itself (2 s, four times the goal or eight times the pause), counted from when the gateway got the last event, which its caller gets later.

The time-out is now a backstop a second behind the callers' patience: they leave by themselves, and their close stops the run. The queue for capacity still counts with the patience.

--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -52,7 +52,7 @@
     reply: replies.CallerReply,
     private readonly expectedOutput: number,
     /** Time without an event after which the caller gives up, in milliseconds. */
-    private readonly stallMs: number
+    private readonly patienceMs: number
   ) {
     super(context, request, reply)
   }
@@ -195,7 +195,7 @@
     const inTimeMs = this.goalDeadlineMs - startMarginMs
     return inTimeMs > arrivedMs || this.request.firstAttemptMs === arrivedMs
       ? { latestMs: inTimeMs, isLate: false }
-      : { latestMs: arrivedMs + Math.min(this.stallMs, this.remainingMs()) * lateWaitPart - startMarginMs, isLate: true }
+      : { latestMs: arrivedMs + Math.min(this.patienceMs, this.remainingMs()) * lateWaitPart - startMarginMs, isLate: true }
   }
 
   private tryCommit (): routing.RoutedServer | undefined {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -21,11 +21,13 @@
 /** Expected output without an estimate from the caller, in parts of its stated bound. */
 const expectedOutputPart = 0.5
 
-/** Least time without an event after which a stream counts as stalled; callers give up after a similar time. */
-const minimumStallMs = 2_000
-/** The stall time-out in multiples of the route's latency goal, and of its goal for the pause between events. */
-const goalsPerStall = 4
-const pausesPerStall = 8
+/** Least time without an event after which callers leave a stream. */
+const minimumPatienceMs = 2_000
+/** The same time in multiples of the route's latency goal, and of its goal for the pause between events. */
+const goalsPerPatience = 4
+const pausesPerPatience = 8
+/** How much later the gateway stops a stream without events: callers get each event after it, and leave by themselves. */
+const stallMarginMs = 1_000
 
 const refusalStatuses: ReadonlySet<number> = new Set([400, 404])
 
@@ -35,7 +37,7 @@
   private readonly promptPrefill = new promptPrefills.PromptPrefill(this.context, this.request, this.reply, this.admission, this.sends)
   private readonly stageCheck = new stageChecks.StageCheck(this.context, this.request, this.reply)
   private readonly expectedOutput = this.estimateOutput()
-  private readonly placements = new decodePlacements.DecodePlacement(this.context, this.request, this.reply, this.expectedOutput, this.stallMs)
+  private readonly placements = new decodePlacements.DecodePlacement(this.context, this.request, this.reply, this.expectedOutput, this.patienceMs)
   private wasLost = false
   /** Whether the answer has begun beyond doubt at the latest server. */
   private hasBegun = false
@@ -46,10 +48,15 @@
     return promptPrefills.getSizes(this.request.arrival)
   }
 
-  /** Time without an event after which a stream is stopped. */
-  private get stallMs (): number {
+  /** Time without an event after which the caller leaves, in milliseconds. */
+  private get patienceMs (): number {
     const { goalMs, pauseMs } = this.request.route
-    return Math.max(minimumStallMs, goalsPerStall * goalMs, pausesPerStall * (pauseMs ?? 0))
+    return Math.max(minimumPatienceMs, goalsPerPatience * goalMs, pausesPerPatience * (pauseMs ?? 0))
+  }
+
+  /** Time without an event after which a stream is stopped whose caller has not left, in milliseconds. */
+  private get stallMs (): number {
+    return this.patienceMs + stallMarginMs
   }
 
   override async run (): Promise<exchanges.ExchangeEnd> {
