A booking is not sent on a connection whose end lies behind the answer before it

Callers saw: 502 (server_failed) to a booking with a late body, if its server had closed the connection without notice behind its answer to another request.

Cause: a connection returned to the pool as soon as its answer was read. The bytes of a socket are read one turn of the event loop before its end, so a request that was sent in the same turn met a connection that had ended, and may have run there for all the gateway knew.

The connection now settles for one turn before it takes a request that must be sent once; other requests still take it at once. The HTTP client reads an idle socket once more before it writes on it, so all other ends that lie unread are seen before the request is sent.

--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -30,6 +30,8 @@
   readonly sinceMs: number
   /** Idle time-out that the server named. */
   readonly idleMs: number | undefined
+  /** Whether the sockets have been read since its last answer. A server that closes behind an answer is seen to one turn of the event loop later. */
+  isSettled: boolean
 }
 
 /** A complete answer, or why there is none. */
@@ -83,7 +85,7 @@
     this.listener.sent(server)
     const poolingObserver = new PoolingObserver(observer, request.requestId, readFacts, (isClean, idleMs) => {
       if (isClean && !connection.isBroken) {
-        this.keep(server, { connection, sinceMs: this.clock.monotonicMs(), idleMs })
+        this.keep(server, { connection, sinceMs: this.clock.monotonicMs(), idleMs, isSettled: false })
       } else {
         connection.close()
       }
@@ -153,9 +155,11 @@
 
   /** A request is not sent twice on a connection: an answer to the first send that comes again would look like that to the second. */
   private take (address: string, mustSendOnce: boolean, requestId: string | undefined): connections.ServerConnection | undefined {
-    const list = this.idle.get(address)
+    const list = this.idle.get(address) ?? []
     const nowMs = this.clock.monotonicMs()
-    for (let kept = list?.pop(); kept !== undefined; kept = list?.pop()) {
+    const usable = mustSendOnce ? list.findLastIndex(({ isSettled }) => isSettled) + 1 : list.length
+    for (const kept of list.slice(0, usable).reverse()) {
+      list.splice(list.indexOf(kept), 1)
       if (kept.connection.hasCarried(requestId)) {
         kept.connection.close()
         continue
@@ -175,6 +179,10 @@
     const list = this.idle.get(server.address) ?? []
     this.idle.set(server.address, list)
     list.push(idle)
+    // The HTTP client reads the socket once more before it writes the next request, which reads the end behind the answer only from then on.
+    setImmediate(() => {
+      idle.isSettled = true
+    })
     const share = (this.getMaximumConnections(server) ?? Infinity) * idleConnectionsPart / this.gateways
     const limit = Math.max(1, Math.min(maximumIdleConnections, Math.floor(share)))
     for (const { connection } of list.splice(0, Math.max(0, list.length - limit))) {
