A stream that its caller leaves for its silence counts against its server

With the time-out of stalled streams behind the callers' patience, callers leave first, and a server that had fallen silent was not recorded as such: it stayed in use until other calls met it.

A run that its caller leaves after as long a silence as callers bear is recorded as silent, as a stalled one is.

--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -43,6 +43,8 @@
   private hasBegun = false
   private firstByteMs: number | undefined
   private bytes = 0
+  /** Time without an event at the end of the latest run, in milliseconds. */
+  private silentMs = 0
 
   private get sizes (): types.GenerationSizes {
     return promptPrefills.getSizes(this.request.arrival)
@@ -208,6 +210,9 @@
       await this.reportBrokenRun(place.server)
     }
     if (this.reply.isGone) {
+      if (this.silentMs >= this.patienceMs) {
+        health.record(server, 'silent', this.now())
+      }
       return this.createAbandonedEnd(server)
     }
     switch (end.kind) {
@@ -263,6 +268,7 @@
           stopWatching()
           this.reply.gone.removeEventListener('abort', leave)
           this.firstByteMs ??= relay.firstByteMs
+          this.silentMs = getSilentMs()
           this.bytes += relay.bytes
           resolve(end)
         }, () => {
@@ -271,8 +277,9 @@
         })
       const stopWatching = this.context.guard.watch({ ...this.admission.prompt, isTrial: this.admission.isTrial, stop: reason => relay.stop(reason) })
       const leave = (): void => relay.stop(`cancelled: ${String(this.reply.gone.reason)}`)
+      const getSilentMs = (): number => relay.isPaused ? 0 : this.now() - relay.lastProgressMs
       const checkStall = (): void => {
-        const stalledMs = relay.isPaused ? 0 : this.now() - relay.lastProgressMs
+        const stalledMs = getSilentMs()
         if (stalledMs >= this.stallMs) {
           relay.stop(`no event for ${Math.round(stalledMs)} ms`)
           return
