Warnings, such as those of lost answers, have lines of their own in the rate limit of the log

A load that wrote as many lines as the limit allows could hide the lines that tell lost answers by their ids. A third of the capacity is now for warnings only.

--- a/src/host/rate_limited_log.ts
+++ b/src/host/rate_limited_log.ts
@@ -7,6 +7,8 @@
 const linesPerSecond = 400
 /** Capacity of the bucket. */
 const burstLines = 1_200
+/** Part of the capacity that only warnings use: a load that fills the log must not hide them. */
+const warningLines = 400
 
 export class RateLimitedLog extends host.Log {
   private tokens = burstLines
@@ -19,13 +21,13 @@
   }
 
   override info (message: string, fields?: host.LogFields): void {
-    if (this.takeToken()) {
+    if (this.takeToken(warningLines)) {
       this.log.info(message, fields)
     }
   }
 
   override warn (message: string, fields?: host.LogFields): void {
-    if (this.takeToken()) {
+    if (this.takeToken(0)) {
       this.log.warn(message, fields)
     }
   }
@@ -35,11 +37,12 @@
     this.log.error(message, fields)
   }
 
-  private takeToken (): boolean {
+  /** Takes a token, unless only `reserved` ones are left. */
+  private takeToken (reserved: number): boolean {
     const nowMs = this.clock.monotonicMs()
     this.tokens = Math.min(burstLines, this.tokens + (nowMs - this.refilledMs) * linesPerSecond / 1000)
     this.refilledMs = nowMs
-    if (this.tokens < 1) {
+    if (this.tokens < reserved + 1) {
       this.droppedLines += 1
       return false
     }
