A released entry in the store is not entered again

What others saw: a gateway that was stopped in the first moments of its start left its member entry behind, or the coordinator's key, under a lease that nobody renews: for up to 6 s the other gateways counted one that was gone, and no other could coordinate.

SIGTERM is handled before the start is complete. The release saw no lease, because none had been asked for or granted yet; the start, or the answer of the store, then went on to enter the key.

A release holds for good: a start after it does nothing, and a lease that is granted after it is revoked.

--- a/src/gateway/store_lease.ts
+++ b/src/gateway/store_lease.ts
@@ -66,7 +66,11 @@
     return failure === undefined && this.isHeld
   }
 
+  /** Acquires the key and keeps it, unless it was released before. */
   start (): void {
+    if (this.isStopped) {
+      return
+    }
     this.isStepping = true
     this.step().catch((error: unknown) => {
       this.system.log.error('lease stopped', { key: this.leased.key, error: String(error) })
@@ -118,7 +122,12 @@
       if (granted.isLeft()) {
         return describe(granted.extract())
       }
-      this.lease = granted.unsafeCoerce().id
+      const { id } = granted.unsafeCoerce()
+      if (this.isStopped) {
+        await this.store.revokeLease(id)
+        return 'the key was released while the lease was granted'
+      }
+      this.lease = id
       this.confirm(sent)
     }
     const { key, value, isExclusive } = this.leased
