Answers of other gateways that were ready when the process stood still are used

Seen: after a standstill of over 80 ms an order for permits failed although the grant lay in the socket; the issuer counts such permits as spent. The same for gossip (400 ms) and copies of the store replica (1 s).

Cause: expired timers run before sockets are read.

--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -10,6 +10,7 @@
 import * as undici from 'undici'
 import * as peerTables from './peer_table.js'
 import * as byteCollectors from './byte_collector.js'
+import * as eventLoop from './event_loop.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
@@ -156,7 +157,7 @@
   private async call (address: string, method: string, message: unknown, timeoutMs: number, isSameZone: boolean): Promise<unknown> {
     const client = new jsonRpc.JSONRPCClient(async request => {
       const controller = new AbortController()
-      const stopTimer = this.system.clock.after(timeoutMs, () => controller.abort())
+      const stopTimer = eventLoop.afterTimeout(this.system.clock, timeoutMs, () => controller.abort())
       try {
         const encoded = messages.encode(request, isSameZone)
         const { headers, body } = await this.agent.request({
