--- a/tests/gateway/store_replica.test.ts
+++ b/tests/gateway/store_replica.test.ts
@@ -285,6 +285,25 @@
     await lease.stop()
   })
 
+  // Guards against the key of a gateway that has left: others count it, and ask it, until its lease expires.
+  test.it('is not acquired by a process that stops meanwhile', async () => {
+    const bench = new Bench()
+    const log = new Log()
+    const lease = createLease(bench, log)
+    const grant = bench.store.grantLease.bind(bench.store)
+    bench.store.grantLease = async ttlMs => {
+      const granted = await grant(ttlMs)
+      await bench.system.clock.sleep(100)
+      return granted
+    }
+    lease.start()
+    await bench.system.clock.advance(10)
+    await lease.stop()
+    await bench.system.clock.advance(1_000)
+    assert.equal(bench.core.read('duty'), undefined)
+    assert.deepEqual(log.lines, [])
+  })
+
   test.it('is acquired after the answer to its write was lost', async () => {
     const bench = new Bench()
     const log = new Log()
