The entry handles the requests of a connection in turn, and none behind an answer that closes it

Callers saw: in a planned stop the second of two requests that were sent together ran, and the connection ended without its answer.

Cause: the requests of a connection were passed on side by side, and the first answer closes the connection behind itself in a stop (the class of the incidents of LOST at the gateway). A refusal that closes does the same at any time.

The cause of itself is not there: a stream that began before the stop keeps its connection, and the request behind it is refused as not run; a test shows that.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -4,6 +4,7 @@
 import * as diagnosticTable from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
 import * as http from 'node:http'
+import type * as net from 'node:net'
 import * as replies from './reply.js'
 import * as settings from '../contracts/settings.js'
 import * as stream from 'node:stream'
@@ -22,13 +23,32 @@
     keepAliveTimeout: timing.idleMs,
     connectionsCheckingInterval: checkPeriodMs,
     insecureHTTPParser: false
-  }, listener)
+  }, handleInTurn(listener))
   // Node would silently drop headers beyond this count; the listener rejects the request instead.
   server.maxHeadersCount = 0
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuse(error, socket, limits))
   return server
 }
 
+/** Handles the requests of a connection one after the other, and none behind an answer that closes it: that one would run without an answer. */
+function handleInTurn (listener: http.RequestListener): http.RequestListener {
+  const latest = new WeakMap<net.Socket, http.ServerResponse>()
+  return (request, response) => {
+    const { socket } = request
+    const before = latest.get(socket)
+    latest.set(socket, response)
+    if (before === undefined || before.closed) {
+      listener(request, response)
+      return
+    }
+    before.once('close', () => {
+      if (socket.writable) {
+        listener(request, response)
+      }
+    })
+  }
+}
+
 function refuse (error: NodeJS.ErrnoException, socket: stream.Duplex, limits: settings.Limits): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy()
--- /dev/null
+++ b/tests/entry/connections.test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as timers from 'node:timers/promises'
+import * as fakes from './fake_agents.js'
+import * as fixtures from './fixture.js'
+import * as rawCallers from '../../platform/tests/raw_caller.js'
+import * as worlds from './world.js'
+
+const completion = '{"model":"m","prompt":"Hi there","stream":true}'
+/** Time in which a request that was passed on would have reached an agent. */
+const settleMs = 50
+
+function writeRequest (path: string, body: string): string {
+  return `POST ${path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${worlds.key}\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
+}
+
+test.describe('a connection of a caller in a planned stop', { timeout: 60_000 }, () => {
+  let fixture: fixtures.Fixture
+  let caller: rawCallers.RawCaller
+  test.beforeEach(async () => {
+    fixture = await fixtures.Fixture.create()
+    caller = new rawCallers.RawCaller(fixture.port)
+    await caller.connected()
+  })
+  test.afterEach(async () => {
+    await caller.close()
+    fixture.close()
+  })
+
+  // Guards against a request that runs without an answer behind a stream whose end has closed the connection.
+  test.it('has the request behind a stream refused as not run', async () => {
+    const { world } = fixture
+    world.setScript('decode', (agent, { attempt }) => agent.emit(attempt, { kind: 'started', offset: 0 }))
+    caller.write(writeRequest('/v1/completions', completion))
+    await fixture.waitUntil(() => world.listStarts('decode').length === 1)
+    const drained = fixture.entry.drain()
+    await world.clock.advance(60_000)
+    const [received] = world.listStarts('decode')
+    received?.agent.emit(received.start.attempt, { kind: 'text', offset: 1, text: 'late', tokens: 1 })
+    received?.agent.emit(received.start.attempt, fakes.createStop(2))
+    caller.write(writeRequest('/bookings', 'a'))
+    await caller.ended()
+    assert.match(caller.received, /late/)
+    assert.deepEqual(world.listStarts('service'), [])
+    await drained
+  })
+
+  // Guards against a request that runs without an answer behind one whose answer closes the connection.
+  test.it('has no request passed on behind one whose answer closes it', async () => {
+    const { world } = fixture
+    world.setScript('service', (agent, { attempt }) => {
+      agent.emit(attempt, { kind: 'started', offset: 0 })
+      agent.emit(attempt, fakes.createAnswered(1, 'booked'))
+    })
+    const drained = fixture.entry.drain()
+    caller.write(writeRequest('/bookings', 'a') + writeRequest('/bookings', 'b'))
+    await caller.ended()
+    await timers.setTimeout(settleMs)
+    assert.match(caller.received, /^HTTP\/1.1 200 [^]*^connection: close[^]*booked/im)
+    assert.equal(world.listStarts('service').length, 1)
+    await world.clock.advance(1_000)
+    await drained
+  })
+})
