--- a/src/daemon/http_listener.ts
+++ b/src/daemon/http_listener.ts
@@ -3,7 +3,7 @@
  */
 import * as http from 'node:http'
 import type * as net from 'node:net'
-import * as eventLoop from '../gateway/event_loop.js'
+import * as eventLoop from '../host/event_loop.js'
 import * as identities from '../contracts/identity.js'
 
 /** Resolves when the server listens; rejects if the address cannot be bound. */
--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -4,7 +4,7 @@
 import type * as buffer from 'node:buffer'
 import type * as http from 'node:http'
 import * as byteCollectors from './byte_collector.js'
-import * as eventLoop from './event_loop.js'
+import * as eventLoop from '../host/event_loop.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -8,7 +8,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as deliveries from './answer_delivery.js'
-import * as eventLoop from './event_loop.js'
+import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
 
 /** How long the caller may take to close its side: a round trip and a lost packet. */
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -5,7 +5,7 @@
  */
 import * as splitters from './event_splitter.js'
 import * as decodePlacements from './decode_placement.js'
-import * as eventLoop from './event_loop.js'
+import * as eventLoop from '../host/event_loop.js'
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
 import * as promptAdmissions from './prompt_admission.js'
--- a/src/gateway/event_loop.ts
+++ b/src/host/event_loop.ts
@@ -1,7 +1,7 @@
 /**
  * Order of timers and sockets in the event loop.
  */
-import * as host from '../host/types.js'
+import * as host from './types.js'
 
 /**
  * Calls back once the event loop has read what lies in the sockets, and the ends of connections behind it. When the process has stood still,
