A planned stop of the entry waits for answers that are still to be written

Callers saw: in a planned stop a caller that reads slowly got a part of its answer, and the end of the connection.

Cause: a request counted as in flight until its answer was handed over, not until it was written, and Node.js counts a connection as idle as soon as the answer has ended: the stop destroyed it with the rest.

A request now stays in flight until its answer has left or its caller is gone, within the time of the stop, and the entry closes only connections on which nothing lies in either direction.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -12,43 +12,75 @@
 /** Period of the check for connections whose headers arrive too slowly, in milliseconds. */
 const checkPeriodMs = 1000
 
+/** A caller's connection: its latest response, and the bytes that it had read when that response was sent. */
+interface CallerConnection {
+  response: http.ServerResponse | undefined
+  bytesRead: number
+}
+
+class CallerServer extends http.Server {
+  private readonly connected = new Map<net.Socket, CallerConnection>()
+
+  constructor (private readonly listener: http.RequestListener, options: http.ServerOptions) {
+    super(options)
+    this.on('connection', (socket: net.Socket) => {
+      this.connected.set(socket, { response: undefined, bytesRead: 0 })
+      socket.on('close', () => this.connected.delete(socket))
+    })
+    this.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => this.handleInTurn(request, response))
+  }
+
+  /** Closes the connections without a request. Node.js would also destroy those whose answer has ended and is still to be written. */
+  override closeIdleConnections (): void {
+    for (const [socket, { response, bytesRead }] of this.connected) {
+      if (response?.closed !== false && socket.bytesRead === bytesRead) {
+        socket.destroy()
+      }
+    }
+  }
+
+  /** Handles the requests of a connection one after the other, and none behind an answer that closes it: that one would run without an answer. */
+  private handleInTurn (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { socket } = request
+    const connection = this.connected.get(socket)
+    if (connection === undefined) {
+      return
+    }
+    const { response: before } = connection
+    connection.response = response
+    response.once('close', () => {
+      connection.bytesRead = socket.bytesRead
+    })
+    if (before === undefined || before.closed) {
+      this.listener(request, response)
+      return
+    }
+    before.once('close', () => {
+      if (socket.writable) {
+        this.listener(request, response)
+      }
+    })
+  }
+}
+
 /** Creates the server, not listening yet. Requests that cannot be parsed get the common error body too. */
 export function createCallerServer (
   listener: http.RequestListener, limits: settings.Limits, timing: settings.Timing
 ): http.Server {
-  const server = http.createServer({
+  const server = new CallerServer(listener, {
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.bodyTimeoutMs,
     requestTimeout: 0,
     keepAliveTimeout: timing.idleMs,
     connectionsCheckingInterval: checkPeriodMs,
     insecureHTTPParser: false
-  }, handleInTurn(listener))
+  })
   // Node would silently drop headers beyond this count; the listener rejects the request instead.
   server.maxHeadersCount = 0
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuse(error, socket, limits))
   return server
 }
 
-/** Handles the requests of a connection one after the other, and none behind an answer that closes it: that one would run without an answer. */
-function handleInTurn (listener: http.RequestListener): http.RequestListener {
-  const latest = new WeakMap<net.Socket, http.ServerResponse>()
-  return (request, response) => {
-    const { socket } = request
-    const before = latest.get(socket)
-    latest.set(socket, response)
-    if (before === undefined || before.closed) {
-      listener(request, response)
-      return
-    }
-    before.once('close', () => {
-      if (socket.writable) {
-        listener(request, response)
-      }
-    })
-  }
-}
-
 function refuse (error: NodeJS.ErrnoException, socket: stream.Duplex, limits: settings.Limits): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy()
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -86,8 +86,17 @@
     this.open.add(exchange)
   }
 
+  /** Removes a request that has ended, once its answer has left or its caller is gone. */
   remove (exchange: Exchange): void {
     exchange.close()
+    if (exchange.response.closed) {
+      this.drop(exchange)
+      return
+    }
+    exchange.response.once('close', () => this.drop(exchange))
+  }
+
+  private drop (exchange: Exchange): void {
     this.open.delete(exchange)
     if (this.open.size > 0) {
       return
@@ -102,7 +111,7 @@
     this.stopSweeping()
   }
 
-  /** Resolves once no request is in flight. */
+  /** Resolves once no request is in flight and no answer is left to be written. */
   async waitUntilEmpty (): Promise<void> {
     if (this.open.size > 0) {
       await new Promise<void>(resolve => this.waiters.push(resolve))
--- a/tests/entry/connections.test.ts
+++ b/tests/entry/connections.test.ts
@@ -61,4 +61,24 @@
     await world.clock.advance(1_000)
     await drained
   })
+
+  // Guards against the end of the process while a part of an answer is still to be written.
+  test.it('is waited for while its caller reads slowly', async () => {
+    const { world } = fixture
+    const text = 'b'.repeat(8_000_000)
+    world.setScript('service', (agent, { attempt }) => {
+      agent.emit(attempt, { kind: 'started', offset: 0 })
+      agent.emit(attempt, fakes.createAnswered(1, text))
+    })
+    caller.socket.pause()
+    caller.write(writeRequest('/bookings', 'a'))
+    await fixture.waitUntil(() => world.listStarts('service').length === 1)
+    const drained = fixture.entry.drain().then(() => fixture.close())
+    await world.clock.advance(1_000)
+    await timers.setTimeout(settleMs)
+    caller.socket.resume()
+    await caller.ended()
+    assert.ok(caller.received.endsWith(text), `${caller.received.length} bytes`)
+    await drained
+  })
 })
