--- a/src/gateway/answer_delivery.ts
+++ b/src/gateway/answer_delivery.ts
@@ -17,8 +17,10 @@
 
 export type Delivery = Closing & {
   readonly stage: DeliveryStage
-  /** Bytes of the answer, and of what came before it, that the operating system had not taken. */
-  readonly unwrittenBytes: number
+  /** Status that the caller got; 0 without a head. */
+  readonly status: number
+  /** Bytes that the operating system had not taken; known only while the connection is open. */
+  readonly unwrittenBytes?: number | undefined
 }
 
 export class AnswerDelivery {
@@ -27,7 +29,7 @@
   private resolve: (delivery: Delivery) => void = () => {}
   private isWritten = false
 
-  constructor (private readonly response: http.ServerResponse, socket: net.Socket, private readonly getClosing: () => Closing) {
+  constructor (private readonly response: http.ServerResponse, private readonly socket: net.Socket, private readonly getClosing: () => Closing) {
     this.settled = new Promise(resolve => {
       this.resolve = resolve
     })
@@ -43,8 +45,9 @@
 
   /** Takes the state as final. */
   settle (): void {
-    const unwrittenBytes = this.isWritten ? 0 : this.response.writableLength
-    this.resolve({ ...this.closing, stage: this.stage, unwrittenBytes })
+    const { headersSent, statusCode, writableLength } = this.response
+    const unwrittenBytes = this.isWritten || this.socket.destroyed ? undefined : writableLength
+    this.resolve({ ...this.closing, stage: this.stage, status: headersSent ? statusCode : 0, unwrittenBytes })
   }
 
   private get stage (): DeliveryStage {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -44,8 +44,8 @@
   stopEnd: exchanges.ExchangeEnd | undefined
 }
 
-/** `cut`: the gateway closed the connection before the answer had left. */
-type Outcome = exchanges.ExchangeEnd['outcome'] | 'cut'
+/** The end of a request for logs and counters. `cut`: the gateway closed the connection before the answer had left. */
+type RecordedEnd = Omit<exchanges.ExchangeEnd, 'outcome'> & { readonly outcome: exchanges.ExchangeEnd['outcome'] | 'cut' }
 
 export class RequestHandler {
   private readonly firstAttempts = new firstAttemptEstimates.FirstAttemptEstimate()
@@ -104,20 +104,20 @@
       this.active.delete(reply)
     }
     const elapsedMs = this.now() - arrivedMs
-    this.recordEnd(active, active.stopEnd ?? end, await reply.delivered, elapsedMs)
+    const delivered = await reply.delivered
+    this.recordEnd(active, correctEnd(active.stopEnd ?? end, delivered), delivered, elapsedMs)
   }
 
   /** Records how a request ended; `elapsedMs` is the time until its answer was decided. */
-  private recordEnd ({ arrival, arrivedMs }: ActiveRequest, end: exchanges.ExchangeEnd, delivery: deliveries.Delivery, elapsedMs: number): void {
+  private recordEnd ({ arrival, arrivedMs }: ActiveRequest, end: RecordedEnd, delivery: deliveries.Delivery, elapsedMs: number): void {
     const { meter, routing: { table }, system } = this.context
-    const outcome = judgeOutcome(end, delivery)
-    meter.count('requests_total', { workspace: '', end: outcome })
-    meter.observe('gateway_request_ms', { end: outcome }, elapsedMs)
+    meter.count('requests_total', { workspace: '', end: end.outcome })
+    meter.observe('gateway_request_ms', { end: end.outcome }, elapsedMs)
     const fields = {
       request: arrival.id,
       workspace: arrival.keyHash === undefined ? undefined : table?.findWorkspace(arrival.keyHash)?.name,
       tokens: countTokens(arrival),
-      outcome,
+      outcome: end.outcome,
       status: end.status,
       reason: end.reason,
       server: end.server,
@@ -235,12 +235,13 @@
   }
 }
 
-/** Corrects the outcome of a request whose answer did not leave the gateway. */
-function judgeOutcome (end: exchanges.ExchangeEnd, delivery: deliveries.Delivery): Outcome {
-  if (delivery.stage === 'written') {
-    return end.outcome
+/** Corrects the end of a request by what became of its answer. */
+function correctEnd (end: exchanges.ExchangeEnd, { stage, status, closedBy }: deliveries.Delivery): RecordedEnd {
+  if (stage !== 'written') {
+    return { ...end, outcome: closedBy === 'caller' ? 'abandoned' : 'cut' }
   }
-  return delivery.closedBy === 'caller' ? 'abandoned' : 'cut'
+  // The connection itself answers a request whose body cannot be read, and the exchange sees a caller that left.
+  return end.outcome === 'abandoned' ? { outcome: 'refused', status, reason: 'unreadable' } : end
 }
 
 function countTokens (arrival: types.Arrival): number | undefined {
