A gateway listens for callers last, when it can start

The listener for callers was opened before the others: if one of their addresses could not be bound, callers were accepted and reset. Found by the review, by reading.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -164,12 +164,13 @@
   /** Opens the listeners. Rejects if an address cannot be bound. */
   async start (): Promise<void> {
     const { options, system } = this
-    await this.ingress.start(options.ingress)
     await this.readiness.start(options.readiness)
     await this.peers.start(options.peers)
     if (options.metrics !== undefined) {
       await httpListeners.listen(this.metricsServer, options.metrics)
     }
+    // Last, so that no caller is accepted by a process that cannot start.
+    await this.ingress.start(options.ingress)
     this.storeReplica.start()
     this.members.start()
     this.stageCoordinator.start()
