Requests without a host or with an unknown expectation are answered in turn

Node.js answers such requests itself, outside the order of the connection: the answer before it ends, the booking begins, and then the 400 that waits in Node.js closes the connection.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -6,6 +6,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as replies from './reply.js'
+import * as requestHeads from '../host/request_head.js'
 import * as settings from '../contracts/settings.js'
 import * as stream from 'node:stream'
 
@@ -22,12 +23,12 @@
   private readonly connected = new Map<net.Socket, CallerConnection>()
 
   constructor (private readonly listener: http.RequestListener, options: http.ServerOptions) {
-    super(options)
+    super({ ...options, ...requestHeads.uncheckedHead })
     this.on('connection', (socket: net.Socket) => {
       this.connected.set(socket, { response: undefined, bytesRead: 0 })
       socket.on('close', () => this.connected.delete(socket))
     })
-    this.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => this.handleInTurn(request, response))
+    requestHeads.onRequest(this, (request, response) => this.handleInTurn(request, response))
   }
 
   /** Closes the connections without a request. Node.js would also destroy those whose answer has ended and is still to be written. */
@@ -52,15 +53,21 @@
       connection.bytesRead = socket.bytesRead
     })
     if (before === undefined || before.closed) {
-      this.listener(request, response)
+      this.handle(request, response)
       return
     }
     before.once('close', () => {
       if (socket.writable) {
-        this.listener(request, response)
+        this.handle(request, response)
       }
     })
   }
+
+  private handle (request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (requestHeads.refuseInvalidHead(request, response) === undefined) {
+      this.listener(request, response)
+    }
+  }
 }
 
 /** Creates the server, not listening yet. Requests that cannot be parsed get the common error body too. */
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -10,6 +10,7 @@
 import * as deliveries from './answer_delivery.js'
 import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
+import * as requestHeads from '../host/request_head.js'
 
 /** How long the caller may take to close its side: a round trip and a lost packet. */
 const lingerMs = 1_000
@@ -204,7 +205,13 @@
       this.handleNext()
       return
     }
-    this.listener.received(next.request, next.response, this.begin(next))
+    const delivery = this.begin(next)
+    const status = requestHeads.refuseInvalidHead(next.request, next.response)
+    if (status !== undefined) {
+      this.log.info('request not readable', { reason: 'invalid head', status })
+      return
+    }
+    this.listener.received(next.request, next.response, delivery)
   }
 
   private begin (exchange: CallerExchange): deliveries.AnswerDelivery {
--- a/src/gateway/ingress.ts
+++ b/src/gateway/ingress.ts
@@ -10,6 +10,7 @@
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
+import * as requestHeads from '../host/request_head.js'
 import * as routing from '../contracts/routing.js'
 
 /** Limit of the parser on a request's head; the configured limit is checked later. */
@@ -26,8 +27,10 @@
       maxHeaderSize: maximumParsedHeadBytes,
       connectionsCheckingInterval: slowCallerCheckPeriodMs,
       keepAlive: true,
-      noDelay: true
-    }, (request, response) => this.callers.get(request.socket)?.receive(request, response))
+      noDelay: true,
+      ...requestHeads.uncheckedHead
+    })
+    requestHeads.onRequest(this.server, (request, response) => this.callers.get(request.socket)?.receive(request, response))
     this.server.requestTimeout = 0
     this.server.on('connection', (socket: net.Socket) => {
       this.callers.set(socket, new callerConnections.CallerConnection(socket, listener, clock, log))
--- a/tests/entry/connections.test.ts
+++ b/tests/entry/connections.test.ts
@@ -81,4 +81,18 @@
     assert.ok(caller.received.endsWith(text), `${caller.received.length} bytes`)
     await drained
   })
+
+  // Guards against a request that runs without an answer behind a refusal that Node.js would write out of turn.
+  test.it('has no request passed on behind one without a host', async () => {
+    const { world } = fixture
+    world.setScript('service', (agent, { attempt }) => {
+      agent.emit(attempt, { kind: 'started', offset: 0 })
+      agent.emit(attempt, fakes.createAnswered(1, 'booked'))
+    })
+    caller.write(writeRequest('/bookings', 'a') + 'GET / HTTP/1.1\r\n\r\n' + writeRequest('/bookings', 'b'))
+    await caller.ended()
+    await timers.setTimeout(settleMs)
+    assert.match(caller.received, /^HTTP\/1.1 200 [^]*HTTP\/1.1 400 /)
+    assert.equal(world.listStarts('service').length, 1)
+  })
 })
