--- a/tools/fleet_process.ts
+++ b/tools/fleet_process.ts
@@ -67,9 +67,14 @@
     return this.ended
   }
 
+  /** Asks the process to end gracefully, without waiting for it. */
+  terminate (): void {
+    this.child?.kill('SIGTERM')
+  }
+
   /** Asks the process to end gracefully; kills it after `limitMs` milliseconds. Returns whether it ended by itself. */
   async drain (limitMs = standardEndMs): Promise<boolean> {
-    this.child?.kill('SIGTERM')
+    this.terminate()
     let isKilled = false
     const timer = setTimeout(() => {
       isKilled = true
