A key in the store that was overwritten and deleted is entered again

What others saw: a gateway that had started again lost its member entry for good: gateways that started later did not count it, though it went on and took its share of what all divide.

A write of its earlier process that the store carries out late replaces the entry, and the end of the earlier process's lease deletes it. The gateway saw the deletion and only renewed its own lease, which was valid.

A real store with such a delay was not played.

After its key was seen to be deleted, a process reads it once beside the renewal of the lease. If what it finds is not what it wrote, it counts the key as lost, and acquires it with a new lease.

--- a/src/gateway/store_lease.ts
+++ b/src/gateway/store_lease.ts
@@ -41,6 +41,8 @@
   private isAnnounced = false
   private isStopped = false
   private isStepping = false
+  /** Whether the key was seen to be deleted since it was acquired or read. */
+  private isInDoubt = false
   private stopTimer: host.Stop | undefined
 
   constructor (
@@ -91,8 +93,9 @@
     }
   }
 
-  /** Acquires the key, or renews its lease, without waiting for the timer; for a key that was seen to be deleted. */
+  /** Acquires the key, or makes sure that it is still held, without waiting for the timer; for a key that was seen to be deleted. */
   recheck (): void {
+    this.isInDoubt = true
     if (!this.isStopped && !this.isStepping) {
       this.stopTimer?.()
       this.start()
@@ -102,7 +105,7 @@
   private async step (): Promise<void> {
     const isIdle = this.revision === undefined && !this.leased.mayTry()
     const wasHeld = this.revision !== undefined
-    const failure = isIdle ? undefined : this.revision === undefined ? await this.acquire() : await this.renew()
+    const failure = isIdle ? undefined : this.revision === undefined ? await this.acquire() : await this.confirmKey()
     if (this.isStopped) {
       return
     }
@@ -147,6 +150,7 @@
       return 'another process holds the key'
     }
     this.revision = revision
+    this.isInDoubt = false
     this.announce()
     return undefined
   }
@@ -178,6 +182,26 @@
     return failure.message
   }
 
+  /** Renews the lease, and reads the key if it is in doubt: a delayed write of an earlier process may have replaced it, and its lease deleted it. */
+  private async confirmKey (): Promise<string | undefined> {
+    const failure = await this.renew()
+    if (failure !== undefined || !this.isInDoubt) {
+      return failure
+    }
+    const { revision } = this
+    const found = await this.store.read(this.leased.key)
+    if (found.isLeft()) {
+      return describe(found.extract())
+    }
+    this.isInDoubt = false
+    if (this.revision === undefined || this.revision !== revision || found.unsafeCoerce()?.modRevision === revision) {
+      return undefined
+    }
+    await this.dropLease()
+    this.handleLoss('the key was deleted or overwritten')
+    return undefined
+  }
+
   private async dropLease (): Promise<void> {
     const lease = this.lease
     this.lease = undefined
--- a/tests/gateway/store_lease.test.ts
+++ b/tests/gateway/store_lease.test.ts
@@ -8,6 +8,8 @@
 import * as storeCore from '../../standins/store_core.js'
 
 const key = 'entry'
+/** Upper bound of the time until a lost key is acquired again. */
+const longestReacquireMs = 400
 
 /** A store that grants no lease until its gate opens. */
 class SlowStore extends directStores.DirectStore {
@@ -39,11 +41,19 @@
 
 test.describe('A key under a lease', () => {
   const system = nodeSystems.createSilentSystem()
+  const created: leases.StoreLease[] = []
+
+  test.afterEach(async () => {
+    for (const lease of created.splice(0)) {
+      await lease.stop()
+    }
+  })
 
   function create (): { readonly store: SlowStore, readonly lease: leases.StoreLease, readonly observer: Observer } {
     const store = new SlowStore(new storeCore.StoreCore(system.clock))
     const observer = new Observer()
     const lease = new leases.StoreLease(store, system, { key, value: 'value', ttlMs: 5_000, isExclusive: true, mayTry: () => true }, observer)
+    created.push(lease)
     return { store, lease, observer }
   }
 
@@ -77,4 +87,31 @@
     await settle()
     assert.equal(store.core.read(key), undefined)
   })
+
+  // Guards against the entry of a process that started again, which an earlier one overwrites with a delayed write and takes along when its lease ends.
+  test.it('is acquired again where it was overwritten and deleted while its lease is valid', async () => {
+    const { store, lease, observer } = create()
+    store.open()
+    lease.start()
+    await settle()
+    const earlier = store.core.grantLease(5_000)
+    store.core.commit({ compare: [], success: [{ kind: 'put', key, value: 'earlier', lease: earlier.id }], failure: [] })
+    store.core.revokeLease(earlier.id)
+    assert.equal(store.core.read(key), undefined)
+    lease.recheck()
+    await system.clock.sleep(longestReacquireMs)
+    assert.equal(store.core.read(key)?.value, 'value')
+    assert.ok(observer.isHeld)
+  })
+
+  test.it('stays as it is where the deletion of an earlier one is seen', async () => {
+    const { store, lease } = create()
+    store.open()
+    lease.start()
+    await settle()
+    const before = store.core.read(key)?.modRevision
+    lease.recheck()
+    await system.clock.sleep(longestReacquireMs)
+    assert.equal(store.core.read(key)?.modRevision, before)
+  })
 })
