Urgency of generations: ranks, Request-Priority and headroom for urgent ones

Cause: all workspaces of a deployment state a priority, which replaced that of the routes; nothing told the engines, and each gateway gave freed memory to its own less urgent requests, so that the most urgent kind was served worst. Change: services whose routes have different priorities are ranked by workspace, then route; the rank goes to the engines; less urgent generations leave room for the urgent ones that arrive within their goal, at the same servers at all gateways. Other services are served as before.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type * as fleets from './engine_fleet.js'
 import type * as healths from './server_health.js'
 import type * as guards from './prompt_guard.js'
+import type * as headrooms from './urgency/memory_headroom.js'
 import type * as host from '../host/types.js'
 import type * as metrics from '../metrics/types.js'
 import type * as outputs from './output_estimate.js'
@@ -34,6 +35,7 @@
   readonly directory: directories.Directory
   readonly plainChoice: choices.PlainChoice
   readonly fleet: fleets.EngineFleet
+  readonly headroom: headrooms.MemoryHeadroom
   readonly outputs: outputs.OutputEstimate
   readonly capacityQueue: capacityQueues.CapacityQueue
   readonly allowance: allowances.AllowanceLimiter
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -45,6 +45,8 @@
   /** Whether the request is a trial of a suspected prompt, whose server may end. */
   private isTrial = false
   private isIsolated = false
+  /** Decode servers that were to keep memory free for more urgent generations at the latest choice. */
+  private headroomServers = 0
 
   constructor (
     context: contexts.GatewayContext,
@@ -126,6 +128,8 @@
     this.log('no decode capacity', {
       service: this.request.service.name,
       neededTokens: this.committedTokens,
+      rank: this.request.urgency?.rank,
+      headroomServers: this.request.urgency === undefined ? undefined : this.headroomServers,
       refusals: refused,
       waiting: this.context.capacityQueue.length,
       askedBeforeMs: this.request.arrivedMs - this.request.firstAttemptMs,
@@ -205,7 +209,7 @@
       return undefined
     }
     const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
-    const ranked = fleet.rankDecode(servers, profile, this.committedTokens, this.now())
+    const ranked = fleet.rankDecode(servers, profile, this.committedTokens, this.now(), this.selectHeadroom(servers))
     if (this.isTrial) {
       return this.commitTrial(ranked, profile)
     }
@@ -216,6 +220,20 @@
     return best
   }
 
+  /** Returns the memory to be left free for more urgent generations, by server. */
+  private selectHeadroom (servers: readonly routing.RoutedServer[]): ReadonlyMap<string, number> | undefined {
+    const { urgency, service } = this.request
+    if (urgency === undefined || urgency.level === 0) {
+      return undefined
+    }
+    const rates = this.context.fleet.getArrivals(service.name, this.now())
+    const decodeServers = servers.filter(({ stage }) => stage === 'decode').map(({ id }) => id)
+    const selected = this.context.headroom.select(decodeServers, urgency.level, rates, urgency.urgentGoalMs)
+    this.context.meter.gauge('gateway_headroom_servers', { service: service.name, level: String(urgency.level) }, selected.size)
+    this.headroomServers = selected.size
+    return selected
+  }
+
   /** Commits the whole memory of the server, which keeps other work away from it at all gateways; of one server at a time. */
   private commitTrial (servers: readonly routing.RoutedServer[], profile: routing.EngineProfile): routing.RoutedServer | undefined {
     const { fleet, guard, system } = this.context
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -8,6 +8,7 @@
 import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
 import * as splits from './stage_split.js'
+import * as arrivals from './urgency/arrival_meter.js'
 
 /** Prefill speed assumed until the first prefill has been measured, in tokens per millisecond. */
 const assumedPrefillTokensPerMs = 30
@@ -50,6 +51,8 @@
   readonly bookings: Readonly<Record<string, CommittedLoad>>
   readonly offered: Readonly<Record<string, splits.OfferedLoad>>
   readonly switching: string[]
+  /** Arrivals at ranked services; absent where there are none, and from gateways that do not know them. */
+  readonly arrivals?: Readonly<Record<string, arrivals.ArrivalRate[]>> | undefined
 }
 
 /** Exponentially decaying sums over completed answers. */
@@ -78,6 +81,7 @@
 }
 
 const noCommittedLoad: CommittedLoad = { runs: 0, tokens: 0, unread: 0 }
+const noHeadroom: ReadonlyMap<string, number> = new Map()
 const noOfferedLoad: splits.OfferedLoad = { prefill: 0, decode: 0 }
 
 interface Peer {
@@ -85,6 +89,7 @@
   readonly bookings: ReadonlyMap<string, CommittedLoad>
   readonly offered: Readonly<Record<string, splits.OfferedLoad>>
   readonly switching: ReadonlySet<string>
+  readonly arrivals: Readonly<Record<string, arrivals.ArrivalRate[]>>
 }
 
 export class EngineFleet {
@@ -97,6 +102,7 @@
   private readonly peers = new Map<string, Peer>()
   private readonly ownLoad = new Map<string, CommittedLoad>()
   private readonly loadMeters = new Map<string, splits.LoadMeter>()
+  private readonly arrivalMeters = new Map<string, arrivals.ArrivalMeter>()
   private switching: ReadonlySet<string> = new Set()
   /** Servers observed to be changing their stage, whoever ordered it. */
   private readonly observedSwitching = new Map<string, ObservedSwitch>()
@@ -167,7 +173,8 @@
       lastSeenMs: nowMs,
       bookings: new Map(Object.entries(state.bookings)),
       offered: state.offered,
-      switching: new Set(state.switching)
+      switching: new Set(state.switching),
+      arrivals: state.arrivals ?? {}
     })
   }
 
@@ -178,6 +185,35 @@
     meter.record(prefillMs, memoryMs, nowMs)
   }
 
+  /** Records that a generation of a ranked service has arrived, with the memory that it needs in tokens. */
+  recordArrival (service: string, level: number, tokens: number, nowMs: number): void {
+    const meter = this.arrivalMeters.get(service) ?? new arrivals.ArrivalMeter()
+    this.arrivalMeters.set(service, meter)
+    meter.record(level, tokens, nowMs)
+  }
+
+  /** Arrival rates of a service at all gateways, by level of urgency. */
+  getArrivals (service: string, nowMs: number): arrivals.LeveledArrivals {
+    let sum: arrivals.LeveledArrivals = this.arrivalMeters.get(service)?.read(nowMs) ?? []
+    for (const peer of this.peers.values()) {
+      const told = nowMs - peer.lastSeenMs > peerExpiryMs ? undefined : peer.arrivals[service]
+      sum = told === undefined ? sum : arrivals.addArrivals(sum, told)
+    }
+    return sum
+  }
+
+  /** Arrival rates at this gateway, by ranked service; undefined if there are none. */
+  private listArrivals (nowMs: number): Record<string, arrivals.ArrivalRate[]> | undefined {
+    const listed: Record<string, arrivals.ArrivalRate[]> = {}
+    for (const [service, meter] of this.arrivalMeters) {
+      const rates = meter.read(nowMs)
+      if (rates.length > 0) {
+        listed[service] = rates
+      }
+    }
+    return Object.keys(listed).length === 0 ? undefined : listed
+  }
+
   /** Load offered by the callers of this gateway, by service. */
   listOffered (nowMs: number): Record<string, splits.OfferedLoad> {
     const offered: Record<string, splits.OfferedLoad> = {}
@@ -229,7 +265,7 @@
         bookings[server] = booking
       }
     }
-    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs) }
+    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs), arrivals: this.listArrivals(nowMs) }
   }
 
   private listSwitching (nowMs: number): string[] {
@@ -250,6 +286,7 @@
     const bookings: Record<string, CommittedLoad> = { ...own.bookings }
     const offered: Record<string, splits.OfferedLoad> = { ...own.offered }
     const switching = new Set(own.switching)
+    const rates: Record<string, arrivals.ArrivalRate[]> = { ...own.arrivals }
     for (const name of names) {
       const peer = this.peers.get(name)
       if (peer === undefined || nowMs - peer.lastSeenMs > peerExpiryMs) {
@@ -264,13 +301,20 @@
       for (const server of peer.switching) {
         switching.add(server)
       }
+      for (const [service, told] of Object.entries(peer.arrivals)) {
+        rates[service] = arrivals.addArrivals(rates[service] ?? [], told)
+      }
     }
-    return { bookings, offered, switching: [...switching] }
+    return { bookings, offered, switching: [...switching], arrivals: Object.keys(rates).length === 0 ? undefined : rates }
   }
 
-  /** Returns the engines whose estimated free capacity holds the tokens, the one with the most free memory first. */
+  /**
+   * Returns the engines whose estimated free capacity holds the tokens and leaves the headroom, the one with the most free memory first.
+   * `headroom` is in tokens, by server, and counts as one run.
+   */
   rankDecode (
-    servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number
+    servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number,
+    headroom: ReadonlyMap<string, number> = noHeadroom
   ): routing.RoutedServer[] {
     const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
     for (const server of servers) {
@@ -278,8 +322,9 @@
         continue
       }
       const { runs, tokens: used } = this.getLoad(server.id, nowMs)
-      const free = profile.memoryTokens * (1 - memoryHeadroomPart) - used
-      if (runs >= profile.slots || free < tokens) {
+      const kept = headroom.get(server.id)
+      const free = profile.memoryTokens * (1 - memoryHeadroomPart) - used - (kept ?? 0)
+      if (runs + (kept === undefined ? 0 : 1) >= profile.slots || free < tokens) {
         continue
       }
       const preference = server.zone === this.zone ? ownZonePreference : 0
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,6 +9,7 @@
 import * as routing from '../contracts/routing.js'
 import * as sendAccounts from './send_account.js'
 import * as types from './types.js'
+import type * as urgencyRanks from './urgency/urgency_ranks.js'
 
 /** Retry time of a request that the retry budget stops, in milliseconds: its caller's next request needs no credit. */
 const budgetRetryMs = 500
@@ -22,6 +23,8 @@
   readonly service: routing.RoutedService
   readonly workspace: string | undefined
   readonly priority: number
+  /** Absent unless the routes of the service have different priorities. */
+  readonly urgency: urgencyRanks.Urgency | undefined
   readonly arrivedMs: number
   /** Estimated time of the caller's first attempt; the latency goal of a generation counts from there. */
   readonly firstAttemptMs: number
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import * as fleets from './engine_fleet.js'
 import * as guards from './prompt_guard.js'
 import * as handlers from './request_handler.js'
+import * as headrooms from './urgency/memory_headroom.js'
 import * as healths from './server_health.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
@@ -125,6 +126,7 @@
       directory,
       plainChoice,
       fleet,
+      headroom: new headrooms.MemoryHeadroom(),
       outputs: new outputs.OutputEstimate(),
       capacityQueue: new capacityQueues.CapacityQueue(() => this.startQueueChecks()),
       allowance: new allowances.AllowanceLimiter(options.allowance),
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -122,6 +122,9 @@
     const stepMs = fleet.getTokenIntervalMs(service.name)
     const memoryPart = (this.sizes.promptTokens + this.expectedOutput / 2) / (service.engine?.memoryTokens ?? Infinity)
     fleet.recordOffered(service.name, prefillMs, memoryPart * (this.expectedOutput * stepMs + prefillMs), this.now())
+    if (this.request.urgency !== undefined) {
+      fleet.recordArrival(service.name, this.request.urgency.level, this.sizes.promptTokens + this.expectedOutput, this.now())
+    }
   }
 
   /** Prefills the prompt and streams at a placement; `retryReason` states why another placement is to be tried. */
@@ -194,6 +197,7 @@
       server,
       outcome: end.kind,
       reason: 'reason' in end ? end.reason : undefined,
+      rank: this.request.urgency?.rank,
       promptTokens: this.sizes.promptTokens,
       maximumOutputTokens: this.sizes.maximumOutputTokens,
       hintedOutputTokens: this.sizes.hintedOutputTokens,
@@ -295,7 +299,8 @@
         purpose: 'run',
         cache,
         reservation: place.reservation,
-        resumeAfter: isResumable ? this.splitter.lastId : undefined
+        resumeAfter: isResumable ? this.splitter.lastId : undefined,
+        rank: this.request.urgency?.rank
       })
       relay.attach(pool.send(place.server, outgoing, !isResumable, relay))
       this.reply.gone.addEventListener('abort', leave, { once: true })
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -49,6 +49,11 @@
   leaving: collections.dictionary(z.number()),
   /** Limits that servers state; absent where there are none, and from gateways that do not know limits. */
   limits: collections.dictionary(LimitStatement).optional(),
+  /**
+   * Generations a second that arrive at services whose routes have different priorities, and their memory in tokens a second, by service and
+   * level of urgency; absent where there are none, and from gateways that do not know them.
+   */
+  arrivals: collections.dictionary(collections.list(z.tuple([z.number().nonnegative(), z.number().nonnegative()]))).optional(),
   /** Evidence on parts of prompts that may end servers; absent where there is none, and from gateways that do not know it. */
   parts: collections.dictionary(PartStatement).optional()
 })
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -99,7 +99,7 @@
     const { promptTokens } = getSizes(this.request.arrival)
     fleet.bookPrefill(this.request.serial, server.id, promptTokens, sentMs)
     const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
-      server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill'
+      server, remainingMs: this.remainingMs(), workspace: this.request.workspace, purpose: 'prefill', rank: this.request.urgency?.rank
     })
     const waitMs = Math.min(this.remainingMs(), expectedMs * prefillTimeoutFactor + prefillMarginMs)
     const outcome = await pool.call(server, outgoing, waitMs, this.reply.gone)
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -168,6 +168,7 @@
     const estimatedFirstAttemptMs = isGeneration ? arrivedMs - this.firstAttempts.estimateElapsedMs(route.name, callerTimeoutMs, arrivedMs) : arrivedMs
     this.serial += 1
     this.context.retries.recordRequest(service.name)
+    const urgency = table.urgencies.find(service.name, { workspace: workspace?.priority, route: route.priority })
     const admittedRequest: exchanges.AdmittedRequest = {
       serial: String(this.serial),
       arrival,
@@ -175,7 +176,8 @@
       route,
       service,
       workspace: workspace?.name,
-      priority: workspace?.priority ?? route.priority,
+      priority: urgency?.rank ?? workspace?.priority ?? route.priority,
+      urgency,
       arrivedMs,
       firstAttemptMs: estimatedFirstAttemptMs,
       deadlineMs: arrivedMs + effectiveTimeoutMs
--- a/src/gateway/routing_table.ts
+++ b/src/gateway/routing_table.ts
@@ -2,13 +2,16 @@
  * Finds the route, the service and the workspace of a request in one version of the routing document.
  */
 import * as routing from '../contracts/routing.js'
+import * as urgencyRanks from './urgency/urgency_ranks.js'
 
 export class RoutingTable {
   private readonly hosts = new Map<string, Map<string, routing.Route>>()
   private readonly services = new Map<string, routing.RoutedService>()
   private readonly workspacesByKey = new Map<string, routing.RoutedWorkspace>()
+  readonly urgencies: urgencyRanks.UrgencyRanks
 
   constructor (readonly document: routing.RoutingDocument) {
+    this.urgencies = new urgencyRanks.UrgencyRanks(document)
     for (const route of document.routes) {
       const host = route.host.toLowerCase()
       const prefixes = this.hosts.get(host) ?? new Map<string, routing.Route>()
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -51,6 +51,8 @@
   readonly reservation?: string | undefined
   /** Identifier of the last event delivered to the caller; the stream resumes after it. */
   readonly resumeAfter?: string | undefined
+  /** Position of the request in the order of the server's work, 0 for the most urgent; absent where requests are not ranked. */
+  readonly rank?: number | undefined
 }
 
 /** A request to a server, ready to be sent. */
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -54,6 +54,7 @@
   gateway_retry_credit: createMetric('gauge', ['service'], 'Retries of a service that this gateway may send now.'),
   gateway_room_refused_total: createMetric('counter', [], 'Reservations that decode servers refused.'),
   gateway_stall_ms: createMetric('gauge', [], 'Longest time for which the event loop stood still within the last minute, in milliseconds; 0 up to 100.'),
+  gateway_headroom_servers: createMetric('gauge', ['service', 'level'], 'Decode servers that keep memory free for generations more urgent than a level.'),
   gateway_waiting: createMetric('gauge', [], 'Generations that wait for room.'),
   gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
   gateway_server_limits: createMetric('gauge', [], 'Servers whose answers state a limit of requests a second.'),
