Queueing for decode memory over all gateways at services with routes of different priorities

Cause: urgent requests wait at one gateway while another places less urgent ones; one workspace takes the memory of all; refused callers return together; requests that cannot be served in time wait until their deadline. Change: src/gateway/queueing/ has the capacity queue with fair shares of workspaces, the demand that waits at other gateways (optional gossip field `waiting`), bounded deferral of less urgent placements, a forecast of free memory, times to come back, and the order of late prompts. Active only for services with engines whose routes have different priorities; elsewhere queue, refusals and Retry-After are as before. Passed: the single files of tests/gateway, operating_page, and of platform/tests gateway, boundary, dialect, peer_calls, stage_change and stream_patience. Not run: the whole suite, faults, soak.

--- a/src/gateway/allowance_limiter.ts
+++ b/src/gateway/allowance_limiter.ts
@@ -63,8 +63,11 @@
   private readonly admittedInZone = new Map<string, number>()
   private unresponsiveAfterMs = exchangePlans.minimumUnresponsiveMs
 
-  /** `tolerance` is the excess over the allowance that a window may have. */
-  constructor (private readonly tolerance: settings.GatewaySettings['allowance']) {}
+  /** `tolerance` is the excess over the allowance that a window may have. `onGrowth` is told what other gateways have admitted, refunds as negative units. */
+  constructor (
+    private readonly tolerance: settings.GatewaySettings['allowance'],
+    private readonly onGrowth: (workspace: string, units: number) => void = () => {}
+  ) {}
 
   /** Returns the cost of a request in its workspace's unit. */
   static measure (workspace: routing.RoutedWorkspace, tokens: number | undefined): number {
@@ -223,6 +226,7 @@
       source.admitted.set(workspace, total)
       if (units !== 0 && this.debit(workspace, units)) {
         growth.set(workspace, units)
+        this.onGrowth(workspace, units)
       }
     }
     return growth
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -13,8 +13,9 @@
 import type * as outputs from './output_estimate.js'
 import type * as permits from './permits.js'
 import type * as retries from './retry_budget.js'
-import type * as returnSchedules from './return_schedule.js'
-import type * as capacityQueues from './capacity_queue.js'
+import type * as returnSchedules from './queueing/return_schedule.js'
+import type * as capacityQueues from './queueing/capacity_queue.js'
+import type * as queueings from './queueing/queueing.js'
 import type * as serverLimits from './server_limits.js'
 import type * as settings from './settings.js'
 import type * as tables from './routing_table.js'
@@ -36,6 +37,7 @@
   readonly fleet: fleets.EngineFleet
   readonly outputs: outputs.OutputEstimate
   readonly capacityQueue: capacityQueues.CapacityQueue
+  readonly queueing: queueings.Queueing
   readonly allowance: allowances.AllowanceLimiter
   readonly retries: retries.RetryBudget
   /** Routing table in force; undefined until the first version has been read. */
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -2,10 +2,11 @@
  * Finds the decode server of a generation: capacity by this gateway's account, a permit where the server has a limit, and a
  * reservation at the server.
  */
-import type * as capacityQueues from './capacity_queue.js'
+import type * as capacityQueues from './queueing/capacity_queue.js'
 import * as contexts from './context.js'
 import * as exchanges from './exchange.js'
 import * as failures from '../contracts/failure.js'
+import type * as fleets from './engine_fleet.js'
 import type * as permits from './permits.js'
 import * as promptPrefills from './prompt_prefill.js'
 import * as replies from './caller_reply.js'
@@ -32,6 +33,8 @@
 /** Number of servers with the fewest runs among which a trial's is drawn: trials of other gateways must not meet there. */
 const trialServerChoices = 3
 
+type Queueing = Pick<capacityQueues.Waiter, 'latestMs' | 'isLate'>
+
 /** A decode server with what has been reserved there. */
 export interface Placement {
   readonly server: routing.RoutedServer
@@ -45,6 +48,11 @@
   /** Whether the request is a trial of a suspected prompt, whose server may end. */
   private isTrial = false
   private isIsolated = false
+  /** Whether the request was last held back although there may be memory. */
+  private isHeldBack = false
+  /** Whether a log line and a counter have told that its prompt was held back. */
+  private hasHeldPrompt = false
+  private isRefusedEarly = false
 
   constructor (
     context: contexts.GatewayContext,
@@ -76,6 +84,16 @@
     return this.countBlockTokens(reservedOutputPart)
   }
 
+  /** Whether requests for the service are ordered by urgency and workspace over all gateways. */
+  private get isContested (): boolean {
+    return this.context.queueing.services.has(this.request.service.name)
+  }
+
+  /** Tokens that count against the workspace's limit. */
+  private get chargedTokens (): number {
+    return this.sizes.promptTokens + this.sizes.maximumOutputTokens
+  }
+
   /** When the first event is due to meet the latency goal. */
   private get goalDeadlineMs (): number {
     return this.request.firstAttemptMs + this.request.route.goalMs
@@ -123,7 +141,9 @@
     if (this.areAllLimited(servers) && (this.passedOver > 0 || this.estimatePermitWaitMs(servers) > 0)) {
       return this.createLimitFailure(this.estimatePermitWaitMs(servers))
     }
+    const retryAfterMs = this.isContested ? this.scheduleReturn() : capacityRetryMs
     this.log('no decode capacity', {
+      ...this.describeContention(retryAfterMs),
       service: this.request.service.name,
       neededTokens: this.committedTokens,
       refusals: refused,
@@ -132,19 +152,25 @@
       waitedMs: Math.round(this.now() - this.request.arrivedMs)
     })
     return servers.length > 0
-      ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], capacityRetryMs)
+      ? failures.createFailure('not_run', 'target_unreachable', [this.request.route.goalMs, this.request.route.goalMs], retryAfterMs)
       : this.createNoServerFailure(promptPrefills.noServerRetryMs)
   }
 
   /** Commits the load to the best server with capacity, waiting for one while the goal can still be met. */
   private awaitCapacity (): Promise<routing.RoutedServer | undefined> {
-    const { capacityQueue: rooms } = this.context
-    const committed = this.tryCommit()
+    const { capacityQueue: rooms, queueing } = this.context
+    const { isContested } = this
+    const plan = isContested ? this.planQueueing() : undefined
+    const mustQueue = isContested && rooms.hasClaimants(this.request.service.name)
+    const committed = mustQueue ? undefined : this.tryPlace(plan)
+    if (committed !== undefined && isContested) {
+      queueing.shares.recordGiven(this.request.workspace ?? '', this.chargedTokens, this.now())
+    }
     const servers = this.context.directory.listReady(this.request.service.name)
     if (committed !== undefined || this.reply.hasStarted || servers.length === 0) {
       return Promise.resolve(committed)
     }
-    if (this.areAllLimited(servers) && this.now() + this.estimatePermitWaitMs(servers) > this.planQueueing().latestMs) {
+    if (this.areAllLimited(servers) && this.now() + this.estimatePermitWaitMs(servers) > (plan ?? this.planQueueing()).latestMs) {
       return Promise.resolve(undefined)
     }
     return new Promise(resolve => {
@@ -159,9 +185,10 @@
         priority: this.request.priority,
         expectedOutputTokens: this.expectedOutput,
         sinceMs: this.request.firstAttemptMs,
-        ...this.planQueueing(),
+        ...plan ?? this.planQueueing(),
+        claim: plan === undefined ? undefined : this.createClaim(plan),
         tryReserve: () => {
-          server = this.tryCommit()
+          server = this.tryPlace(plan)
           return server !== undefined
         },
         settle: () => {
@@ -189,7 +216,7 @@
   }
 
   /** Returns until when the request may be queued. A retry that is late in any case is not refused again while its caller still waits for the first event. */
-  private planQueueing (): Pick<capacityQueues.Waiter, 'latestMs' | 'isLate'> {
+  private planQueueing (): Queueing {
     const { arrivedMs } = this.request
     const startMarginMs = firstEventDelayMs + this.estimatePrefillMs()
     const inTimeMs = this.goalDeadlineMs - startMarginMs
@@ -198,6 +225,146 @@
       : { latestMs: arrivedMs + Math.min(this.patienceMs, this.remainingMs()) * lateWaitPart - startMarginMs, isLate: true }
   }
 
+  /** Commits the load to the best server with capacity, unless the request is to let others go first; `plan` is for contested services. */
+  private tryPlace (plan: Queueing | undefined): routing.RoutedServer | undefined {
+    if (plan === undefined || this.isTrial) {
+      return this.tryCommit()
+    }
+    this.isHeldBack = this.mustHoldPrompt(plan) || this.mustDefer()
+    const server = this.isHeldBack ? undefined : this.tryCommit()
+    if (server !== undefined) {
+      const { fleet, queueing } = this.context
+      const service = this.request.service.name
+      queueing.forecast.recordRun(service, fleet.estimateIdlePrefillMs(this.sizes.promptTokens) + this.expectedOutput * fleet.getTokenIntervalMs(service))
+    }
+    return server
+  }
+
+  /** Tells whether the prompt of a request that is late in any case would be read ahead of others. */
+  private mustHoldPrompt ({ isLate }: Queueing): boolean {
+    if (!isLate) {
+      return false
+    }
+    const { directory, fleet, meter, permits: permitBook, queueing } = this.context
+    const { promptTokens } = this.sizes
+    const nowMs = this.now()
+    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
+    const choice = fleet.choosePrefill(servers, promptTokens, new Set(), nowMs, undefined)
+    const backlogTokens = choice === undefined ? 0 : fleet.getLoad(choice.server.id, nowMs).unread
+    if (queueing.prefills.mayRead(isLate, promptTokens, backlogTokens)) {
+      return false
+    }
+    if (!this.hasHeldPrompt) {
+      this.hasHeldPrompt = true
+      meter.count('gateway_prompts_held_total', {})
+      this.log('late prompt held back', { service: this.request.service.name, server: choice?.server.id, backlogTokens, promptTokens })
+    }
+    return true
+  }
+
+  /** Tells whether free memory is left to a more urgent request that waits at another gateway. */
+  private mustDefer (): boolean {
+    const { queueing } = this.context
+    return queueing.deferral.shouldDefer({
+      id: this.request.arrival.id,
+      service: this.request.service.name,
+      rank: this.request.priority,
+      countPlaces: tokens => this.countPlaces(tokens)
+    }, queueing.gossipPeriodMs, this.now())
+  }
+
+  /** Returns how many requests that need so many tokens fit into the free memory. */
+  private countPlaces (tokens: number): number {
+    let places = 0
+    for (const { freeTokens, freeSlots } of this.listRooms()) {
+      places += Math.max(0, Math.min(freeSlots, Math.floor(freeTokens / tokens)))
+    }
+    return places
+  }
+
+  private listRooms (): readonly fleets.DecodeRoom[] {
+    const { directory, fleet, permits: permitBook } = this.context
+    const { engine, name } = this.request.service
+    return engine === undefined ? [] : fleet.listDecodeRooms(permitBook.selectAvailable(directory.listReady(name)), engine, this.now())
+  }
+
+  private createClaim ({ latestMs }: Queueing): capacityQueues.Claim {
+    const { arrivedMs, route, service, workspace } = this.request
+    const memoryTokens = this.committedTokens
+    return {
+      service: service.name,
+      workspace: workspace ?? '',
+      tokens: this.chargedTokens,
+      memoryTokens,
+      arrivedMs,
+      isUnservable: (aheadTokens, nowMs) => {
+        if (this.isHeldBack) {
+          return false
+        }
+        const waitMs = this.forecast(aheadTokens)?.waitMs
+        this.isRefusedEarly = this.context.queueing.prefills.isUnservable({ arrivedMs, goalMs: route.goalMs, latestMs, waitMs }, nowMs)
+        return this.isRefusedEarly
+      }
+    }
+  }
+
+  /** Returns the expected time until there is memory for the request behind others at this gateway, and the memory that becomes free in a millisecond, in tokens. */
+  private forecast (aheadTokens: number): { readonly waitMs: number, readonly rate: number } | undefined {
+    const { demand, forecast } = this.context.queueing
+    const { priority, service: { name } } = this.request
+    const nowMs = this.now()
+    const rate = forecast.getRate(name, () => this.listRooms().reduce((sum, { usedTokens }) => sum + usedTokens, 0), nowMs)
+    if (rate === undefined) {
+      return undefined
+    }
+    const urgentTokens = demand.getElsewhere(name, priority - 1, nowMs).tokens
+    const equalTokens = demand.getElsewhere(name, priority, nowMs).tokens - urgentTokens
+    return { waitMs: forecast.estimateWaitMs(this.committedTokens, { ownTokens: aheadTokens, urgentTokens, equalTokens }, rate), rate }
+  }
+
+  /** Returns when the caller is to come back, by the memory that is expected to become free. */
+  private scheduleReturn (): number {
+    const { capacityQueue, meter, queueing } = this.context
+    const { priority, service: { name } } = this.request
+    let aheadTokens = 0
+    for (const { claim, priority: other } of capacityQueue.listClaimants()) {
+      aheadTokens += claim.service === name && other <= priority ? claim.memoryTokens : 0
+    }
+    const expected = this.forecast(aheadTokens)
+    const gateways = queueing.otherGateways + 1
+    const retryAfterMs = queueing.returns.schedule({
+      service: name,
+      rank: priority,
+      waitMs: expected?.waitMs ?? capacityRetryMs,
+      intervalMs: expected === undefined ? 0 : this.committedTokens * gateways / expected.rate,
+      remainingMs: this.remainingMs()
+    }, this.now())
+    meter.observe('gateway_capacity_return_ms', {}, retryAfterMs)
+    if (this.isRefusedEarly) {
+      meter.count('gateway_refused_early_total', {})
+    }
+    return retryAfterMs
+  }
+
+  /** Returns the fields of a refusal that only contested services have. */
+  private describeContention (retryAfterMs: number): Readonly<Record<string, string | number | boolean | undefined>> {
+    if (!this.isContested) {
+      return {}
+    }
+    const { demand, shares } = this.context.queueing
+    const { priority, service: { name }, workspace } = this.request
+    const elsewhere = demand.getElsewhere(name, priority, this.now())
+    return {
+      rank: priority,
+      isRefusedEarly: this.isRefusedEarly,
+      retryAfterMs,
+      waitingElsewhere: elsewhere.count,
+      newsMs: Math.round(elsewhere.newsMs),
+      workspace,
+      workspaceUse: workspace === undefined ? undefined : Number(shares.getUse(workspace, this.now()).toFixed(3))
+    }
+  }
+
   private tryCommit (): routing.RoutedServer | undefined {
     const { directory, fleet, permits: permitBook } = this.context
     const profile = this.request.service.engine
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -45,6 +45,13 @@
   readonly unread: number
 }
 
+/** Room at a decode server. */
+export interface DecodeRoom {
+  readonly usedTokens: number
+  readonly freeTokens: number
+  readonly freeSlots: number
+}
+
 /** Engine state that another gateway reports. */
 export interface PeerEngines {
   readonly bookings: Readonly<Record<string, CommittedLoad>>
@@ -289,6 +296,18 @@
     return ranked.map(({ server }) => server)
   }
 
+  /** Returns the room at each usable decode server. */
+  listDecodeRooms (servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, nowMs: number): DecodeRoom[] {
+    const rooms: DecodeRoom[] = []
+    for (const server of servers) {
+      if (server.stage === 'decode' && this.isUsable(server, nowMs)) {
+        const { runs, tokens } = this.getLoad(server.id, nowMs)
+        rooms.push({ usedTokens: tokens, freeTokens: profile.memoryTokens * (1 - memoryHeadroomPart) - tokens, freeSlots: profile.slots - runs })
+      }
+    }
+    return rooms
+  }
+
   /** Returns the engine expected to finish a prefill first, and the estimated time until then in milliseconds. */
   choosePrefill (
     servers: readonly routing.RoutedServer[], tokens: number, excluded: ReadonlySet<string>, nowMs: number,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,8 +31,10 @@
 import * as permits from './permits.js'
 import * as outputs from './output_estimate.js'
 import * as retries from './retry_budget.js'
-import * as returnSchedules from './return_schedule.js'
-import * as capacityQueues from './capacity_queue.js'
+import * as returnSchedules from './queueing/return_schedule.js'
+import * as capacityQueues from './queueing/capacity_queue.js'
+import * as queueings from './queueing/queueing.js'
+import type * as waitingDemands from './queueing/waiting_demand.js'
 import * as routing from '../contracts/routing.js'
 import * as routingFollowers from './routing_follower.js'
 import * as serverLimits from './server_limits.js'
@@ -111,6 +113,7 @@
       limits.forget(server.id)
       permitBook.forget(server.id)
     })
+    const queueing = new queueings.Queueing(system, this.meter)
     this.context = {
       system,
       settings: options,
@@ -126,8 +129,10 @@
       plainChoice,
       fleet,
       outputs: new outputs.OutputEstimate(),
-      capacityQueue: new capacityQueues.CapacityQueue(() => this.startQueueChecks()),
-      allowance: new allowances.AllowanceLimiter(options.allowance),
+      capacityQueue: new capacityQueues.CapacityQueue(() => this.startQueueChecks(), queueing.shares),
+      queueing,
+      allowance: new allowances.AllowanceLimiter(options.allowance,
+        (workspace, units) => queueing.shares.recordTold(workspace, units, system.clock.monotonicMs())),
       retries: new retries.RetryBudget(options.retries, system.clock),
       routing: { table: undefined }
     }
@@ -145,6 +150,7 @@
       this.ingress.setLimits(table.document.limits)
       this.context.retries.setServices(table.document.services.map(({ name }) => name))
       this.context.allowance.setWorkspaces(table.document.workspaces ?? [], system.clock.monotonicMs())
+      queueing.setDocument(table.document)
     })
     this.stageCoordinator = new stageCoordinators.StageCoordinator(this.context, store, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot,
@@ -329,8 +335,9 @@
   }
 
   private createParty (): peerTables.LocalGateway {
-    const { allowance, directory, fleet, health, limits } = this.context
+    const { allowance, directory, fleet, health, limits, queueing: { demand } } = this.context
     const { evidence } = this
+    const listWaiting = (): readonly waitingDemands.WaitingRequest[] => this.listWaiting()
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, storeReplica: replica } = this
@@ -351,7 +358,8 @@
           outcomes: health.listOutcomes(nowMs),
           leaving: directory.listLeaving(),
           limits: limits.listReported(nowMs),
-          parts: evidence.listReported(nowMs)
+          parts: evidence.listReported(nowMs),
+          waiting: demand.describe(listWaiting(), nowMs)
         }
       }
 
@@ -363,7 +371,8 @@
           outcomes: health.aggregateOutcomes(others, nowMs),
           leaving: directory.listLeaving(),
           limits: limits.listReported(nowMs),
-          parts: evidence.listReported(nowMs)
+          parts: evidence.listReported(nowMs),
+          waiting: demand.aggregate(listWaiting(), others, nowMs)
         }
       }
 
@@ -374,6 +383,7 @@
       override updatePeer (gateway: string, peerBoot: string, work: messages.GatewayStatus, heardMs: number, isOwnZone: boolean): void {
         allowance.receiveTotals(gateway, peerBoot, work.admitted, heardMs, isOwnZone)
         fleet.updatePeer(gateway, work, heardMs)
+        demand.updatePeer(gateway, work.waiting, heardMs, clock.monotonicMs())
         health.updatePeer(gateway, work.outcomes, heardMs)
         directory.mergeLeaving(work.leaving, gateway)
         limits.merge(work.limits ?? {}, gateway, heardMs, clock.monotonicMs())
@@ -384,10 +394,12 @@
         for (const gateway of Object.keys(state.heard)) {
           allowance.forgetGateway(gateway)
           fleet.forgetPeer(gateway)
+          demand.forgetPeer(gateway)
           health.forgetPeer(gateway)
         }
         allowance.receiveZoneTotals(state.zone, `${state.teller} ${state.boot}`, state.work.admitted, clock.monotonicMs())
         fleet.updatePeer(createZoneName(state.zone), state.work, heardMs)
+        demand.updatePeer(createZoneName(state.zone), state.work.waiting, heardMs, clock.monotonicMs())
         health.updatePeer(createZoneName(state.zone), state.work.outcomes, heardMs)
         directory.mergeLeaving(state.work.leaving, state.teller)
         limits.merge(state.work.limits ?? {}, state.teller, heardMs, clock.monotonicMs())
@@ -397,11 +409,23 @@
       override forgetZone (lostZone: string): void {
         allowance.forgetZone(lostZone)
         fleet.forgetPeer(createZoneName(lostZone))
+        demand.forgetPeer(createZoneName(lostZone))
         health.forgetPeer(createZoneName(lostZone))
       }
     }()
   }
 
+  /** Returns what waits for decode memory of contested services. Requests that are late in any case do not hold back others. */
+  private listWaiting (): readonly waitingDemands.WaitingRequest[] {
+    const waiting: waitingDemands.WaitingRequest[] = []
+    for (const { priority, isLate, claim } of this.context.capacityQueue.listClaimants()) {
+      if (!isLate) {
+        waiting.push({ service: claim.service, rank: priority, tokens: claim.memoryTokens, sinceMs: claim.arrivedMs })
+      }
+    }
+    return waiting
+  }
+
   /** Checks the queue periodically until it is empty. */
   private startQueueChecks (): void {
     if (this.isCheckingQueue) {
@@ -425,6 +449,7 @@
     this.context.allowance.setPeers([...found.keys()], this.peerTable.unresponsiveAfterMs)
     this.context.pool.setGatewayCount(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
+    this.context.queueing.setGossip(found.size, this.peerTable.periodMs)
   }
 
   /** Returns this gateway's even share of what all gateways divide, 0 while it is not certain. */
@@ -441,6 +466,14 @@
     }
     this.meter.gauge('gateway_stall_ms', {}, this.stalls.getLongestMs(nowMs))
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
+    const { demand, services, shares } = this.context.queueing
+    const contested = services.list()
+    for (const service of contested) {
+      this.meter.gauge('gateway_waiting_elsewhere', { service }, demand.getElsewhere(service, Infinity, nowMs).count)
+    }
+    for (const [workspace, use] of contested.length > 0 ? shares.list(nowMs) : []) {
+      this.meter.gauge('gateway_workspace_use', { workspace }, use)
+    }
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
     const { suspect, blocked } = this.evidence.count(nowMs)
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -24,6 +24,10 @@
 const LimitStatement = z.tuple([z.number(), z.number(), z.number()])
 export type LimitStatement = z.infer<typeof LimitStatement>
 
+/** What waits for decode memory of a service: rank, 0 for the most urgent; requests; tokens of memory that they need; and how long the oldest has waited, in milliseconds. */
+const WaitingStatement = z.tuple([z.number(), z.number(), z.number(), z.number()])
+export type WaitingStatement = z.infer<typeof WaitingStatement>
+
 /** Evidence on a part of prompts: ends of servers on which it was in flight without an answer, and the latest answer that began on it. */
 export const PartStatement = z.object({
   /** Server process, workspace of the run, weight of the evidence, age in milliseconds, and the other parts of the run. */
@@ -50,7 +54,9 @@
   /** Limits that servers state; absent where there are none, and from gateways that do not know limits. */
   limits: collections.dictionary(LimitStatement).optional(),
   /** Evidence on parts of prompts that may end servers; absent where there is none, and from gateways that do not know it. */
-  parts: collections.dictionary(PartStatement).optional()
+  parts: collections.dictionary(PartStatement).optional(),
+  /** Requests that wait for decode memory, by service; absent where none wait, and from gateways that do not know it. */
+  waiting: collections.dictionary(collections.list(WaitingStatement)).optional()
 })
 export type GatewayStatus = z.infer<typeof GatewayStatus>
 
--- a/tests/gateway/first_attempt_estimate.test.ts
+++ b/tests/gateway/first_attempt_estimate.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
 import * as firstAttemptEstimates from '../../src/gateway/first_attempt_estimate.js'
-import * as capacityQueues from '../../src/gateway/capacity_queue.js'
+import * as capacityQueues from '../../src/gateway/queueing/capacity_queue.js'
 
 test.describe('Retries of callers', () => {
   test.it('are recognized by the shortened time-out', () => {
--- a/tests/gateway/return_schedule.test.ts
+++ b/tests/gateway/queueing/return_schedule.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
-import * as returnSchedules from '../../src/gateway/return_schedule.js'
+import * as returnSchedules from '../../../src/gateway/queueing/return_schedule.js'
 
 test.describe('The times at which refused callers are to come back', () => {
   test.it('follow each other as fast as the limits allow, from the next permit on', () => {
