--- a/tests/gateway/urgency.test.ts
+++ b/tests/gateway/urgency.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
 import * as arrivalMeters from '../../src/gateway/urgency/arrival_meter.js'
-import * as capacityQueues from '../../src/gateway/capacity_queue.js'
+import * as capacityQueues from '../../src/gateway/queueing/capacity_queue.js'
 import * as fleets from '../../src/gateway/engine_fleet.js'
 import * as headrooms from '../../src/gateway/urgency/memory_headroom.js'
 import * as healths from '../../src/gateway/server_health.js'
