--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -32,7 +32,9 @@
   /** 0 is the most urgent. */
   priority: z.number().int(),
   isPublic: z.boolean(),
-  isResumable: z.boolean()
+  isResumable: z.boolean(),
+  /** Regions whose servers may get its requests; absent: all. */
+  allowedRegions: z.array(z.string()).optional()
 })
 export type Route = z.infer<typeof Route>
 
@@ -55,7 +57,14 @@
   name: z.string(),
   /** Connections that one server accepts from all gateways together. */
   maximumConnections: z.number().int().positive(),
-  engine: EngineProfile.optional()
+  engine: EngineProfile.optional(),
+  /** What the service's servers take while they are cold; absent if they never are. */
+  cold: z.object({
+    /** How long a server is cold after it has started, in milliseconds. */
+    forMs: z.number().positive(),
+    /** Requests a second that a cold server takes from all gateways together. */
+    perSecond: z.number().nonnegative()
+  }).optional()
 })
 export type RoutedService = z.infer<typeof RoutedService>
 
@@ -70,7 +79,9 @@
   plainTokens: z.number().nonnegative(),
   /** Units a second over all gateways; 0 means no limit. */
   rate: z.number().nonnegative(),
-  burst: z.number().nonnegative()
+  burst: z.number().nonnegative(),
+  /** Regions whose servers may get its requests; absent: all. */
+  allowedRegions: z.array(z.string()).optional()
 })
 export type RoutedWorkspace = z.infer<typeof RoutedWorkspace>
 
@@ -89,7 +100,9 @@
   services: z.array(RoutedService),
   limits: IngressLimits,
   /** Absent where requests carry no keys. */
-  workspaces: z.array(RoutedWorkspace).optional()
+  workspaces: z.array(RoutedWorkspace).optional(),
+  /** Optional figures that are out of range and were left out, for the log. */
+  faults: z.array(z.string()).optional()
 })
 export type RoutingDocument = z.infer<typeof RoutingDocument>
 
@@ -108,6 +121,10 @@
   /** Start of this life of the server, in milliseconds since the Unix epoch. */
   bornMs: z.number().optional(),
   /** Counts what the server has written of itself in this life: of two entries the one with more is the newer. */
-  writes: z.number().optional()
+  writes: z.number().optional(),
+  /** How long the server stays cold from the time at which it wrote the entry, in milliseconds; absent if it does not say. */
+  coldLeftMs: z.number().nonnegative().optional(),
+  /** Optional figures that are out of range and were left out, for the log. */
+  faults: z.array(z.string()).optional()
 })
 export type RoutedServer = z.infer<typeof RoutedServer>
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -53,8 +53,13 @@
 export abstract class SendListener {
   abstract sent (server: routing.RoutedServer): void
   abstract answered (head: AnswerHead): void
+  /** Called when the connection to a server failed, unless this gateway ended it. */
+  connectionFailed (_server: routing.RoutedServer): void {}
 }
 
+/** A request that is not sent. */
+const noSend: connections.ActiveSend = { abort: () => {}, pause: () => {}, resume: () => {} }
+
 export class ConnectionPool {
   private readonly idle = new Map<string, IdleConnection[]>()
   private gateways = 1
@@ -64,7 +69,9 @@
     private readonly dialect: types.Dialect,
     private readonly listener: SendListener,
     /** Returns the number of connections that a server accepts from all gateways together, if it is known. */
-    private readonly getMaximumConnections: (server: routing.RoutedServer) => number | undefined
+    private readonly getMaximumConnections: (server: routing.RoutedServer) => number | undefined,
+    /** Returns why nothing may be sent to a server now, whatever it is; undefined if requests may be sent. */
+    private readonly getObstacle: (server: routing.RoutedServer) => string | undefined = () => undefined
   ) {}
 
   /** Sets the number of gateways that share the connections of each server. */
@@ -74,6 +81,11 @@
 
   /** Sends a request on an idle or new connection. With `mustSendOnce`, connections that the server may be closing are avoided. */
   send (server: routing.RoutedServer, request: types.OutgoingRequest, mustSendOnce: boolean, observer: connections.AnswerObserver): connections.ActiveSend {
+    const obstacle = this.getObstacle(server)
+    if (obstacle !== undefined) {
+      queueMicrotask(() => observer.failed({ kind: 'unsent', reason: obstacle }))
+      return noSend
+    }
     const { address } = server
     const connection = this.take(address, mustSendOnce, request.requestId) ?? new connections.ServerConnection(address, this.clock)
     const sentMs = this.clock.monotonicMs()
@@ -89,8 +101,16 @@
       } else {
         connection.close()
       }
-    })
-    return connection.send(request, poolingObserver)
+    }, () => this.listener.connectionFailed(server))
+    const activeSend = connection.send(request, poolingObserver)
+    return {
+      abort: () => {
+        poolingObserver.isAborted = true
+        activeSend.abort()
+      },
+      pause: () => activeSend.pause(),
+      resume: () => activeSend.resume()
+    }
   }
 
   /** Calls a server and buffers the answer; the outcome is `silent` after `timeoutMs`. */
@@ -198,12 +218,15 @@
 class PoolingObserver extends connections.AnswerObserver {
   private idleMs: number | undefined
   private isMismatched = false
+  /** Whether this gateway has closed the connection. */
+  isAborted = false
 
   constructor (
     private readonly observer: connections.AnswerObserver,
     private readonly requestId: string | undefined,
     private readonly readFacts: (status: number, rawHeaders: readonly string[]) => types.AnswerFacts,
-    private readonly returnConnection: (isClean: boolean, idleMs: number | undefined) => void
+    private readonly returnConnection: (isClean: boolean, idleMs: number | undefined) => void,
+    private readonly recordFailure: () => void
   ) {
     super()
   }
@@ -235,6 +258,9 @@
 
   override failed (failure: connections.TransportFailure): void {
     if (!this.isMismatched) {
+      if (!this.isAborted) {
+        this.recordFailure()
+      }
       this.returnConnection(false, undefined)
       this.observer.failed(failure)
     }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,6 +1,7 @@
 /**
  * Dependencies shared by the components of a gateway.
  */
+import type * as allowedRegions from './availability/allowed_regions.js'
 import type * as allowances from './allowance_limiter.js'
 import type * as choices from './plain_choice.js'
 import type * as connectionPools from './connection_pool.js'
@@ -32,6 +33,7 @@
   readonly guard: guards.PromptGuard
   readonly returns: returnSchedules.ReturnSchedule
   readonly directory: directories.Directory
+  readonly regions: allowedRegions.RegionMap
   readonly plainChoice: choices.PlainChoice
   readonly fleet: fleets.EngineFleet
   readonly outputs: outputs.OutputEstimate
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -24,6 +24,8 @@
 const lateWaitPart = 0.85
 /** Retry time without capacity: roughly how long the runs of a full server take. */
 const capacityRetryMs = 3_000
+/** Longest wait for a permit of a cold server once the prompt has been read, in milliseconds: what was read is kept for half a second by default. */
+const maximumPermitWaitMs = 400
 /** Memory that is committed for a run's output, in parts of the expected length: in a burst the peaks of runs coincide. */
 const committedOutputPart = 0.9
 /** Memory that a reservation requests, in the same parts: the engine must have it at once, while the run needs it gradually. */
@@ -37,6 +39,8 @@
   readonly server: routing.RoutedServer
   readonly reservation: string | undefined
   readonly permit: permits.PermitSource
+  /** When the permit was taken, on the monotonic clock, in milliseconds. */
+  readonly permitMs: number
 }
 
 export type PlacementResult = { readonly place: Placement } | { readonly failure: failures.Failure }
@@ -103,11 +107,11 @@
       }
       if (permit !== 'none') {
         // A reservation would use up a second request of the limit.
-        return { place: { server, reservation: undefined, permit } }
+        return { place: { server, reservation: undefined, permit, permitMs: this.now() } }
       }
       const reserved = await this.reserveAt(server)
       if (reserved.kind === 'taken') {
-        return { place: { server, reservation: reserved.reservation, permit } }
+        return { place: { server, reservation: reserved.reservation, permit, permitMs: this.now() } }
       }
       refused += 1
       this.context.fleet.releaseDecode(this.request.serial)
@@ -118,8 +122,7 @@
   }
 
   private createNoCapacityFailure (refused: number): failures.Failure {
-    const { directory } = this.context
-    const servers = directory.listReady(this.request.service.name)
+    const servers = this.listReady()
     if (this.areAllLimited(servers) && (this.passedOver > 0 || this.estimatePermitWaitMs(servers) > 0)) {
       return this.createLimitFailure(this.estimatePermitWaitMs(servers))
     }
@@ -140,7 +143,7 @@
   private awaitCapacity (): Promise<routing.RoutedServer | undefined> {
     const { capacityQueue: rooms } = this.context
     const committed = this.tryCommit()
-    const servers = this.context.directory.listReady(this.request.service.name)
+    const servers = this.listReady()
     if (committed !== undefined || this.reply.hasStarted || servers.length === 0) {
       return Promise.resolve(committed)
     }
@@ -199,12 +202,12 @@
   }
 
   private tryCommit (): routing.RoutedServer | undefined {
-    const { directory, fleet, permits: permitBook } = this.context
+    const { fleet, permits: permitBook } = this.context
     const profile = this.request.service.engine
     if (profile === undefined) {
       return undefined
     }
-    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
+    const servers = permitBook.selectAvailable(this.listReady())
     const ranked = fleet.rankDecode(servers, profile, this.committedTokens, this.now())
     if (this.isTrial) {
       return this.commitTrial(ranked, profile)
@@ -249,8 +252,8 @@
   }
 
   private estimatePrefillMs (): number {
-    const { directory, fleet, permits: permitBook } = this.context
-    const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
+    const { fleet, permits: permitBook } = this.context
+    const servers = permitBook.selectAvailable(this.listReady())
     return fleet.choosePrefill(servers, this.sizes.promptTokens, new Set(), this.now(), undefined)?.readyMs ?? 0
   }
 
@@ -273,6 +276,31 @@
     return { kind: 'refused' }
   }
 
+  /**
+   * Returns the placement with a permit that may be used now; undefined if none is to be had soon. Only cold servers need another permit
+   * than that of the placement: it is older than the prefill took, or the server has turned cold meanwhile.
+   */
+  async renewPermit (place: Placement): Promise<Placement | undefined> {
+    const { directory, permits: permitBook, system } = this.context
+    const untilMs = Math.min(this.now() + maximumPermitWaitMs, this.request.deadlineMs)
+    let { permit, permitMs } = place
+    while (!permitBook.isUsable(place.server, permit, permitMs)) {
+      permitBook.giveBack(place.server, permit)
+      permit = 'none'
+      const verdict = await permitBook.take(place.server)
+      if (verdict.kind === 'granted') {
+        permit = verdict.source
+        permitMs = this.now()
+        continue
+      }
+      if (this.reply.isGone || directory.isEvacuated(place.server) || this.now() + verdict.waitMs > untilMs) {
+        return undefined
+      }
+      await system.clock.sleep(Math.max(1, verdict.waitMs))
+    }
+    return { ...place, permit, permitMs }
+  }
+
   /** Releases what was reserved at a server and not used. */
   release (place: Placement | undefined): void {
     this.context.fleet.releaseDecode(this.request.serial)
@@ -280,8 +308,7 @@
       this.context.permits.giveBack(place.server, place.permit)
     }
     if (place?.reservation !== undefined) {
-      const { dialect, pool } = this.context
-      pool.call(place.server, dialect.writeReservationRelease(place.server, place.reservation), reservationTimeoutMs)
+      this.releaseAt(place.server, this.context.dialect.writeReservationRelease(place.server, place.reservation), reservationTimeoutMs)
         .catch((error: unknown) => this.log('reservation not released', { server: place.server.id, reason: String(error) }))
     }
     this.context.capacityQueue.dispatch(this.now())
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,6 +1,8 @@
 /**
  * The backend servers, as listed in the store.
  */
+import type * as coldServers from './availability/cold_servers.js'
+import * as evacuatedZones from './availability/evacuated_zones.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as replicas from './store_replica.js'
@@ -40,17 +42,32 @@
   /** Time until which a server must not be sent requests, in milliseconds. */
   private readonly backOffs = new Map<string, number>()
   private readonly unreadable = new Set<string>()
+  /** The faults in the latest entry of each server that has some, as logged. */
+  private readonly loggedFaults = new Map<string, string>()
+  private readonly evacuated: evacuatedZones.EvacuatedZones
   private byService = new Map<string, routing.RoutedServer[]>()
 
   constructor (
     private readonly documents: types.StoredDocuments,
     private readonly system: host.System,
-    private readonly onRemoved: (server: routing.RoutedServer) => void
+    private readonly onRemoved: (server: routing.RoutedServer) => void,
+    private readonly cold?: coldServers.ColdServers
   ) {
     super()
+    this.evacuated = new evacuatedZones.EvacuatedZones(system.log)
+  }
+
+  /** Number of evacuated zones. */
+  get evacuatedCount (): number {
+    return this.evacuated.count
   }
 
   override put (item: replicas.ReplicaItem): void {
+    const evacuatedZone = this.readEvacuation(item.key)
+    if (evacuatedZone !== undefined) {
+      this.evacuated.add(evacuatedZone, item.revision)
+      return
+    }
     if (!item.key.startsWith(this.documents.serverPrefix)) {
       return
     }
@@ -71,6 +88,7 @@
     const before = this.servers.get(id)
     this.servers.set(id, server)
     this.byService.clear()
+    this.recordColdState(server, before === undefined)
     if (before?.bornMs !== server.bornMs) {
       this.backOffs.delete(id)
     }
@@ -83,12 +101,18 @@
   }
 
   override removed (key: string, returnsUntilMs: number | undefined): void {
+    const evacuatedZone = this.readEvacuation(key)
+    if (evacuatedZone !== undefined) {
+      this.endEvacuation(evacuatedZone)
+      return
+    }
     const id = key.slice(this.documents.serverPrefix.length)
     const server = this.servers.get(id)
     if (!key.startsWith(this.documents.serverPrefix) || server === undefined) {
       return
     }
     this.servers.delete(id)
+    this.loggedFaults.delete(id)
     this.byService.clear()
     this.system.log.info('server removed', { server: id, service: server.service, mayReturn: returnsUntilMs !== undefined })
     if (returnsUntilMs !== undefined && server.state === 'ready') {
@@ -99,7 +123,14 @@
     this.onRemoved(server)
   }
 
-  override updated (): void {}
+  override updated (): void {
+    this.evacuated.check(new Set([...this.servers.values()].map(({ zone }) => zone)))
+  }
+
+  /** Tells whether the operator has evacuated the zone of a server, so that nothing may be sent to it. */
+  isEvacuated ({ zone }: routing.RoutedServer): boolean {
+    return this.evacuated.has(zone)
+  }
 
   /** Returns the servers of a service that accept new work. */
   listReady (service: string): readonly routing.RoutedServer[] {
@@ -114,7 +145,7 @@
       }
       this.byService.set(service, list)
     }
-    if (this.misdirected.size + this.leaving.size + this.backOffs.size === 0) {
+    if (this.misdirected.size + this.leaving.size + this.backOffs.size + this.evacuated.count === 0) {
       return list
     }
     const nowMs = this.system.clock.monotonicMs()
@@ -201,7 +232,7 @@
 
   /** Tells whether a server that the store lists as ready may get new work, judging by its own answers. */
   private isAvailable (server: routing.RoutedServer, nowMs: number): boolean {
-    return (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isBackingOff(server.id, nowMs) && !this.isLeaving(server, nowMs)
+    return !this.isEvacuated(server) && (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isBackingOff(server.id, nowMs) && !this.isLeaving(server, nowMs)
   }
 
   private isLeaving (server: routing.RoutedServer, nowMs: number): boolean {
@@ -225,6 +256,39 @@
     return server.writes < known.writes || (known === removed?.server && server.writes === known.writes)
   }
 
+  /** Returns the zone that a key of the store evacuates, if it is such a key. */
+  private readEvacuation (key: string): string | undefined {
+    const prefix = this.documents.evacuationPrefix
+    return prefix !== undefined && key.startsWith(prefix) ? key.slice(prefix.length) : undefined
+  }
+
+  private endEvacuation (zone: string): void {
+    if (!this.evacuated.remove(zone)) {
+      return
+    }
+    const nowMs = this.system.clock.monotonicMs()
+    for (const server of this.servers.values()) {
+      if (server.zone === zone) {
+        this.cold?.recordEvacuationEnd(server.id, nowMs)
+      }
+    }
+  }
+
+  /** Passes on what an entry says about a cold server; an entry of a server that was not listed says that it has come back. */
+  private recordColdState (server: routing.RoutedServer, isReturned: boolean): void {
+    if (isReturned) {
+      this.cold?.forget(server.id)
+    }
+    this.cold?.recordEntry(server, this.system.clock.monotonicMs())
+    const faults = server.faults?.join('; ')
+    if (faults === undefined) {
+      this.loggedFaults.delete(server.id)
+    } else if (!this.loggedFaults.has(server.id)) {
+      this.loggedFaults.set(server.id, faults)
+      this.system.log.warn('figures of a server entry ignored', { server: server.id, faults })
+    }
+  }
+
   private recordRemoval (server: routing.RoutedServer): void {
     const nowMs = this.system.clock.monotonicMs()
     removeOutdated(this.removedServers, nowMs)
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -25,6 +25,8 @@
   readonly arrivedMs: number
   /** Estimated time of the caller's first attempt; the latency goal of a generation counts from there. */
   readonly firstAttemptMs: number
+  /** Regions whose servers may get the request, its prompt and the memory of it; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined
   /** When the caller's or the route's time-out expires. */
   readonly deadlineMs: number
 }
@@ -67,7 +69,12 @@
   protected createNoServerFailure (retryAfterMs: number): failures.Failure {
     const { directory } = this.context
     const service = this.request.service.name
-    const backOffMs = directory.listReady(service).length === 0 ? directory.getBackOffMs(service) : undefined
+    const ready = this.listReady()
+    const backOffMs = ready.length === 0 ? directory.getBackOffMs(service) : undefined
+    const { allowedRegions } = this.request
+    if (ready.length === 0 && allowedRegions !== undefined) {
+      this.log('no ready server in the allowed regions', { service, allowedRegions: allowedRegions.join(','), readyElsewhere: directory.listReady(service).length })
+    }
     return failures.createFailure('not_run', 'no_server', [service], Math.max(retryAfterMs, backOffMs ?? 0))
   }
 
@@ -111,9 +118,28 @@
     this.log(message, { service, purpose, creditLeft: Number(credit.toFixed(2)), slackShare: Number(share.toFixed(3)) })
   }
 
+  /** Returns the ready servers of the request's service in the regions that the request may go to. */
+  protected listReady (): readonly routing.RoutedServer[] {
+    const { directory, regions } = this.context
+    return regions.select(directory.listReady(this.request.service.name), this.request.allowedRegions)
+  }
+
+  /**
+   * Makes a call of the gateway's own that frees what a server keeps for a request. It is left out for a cold server, whose few requests
+   * are for callers, and in an evacuated zone: the server frees by itself what is not used.
+   */
+  protected async releaseAt (server: routing.RoutedServer, outgoing: types.OutgoingRequest, timeoutMs: number): Promise<void> {
+    const { directory, permits: permitBook, pool } = this.context
+    if (directory.isEvacuated(server) || permitBook.isCold(server)) {
+      this.log('release not sent', { server: server.id, reason: directory.isEvacuated(server) ? 'the zone is evacuated' : 'the server is cold' })
+      return
+    }
+    await pool.call(server, outgoing, timeoutMs)
+  }
+
   /** Returns the ready servers of the request's service without those known to have no permit now, which count as passed over. */
   protected selectAvailable (): readonly routing.RoutedServer[] {
-    const servers = this.context.directory.listReady(this.request.service.name)
+    const servers = this.listReady()
     const available = this.context.permits.selectAvailable(servers)
     this.passedOver += servers.length - available.length
     return available
@@ -121,10 +147,10 @@
 
   /** Returns the failure for a request that no server may take because of its limit, with a retry time of `waitMs` at least. */
   protected createLimitFailure (waitMs = 0): failures.Failure {
-    const { directory, limits, permits: permitBook, returns } = this.context
+    const { limits, permits: permitBook, returns } = this.context
     const service = this.request.service.name
     const nowMs = this.now()
-    const limited = directory.listReady(service).filter(server => limits.getLimit(server, nowMs) !== undefined)
+    const limited = this.listReady().filter(server => limits.getLimit(server, nowMs) !== undefined)
     let nearest: routing.RoutedServer | undefined
     let nearestMs = Infinity
     for (const server of limited) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,9 @@
  * A gateway: the process between callers and backend servers that have no agent.
  */
 import * as http from 'node:http'
+import * as allowedRegions from './availability/allowed_regions.js'
+import * as coldLimits from './availability/cold_limit.js'
+import * as coldServers from './availability/cold_servers.js'
 import * as allowances from './allowance_limiter.js'
 import type * as deliveries from './answer_delivery.js'
 import * as peerTables from './peer_table.js'
@@ -47,6 +50,8 @@
 const gaugePeriodMs = 1_000
 /** How often credit for retries is issued, in milliseconds. */
 const creditPeriodMs = 250
+/** Tolerance for cold servers where the settings state none. */
+const strictTolerance: coldLimits.ColdTolerance = { over: 1, slack: 0 }
 /** How long a draining gateway accepts connections after it reports not ready: two failed probes and the balancer's reaction time. */
 const balancerLagMs = 2_500
 /** Time reserved for the exit at the end of the grace period. */
@@ -73,6 +78,7 @@
   private readonly stageCoordinator: stageCoordinators.StageCoordinator
   private readonly evidence: crashEvidences.CrashEvidence
   private readonly storeReplica: replicas.StoreReplica
+  private readonly cold: coldServers.ColdServers
   private readonly boot: string
   private readonly stalls: stallMonitors.StallMonitor
   private readonly stops: host.Stop[] = []
@@ -94,13 +100,20 @@
     this.stalls = new stallMonitors.StallMonitor(system.log)
     const health = new healths.ServerHealth()
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
-      ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections)
-    const limits = new serverLimits.ServerLimits(system.log)
+      ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections,
+      server => this.context.directory.isEvacuated(server) ? 'the zone is evacuated' : undefined)
+    const { availability } = options
+    this.cold = new coldServers.ColdServers(this.createColdProfiles(availability === undefined
+      ? strictTolerance
+      : { over: availability.coldOver, slack: availability.coldSlack }), system.log)
+    const limits = new serverLimits.ServerLimits(system.log, this.cold)
     this.issuers = new issuerChoices.IssuerChoice(options, node => this.peerTable.isResponsive(node))
     const permitBook = new permits.Permits(options.node, limits, this.issuers, this.createPermitChannel(), system)
     this.evidence = new crashEvidences.CrashEvidence(system.log)
     const trials = new partTrials.PartTrials(options.node, this.evidence, this.issuers, this.createTrialChannel(), system)
-    const guard = new guards.PromptGuard(this.evidence, trials, pool, dialect, system, this.meter, () => this.expediteGossip())
+    const guard = new guards.PromptGuard(this.evidence, trials, pool, dialect, system, this.meter, () => this.expediteGossip(),
+      async server => !this.context.directory.isEvacuated(server) &&
+        (!permitBook.isCold(server) || (await permitBook.take(server)).kind === 'granted'))
     const fleet = new fleets.EngineFleet(options.zone, health, system.random)
     const plainChoice = new choices.PlainChoice(options.zone, health)
     const directory = new directories.Directory(documents, system, server => {
@@ -110,7 +123,8 @@
       plainChoice.forget(server.id)
       limits.forget(server.id)
       permitBook.forget(server.id)
-    })
+      this.cold.forget(server.id)
+    }, this.cold)
     this.context = {
       system,
       settings: options,
@@ -123,6 +137,7 @@
       guard,
       returns: new returnSchedules.ReturnSchedule(),
       directory,
+      regions: new allowedRegions.RegionMap(availability?.regions ?? {}),
       plainChoice,
       fleet,
       outputs: new outputs.OutputEstimate(),
@@ -184,6 +199,13 @@
         system.log.info('store snapshot not fetched from seed', { seed, reason: String(error) })
       })
     }
+    const { faults = [], region, regions = {}, evacuationMs } = options.availability ?? {}
+    if (faults.length > 0) {
+      system.log.warn('settings ignored', { faults: faults.join('; ') })
+    }
+    if (evacuationMs !== undefined && Object.keys(regions).length > 0) {
+      system.log.info('zones and regions', { region, zones: Object.entries(regions).map(pair => pair.join('=')).join(',') })
+    }
     system.log.info('started', { boot: this.boot, zone: options.zone, ingress: options.ingress.port })
   }
 
@@ -275,6 +297,10 @@
       override answered (head: connectionPools.AnswerHead): void {
         gateway.recordAnswer(head)
       }
+
+      override connectionFailed (server: routing.RoutedServer): void {
+        gateway.cold.recordFailure(server, gateway.system.clock.monotonicMs())
+      }
     }()
   }
 
@@ -325,12 +351,29 @@
     }
     if (isMatching) {
       limits.recordAnswer(server, facts, sentMs, this.system.clock.monotonicMs())
+      if (facts.coldLeftMs !== undefined) {
+        this.cold.recordAnswer(server, facts.coldLeftMs, sentMs, this.system.clock.monotonicMs())
+      }
+    }
+  }
+
+  /** Returns the limits of cold servers by service; they change with the routing document. */
+  private createColdProfiles (tolerance: coldLimits.ColdTolerance): coldServers.ColdProfileSource {
+    const profiles = new WeakMap<routing.RoutedService, ReturnType<coldServers.ColdProfileSource>>()
+    return name => {
+      const service = this.context.routing.table?.getService(name)
+      if (service?.cold === undefined) {
+        return undefined
+      }
+      const profile = profiles.get(service) ?? { coldMs: service.cold.forMs, limit: coldLimits.createColdLimit(service.cold.perSecond, tolerance) }
+      profiles.set(service, profile)
+      return profile
     }
   }
 
   private createParty (): peerTables.LocalGateway {
     const { allowance, directory, fleet, health, limits } = this.context
-    const { evidence } = this
+    const { cold, evidence } = this
     const { clock } = this.system
     const { node, zone } = this.options
     const { boot, storeReplica: replica } = this
@@ -351,7 +394,8 @@
           outcomes: health.listOutcomes(nowMs),
           leaving: directory.listLeaving(),
           limits: limits.listReported(nowMs),
-          parts: evidence.listReported(nowMs)
+          parts: evidence.listReported(nowMs),
+          cold: cold.listReported(nowMs)
         }
       }
 
@@ -363,7 +407,8 @@
           outcomes: health.aggregateOutcomes(others, nowMs),
           leaving: directory.listLeaving(),
           limits: limits.listReported(nowMs),
-          parts: evidence.listReported(nowMs)
+          parts: evidence.listReported(nowMs),
+          cold: cold.listReported(nowMs)
         }
       }
 
@@ -378,6 +423,7 @@
         directory.mergeLeaving(work.leaving, gateway)
         limits.merge(work.limits ?? {}, gateway, heardMs, clock.monotonicMs())
         evidence.merge(work.parts ?? {}, gateway, heardMs, clock.monotonicMs())
+        cold.merge(work.cold ?? {}, heardMs, clock.monotonicMs())
       }
 
       override updateZone (state: messages.ZoneAggregate, heardMs: number): void {
@@ -392,6 +438,7 @@
         directory.mergeLeaving(state.work.leaving, state.teller)
         limits.merge(state.work.limits ?? {}, state.teller, heardMs, clock.monotonicMs())
         evidence.merge(state.work.parts ?? {}, state.teller, heardMs, clock.monotonicMs())
+        cold.merge(state.work.cold ?? {}, heardMs, clock.monotonicMs())
       }
 
       override forgetZone (lostZone: string): void {
@@ -442,6 +489,8 @@
     this.meter.gauge('gateway_stall_ms', {}, this.stalls.getLongestMs(nowMs))
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
+    this.meter.gauge('gateway_evacuated_zones', {}, this.context.directory.evacuatedCount)
+    this.meter.gauge('gateway_cold_servers', {}, this.cold.count(nowMs))
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
     const { suspect, blocked } = this.evidence.count(nowMs)
     this.meter.gauge('gateway_prompt_parts', { state: 'suspect' }, suspect)
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -29,6 +29,7 @@
 /** How much later the gateway stops a stream without events: callers get each event after it, and leave by themselves. */
 const stallMarginMs = 1_000
 
+const evacuatedReason = 'the zone is evacuated'
 const refusalStatuses: ReadonlySet<number> = new Set([400, 404])
 
 export class GenerationExchange extends exchanges.Exchange {
@@ -125,8 +126,12 @@
   }
 
   /** Prefills the prompt and streams at a placement; `retryReason` states why another placement is to be tried. */
-  private async runAtPlacement (place: decodePlacements.Placement): Promise<exchanges.ExchangeEnd | { readonly retryReason: string }> {
+  private async runAtPlacement (placement: decodePlacements.Placement): Promise<exchanges.ExchangeEnd | { readonly retryReason: string }> {
     const { fleet } = this.context
+    let place = placement
+    if (this.context.directory.isEvacuated(place.server)) {
+      return this.leavePlacement(place, undefined, evacuatedReason)
+    }
     const prefill = await this.promptPrefill.run(place.server)
     if (this.reply.isGone || !('cache' in prefill)) {
       this.placements.release(place)
@@ -141,13 +146,15 @@
       }
       return { retryReason: 'retry' in prefill ? prefill.retry : '' }
     }
+    const renewed = this.context.permits.isCold(place.server) ? await this.placements.renewPermit(place) : place
+    if (renewed === undefined || this.reply.isGone) {
+      const left = this.leavePlacement(renewed ?? { ...place, permit: 'none' }, prefill.cache, 'no permit for the cold server')
+      return this.reply.isGone ? this.createAbandonedEnd(place.server.id) : left
+    }
+    place = renewed
     const obstacle = this.findObstacle(place.server)
     if (obstacle !== undefined) {
-      this.placements.release(place)
-      if (prefill.cache !== undefined) {
-        this.releaseCache(prefill.cache)
-      }
-      return { retryReason: obstacle }
+      return this.leavePlacement(place, prefill.cache, obstacle)
     }
     if (!this.reserveSend(this.sends)) {
       this.placements.release(place)
@@ -160,8 +167,20 @@
     return await this.conclude(place, end)
   }
 
+  /** Releases what a placement holds, so that another one is tried. */
+  private leavePlacement (place: decodePlacements.Placement, cache: types.CacheSource | undefined, retryReason: string): { readonly retryReason: string } {
+    this.placements.release(place)
+    if (cache !== undefined) {
+      this.releaseCache(cache)
+    }
+    return { retryReason }
+  }
+
   /** Returns why the run must not be sent to a server that was fit for it before the prefill. */
   private findObstacle (server: routing.RoutedServer): string | undefined {
+    if (this.context.directory.isEvacuated(server)) {
+      return evacuatedReason
+    }
     if (this.context.directory.isBackingOff(server.id, this.now())) {
       return 'the server asked to back off'
     }
@@ -311,10 +330,10 @@
   }
 
   private releaseCache (cache: types.CacheSource): void {
-    const { dialect, directory, pool } = this.context
+    const { dialect, directory } = this.context
     const server = directory.listAll().find(candidate => candidate.address === cache.address)
     if (server !== undefined) {
-      pool.call(server, dialect.writeCacheRelease(server, cache.handle), decodePlacements.reservationTimeoutMs)
+      this.releaseAt(server, dialect.writeCacheRelease(server, cache.handle), decodePlacements.reservationTimeoutMs)
         .catch((error: unknown) => this.log('KV cache not released', { server: server.id, reason: String(error) }))
     }
   }
--- a/src/gateway/issuer_choice.ts
+++ b/src/gateway/issuer_choice.ts
@@ -65,11 +65,16 @@
 
   /** Returns the fraction of a limit that this gateway may issue: the other side of a partition issues the rest. */
   getIssuedPart (): number {
+    return Math.min(1, this.getResponsivePart() * (1 + partitionExcess))
+  }
+
+  /** Returns the responsive gateways as a fraction of all: what the sides of a network partition issue of a limit that must not be exceeded. */
+  getResponsivePart (): number {
     let responsive = 0
     for (const { node } of this.members) {
       responsive += node === this.own.node || this.isResponsive(node) ? 1 : 0
     }
-    return Math.min(1, responsive / this.members.length * (1 + partitionExcess))
+    return responsive / this.members.length
   }
 
   forget (server: string): void {
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -24,6 +24,13 @@
 const LimitStatement = z.tuple([z.number(), z.number(), z.number()])
 export type LimitStatement = z.infer<typeof LimitStatement>
 
+/**
+ * What a server's answer said about its cold time: the time left and the start time of its process in milliseconds since the Unix
+ * epoch, or 0, and the time since it was observed, in milliseconds.
+ */
+const ColdStatement = z.tuple([z.number(), z.number(), z.number()])
+export type ColdStatement = z.infer<typeof ColdStatement>
+
 /** Evidence on a part of prompts: ends of servers on which it was in flight without an answer, and the latest answer that began on it. */
 export const PartStatement = z.object({
   /** Server process, workspace of the run, weight of the evidence, age in milliseconds, and the other parts of the run. */
@@ -50,7 +57,9 @@
   /** Limits that servers state; absent where there are none, and from gateways that do not know limits. */
   limits: collections.dictionary(LimitStatement).optional(),
   /** Evidence on parts of prompts that may end servers; absent where there is none, and from gateways that do not know it. */
-  parts: collections.dictionary(PartStatement).optional()
+  parts: collections.dictionary(PartStatement).optional(),
+  /** What servers' answers said about their cold times; absent where there is nothing, and from gateways that do not know cold servers. */
+  cold: collections.dictionary(ColdStatement).optional()
 })
 export type GatewayStatus = z.infer<typeof GatewayStatus>
 
@@ -96,7 +105,9 @@
   wanted: z.number().int().nonnegative(),
   /** Requests that the gateway sent without a permit since its last order; negative for permits that it did not use. */
   spent: z.number().int(),
-  statement: LimitStatement.optional()
+  statement: LimitStatement.optional(),
+  /** Requests a second and depth of the limit of a server that is cold as far as the gateway knows: the issuer may not know it yet. */
+  cold: z.tuple([z.number(), z.number()]).optional()
 })
 export type PermitOrder = z.infer<typeof PermitOrder>
 
@@ -104,7 +115,9 @@
   granted: z.number().int().nonnegative(),
   /** Time after which a gateway that got fewer permits than it wanted may order again, in milliseconds. */
   waitMs: z.number().nonnegative(),
-  statement: LimitStatement.optional()
+  statement: LimitStatement.optional(),
+  /** Whether the issuer applied the limit of a cold server; absent from gateways that do not know cold servers. */
+  isCold: z.boolean().optional()
 })
 export type PermitGrant = z.infer<typeof PermitGrant>
 
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -4,7 +4,11 @@
  * One gateway issues all permits of a server, so that the gateways together keep its limit whatever each of them is asked for.
  * While the issuer does not answer, a gateway uses its even share of the limit. Every send is counted: one without a permit is
  * reported to the issuer, which issues fewer permits afterwards.
+ *
+ * A cold server has a bound for any one second. Its permits are granted for waiting requests only, used within their lifetime or
+ * lost, and never credited again: returned ones would be granted once more in the same second.
  */
+import * as coldLimits from './availability/cold_limit.js'
 import * as host from '../host/types.js'
 import * as issuerChoices from './issuer_choice.js'
 import * as messages from './peer_messages.js'
@@ -27,6 +31,13 @@
 const orderJitterMs = 8
 /** Orders for which one request waits: the one in progress, and one that includes the request. */
 const maximumOrders = 2
+/** Time for which permits for a cold server that no request waits for any more may be taken, in milliseconds. */
+const coldHeldMs = 20
+/** Time between two orders of one gateway that gets no permit, for each gateway and at most, in milliseconds: bounds the issuer's work. */
+const coldOrderSpacingMs = 4
+const maximumColdSpacingMs = 500
+/** Limits on what another gateway states about a cold server. */
+const maximumColdPerSecond = 1_000_000
 
 /** Where a permit comes from; `none`: the server has no limit. */
 export type PermitSource = 'none' | 'issuer' | 'share'
@@ -63,6 +74,8 @@
   silentUntilMs: number
   /** Set while the issuer does not answer. */
   share: Share | undefined
+  /** This gateway's even share of the limit of a cold server. */
+  coldShare: coldLimits.ColdBucket | undefined
   /** The order in progress. */
   order: Promise<void> | undefined
   waiting: number
@@ -74,6 +87,8 @@
 export class Permits {
   private readonly accounts = new Map<string, Account>()
   private readonly issuer = new permitIssuers.PermitIssuer()
+  /** What this gateway may issue for cold servers. */
+  private readonly coldBuckets = new Map<string, coldLimits.ColdBucket>()
 
   constructor (
     private readonly node: string,
@@ -101,11 +116,24 @@
     const account = this.accounts.get(server.id)
     if (source !== 'none' && account !== undefined && account.taken > 0) {
       account.taken -= 1
+      if (this.getCold(server) !== undefined) {
+        return
+      }
       account.held += 1
       account.heldUntilMs = this.now() + permitLifetimeMs
     }
   }
 
+  /** Tells whether a request may be sent to a server now with what was taken for it at a time on the monotonic clock. */
+  isUsable (server: routing.RoutedServer, source: PermitSource, takenMs: number): boolean {
+    return this.getCold(server) === undefined || (source !== 'none' && this.now() - takenMs <= coldLimits.coldPermitMs)
+  }
+
+  /** Tells whether a server is cold, so that no request may reach it without a permit. */
+  isCold (server: routing.RoutedServer): boolean {
+    return this.getCold(server) !== undefined
+  }
+
   /** Counts a request that is sent to a server, with a permit or without. */
   recordSend (server: routing.RoutedServer): void {
     const taken = this.accounts.get(server.id)
@@ -155,6 +183,11 @@
     }
     const known = this.limits.describe(server, nowMs)
     const perSecond = this.limits.getStatedLimit(server)
+    const cold = this.limits.getColdLimit(server, nowMs) ?? readColdLimit(order)
+    if (cold !== undefined) {
+      return { ...this.issueCold(order, cold, perSecond ?? Infinity), statement: known, isCold: true }
+    }
+    this.coldBuckets.delete(server)
     if (perSecond === undefined) {
       return { granted: order.wanted, waitMs: 0, statement: known }
     }
@@ -164,6 +197,7 @@
   /** Drops all permits of a server that has been removed. */
   forget (server: string): void {
     this.accounts.delete(server)
+    this.coldBuckets.delete(server)
     this.issuer.forget(server)
     this.choice.forget(server)
   }
@@ -182,7 +216,7 @@
 
   /** Decides without the issuer; undefined if it must be asked. */
   private takeLocally (server: routing.RoutedServer, account: Account, limit: number): PermitVerdict | undefined {
-    this.dropExpired(account)
+    this.dropExpired(server, account)
     const waitMs = this.getKnownWaitMs(server, account, limit)
     if (waitMs === undefined) {
       return undefined
@@ -194,7 +228,10 @@
       account.held -= 1
       return { kind: 'granted', source: 'issuer' }
     }
-    if (account.share !== undefined) {
+    const cold = this.getColdShare(server)
+    if (cold !== undefined) {
+      account.coldShare?.take(1, cold, this.now())
+    } else if (account.share !== undefined) {
       account.share.level -= 1
     }
     return { kind: 'granted', source: 'share' }
@@ -212,13 +249,39 @@
     if (nowMs >= account.silentUntilMs || this.choice.choose(server) !== account.issuer) {
       return undefined
     }
-    return this.refillShare(account, limit)
+    const cold = this.getColdShare(server)
+    if (cold === undefined) {
+      return this.refillShare(account, limit)
+    }
+    account.coldShare ??= new coldLimits.ColdBucket(nowMs, cold.depth, () => this.system.random.nextUnit())
+    return account.coldShare.getWaitMs(cold, nowMs)
+  }
+
+  /** Returns this gateway's even share of the limit of a cold server. */
+  private getColdShare (server: routing.RoutedServer): coldLimits.ColdLimit | undefined {
+    const cold = this.getCold(server)
+    return cold === undefined ? undefined : coldLimits.scaleLimit(cold, 1 / this.choice.gatewayCount)
+  }
+
+  private getCold (server: routing.RoutedServer): coldLimits.ColdLimit | undefined {
+    return this.limits.getColdLimit(server.id, this.now())
+  }
+
+  /** Issues permits for a cold server; a limit that it states as well is kept, too. */
+  private issueCold ({ server, wanted, spent }: messages.PermitOrder, cold: coldLimits.ColdLimit, statedPerSecond: number): messages.PermitGrant {
+    const nowMs = this.now()
+    const limit = coldLimits.scaleLimit({ ...cold, perSecond: Math.min(cold.perSecond, statedPerSecond) }, this.choice.getResponsivePart())
+    const bucket = this.coldBuckets.get(server) ?? new coldLimits.ColdBucket(nowMs, limit.depth, () => this.system.random.nextUnit())
+    this.coldBuckets.set(server, bucket)
+    bucket.spend(spent, limit, nowMs)
+    const { granted, waitMs } = bucket.take(wanted, limit, nowMs)
+    return { granted, waitMs: Math.max(waitMs, Math.min(maximumColdSpacingMs, this.choice.gatewayCount * coldOrderSpacingMs)) }
   }
 
   /** Counts expired permits as unused. */
-  private dropExpired (account: Account): void {
+  private dropExpired (server: routing.RoutedServer, account: Account): void {
     if (account.held > 0 && account.heldUntilMs <= this.now()) {
-      account.spent -= account.held
+      account.spent -= this.getCold(server) === undefined ? account.held : 0
       account.held = 0
     }
   }
@@ -249,12 +312,23 @@
     const startedMs = this.now()
     const { spent } = account
     const limit = this.limits.getLimit(server, startedMs) ?? 0
-    const ahead = account.waiting === 0 ? 0 : Math.floor(Math.min(account.attemptsPerSecond, limit) * orderAheadMs / 1000)
+    const cold = this.getCold(server)
+    const ahead = account.waiting === 0 || cold !== undefined ? 0 : Math.floor(Math.min(account.attemptsPerSecond, limit) * orderAheadMs / 1000)
     const wanted = account.waiting + ahead
     account.spent = 0
-    const order = { node: this.node, server: server.id, wanted, spent, statement: this.limits.describe(server.id, startedMs) }
+    const order: messages.PermitOrder = {
+      node: this.node,
+      server: server.id,
+      wanted,
+      spent,
+      statement: this.limits.describe(server.id, startedMs),
+      ...(cold === undefined ? {} : { cold: [cold.perSecond, cold.depth] })
+    }
     try {
       const grant = issuer === this.node ? this.decide(order) : await this.channel.ask(issuer, order)
+      if (cold !== undefined && grant.isCold !== true) {
+        throw new Error('the issuer does not know cold servers')
+      }
       this.applyGrant(server, account, wanted, grant, issuer)
     } catch (error) {
       account.spent += spent
@@ -270,7 +344,7 @@
     account.share = undefined
     account.silentUntilMs = -Infinity
     account.held += grant.granted
-    account.heldUntilMs = nowMs + permitLifetimeMs
+    account.heldUntilMs = nowMs + (this.getCold(server) === undefined ? permitLifetimeMs : coldHeldMs)
     if (grant.granted < wanted) {
       account.emptyUntilMs = nowMs + grant.waitMs + this.system.random.nextUnit() * orderJitterMs
     }
@@ -316,6 +390,7 @@
       emptyUntilMs: -Infinity,
       silentUntilMs: -Infinity,
       share: undefined,
+      coldShare: undefined,
       order: undefined,
       waiting: 0,
       attemptsPerSecond: 0,
@@ -330,6 +405,12 @@
   }
 }
 
+/** Returns the limit of a cold server that another gateway states; undefined for figures that are none. */
+function readColdLimit ({ cold }: messages.PermitOrder): coldLimits.ColdLimit | undefined {
+  const [perSecond = -1, depth = -1] = cold ?? []
+  return perSecond >= 0 && perSecond <= maximumColdPerSecond && depth >= 0 && depth <= maximumColdPerSecond ? { perSecond, depth } : undefined
+}
+
 function recordAttempt (account: Account, nowMs: number): void {
   const decay = Math.exp(-(nowMs - account.attemptedMs) / attemptAveragingMs)
   account.attemptsPerSecond = account.attemptsPerSecond * decay + 1000 / attemptAveragingMs
--- a/src/gateway/prompt_guard.ts
+++ b/src/gateway/prompt_guard.ts
@@ -56,7 +56,9 @@
     private readonly dialect: types.Dialect,
     private readonly system: host.System,
     private readonly meter: metrics.Meter,
-    private readonly onChange: () => void
+    private readonly onChange: () => void,
+    /** Tells whether a request of the gateway's own may be sent to a server now. */
+    private readonly mayAsk: (server: routing.RoutedServer) => Promise<boolean> = async () => true
   ) {
     evidence.onChange = () => this.handleChange()
   }
@@ -170,12 +172,12 @@
   }
 
   private async askServer (server: routing.RoutedServer): Promise<boolean> {
-    if (server.stage === undefined) {
+    if (server.stage === undefined || !await this.mayAsk(server)) {
       return await this.pool.isRefusing(server, endCheckTimeoutMs)
     }
     const ask = async (): Promise<connectionPools.CallOutcome> => await this.pool.call(server, this.dialect.writeReportRequest(server), endCheckTimeoutMs)
     let outcome = await ask()
-    if (outcome.kind === 'lost') {
+    if (outcome.kind === 'lost' && await this.mayAsk(server)) {
       // A kept connection may have ended with the process.
       outcome = await ask()
     }
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -52,11 +52,12 @@
   /** Prefills the prompt at a prefill server, or leaves that to the decode server where this is better for all runs. */
   async run (decodeServer: routing.RoutedServer): Promise<PrefillResult> {
     const { directory, fleet, permits } = this.context
+    const isLeaving = (server: routing.RoutedServer): boolean => directory.isEvacuated(server)
     const tried = new Set<string>()
     const passedOver = new Set<string>()
     let reason = ''
     while (tried.size < maximumPrefillServers && !this.reply.isGone) {
-      const servers = permits.selectAvailable(directory.listReady(this.request.service.name))
+      const servers = permits.selectAvailable(this.listReady())
       const excluded = new Set([...tried, ...passedOver])
       const choice = fleet.choosePrefill(servers, getSizes(this.request.arrival).promptTokens, excluded, this.now(), decodeServer.zone)
       const unloadedMs = fleet.estimatePrefillMs('', getSizes(this.request.arrival).promptTokens, this.now())
@@ -74,6 +75,15 @@
         permits.giveBack(choice.server, permit)
         break
       }
+      if (isLeaving(decodeServer)) {
+        permits.giveBack(choice.server, permit)
+        return { retry: 'the zone of the decode server is evacuated' }
+      }
+      if (isLeaving(choice.server)) {
+        permits.giveBack(choice.server, permit)
+        passedOver.add(choice.server.id)
+        continue
+      }
       if (!this.reserveSend(this.sends)) {
         permits.giveBack(choice.server, permit)
         return { failure: this.createBudgetFailure() }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -4,6 +4,7 @@
 import type * as http from 'node:http'
 import type * as deliveries from './answer_delivery.js'
 import * as allowances from './allowance_limiter.js'
+import * as allowedRegions from './availability/allowed_regions.js'
 import * as bodies from './body_reader.js'
 import type * as callerConnections from './caller_connection.js'
 import * as firstAttemptEstimates from './first_attempt_estimate.js'
@@ -178,6 +179,7 @@
       priority: workspace?.priority ?? route.priority,
       arrivedMs,
       firstAttemptMs: estimatedFirstAttemptMs,
+      allowedRegions: allowedRegions.intersectRegions(route.allowedRegions, workspace?.allowedRegions),
       deadlineMs: arrivedMs + effectiveTimeoutMs
     }
     const exchange = isGeneration
--- a/src/gateway/routing_follower.ts
+++ b/src/gateway/routing_follower.ts
@@ -7,6 +7,9 @@
 import * as tables from './routing_table.js'
 import * as types from './types.js'
 
+/** Limit on the text of faults in the log, in characters. */
+const loggedFaultsLength = 1_000
+
 export class RoutingFollower extends replicas.ReplicaObserver {
   private version = -Infinity
 
@@ -32,6 +35,9 @@
       this.system.log.warn('ignored a routing document older than the one in force', { version: document.version, inForce: this.version })
       return
     }
+    if (document.faults !== undefined && document.version !== this.version) {
+      this.system.log.warn('figures of the routing document ignored', { version: document.version, faults: document.faults.join('; ').slice(0, loggedFaultsLength) })
+    }
     this.version = document.version
     this.enforce(new tables.RoutingTable(document))
     this.system.log.info('configuration in force', {
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -1,9 +1,12 @@
 /**
- * Limits that servers state in their answers: the requests a second that a server takes from all gateways together.
+ * Limits that servers state in their answers: the requests a second that a server takes from all gateways together. The limit of a
+ * cold server, which is stated by the configuration, comes on top.
  *
  * A limit belongs to one process of a server and holds for as long as its answers state it. Gateways report statements to each
  * other; of two about the same process the later one counts. Performs no input or output.
  */
+import type * as coldLimits from './availability/cold_limit.js'
+import type * as coldServers from './availability/cold_servers.js'
 import * as host from '../host/types.js'
 import * as messages from './peer_messages.js'
 import * as routing from '../contracts/routing.js'
@@ -39,7 +42,7 @@
   /** Position in the statements from which the next message takes those that have not changed lately. */
   private nextReported = 0
 
-  constructor (private readonly log: host.Log) {}
+  constructor (private readonly log: host.Log, private readonly cold?: coldServers.ColdServers) {}
 
   /** Number of servers with a limit in force. */
   get count (): number {
@@ -54,7 +57,14 @@
   getLimit (server: routing.RoutedServer, nowMs: number): number | undefined {
     const statement = this.statements.get(server.id)
     const isInForce = statement !== undefined && statement.bornMs >= (server.bornMs ?? 0) && nowMs - statement.observedMs <= retentionMs
-    return isInForce ? statement.perSecond : undefined
+    const stated = isInForce ? statement.perSecond : undefined
+    const cold = this.cold?.getLimit(server.id, nowMs)
+    return cold === undefined ? stated : Math.min(cold.perSecond, stated ?? Infinity)
+  }
+
+  /** Returns the limit of a cold server, which lies below its bound; undefined for any other. */
+  getColdLimit (server: string, nowMs: number): coldLimits.ColdLimit | undefined {
+    return this.cold?.getLimit(server, nowMs)
   }
 
   /** Requests a second by the latest statement of a server, whichever of its processes made it. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -47,6 +47,19 @@
     windowMs: milliseconds,
     /** Retries in a window in addition to the ratio, summed over all gateways. */
     slack: z.number().nonnegative()
-  })
+  }),
+  availability: z.object({
+    /** Requests that a cold server may get in any one second, as a factor on its rate and in addition. */
+    coldOver: z.number().nonnegative(),
+    coldSlack: z.number().nonnegative(),
+    /** Time after the store's acknowledgement of an evacuation from which no request may reach a server of the zone. */
+    evacuationMs: milliseconds,
+    /** Region of this gateway's zone; absent if it is not known. */
+    region: z.string().optional(),
+    /** Region of each zone that the settings state. */
+    regions: z.record(z.string(), z.string()),
+    /** Settings that are out of range and were replaced by their defaults, for the log. */
+    faults: z.array(z.string())
+  }).optional()
 })
 export type GatewaySettings = z.infer<typeof GatewaySettings>
--- a/src/gateway/stage_coordinator.ts
+++ b/src/gateway/stage_coordinator.ts
@@ -194,6 +194,7 @@
       return
     }
     const permit = await permits.take(server)
+    const permitMs = system.clock.monotonicMs()
     if (permit.kind === 'refused') {
       system.log.info('no stage change order', { server: server.id, reason: 'the limit of the server allows no order now' })
       return
@@ -203,6 +204,11 @@
       permits.giveBack(server, permit.source)
       return
     }
+    if (this.context.directory.isEvacuated(server) || !permits.isUsable(server, permit.source, permitMs)) {
+      system.log.info('no stage change order', { server: server.id, reason: 'the zone was evacuated or the permit for the cold server expired meanwhile' })
+      permits.giveBack(server, permit.source)
+      return
+    }
     this.pendingOrders.set(server.id, { service, to, untilMs: system.clock.monotonicMs() + effectTimeoutMs })
     this.context.fleet.setSwitching(this.listSwitching())
     const outgoing = dialect.writeStageOrder(server, { stage: to, holder: settings.node, fence: fencingToken, expectedOrders: orders })
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -90,6 +90,8 @@
   readonly backOffMs: number | undefined
   /** Requests a second that the server takes from all gateways together; undefined if it states no limit. */
   readonly limitPerSecond: number | undefined
+  /** How long the server stays cold, in milliseconds; undefined if it does not say. */
+  readonly coldLeftMs?: number | undefined
 }
 
 /** A prompt that a server has prefilled. */
@@ -144,6 +146,8 @@
 export abstract class StoredDocuments {
   abstract readonly routingKey: string
   abstract readonly serverPrefix: string
+  /** Prefix of the keys whose remainders name evacuated zones; undefined if there are no evacuations. */
+  readonly evacuationPrefix: string | undefined = undefined
   abstract readRouting (value: string): failures.Result<routing.RoutingDocument>
   /** `id` is the key without the prefix. */
   abstract readServer (id: string, value: string): failures.Result<routing.RoutedServer>
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -56,6 +56,8 @@
   gateway_stall_ms: createMetric('gauge', [], 'Longest time for which the event loop stood still within the last minute, in milliseconds; 0 up to 100.'),
   gateway_waiting: createMetric('gauge', [], 'Generations that wait for room.'),
   gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
+  gateway_evacuated_zones: createMetric('gauge', [], 'Zones that the operator has evacuated, as far as this gateway knows.'),
+  gateway_cold_servers: createMetric('gauge', [], 'Servers that count as cold, whose requests are limited.'),
   gateway_server_limits: createMetric('gauge', [], 'Servers whose answers state a limit of requests a second.'),
   gateway_limited_sends_total: createMetric('counter', [], 'Requests sent to servers with a limit in force, control calls included.'),
   gateway_prompt_parts: createMetric('gauge', ['state'], 'Parts of prompts that are suspected or blocked because servers ended on them.'),
