--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -63,6 +63,8 @@
   gateway_prompts_held_total: createMetric('counter', [], 'Generations late in any case whose prompts were not read at once, so that they do not delay others.'),
   gateway_capacity_return_ms: createMetric('histogram', [], 'Time to come back that generations refused for lack of decode memory were given, in milliseconds; for services with routes of different priorities.'),
   gateway_in_flight: createMetric('gauge', [], 'Requests without a final answer.'),
+  gateway_evacuated_zones: createMetric('gauge', [], 'Zones that the operator has evacuated, as far as this gateway knows.'),
+  gateway_cold_servers: createMetric('gauge', [], 'Servers that count as cold, whose requests are limited.'),
   gateway_server_limits: createMetric('gauge', [], 'Servers whose answers state a limit of requests a second.'),
   gateway_limited_sends_total: createMetric('counter', [], 'Requests sent to servers with a limit in force, control calls included.'),
   gateway_prompt_parts: createMetric('gauge', ['state'], 'Parts of prompts that are suspected or blocked because servers ended on them.'),
