Pace of servers that start or return: slow start by their answers, shared by all gateways

A server that returned while traffic ran got its whole share at once from every gateway, or from none.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -12,6 +12,7 @@
 import type * as metrics from '../metrics/types.js'
 import type * as outputs from './output_estimate.js'
 import type * as permits from './permits.js'
+import type * as paces from './pace/server_pace.js'
 import type * as retries from './retry_budget.js'
 import type * as returnSchedules from './return_schedule.js'
 import type * as capacityQueues from './capacity_queue.js'
@@ -29,6 +30,7 @@
   readonly health: healths.ServerHealth
   readonly limits: serverLimits.ServerLimits
   readonly permits: permits.Permits
+  readonly pace: paces.ServerPace
   readonly guard: guards.PromptGuard
   readonly returns: returnSchedules.ReturnSchedule
   readonly directory: directories.Directory
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -31,6 +31,8 @@
 
 /** Number of servers with the fewest runs among which a trial's is drawn: trials of other gateways must not meet there. */
 const trialServerChoices = 3
+/** Time before the end of a request's wait from which it may go to a recovering server beyond that server's pace, in milliseconds: two checks of the queue. */
+const paceWaitMarginMs = 50
 
 /** A decode server with what has been reserved there. */
 export interface Placement {
@@ -199,13 +201,17 @@
   }
 
   private tryCommit (): routing.RoutedServer | undefined {
-    const { directory, fleet, permits: permitBook } = this.context
+    const { directory, fleet, pace, permits: permitBook } = this.context
     const profile = this.request.service.engine
     if (profile === undefined) {
       return undefined
     }
     const servers = permitBook.selectAvailable(directory.listReady(this.request.service.name))
-    const ranked = fleet.rankDecode(servers, profile, this.committedTokens, this.now())
+    let ranked = fleet.rankDecode(servers, profile, this.committedTokens, this.now())
+    const isPaced = ranked.length === 0 && servers.some(server => pace.getPart(server, this.now()) < 1)
+    if (isPaced && this.isLastChance()) {
+      ranked = fleet.rankDecode(servers, profile, this.committedTokens, this.now(), true)
+    }
     if (this.isTrial) {
       return this.commitTrial(ranked, profile)
     }
@@ -216,6 +222,11 @@
     return best
   }
 
+  /** Whether the request is refused without a place now. The pace of a recovering server is no reason for that. */
+  private isLastChance (): boolean {
+    return this.reply.hasStarted || this.now() >= this.planQueueing().latestMs - paceWaitMarginMs
+  }
+
   /** Commits the whole memory of the server, which keeps other work away from it at all gateways; of one server at a time. */
   private commitTrial (servers: readonly routing.RoutedServer[], profile: routing.EngineProfile): routing.RoutedServer | undefined {
     const { fleet, guard, system } = this.context
@@ -268,6 +279,7 @@
       return { kind: 'taken', reservation: hold.unsafeCoerce() }
     }
     this.context.fleet.recordRefusal(server.id, promptPrefills.fullServerExclusionMs, this.now())
+    this.context.pace.recordRefusal(server, this.now())
     this.context.meter.count('gateway_room_refused_total', {})
     this.log('reservation refused', { server: server.id, status: outcome.status, neededTokens: this.reservedTokens })
     return { kind: 'refused' }
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -45,7 +45,9 @@
   constructor (
     private readonly documents: types.StoredDocuments,
     private readonly system: host.System,
-    private readonly onRemoved: (server: routing.RoutedServer) => void
+    private readonly onRemoved: (server: routing.RoutedServer) => void,
+    /** Called for a server, or a process of a server, that was not known before. */
+    private readonly onStarted: (server: routing.RoutedServer) => void = () => {}
   ) {
     super()
   }
@@ -66,9 +68,10 @@
       this.system.log.info('ignored a server entry older than the known one', { server: id, state: server.state, writes: server.writes, revision: item.revision })
       return
     }
+    const before = this.servers.get(id)
+    const known = before ?? this.expiredServers.get(id)?.server
     this.expiredServers.delete(id)
     this.removedServers.delete(id)
-    const before = this.servers.get(id)
     this.servers.set(id, server)
     this.byService.clear()
     if (before?.bornMs !== server.bornMs) {
@@ -80,6 +83,9 @@
         server: id, service: server.service, state: server.state, stage: server.stage, address: server.address, revision: item.revision
       })
     }
+    if (known === undefined || known.bornMs !== server.bornMs) {
+      this.onStarted(server)
+    }
   }
 
   override removed (key: string, returnsUntilMs: number | undefined): void {
@@ -126,6 +132,11 @@
     return (this.backOffs.get(id) ?? 0) > nowMs
   }
 
+  /** When the back-off of a server ends; undefined if none is running. */
+  getBackOffEndMs (id: string, nowMs: number): number | undefined {
+    return this.isBackingOff(id, nowMs) ? this.backOffs.get(id) : undefined
+  }
+
   /** Milliseconds until the first back-off among the servers of a service ends, if any is running. */
   getBackOffMs (service: string): number | undefined {
     const nowMs = this.system.clock.monotonicMs()
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -4,6 +4,7 @@
  * A gateway counts its own requests immediately and receives the committed load of the other gateways by gossip. Engines
  * make the final decision by granting or refusing a reservation. Performs no input or output.
  */
+import * as capacityParts from './pace/capacity_parts.js'
 import * as healths from './server_health.js'
 import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
@@ -102,9 +103,17 @@
   private readonly observedSwitching = new Map<string, ObservedSwitch>()
   private otherGateways = 0
 
-  constructor (private readonly zone: string, private readonly health: healths.ServerHealth, private readonly random: host.Random) {}
+  constructor (
+    private readonly zone: string,
+    private readonly health: healths.ServerHealth,
+    private readonly random: host.Random,
+    private readonly parts: capacityParts.CapacityParts = new capacityParts.FullCapacity()
+  ) {}
 
   bookDecode (run: string, server: string, tokens: number): void {
+    if (this.decodes.get(run)?.server !== server) {
+      this.parts.recordStart(server)
+    }
     this.releaseDecode(run)
     this.decodes.set(run, { server, tokens })
     this.addOwnLoad(server, 1, tokens, 0)
@@ -133,6 +142,7 @@
   bookPrefill (run: string, server: string, tokens: number, nowMs: number): void {
     this.prefills.set(run, { server, tokens, startedMs: nowMs, aheadTokens: this.getPendingPromptTokens(server, nowMs) })
     this.addOwnLoad(server, 0, 0, tokens)
+    this.parts.recordStart(server)
   }
 
   /** Ends a prefill; a successful one updates the estimated speed of its engine. */
@@ -268,9 +278,12 @@
     return { bookings, offered, switching: [...switching] }
   }
 
-  /** Returns the engines whose estimated free capacity holds the tokens, the one with the most free memory first. */
+  /**
+   * Returns the engines whose estimated free capacity holds the tokens, the one with the most free memory first. Recovering servers have a
+   * part of their capacity, at least for one run, unless `mayExceedPace`.
+   */
   rankDecode (
-    servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number
+    servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number, mayExceedPace = false
   ): routing.RoutedServer[] {
     const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
     for (const server of servers) {
@@ -278,12 +291,15 @@
         continue
       }
       const { runs, tokens: used } = this.getLoad(server.id, nowMs)
-      const free = profile.memoryTokens * (1 - memoryHeadroomPart) - used
-      if (runs >= profile.slots || free < tokens) {
+      const isHeld = !mayExceedPace && this.parts.isHeld(server, nowMs)
+      const part = mayExceedPace || runs === 0 ? 1 : this.parts.getPart(server, nowMs)
+      const memoryTokens = profile.memoryTokens * part
+      const free = memoryTokens * (1 - memoryHeadroomPart) - used
+      if (isHeld || runs >= Math.max(1, profile.slots * part) || free < tokens) {
         continue
       }
       const preference = server.zone === this.zone ? ownZonePreference : 0
-      ranked.push({ server, free: free / profile.memoryTokens + preference - this.health.getFailureRate(server.id, nowMs) + this.drawJitter() })
+      ranked.push({ server, free: free / memoryTokens + preference - this.health.getFailureRate(server.id, nowMs) + this.drawJitter() })
     }
     ranked.sort((a, b) => b.free - a.free)
     return ranked.map(({ server }) => server)
@@ -303,7 +319,7 @@
       }
       const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id, nowMs))
       const distanceMs = decodeZone === undefined || server.zone === decodeZone ? 0 : crossZonePenaltyMs
-      const penaltyMs = distanceMs + this.drawJitter() * readyMs
+      const penaltyMs = distanceMs + this.drawJitter() * readyMs + this.estimatePacePenaltyMs(server, readyMs, nowMs)
       if (readyMs + penaltyMs < bestMs + bestPenaltyMs) {
         best = server
         bestMs = readyMs
@@ -337,6 +353,15 @@
     return sum
   }
 
+  /**
+   * Extra time by which a prefill at a recovering server counts as later: what it would take at the part of the speed that the server may use.
+   * A server without a prompt may have one, if this gateway is to send it.
+   */
+  private estimatePacePenaltyMs (server: routing.RoutedServer, readyMs: number, nowMs: number): number {
+    const isFree = this.getPendingPromptTokens(server.id, nowMs) === 0 && !this.parts.isHeld(server, nowMs)
+    return isFree ? 0 : readyMs / this.parts.getPart(server, nowMs) - readyMs
+  }
+
   private drawJitter (): number {
     return this.random.nextUnit() * Math.min(maximumJitter, jitterPerGateway * this.otherGateways)
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,8 @@
 import * as messages from './peer_messages.js'
 import * as replicas from './store_replica.js'
 import * as peerExchanges from './peer_exchange.js'
+import * as paceActivations from './pace/pace_activation.js'
+import * as paces from './pace/server_pace.js'
 import * as partTrials from './part_trials.js'
 import * as permits from './permits.js'
 import * as outputs from './output_estimate.js'
@@ -92,7 +94,16 @@
   ) {
     this.boot = system.random.nextId()
     this.stalls = new stallMonitors.StallMonitor(system.log)
-    const health = new healths.ServerHealth()
+    const activation = new paceActivations.PaceActivation(options.isPaceEnabled, [
+      new paceActivations.RoutePriorities(() => this.context.routing.table?.document)
+    ])
+    const pace = new paces.ServerPace(this.createKnownServers(), service => activation.isPaced(service), system.random, system.log, this.meter)
+    const health = new healths.ServerHealth((id, untilMs, nowMs) => {
+      const server = directory.find(id)
+      if (server !== undefined) {
+        pace.recordReturn(server, 'pause', untilMs, nowMs)
+      }
+    })
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
       ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections)
     const limits = new serverLimits.ServerLimits(system.log)
@@ -101,8 +112,8 @@
     this.evidence = new crashEvidences.CrashEvidence(system.log)
     const trials = new partTrials.PartTrials(options.node, this.evidence, this.issuers, this.createTrialChannel(), system)
     const guard = new guards.PromptGuard(this.evidence, trials, pool, dialect, system, this.meter, () => this.expediteGossip())
-    const fleet = new fleets.EngineFleet(options.zone, health, system.random)
-    const plainChoice = new choices.PlainChoice(options.zone, health)
+    const fleet = new fleets.EngineFleet(options.zone, health, system.random, pace)
+    const plainChoice = new choices.PlainChoice(options.zone, health, pace)
     const directory = new directories.Directory(documents, system, server => {
       pool.closeIdle(server.address)
       health.forget(server.id)
@@ -110,7 +121,8 @@
       plainChoice.forget(server.id)
       limits.forget(server.id)
       permitBook.forget(server.id)
-    })
+      pace.forget(server.id)
+    }, server => pace.recordReturn(server, 'start', system.clock.monotonicMs()))
     this.context = {
       system,
       settings: options,
@@ -120,6 +132,7 @@
       health,
       limits,
       permits: permitBook,
+      pace,
       guard,
       returns: new returnSchedules.ReturnSchedule(),
       directory,
@@ -278,6 +291,20 @@
     }()
   }
 
+  private createKnownServers (): paces.KnownServers {
+    const gateway = this
+    return new class extends paces.KnownServers {
+      override find (id: string): routing.RoutedServer | undefined {
+        return gateway.context.directory.find(id)
+      }
+
+      override listUsable (service: string, nowMs: number): readonly routing.RoutedServer[] {
+        const { directory, health } = gateway.context
+        return directory.listReady(service).filter(({ id }) => !health.isPaused(id, nowMs))
+      }
+    }()
+  }
+
   private createPermitChannel (): permits.PermitChannel {
     const gateway = this
     return new class extends permits.PermitChannel {
@@ -322,14 +349,25 @@
     }
     if (facts.backOffMs !== undefined && facts.backOffMs > 0) {
       directory.recordBackOff(server, facts.backOffMs)
+      this.recordBackOffEnd(server)
     }
     if (isMatching) {
       limits.recordAnswer(server, facts, sentMs, this.system.clock.monotonicMs())
     }
   }
 
+  /** A server that asked for a back-off has returned when that ends. */
+  private recordBackOffEnd (server: routing.RoutedServer): void {
+    const { directory, pace } = this.context
+    const nowMs = this.system.clock.monotonicMs()
+    const untilMs = directory.getBackOffEndMs(server.id, nowMs)
+    if (untilMs !== undefined) {
+      pace.recordReturn(server, 'back_off', untilMs, nowMs)
+    }
+  }
+
   private createParty (): peerTables.LocalGateway {
-    const { allowance, directory, fleet, health, limits } = this.context
+    const { allowance, directory, fleet, health, limits, pace } = this.context
     const { evidence } = this
     const { clock } = this.system
     const { node, zone } = this.options
@@ -351,7 +389,8 @@
           outcomes: health.listOutcomes(nowMs),
           leaving: directory.listLeaving(),
           limits: limits.listReported(nowMs),
-          parts: evidence.listReported(nowMs)
+          parts: evidence.listReported(nowMs),
+          paces: pace.describe(nowMs)
         }
       }
 
@@ -363,7 +402,8 @@
           outcomes: health.aggregateOutcomes(others, nowMs),
           leaving: directory.listLeaving(),
           limits: limits.listReported(nowMs),
-          parts: evidence.listReported(nowMs)
+          parts: evidence.listReported(nowMs),
+          paces: pace.describe(nowMs)
         }
       }
 
@@ -378,6 +418,7 @@
         directory.mergeLeaving(work.leaving, gateway)
         limits.merge(work.limits ?? {}, gateway, heardMs, clock.monotonicMs())
         evidence.merge(work.parts ?? {}, gateway, heardMs, clock.monotonicMs())
+        pace.merge(work.paces ?? {}, gateway, heardMs, clock.monotonicMs())
       }
 
       override updateZone (state: messages.ZoneAggregate, heardMs: number): void {
@@ -392,6 +433,7 @@
         directory.mergeLeaving(state.work.leaving, state.teller)
         limits.merge(state.work.limits ?? {}, state.teller, heardMs, clock.monotonicMs())
         evidence.merge(state.work.parts ?? {}, state.teller, heardMs, clock.monotonicMs())
+        pace.merge(state.work.paces ?? {}, state.teller, heardMs, clock.monotonicMs())
       }
 
       override forgetZone (lostZone: string): void {
@@ -425,6 +467,7 @@
     this.context.allowance.setPeers([...found.keys()], this.peerTable.unresponsiveAfterMs)
     this.context.pool.setGatewayCount(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
+    this.context.pace.setOtherGateways(found.size)
   }
 
   /** Returns this gateway's even share of what all gateways divide, 0 while it is not certain. */
@@ -443,6 +486,7 @@
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
+    this.meter.gauge('gateway_recovering_servers', {}, this.context.pace.count(nowMs))
     const { suspect, blocked } = this.evidence.count(nowMs)
     this.meter.gauge('gateway_prompt_parts', { state: 'suspect' }, suspect)
     this.meter.gauge('gateway_prompt_parts', { state: 'blocked' }, blocked)
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -3,6 +3,7 @@
  *
  * Decode capacity is reserved before the prefill, so that no prefill is wasted.
  */
+import type * as answerTimes from './pace/answer_times.js'
 import * as splitters from './event_splitter.js'
 import * as decodePlacements from './decode_placement.js'
 import * as eventLoop from '../host/event_loop.js'
@@ -259,6 +260,8 @@
   private stream (place: decodePlacements.Placement, cache: types.CacheSource | undefined): Promise<relays.RelayEnd> {
     const { dialect, pool, system } = this.context
     const { isResumable } = this.request.route
+    const sentMs = this.now()
+    const { eventCount: earlierEvents } = this.splitter
     this.hasBegun = false
     return new Promise(resolve => {
       const relay = new relays.StreamRelay(
@@ -270,10 +273,14 @@
           this.firstByteMs ??= relay.firstByteMs
           this.silentMs = getSilentMs()
           this.bytes += relay.bytes
+          this.recordPaceAtEnd(place.server, end, sentMs, relay.firstByteMs, this.splitter.eventCount - earlierEvents)
           resolve(end)
         }, () => {
           stopWatching()
           this.recordBegin(place.server)
+          if (cache !== undefined) {
+            this.recordPaceTime(place.server, sentMs, { first_event: (relay.firstByteMs ?? sentMs) - sentMs })
+          }
         })
       const stopWatching = this.context.guard.watch({ ...this.admission.prompt, isTrial: this.admission.isTrial, stop: reason => relay.stop(reason) })
       const leave = (): void => relay.stop(`cancelled: ${String(this.reply.gone.reason)}`)
@@ -310,6 +317,18 @@
     this.admission.endTrial()
   }
 
+  private recordPaceTime (server: routing.RoutedServer, sentMs: number, times: answerTimes.AnswerTimes): void {
+    this.context.pace.recordAnswer(server, { sentMs, times }, this.now())
+  }
+
+  private recordPaceAtEnd (server: routing.RoutedServer, end: relays.RelayEnd, sentMs: number, firstMs: number | undefined, events: number): void {
+    if (end.kind === 'completed' && firstMs !== undefined && events > 1) {
+      this.recordPaceTime(server, sentMs, { event_gap: (this.now() - firstMs) / (events - 1) })
+    } else if (!this.reply.isGone && (end.kind === 'not_run' || end.kind === 'lost')) {
+      this.context.pace.recordRefusal(server, this.now(), sentMs)
+    }
+  }
+
   private releaseCache (cache: types.CacheSource): void {
     const { dialect, directory, pool } = this.context
     const server = directory.listAll().find(candidate => candidate.address === cache.address)
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -24,6 +24,13 @@
 const LimitStatement = z.tuple([z.number(), z.number(), z.number()])
 export type LimitStatement = z.infer<typeof LimitStatement>
 
+/**
+ * Recovery of a server: the start time of its process in milliseconds since the Unix epoch, or 0; the time since it returned, in
+ * milliseconds; how often its pace has fallen; the part of its capacity that all gateways may use; and the time since its latest answer.
+ */
+export const PaceStatement = z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()])
+export type PaceStatement = z.infer<typeof PaceStatement>
+
 /** Evidence on a part of prompts: ends of servers on which it was in flight without an answer, and the latest answer that began on it. */
 export const PartStatement = z.object({
   /** Server process, workspace of the run, weight of the evidence, age in milliseconds, and the other parts of the run. */
@@ -50,7 +57,9 @@
   /** Limits that servers state; absent where there are none, and from gateways that do not know limits. */
   limits: collections.dictionary(LimitStatement).optional(),
   /** Evidence on parts of prompts that may end servers; absent where there is none, and from gateways that do not know it. */
-  parts: collections.dictionary(PartStatement).optional()
+  parts: collections.dictionary(PartStatement).optional(),
+  /** Servers that recover; absent where there are none, and from gateways that do not know their pace. */
+  paces: collections.dictionary(PaceStatement).optional()
 })
 export type GatewayStatus = z.infer<typeof GatewayStatus>
 
--- a/src/gateway/plain_choice.ts
+++ b/src/gateway/plain_choice.ts
@@ -4,6 +4,7 @@
  * Pattern: some servers lose answers, while the healthy ones have just enough capacity for the calls that must run only once. Those
  * calls go to the healthy servers until these are overloaded; repeatable calls move to the others.
  */
+import * as capacityParts from './pace/capacity_parts.js'
 import * as healths from './server_health.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -29,7 +30,7 @@
 export class PlainChoice {
   private readonly loads = new Map<string, Load>()
 
-  constructor (private readonly zone: string, private readonly health: healths.ServerHealth) {}
+  constructor (private readonly zone: string, private readonly health: healths.ServerHealth, private readonly parts: capacityParts.CapacityParts = new capacityParts.FullCapacity()) {}
 
   /** Records the start of a call at a server. */
   start (server: string): void {
@@ -80,7 +81,7 @@
     const answerMs = this.health.getAnswerMs(server.id) ?? 0
     const pausePenalty = this.health.isPaused(server.id, nowMs) ? 1_000 : 0
     const zonePenalty = server.zone === this.zone ? 0 : otherZonePenalty
-    return (busy + 0.5) / server.slots * (1 + answerMs / 100) + zonePenalty + pausePenalty
+    return (busy + 0.5) / (server.slots * this.parts.getPart(server, nowMs)) * (1 + answerMs / 100) + zonePenalty + pausePenalty
   }
 
   private getLoad (server: string): Load {
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -178,6 +178,7 @@
     const waitMs = isLast ? leftMs : Math.min(leftMs, Math.max(this.request.route.goalMs, leftMs * retryTimeoutPart))
     this.triedServers.add(server.id)
     plainChoice.start(server.id)
+    this.context.pace.recordStart(server.id)
     const outgoing = dialect.writeRequest(this.request.arrival, this.request.body, {
       server, remainingMs: leftMs, workspace: this.request.workspace, purpose: 'run'
     })
@@ -192,6 +193,7 @@
     if (!this.reply.isGone) {
       this.recordHealth(server.id, rateServer(outcome, result, facts), result, elapsedMs)
     }
+    this.recordPace(server, result, facts, sentMs, elapsedMs)
     if (outcome.kind === 'answered' && outcome.status === relays.misdirected) {
       directory.recordMisdirected(server.id)
     }
@@ -213,6 +215,15 @@
     return result
   }
 
+  private recordPace (server: routing.RoutedServer, result: SendResult, facts: types.AnswerFacts | undefined, sentMs: number, elapsedMs: number): void {
+    const { pace } = this.context
+    if (result.kind === 'answered' && result.answer.status < 500) {
+      pace.recordAnswer(server, { sentMs, times: { answer: elapsedMs }, load: facts?.load }, this.now())
+    } else if (result.kind !== 'answered' && !this.reply.isGone) {
+      pace.recordRefusal(server, this.now(), sentMs)
+    }
+  }
+
   private recordHealth (server: string, outcome: healths.SendOutcome, result: SendResult, elapsedMs: number): void {
     let ended = outcome
     if (ended === 'error' && result.kind === 'answered') {
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -124,11 +124,13 @@
     })
     if (succeeded) {
       health.record(server.id, 'good', this.now())
+      this.context.pace.recordAnswer(server, { sentMs, times: { prefill_token: (this.now() - sentMs) / promptTokens } }, this.now())
       return { address: server.address, handle: prefilled.unsafeCoerce().handle }
     }
     if (this.reply.isGone) {
       return 'caller disconnected'
     }
+    this.context.pace.recordRefusal(server, this.now(), sentMs)
     if (outcome.kind === 'answered') {
       if (!dialect.readAnswer(outcome.status, outcome.rawHeaders).isNotRun) {
         health.record(server.id, 'error', this.now())
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -43,6 +43,9 @@
   private readonly servers = new Map<string, ServerRecord>()
   private readonly peerReports = new Map<string, PeerReport>()
 
+  /** `onPaused` is called when a server is paused, and when its pause is extended, with the end of the pause. */
+  constructor (private readonly onPaused: (server: string, untilMs: number, nowMs: number) => void = () => {}) {}
+
   /** Records the outcome of a request; `elapsedMs` is the time to the answer. Returns true if this pauses a server that was not paused. */
   record (server: string, outcome: SendOutcome, nowMs: number, elapsedMs?: number): boolean {
     const record = this.getRecord(server)
@@ -65,6 +68,7 @@
     // A single missing answer may be the fault of the connection; the server is paused from the second one on.
     if (outcome === 'unreachable' || record.consecutiveMisses > 1) {
       record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + pauseMs)
+      this.onPaused(server, record.pausedUntilMs, nowMs)
       return !wasPaused
     }
     return false
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -47,6 +47,8 @@
     windowMs: milliseconds,
     /** Retries in a window in addition to the ratio, summed over all gateways. */
     slack: z.number().nonnegative()
-  })
+  }),
+  /** Whether servers that start or return while traffic runs get their share of the load step by step, where the service calls for it. */
+  isPaceEnabled: z.boolean().default(true)
 })
 export type GatewaySettings = z.infer<typeof GatewaySettings>
