--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -215,9 +215,10 @@
     return result
   }
 
+  /** Answers that refuse a call come too soon to be compared. */
   private recordPace (server: routing.RoutedServer, result: SendResult, facts: types.AnswerFacts | undefined, sentMs: number, elapsedMs: number): void {
     const { pace } = this.context
-    if (result.kind === 'answered' && result.answer.status < 500) {
+    if (result.kind === 'answered' && result.answer.status < 400) {
       pace.recordAnswer(server, { sentMs, times: { answer: elapsedMs }, load: facts?.load }, this.now())
     } else if (result.kind !== 'answered' && !this.reply.isGone) {
       pace.recordRefusal(server, this.now(), sentMs)
--- a/tests/gateway/pace/server_pace.test.ts
+++ b/tests/gateway/pace/server_pace.test.ts
@@ -1,13 +1,20 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
 import * as activations from '../../../src/gateway/pace/pace_activation.js'
+import * as directories from '../../../src/gateway/directory.js'
+import * as failures from '../../../src/contracts/failure.js'
 import * as fleets from '../../../src/gateway/engine_fleet.js'
 import * as healths from '../../../src/gateway/server_health.js'
+import type * as host from '../../../src/host/types.js'
+import * as manualClocks from '../../support/manual_clock.js'
 import * as messages from '../../../src/gateway/peer_messages.js'
 import * as paceFleets from './pace_fleet.js'
 import * as paces from '../../../src/gateway/pace/server_pace.js'
+import * as recordedLogs from '../../support/recorded_log.js'
+import type * as replicas from '../../../src/gateway/store_replica.js'
 import * as routing from '../../../src/contracts/routing.js'
 import * as seededRandom from '../../../src/host/seeded_random.js'
+import type * as types from '../../../src/gateway/types.js'
 
 const seeds = [1, 2, 3, 4, 5]
 const leastPart = 1 / 6
@@ -164,10 +171,10 @@
 
 test.describe('The engines, when one has returned', () => {
   const profile: routing.EngineProfile = { slots: 12, memoryTokens: 30_000, handleMs: 500, switchMs: 6_000, maximumHoldMs: 2_000 }
-  const createFleet = (seed: number, isPaced = true): { fleet: fleets.EngineFleet, pace: paces.ServerPace, returned: routing.RoutedServer, other: routing.RoutedServer } => {
+  const createFleet = (seed: number, isPaced = true, stage: routing.EngineStage = 'decode'): { fleet: fleets.EngineFleet, pace: paces.ServerPace, returned: routing.RoutedServer, other: routing.RoutedServer } => {
     const source = new paceFleets.PaceFleet(seed, 1, 2, 0, isPaced)
-    for (const [index, server] of source.servers.entries()) {
-      server.listed = { ...server.listed, slots: 12, stage: index < 2 ? 'decode' : 'prefill' }
+    for (const server of source.servers) {
+      server.listed = { ...server.listed, slots: 12, stage }
     }
     const { pace } = source.nodes[0] as paceFleets.Node
     const [returned, other] = source.listed as [routing.RoutedServer, routing.RoutedServer]
@@ -183,7 +190,7 @@
       pace.recordAnswer(other, { sentMs: 10, times: { first_event: 60 } }, 20)
     }
     pace.recordReturn(returned, 'start', 100)
-    fleet.bookDecode('r1', 'other', 3_000)
+    fleet.bookDecode('r1', other.id, 3_000)
     assert.equal(rank(110)[0], returned.id)
     fleet.updatePeer('g', { bookings: { [returned.id]: { runs: 1, tokens: 1_000, unread: 0 } }, offered: {}, switching: [] }, 110)
     assert.deepEqual(rank(120), [other.id])
@@ -196,10 +203,37 @@
     const { fleet, pace, returned } = createFleet(1)
     pace.recordReturn(returned, 'pause', 100)
     fleet.bookDecode('r1', returned.id, 3_000)
-    fleet.bookDecode('r2', 's1', 29_000)
+    assert.deepEqual(fleet.rankDecode([returned], profile, 1_000, 120), [])
     assert.deepEqual(fleet.rankDecode([returned], profile, 1_000, 120, true), [returned])
   })
 
+  test.it('get a prompt that waits for none first, and then while their part of the speed is sooner than the others', () => {
+    const { fleet, pace, returned, other } = createFleet(1, true, 'prefill')
+    const choose = (): string | undefined => fleet.choosePrefill([returned, other], 3_000, new Set(), 120, undefined)?.server.id
+    pace.recordReturn(returned, 'back_off', 100)
+    fleet.bookPrefill('r1', other.id, 3_000, 110)
+    assert.equal(choose(), returned.id)
+    fleet.bookPrefill('r2', returned.id, 3_000, 110)
+    fleet.bookPrefill('r3', other.id, 3_000, 110)
+    assert.equal(choose(), other.id)
+  })
+
+  // Guards against a server that stays at the least part because it is slower than its peers by nature.
+  test.it('get what their speed allows if they are slower than their peers by nature, and all of it in the end', () => {
+    const { pace, returned, other } = createFleet(1)
+    for (let answer = 0; answer < 6; answer += 1) {
+      pace.recordAnswer(other, { sentMs: 10, times: { first_event: 60, event_gap: 5 } }, 20)
+    }
+    pace.recordReturn(returned, 'start', 100)
+    for (let sentMs = 100; sentMs < 6_000; sentMs += 200) {
+      pace.recordAnswer(returned, { sentMs, times: { first_event: 135, event_gap: Number.NaN } }, sentMs + 150)
+    }
+    const part = pace.describe(6_000)?.[returned.id]?.[3] ?? 1
+    assert.ok(part > 0.2 && part < 0.25, String(part))
+    pace.recordAnswer(returned, { sentMs: 29_000, times: {} }, 29_100)
+    assert.equal(pace.getPart(returned, 31_000), 1)
+  })
+
   test.it('are ranked as before where no pace is called for', () => {
     const draw = (isPaced: boolean, usesPace: boolean): string[][] => {
       const { fleet, pace, returned, other } = createFleet(3, isPaced)
@@ -217,6 +251,35 @@
   })
 })
 
+test.describe('A return', () => {
+  // Guards against a slow start of servers whose entry lapses and comes back, and of all servers at each change of an entry.
+  test.it('is a server or a process that was not listed before, not another entry of the same one', () => {
+    const entry = (bornMs: number, writes: number): replicas.ReplicaItem => ({ key: 'servers/x', value: JSON.stringify({ bornMs, writes }), revision: 1 })
+    const documents = {
+      serverPrefix: 'servers/',
+      readServer: (id: string, value: string) => failures.succeed({
+        id, service: 'p', address: '10.0.0.1:1', zone: 'a', slots: 6, state: 'ready', ...JSON.parse(value) as object
+      })
+    } as unknown as types.StoredDocuments
+    const started: (number | undefined)[] = []
+    const system = { clock: new manualClocks.ManualClock(), log: new recordedLogs.RecordedLog() } as unknown as host.System
+    const directory = new directories.Directory(documents, system, () => {}, ({ bornMs }) => started.push(bornMs))
+    directory.put(entry(1, 1))
+    directory.put(entry(1, 2))
+    directory.removed('servers/x', 5_000)
+    directory.put(entry(1, 3))
+    directory.put(entry(2, 1))
+    assert.deepEqual(started, [1, 2])
+  })
+
+  test.it('is the end of a pause', () => {
+    const pauses: number[] = []
+    const health = new healths.ServerHealth((_server, untilMs) => pauses.push(untilMs))
+    health.record('x', 'unreachable', 1_000)
+    assert.deepEqual(pauses, [1_400])
+  })
+})
+
 test.describe('The pace', () => {
   test.it('is called for by routes of different priorities to a service, unless a setting switches it off', () => {
     const document = { routes: [0, 2, 1].map((priority, index) => ({ priority, targets: [{ service: index < 2 ? 'a' : 'b', weight: 1 }] })) } as
