--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,8 @@
 import * as messages from './peer_messages.js'
 import * as replicas from './store_replica.js'
 import * as peerExchanges from './peer_exchange.js'
+import * as paceActivations from './pace/pace_activation.js'
+import * as paces from './pace/server_pace.js'
 import * as partTrials from './part_trials.js'
 import * as permits from './permits.js'
 import * as outputs from './output_estimate.js'
@@ -101,7 +103,16 @@
   ) {
     this.boot = system.random.nextId()
     this.stalls = new stallMonitors.StallMonitor(system.log)
-    const health = new healths.ServerHealth()
+    const activation = new paceActivations.PaceActivation(options.isPaceEnabled, [
+      new paceActivations.ConfiguredServices(() => this.context.routing.table)
+    ])
+    const pace = new paces.ServerPace(this.createKnownServers(), service => activation.isPaced(service), system.random, system.log, this.meter)
+    const health = new healths.ServerHealth((id, untilMs, nowMs) => {
+      const server = directory.find(id)
+      if (server !== undefined) {
+        pace.recordReturn(server, 'pause', untilMs, nowMs)
+      }
+    })
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
       ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections,
       server => this.context.directory.isEvacuated(server) ? 'the zone is evacuated' : undefined)
@@ -117,8 +128,8 @@
     const guard = new guards.PromptGuard(this.evidence, trials, pool, dialect, system, this.meter, () => this.expediteGossip(),
       async server => !this.context.directory.isEvacuated(server) &&
         (!permitBook.isCold(server) || (await permitBook.take(server)).kind === 'granted'))
-    const fleet = new fleets.EngineFleet(options.zone, health, system.random)
-    const plainChoice = new choices.PlainChoice(options.zone, health)
+    const fleet = new fleets.EngineFleet(options.zone, health, system.random, pace)
+    const plainChoice = new choices.PlainChoice(options.zone, health, pace)
     const directory = new directories.Directory(documents, system, server => {
       pool.closeIdle(server.address)
       health.forget(server.id)
@@ -127,7 +138,8 @@
       limits.forget(server.id)
       permitBook.forget(server.id)
       this.cold.forget(server.id)
-    }, this.cold)
+      pace.forget(server.id)
+    }, server => pace.recordReturn(server, 'start', system.clock.monotonicMs()), this.cold)
     const queueing = new queueings.Queueing(system, this.meter)
     this.context = {
       system,
@@ -138,6 +150,7 @@
       health,
       limits,
       permits: permitBook,
+      pace,
       guard,
       returns: new returnSchedules.ReturnSchedule(),
       directory,
@@ -312,6 +325,20 @@
     }()
   }
 
+  private createKnownServers (): paces.KnownServers {
+    const gateway = this
+    return new class extends paces.KnownServers {
+      override find (id: string): routing.RoutedServer | undefined {
+        return gateway.context.directory.find(id)
+      }
+
+      override listUsable (service: string, nowMs: number): readonly routing.RoutedServer[] {
+        const { directory, health } = gateway.context
+        return directory.listReady(service).filter(({ id }) => !health.isPaused(id, nowMs))
+      }
+    }()
+  }
+
   private createPermitChannel (): permits.PermitChannel {
     const gateway = this
     return new class extends permits.PermitChannel {
@@ -356,6 +383,7 @@
     }
     if (facts.backOffMs !== undefined && facts.backOffMs > 0) {
       directory.recordBackOff(server, facts.backOffMs)
+      this.recordBackOffEnd(server)
     }
     if (isMatching) {
       limits.recordAnswer(server, facts, sentMs, this.system.clock.monotonicMs())
@@ -379,8 +407,18 @@
     }
   }
 
+  /** A server that asked for a back-off has returned when that ends. */
+  private recordBackOffEnd (server: routing.RoutedServer): void {
+    const { directory, pace } = this.context
+    const nowMs = this.system.clock.monotonicMs()
+    const untilMs = directory.getBackOffEndMs(server.id, nowMs)
+    if (untilMs !== undefined) {
+      pace.recordReturn(server, 'back_off', untilMs, nowMs)
+    }
+  }
+
   private createParty (): peerTables.LocalGateway {
-    const { allowance, directory, fleet, health, limits, queueing: { demand } } = this.context
+    const { allowance, directory, fleet, health, limits, pace, queueing: { demand } } = this.context
     const { cold, evidence } = this
     const listWaiting = (): readonly waitingDemands.WaitingRequest[] => this.listWaiting()
     const { clock } = this.system
@@ -405,7 +443,8 @@
           limits: limits.listReported(nowMs),
           parts: evidence.listReported(nowMs),
           waiting: demand.describe(listWaiting(), nowMs),
-          cold: cold.listReported(nowMs)
+          cold: cold.listReported(nowMs),
+          paces: pace.describe(nowMs)
         }
       }
 
@@ -419,7 +458,8 @@
           limits: limits.listReported(nowMs),
           parts: evidence.listReported(nowMs),
           waiting: demand.aggregate(listWaiting(), others, nowMs),
-          cold: cold.listReported(nowMs)
+          cold: cold.listReported(nowMs),
+          paces: pace.describe(nowMs)
         }
       }
 
@@ -436,6 +476,7 @@
         limits.merge(work.limits ?? {}, gateway, heardMs, clock.monotonicMs())
         evidence.merge(work.parts ?? {}, gateway, heardMs, clock.monotonicMs())
         cold.merge(work.cold ?? {}, heardMs, clock.monotonicMs())
+        pace.merge(work.paces ?? {}, gateway, heardMs, clock.monotonicMs())
       }
 
       override updateZone (state: messages.ZoneAggregate, heardMs: number): void {
@@ -453,6 +494,7 @@
         limits.merge(state.work.limits ?? {}, state.teller, heardMs, clock.monotonicMs())
         evidence.merge(state.work.parts ?? {}, state.teller, heardMs, clock.monotonicMs())
         cold.merge(state.work.cold ?? {}, heardMs, clock.monotonicMs())
+        pace.merge(state.work.paces ?? {}, state.teller, heardMs, clock.monotonicMs())
       }
 
       override forgetZone (lostZone: string): void {
@@ -499,6 +541,7 @@
     this.context.pool.setGatewayCount(found.size + 1)
     this.context.fleet.setOtherGateways(found.size)
     this.context.queueing.setGossip(found.size, this.peerTable.periodMs)
+    this.context.pace.setOtherGateways(found.size)
   }
 
   /** Returns this gateway's even share of what all gateways divide, 0 while it is not certain. */
@@ -527,6 +570,7 @@
     this.meter.gauge('gateway_evacuated_zones', {}, this.context.directory.evacuatedCount)
     this.meter.gauge('gateway_cold_servers', {}, this.cold.count(nowMs))
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
+    this.meter.gauge('gateway_recovering_servers', {}, this.context.pace.count(nowMs))
     const { suspect, blocked } = this.evidence.count(nowMs)
     this.meter.gauge('gateway_prompt_parts', { state: 'suspect' }, suspect)
     this.meter.gauge('gateway_prompt_parts', { state: 'blocked' }, blocked)
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -35,6 +35,13 @@
 const ColdStatement = z.tuple([z.number(), z.number(), z.number()])
 export type ColdStatement = z.infer<typeof ColdStatement>
 
+/**
+ * Recovery of a server: the start time of its process in milliseconds since the Unix epoch, or 0; the time since it returned, in
+ * milliseconds; how often its pace has fallen; the part of its capacity that all gateways may use; and the time since its latest answer.
+ */
+export const PaceStatement = z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()])
+export type PaceStatement = z.infer<typeof PaceStatement>
+
 /** Evidence on a part of prompts: ends of servers on which it was in flight without an answer, and the latest answer that began on it. */
 export const PartStatement = z.object({
   /** Server process, workspace of the run, weight of the evidence, age in milliseconds, and the other parts of the run. */
@@ -70,7 +77,9 @@
   /** Requests that wait for decode memory, by service; absent where none wait, and from gateways that do not know it. */
   waiting: collections.dictionary(collections.list(WaitingStatement)).optional(),
   /** What servers' answers said about their cold times; absent where there is nothing, and from gateways that do not know cold servers. */
-  cold: collections.dictionary(ColdStatement).optional()
+  cold: collections.dictionary(ColdStatement).optional(),
+  /** Servers that recover; absent where there are none, and from gateways that do not know their pace. */
+  paces: collections.dictionary(PaceStatement).optional()
 })
 export type GatewayStatus = z.infer<typeof GatewayStatus>
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -48,6 +48,8 @@
     /** Retries in a window in addition to the ratio, summed over all gateways. */
     slack: z.number().nonnegative()
   }),
+  /** Whether servers that start or return while traffic runs get their share of the load step by step, where the service calls for it. */
+  isPaceEnabled: z.boolean().default(true),
   availability: z.object({
     /** Requests that a cold server may get in any one second, as a factor on its rate and in addition. */
     coldOver: z.number().nonnegative(),
--- a/tests/gateway/urgency.test.ts
+++ b/tests/gateway/urgency.test.ts
@@ -133,7 +133,7 @@
       isLate: false,
       tryReserve: () => {
         const kept = headroom.select(this.servers.map(({ id }) => id), level, fleet.getArrivals('s', nowMs), 800)
-        const [server] = fleet.rankDecode(this.servers, profile, Play.tokens, nowMs, kept)
+        const [server] = fleet.rankDecode(this.servers, profile, Play.tokens, nowMs, { headroom: kept })
         const isFree = server !== undefined && this.countRuns(server.id) < Math.floor(profile.memoryTokens / Play.tokens)
         if (server !== undefined && isFree) {
           fleet.bookDecode(run, server.id, Play.tokens)
