--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -42,7 +42,7 @@
 export type PlainStatement = z.infer<typeof PlainStatement>
 
 /** Load committed to engines, and other inputs to the choice of a server. */
-const GatewayStatus = z.object({
+export const GatewayStatus = z.object({
   /** Units admitted since the process started, by workspace. */
   admitted: collections.dictionary(z.number()),
   /** Committed load, by server. */
--- a/src/gateway/plain/expected_time_choice.ts
+++ b/src/gateway/plain/expected_time_choice.ts
@@ -21,7 +21,7 @@
  * Part of a call's goal by which its answer may come later for the call to stay in its own zone: traffic between zones is billed by the
  * byte, and an answer within the goal is not worth less for being later.
  */
-const ownZonePart = 1 / 8
+const ownZonePart = 1 / 4
 /**
  * Cost of the loss of an answer, as a multiple of the goal, weighted with the server's failure rate. A call that must run only once is
  * lost with its answer; a repeatable one is sent again.
@@ -30,9 +30,12 @@
 const repeatGoals = 1
 /** Standard error of the estimated queue that remains with fresh information, in calls: servers report only when they answer. */
 const queueUncertainty = 2
-/** Calls of other gateways that are not known yet, for each other gateway and at most. */
-const unknownPerGateway = 0.1
-const maximumUnknown = 3
+/**
+ * Calls that other gateways may have sent to a server meanwhile, for each of them and at most: 70 calls a second to a server and information
+ * that is 150 ms old. With a quarter of it, the gateways of a fleet of 28 meet at the same server in a burst and answer fewer calls in time.
+ */
+const unknownPerGateway = 0.4
+const maximumUnknown = 12
 /** Least part of a server's slots that is assumed. */
 const leastPart = 0.05
 /** Answers after which the work time is known well enough for a call to be refused by it. */
--- a/src/gateway/plain/server_choice.ts
+++ b/src/gateway/plain/server_choice.ts
@@ -27,8 +27,8 @@
   readonly startedMs: number
   /** Load that the answer reports. */
   readonly load: types.ReportedLoad | undefined
-  /** `other`: an error, a refusal or a lost connection, whose time says nothing about the server's speed. */
-  readonly kind: 'answered' | 'silent' | 'other'
+  /** `refused`: by the server itself, as not run; `other`: an error or a lost connection. Their times say nothing about the server's speed. */
+  readonly kind: 'answered' | 'silent' | 'refused' | 'other'
 }
 
 export class ServerChoice {
@@ -78,11 +78,16 @@
     this.loads.start(server, nowMs)
   }
 
-  /** Records the end of a call. The load of its answer has been recorded with the server's other answers. */
+  /**
+   * Records the end of a call. The load that a signed answer reports has been recorded with that of the server's other answers; a
+   * refusal may be unsigned, and is the first sign of a full server.
+   */
   finish ({ server, estimate }: ChosenServer, { startedMs, load, kind }: CallEnd, nowMs: number): void {
     this.byLoad.finish(server.id, load, nowMs)
     this.loads.finish(server.id, startedMs)
-    if (estimate !== undefined && kind === 'answered') {
+    if (kind === 'refused' && load !== undefined) {
+      this.loads.recordReport(server, load, nowMs)
+    } else if (estimate !== undefined && kind === 'answered') {
       this.byTime.recordAnswer(estimate, nowMs - startedMs, nowMs)
     } else if (estimate !== undefined && kind === 'silent') {
       this.byTime.recordSilence(estimate, nowMs - startedMs, nowMs)
--- a/src/gateway/plain/server_loads.ts
+++ b/src/gateway/plain/server_loads.ts
@@ -21,15 +21,18 @@
 const slownessDecayMs = 400
 /** Age after which a reported slowness is ignored, in milliseconds. */
 const slownessExpiryMs = 1_000
-/** Range in which a reported slowness is believed; answer times correct it beyond. */
+/** Range in which a reported slowness is believed, wide enough for VMs that are 2.5 times slower; answer times correct it beyond. */
 const leastSlowness = 0.5
-const greatestSlowness = 4
+const greatestSlowness = 3
 /** Time for which a service counts as reporting slowness after the last report, in milliseconds: longer than pauses between its calls. */
 const activeMs = 10_000
 /** Figures of a load report above this are absurd: no server holds as many calls. */
 const greatestCount = 10_000
-/** Calls that a report may show beyond those that the gateways have in flight, as a multiple of the slots: bounds a false claim to be full. */
-const unexplainedPart = 3
+/**
+ * Calls that a report may show beyond those that the gateways have in flight, as a multiple of the slots. A server that falsely claims to be
+ * full and slow still gets a few calls, whose times disprove it.
+ */
+const unexplainedPart = 2
 /** Time constant of the decay of measured answer times, in milliseconds: two slow phases of a VM. */
 const measureDecayMs = 1_200
 /** Answers assumed to have come as expected, so that a single slow answer has little effect. */
@@ -40,7 +43,7 @@
 /** Least deviation from the usual speed that is reported of a server without calls in flight. */
 const notableSlowness = 0.1
 /** Weight of measured answers below which they are not reported. */
-const leastReportedWeight = 0.1
+const leastReportedWeight = 0.3
 /** Limit on the servers in one message to another gateway, and in one that is read. */
 export const maximumReportedServers = 64
 /** Shortest time between two log lines on ignored figures of a server, and the most servers that are remembered for it. */
@@ -127,7 +130,10 @@
 
   /** Records the time of an answer relative to the expected time. */
   recordMeasured (server: string, ratio: number, nowMs: number): void {
-    const own = this.getOwn(server)
+    const own = this.own.get(server)
+    if (own === undefined) {
+      return
+    }
     const [answers, ratios] = decay(own.measured, nowMs - own.measuredMs)
     own.measured = [answers + 1, ratios + Math.min(greatestRatio, Math.max(leastRatio, ratio))]
     own.measuredMs = nowMs
@@ -153,8 +159,8 @@
     for (const startedMs of starts) {
       sentSince += startedMs > report.atMs ? 1 : 0
     }
-    const reported = Math.min(report.running + report.waiting + sentSince, inFlight + unexplainedPart * slots)
-    return { ahead: Math.max(inFlight, reported), reportAgeMs: nowMs - report.atMs }
+    const unexplained = Math.min(unexplainedPart * slots, report.running + report.waiting + sentSince - inFlight)
+    return { ahead: inFlight + Math.max(0, unexplained), reportAgeMs: nowMs - report.atMs }
   }
 
   /**
@@ -297,11 +303,16 @@
   /** Returns what this gateway has seen of servers that report slowness, without idle servers and engines at their usual speed. */
   private collectOwn (nowMs: number): Map<string, PeerLoad> {
     const collected = new Map<string, PeerLoad>()
+    for (const server of this.slownessSeen.keys()) {
+      if (!this.hasSlowness(server, nowMs)) {
+        this.slownessSeen.delete(server)
+      }
+    }
     if (this.slownessSeen.size === 0) {
       return collected
     }
     for (const [server, { starts, report, measured, measuredMs, isEngine }] of this.own) {
-      if (!this.hasSlowness(server, nowMs)) {
+      if (!this.slownessSeen.has(server)) {
         continue
       }
       const load: PeerLoad = {
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -192,7 +192,7 @@
       server: server.id,
       expectedMs: Math.round(answerMs),
       remainingMs,
-      ahead: queue.ahead,
+      ahead: Math.round(queue.ahead),
       reportAgeMs: queue.reportAgeMs === undefined ? undefined : Math.round(queue.reportAgeMs),
       slowness: Number(slowness.toFixed(2)),
       measured: Number(measured.toFixed(2)),
@@ -222,10 +222,9 @@
     const facts = outcome.kind === 'answered' ? dialect.readAnswer(outcome.status, outcome.rawHeaders) : undefined
     const result = judge(server, outcome, facts)
     const rating = rateServer(outcome, result, facts)
-    const isAnswer = result.kind === 'answered' && rating === 'good'
-    const kind = isAnswer ? 'answered' : outcome.kind === 'silent' ? 'silent' : 'other'
+    const kind = classifyEnd(outcome, result, rating)
     serverChoice.finish(chosen, { startedMs: sentMs, load: facts?.load, kind }, this.now())
-    this.measureChoice(chosen, isAnswer ? elapsedMs : undefined)
+    this.measureChoice(chosen, kind === 'answered' ? elapsedMs : undefined)
     if (!this.reply.isGone) {
       this.recordHealth(server.id, rating, result, elapsedMs)
     }
@@ -316,6 +315,17 @@
   }
 }
 
+/** Tells how a call ended for the choice of servers. Another process at the address of the server answers as misdirected. */
+function classifyEnd (outcome: connectionPools.CallOutcome, result: SendResult, rating: healths.SendOutcome): choices.CallEnd['kind'] {
+  if (outcome.kind !== 'answered') {
+    return outcome.kind === 'silent' ? 'silent' : 'other'
+  }
+  if (result.kind === 'not_run') {
+    return outcome.status === relays.misdirected ? 'other' : 'refused'
+  }
+  return result.kind === 'answered' && rating === 'good' ? 'answered' : 'other'
+}
+
 /** Returns the fields of a log line that say what a choice by expected time was based on. */
 function describeEstimate (estimate: choices.ChosenServer['estimate']): Readonly<Record<string, number | undefined>> {
   if (estimate === undefined) {
@@ -324,7 +334,7 @@
   const { answerMs, queue, slowness, measured } = estimate
   return {
     expectedMs: Math.round(answerMs),
-    ahead: queue.ahead,
+    ahead: Math.round(queue.ahead),
     reportAgeMs: queue.reportAgeMs === undefined ? undefined : Math.round(queue.reportAgeMs),
     slowness: Number(slowness.toFixed(2)),
     measured: Number(measured.toFixed(2))
