--- a/bench/decision_slopes.ts
+++ b/bench/decision_slopes.ts
@@ -5,8 +5,9 @@
 import * as agentDecisions from './agent_decisions.js'
 import * as decisions from './decisions.js'
 import * as permitDecisions from './permit_decisions.js'
+import * as plainDecisions from './plain_decisions.js'
 
-const measured = [...decisions.measureDecisions(), ...agentDecisions.measureAgentDecisions(), ...permitDecisions.measurePermitDecisions()]
+const measured = [...decisions.measureDecisions(), ...agentDecisions.measureAgentDecisions(), ...permitDecisions.measurePermitDecisions(), ...plainDecisions.measurePlainDecisions()]
 if (process.argv.includes('--json')) {
   console.log(JSON.stringify(measured, undefined, 2))
 } else {
--- a/src/gateway/plain/expected_time_choice.ts
+++ b/src/gateway/plain/expected_time_choice.ts
@@ -54,18 +54,13 @@
 }
 
 /** The expected time of a call at a server, and what it was computed from. */
-export interface Estimate {
+export interface Estimate extends serverLoads.ServerState {
   readonly server: routing.RoutedServer
   /** Expected time until the answer, in milliseconds. */
   readonly answerMs: number
   /** Answer time at the usual speed with the estimated queue, in milliseconds, without the distance. */
   readonly usualMs: number
   readonly distanceMs: number
-  readonly queue: serverLoads.QueueState
-  /** Slowness by the server's reports. */
-  readonly slowness: number
-  /** Correction of that by measured answer times. */
-  readonly measured: number
 }
 
 /** The chosen server; or that no server can answer a call before its deadline, with the least expected time. */
@@ -137,15 +132,13 @@
   /** Returns the expected time of a call at a server. */
   estimate (server: routing.RoutedServer, nowMs: number): Estimate {
     const slots = this.getSlots(server, nowMs)
-    const queue = this.loads.getQueue(server.id, server.slots, nowMs)
-    const excess = queue.ahead + 1 - slots
+    const state = this.loads.read(server.id, server.slots, nowMs)
+    const excess = state.queue.ahead + 1 - slots
     // Expected positive part of the excess, whose standard error is that of the queue.
     const waiting = (excess + Math.hypot(excess, queueUncertainty)) / 2
     const usualMs = this.getWorkTime(server.service).getMs() * (1 + waiting / slots)
-    const slowness = this.loads.getSlowness(server.id, nowMs)
-    const measured = this.loads.getMeasuredFactor(server.id, nowMs)
     const distanceMs = server.zone === this.zone ? 0 : otherZoneMs
-    return { server, answerMs: distanceMs + usualMs * slowness * measured, usualMs, distanceMs, queue, slowness, measured }
+    return { ...state, server, answerMs: distanceMs + usualMs * state.slowness * state.measured, usualMs, distanceMs }
   }
 
   private rate (servers: readonly routing.RoutedServer[], { isRepeatable, goalMs }: PlainCall, nowMs: number): Candidate[] {
--- a/src/gateway/plain/server_loads.ts
+++ b/src/gateway/plain/server_loads.ts
@@ -62,6 +62,8 @@
 /** Sums over the measured answers, which decay exponentially: their number, and that of their times relative to the expected ones. */
 type Measured = readonly [answers: number, ratios: number]
 
+const noneMeasured: Measured = [0, 0]
+
 interface OwnLoad {
   /** When each call in flight was sent. */
   readonly starts: number[]
@@ -90,6 +92,15 @@
   readonly reportAgeMs: number | undefined
 }
 
+/** What is known of a server. */
+export interface ServerState {
+  readonly queue: QueueState
+  /** Factor by which work takes longer than usual, by the server's reports. */
+  readonly slowness: number
+  /** Factor by which its answers take longer than expected from its reports, as all gateways measured it. */
+  readonly measured: number
+}
+
 export class ServerLoads {
   private readonly own = new Map<string, OwnLoad>()
   private readonly peers = new Map<string, Peer>()
@@ -144,23 +155,14 @@
     return this.slownessSeen.size > 0 && servers.some(({ id }) => this.hasSlowness(id, nowMs))
   }
 
-  /** Estimated calls at a server with a number of slots, from all gateways. */
-  getQueue (server: string, slots: number, nowMs: number): QueueState {
-    const starts = this.own.get(server)?.starts ?? []
-    let inFlight = starts.length
-    for (const load of this.listPeerLoads(server, nowMs)) {
-      inFlight += load.inFlight
-    }
-    const report = this.findReport(server, nowMs)
-    if (report === undefined || nowMs - report.atMs > reportExpiryMs) {
-      return { ahead: inFlight, reportAgeMs: undefined }
-    }
-    let sentSince = 0
-    for (const startedMs of starts) {
-      sentSince += startedMs > report.atMs ? 1 : 0
+  /** Returns what is known of a server with a number of slots, from all gateways. */
+  read (server: string, slots: number, nowMs: number): ServerState {
+    const load = this.sumLoads(server, nowMs)
+    return {
+      queue: estimateQueue(load, this.own.get(server)?.starts ?? [], slots, nowMs),
+      slowness: estimateSlowness(load.report, nowMs),
+      measured: (assumedAnswers + load.measured[1]) / (assumedAnswers + load.measured[0])
     }
-    const unexplained = Math.min(unexplainedPart * slots, report.running + report.waiting + sentSince - inFlight)
-    return { ahead: inFlight + Math.max(0, unexplained), reportAgeMs: nowMs - report.atMs }
   }
 
   /**
@@ -168,24 +170,7 @@
    * The deviation from 1 decays with the age of the report. The factor is the server's own claim.
    */
   getSlowness (server: string, nowMs: number): number {
-    const report = this.findReport(server, nowMs)
-    if (report?.slowness === undefined) {
-      return 1
-    }
-    const ageMs = Math.max(0, nowMs - report.atMs)
-    const claimed = Math.min(greatestSlowness, Math.max(leastSlowness, report.slowness))
-    return ageMs > slownessExpiryMs ? 1 : 1 + (claimed - 1) * Math.exp(-ageMs / slownessDecayMs)
-  }
-
-  /** Factor by which the answers of a server take longer than expected from its reports, as all gateways measured it. */
-  getMeasuredFactor (server: string, nowMs: number): number {
-    const own = this.own.get(server)
-    let [answers, ratios] = own === undefined ? [0, 0] : decay(own.measured, nowMs - own.measuredMs)
-    for (const { measured } of this.listPeerLoads(server, nowMs)) {
-      answers += measured[0]
-      ratios += measured[1]
-    }
-    return (assumedAnswers + ratios) / (assumedAnswers + answers)
+    return estimateSlowness(this.sumLoads(server, nowMs).report, nowMs)
   }
 
   /** Number of servers whose slowness by their reports is notable now. */
@@ -261,7 +246,7 @@
     if (found !== undefined) {
       return found
     }
-    const created: OwnLoad = { starts: [], report: undefined, measured: [0, 0], measuredMs: 0, isEngine: false }
+    const created: OwnLoad = { starts: [], report: undefined, measured: noneMeasured, measuredMs: 0, isEngine: false }
     this.own.set(server, created)
     return created
   }
@@ -271,23 +256,23 @@
     return peer === undefined || nowMs - peer.asOfMs > peerExpiryMs ? undefined : peer
   }
 
-  /** Yields what the other gateways and zones know of a server, aged to the current time. */
-  private * listPeerLoads (server: string, nowMs: number): Generator<PeerLoad> {
+  /** Returns the sum of what this and all other gateways know of a server, aged to the current time. */
+  private sumLoads (server: string, nowMs: number): PeerLoad {
+    const own = this.own.get(server)
+    let inFlight = own?.starts.length ?? 0
+    let report = own?.report
+    let [answers, ratios] = own === undefined ? noneMeasured : decay(own.measured, nowMs - own.measuredMs)
     for (const { asOfMs, loads } of this.peers.values()) {
       const load = nowMs - asOfMs > peerExpiryMs ? undefined : loads.get(server)
       if (load !== undefined) {
-        yield age(load, nowMs - asOfMs)
+        inFlight += load.inFlight
+        report = pickNewer(report, load.report)
+        const factor = load.measured[0] === 0 ? 0 : getDecayFactor(nowMs - asOfMs)
+        answers += load.measured[0] * factor
+        ratios += load.measured[1] * factor
       }
     }
-  }
-
-  /** Returns the newest report of a server to any gateway. */
-  private findReport (server: string, nowMs: number): Report | undefined {
-    let newest = this.own.get(server)?.report
-    for (const { report } of this.listPeerLoads(server, nowMs)) {
-      newest = pickNewer(newest, report)
-    }
-    return newest
+    return { inFlight, report, measured: [answers, ratios] }
   }
 
   private noteSlowness (server: string, { slowness, atMs }: Report): void {
@@ -343,8 +328,33 @@
   return value >= 0 && value <= greatestCount
 }
 
+function estimateQueue ({ inFlight, report }: PeerLoad, starts: readonly number[], slots: number, nowMs: number): QueueState {
+  if (report === undefined || nowMs - report.atMs > reportExpiryMs) {
+    return { ahead: inFlight, reportAgeMs: undefined }
+  }
+  let sentSince = 0
+  for (const startedMs of starts) {
+    sentSince += startedMs > report.atMs ? 1 : 0
+  }
+  const unexplained = Math.min(unexplainedPart * slots, report.running + report.waiting + sentSince - inFlight)
+  return { ahead: inFlight + Math.max(0, unexplained), reportAgeMs: nowMs - report.atMs }
+}
+
+function estimateSlowness (report: Report | undefined, nowMs: number): number {
+  const ageMs = Math.max(0, nowMs - (report?.atMs ?? -Infinity))
+  if (report?.slowness === undefined || ageMs > slownessExpiryMs) {
+    return 1
+  }
+  const claimed = Math.min(greatestSlowness, Math.max(leastSlowness, report.slowness))
+  return 1 + (claimed - 1) * Math.exp(-ageMs / slownessDecayMs)
+}
+
+function getDecayFactor (elapsedMs: number): number {
+  return Math.exp(-Math.max(0, elapsedMs) / measureDecayMs)
+}
+
 function decay ([answers, ratios]: Measured, elapsedMs: number): Measured {
-  const factor = Math.exp(-Math.max(0, elapsedMs) / measureDecayMs)
+  const factor = getDecayFactor(elapsedMs)
   return [answers * factor, ratios * factor]
 }
 
--- a/tests/gateway/plain_services.test.ts
+++ b/tests/gateway/plain_services.test.ts
@@ -79,7 +79,7 @@
       choice.finish(chosen, { startedMs: nowMs, load, kind: 'answered' }, nowMs + (index === 0 ? 40 : 80))
     }
     assert.ok((counts[0] ?? 0) >= 25, `used ${counts.join(' and ')} times`)
-    assert.ok(loads.getMeasuredFactor(first.id, 20_000) > 1.2 * loads.getMeasuredFactor(second.id, 20_000))
+    assert.ok(loads.read(first.id, 6, 20_000).measured > 1.2 * loads.read(second.id, 6, 20_000).measured)
   })
 
   test.it('refuse a call that may run only once and cannot be in time, with a time that grows with the queue, and no other call', () => {
@@ -117,10 +117,10 @@
   test.it('counts for a gateway that died until 2 s later, or until it is no member', () => {
     const { loads } = createGateway()
     loads.updatePeer('dead', { s0: [9, 0, 0] }, 0, 100)
-    assert.equal(loads.getQueue('s0', 6, 2_000).ahead, 9)
-    assert.equal(loads.getQueue('s0', 6, 2_001).ahead, 0)
+    assert.equal(loads.read('s0', 6, 2_000).queue.ahead, 9)
+    assert.equal(loads.read('s0', 6, 2_001).queue.ahead, 0)
     loads.retainPeers(name => name !== 'dead')
-    assert.equal(loads.getQueue('s0', 6, 1_000).ahead, 0)
+    assert.equal(loads.read('s0', 6, 1_000).queue.ahead, 0)
   })
 
   test.it('is the newest report of any gateway with the calls sent since, and never less than the calls in flight', () => {
@@ -128,10 +128,10 @@
     loads.recordReport(first, { ...idle, running: 2, slowness: 2.5 }, 0)
     loads.updatePeer('g', { s0: [1, 0, 0, 50, 6, 4, 290] }, 200, 200)
     loads.start('s0', 180)
-    assert.equal(loads.getQueue('s0', 6, 200).ahead, 11)
+    assert.equal(loads.read('s0', 6, 200).queue.ahead, 11)
     assert.ok(loads.getSlowness('s0', 150) > 2.8 && loads.getSlowness('s0', 500) < 2 && loads.getSlowness('s0', 1_200) === 1)
     loads.recordReport(first, idle, 210)
-    assert.equal(loads.getQueue('s0', 6, 210).ahead, 2)
+    assert.equal(loads.read('s0', 6, 210).queue.ahead, 2)
   })
 
   test.it('names a slow engine, and no usual one', () => {
@@ -150,14 +150,14 @@
     const before = messages.GatewayStatus.omit({ plain: true }).parse(JSON.parse(JSON.stringify(work)))
     assert.deepEqual(before, gossip.emptyStatus)
     loads.updatePeer('old', messages.GatewayStatus.parse(before).plain, 10, 10)
-    assert.equal(loads.getQueue('s0', 6, 10).ahead, 0)
+    assert.equal(loads.read('s0', 6, 10).queue.ahead, 0)
   })
 
   test.it('is ignored where it is absurd, with one log line for a server', () => {
     const { loads, log } = createGateway()
     for (const statement of [[-1, 0, 0], [1e9, 0, 0], [1, 0, 0, 1, -5, 0, 100], [1, 2, 1e6]]) {
       loads.updatePeer('g', { s0: statement }, 0, 0)
-      assert.equal(loads.getQueue('s0', 6, 0).ahead, 0, String(statement))
+      assert.equal(loads.read('s0', 6, 0).queue.ahead, 0, String(statement))
     }
     assert.equal(loads.recordReport(second, { ...idle, running: -1 }, 0), false)
     assert.equal(loads.recordReport(second, { ...idle, waiting: 1e12 }, 0), false)
