--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -3,7 +3,7 @@
  */
 import type * as allowedRegions from './availability/allowed_regions.js'
 import type * as allowances from './allowance_limiter.js'
-import type * as choices from './plain_choice.js'
+import type * as choices from './plain/server_choice.js'
 import type * as connectionPools from './connection_pool.js'
 import type * as directories from './directory.js'
 import type * as fleets from './engine_fleet.js'
@@ -38,7 +38,7 @@
   readonly returns: returnSchedules.ReturnSchedule
   readonly directory: directories.Directory
   readonly regions: allowedRegions.RegionMap
-  readonly plainChoice: choices.PlainChoice
+  readonly serverChoice: choices.ServerChoice
   readonly fleet: fleets.EngineFleet
   readonly headroom: headrooms.MemoryHeadroom
   readonly outputs: outputs.OutputEstimate
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,7 +8,7 @@
 import * as allowances from './allowance_limiter.js'
 import type * as deliveries from './answer_delivery.js'
 import * as peerTables from './peer_table.js'
-import * as choices from './plain_choice.js'
+import * as choices from './plain/server_choice.js'
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
 import * as blockedParts from './blocked_parts.js'
@@ -44,6 +44,7 @@
 import * as routing from '../contracts/routing.js'
 import * as routingFollowers from './routing_follower.js'
 import * as serverLimits from './server_limits.js'
+import * as serverLoads from './plain/server_loads.js'
 import * as settings from './settings.js'
 import * as stallMonitors from './stall_monitor.js'
 import * as types from './types.js'
@@ -66,6 +67,8 @@
 const finalAnswerMs = 200
 /** Time for callers to close their sides of the connections that are left at the exit. */
 const finalCloseMs = 200
+/** Beginning of the names of zone aggregates. */
+const zoneNamePrefix = 'zone '
 /** How recently a gateway must have been seen to count in the `gateway_peers` gauge. */
 const peerPresenceMs = 2_000
 
@@ -82,6 +85,7 @@
   private readonly issuers: issuerChoices.IssuerChoice
   private readonly stageCoordinator: stageCoordinators.StageCoordinator
   private readonly evidence: crashEvidences.CrashEvidence
+  private readonly loads: serverLoads.ServerLoads
   private readonly storeReplica: replicas.StoreReplica
   private readonly cold: coldServers.ColdServers
   private readonly boot: string
@@ -104,7 +108,8 @@
     this.boot = system.random.nextId()
     this.stalls = new stallMonitors.StallMonitor(system.log)
     const activation = new paceActivations.PaceActivation(options.isPaceEnabled, [
-      new paceActivations.ConfiguredServices(() => this.context.routing.table)
+      new paceActivations.ConfiguredServices(() => this.context.routing.table),
+      new paceActivations.SlownessReports(service => this.loads.isActive(this.context.directory.listReady(service), system.clock.monotonicMs()))
     ])
     const pace = new paces.ServerPace(this.createKnownServers(), service => activation.isPaced(service), system.random, system.log, this.meter)
     const health = new healths.ServerHealth((id, untilMs, nowMs) => {
@@ -129,12 +134,13 @@
       async server => !this.context.directory.isEvacuated(server) &&
         (!permitBook.isCold(server) || (await permitBook.take(server)).kind === 'granted'))
     const fleet = new fleets.EngineFleet(options.zone, health, system.random, pace)
-    const plainChoice = new choices.PlainChoice(options.zone, health, pace)
+    this.loads = new serverLoads.ServerLoads(system.log)
+    const serverChoice = new choices.ServerChoice(options.zone, health, this.loads, system.random, system.log, pace)
     const directory = new directories.Directory(documents, system, server => {
       pool.closeIdle(server.address)
       health.forget(server.id)
       fleet.forgetServer(server.id)
-      plainChoice.forget(server.id)
+      serverChoice.forget(server.id)
       limits.forget(server.id)
       permitBook.forget(server.id)
       this.cold.forget(server.id)
@@ -155,7 +161,7 @@
       returns: new returnSchedules.ReturnSchedule(),
       directory,
       regions: new allowedRegions.RegionMap(availability?.regions ?? {}),
-      plainChoice,
+      serverChoice,
       fleet,
       headroom: new headrooms.MemoryHeadroom(),
       outputs: new outputs.OutputEstimate(),
@@ -391,6 +397,10 @@
         this.cold.recordAnswer(server, facts.coldLeftMs, sentMs, this.system.clock.monotonicMs())
       }
     }
+    // An answer that another process signs, or none, says nothing about this server.
+    if (isMatching && facts.isSigned && facts.load !== undefined && !this.loads.recordReport(server, facts.load, this.system.clock.monotonicMs())) {
+      this.meter.count('gateway_load_reports_ignored_total', {})
+    }
   }
 
   /** Returns the limits of cold servers by service; they change with the routing document. */
@@ -419,7 +429,7 @@
 
   private createParty (): peerTables.LocalGateway {
     const { allowance, directory, fleet, health, limits, pace, queueing: { demand } } = this.context
-    const { cold, evidence } = this
+    const { cold, evidence, loads } = this
     const listWaiting = (): readonly waitingDemands.WaitingRequest[] => this.listWaiting()
     const { clock } = this.system
     const { node, zone } = this.options
@@ -444,7 +454,8 @@
           parts: evidence.listReported(nowMs),
           waiting: demand.describe(listWaiting(), nowMs),
           cold: cold.listReported(nowMs),
-          paces: pace.describe(nowMs)
+          paces: pace.describe(nowMs),
+          plain: loads.listReported(nowMs)
         }
       }
 
@@ -459,7 +470,8 @@
           parts: evidence.listReported(nowMs),
           waiting: demand.aggregate(listWaiting(), others, nowMs),
           cold: cold.listReported(nowMs),
-          paces: pace.describe(nowMs)
+          paces: pace.describe(nowMs),
+          plain: loads.aggregate(others, nowMs)
         }
       }
 
@@ -477,6 +489,7 @@
         evidence.merge(work.parts ?? {}, gateway, heardMs, clock.monotonicMs())
         cold.merge(work.cold ?? {}, heardMs, clock.monotonicMs())
         pace.merge(work.paces ?? {}, gateway, heardMs, clock.monotonicMs())
+        loads.updatePeer(gateway, work.plain, heardMs, clock.monotonicMs())
       }
 
       override updateZone (state: messages.ZoneAggregate, heardMs: number): void {
@@ -485,6 +498,7 @@
           fleet.forgetPeer(gateway)
           demand.forgetPeer(gateway)
           health.forgetPeer(gateway)
+          loads.forgetPeer(gateway)
         }
         allowance.receiveZoneTotals(state.zone, `${state.teller} ${state.boot}`, state.work.admitted, clock.monotonicMs())
         fleet.updatePeer(createZoneName(state.zone), state.work, heardMs)
@@ -495,6 +509,7 @@
         evidence.merge(state.work.parts ?? {}, state.teller, heardMs, clock.monotonicMs())
         cold.merge(state.work.cold ?? {}, heardMs, clock.monotonicMs())
         pace.merge(state.work.paces ?? {}, state.teller, heardMs, clock.monotonicMs())
+        loads.updatePeer(createZoneName(state.zone), state.work.plain, heardMs, clock.monotonicMs())
       }
 
       override forgetZone (lostZone: string): void {
@@ -502,6 +517,7 @@
         fleet.forgetPeer(createZoneName(lostZone))
         demand.forgetPeer(createZoneName(lostZone))
         health.forgetPeer(createZoneName(lostZone))
+        loads.forgetPeer(createZoneName(lostZone))
       }
     }()
   }
@@ -542,6 +558,8 @@
     this.context.fleet.setOtherGateways(found.size)
     this.context.queueing.setGossip(found.size, this.peerTable.periodMs)
     this.context.pace.setOtherGateways(found.size)
+    this.context.serverChoice.setOtherGateways(found.size)
+    this.loads.retainPeers(name => found.has(name) || name.startsWith(zoneNamePrefix))
   }
 
   /** Returns this gateway's even share of what all gateways divide, 0 while it is not certain. */
@@ -569,6 +587,8 @@
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_evacuated_zones', {}, this.context.directory.evacuatedCount)
     this.meter.gauge('gateway_cold_servers', {}, this.cold.count(nowMs))
+    this.meter.gauge('gateway_slow_servers', {}, this.loads.countSlow(nowMs))
+    this.meter.gauge('gateway_timed_services', {}, this.context.serverChoice.timedCount)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
     this.meter.gauge('gateway_recovering_servers', {}, this.context.pace.count(nowMs))
     const { suspect, blocked } = this.evidence.count(nowMs)
@@ -581,5 +601,5 @@
 
 /** Returns the name under which a zone aggregate is kept among the gateways. */
 function createZoneName (zone: string): string {
-  return `zone ${zone}`
+  return `${zoneNamePrefix}${zone}`
 }
--- a/src/gateway/pace/pace_activation.ts
+++ b/src/gateway/pace/pace_activation.ts
@@ -20,6 +20,17 @@
   }
 }
 
+/** Services whose servers have lately reported how long work takes on their VMs. */
+export class SlownessReports extends PaceSource {
+  constructor (private readonly isReported: (service: string) => boolean) {
+    super()
+  }
+
+  override callsForPace (service: string): boolean {
+    return this.isReported(service)
+  }
+}
+
 export class PaceActivation {
   constructor (private readonly isEnabled: boolean, private readonly sources: readonly PaceSource[]) {}
 
--- a/tests/gateway/pace/pace_fleet.ts
+++ b/tests/gateway/pace/pace_fleet.ts
@@ -1,7 +1,7 @@
 /**
  * Gateways that share plain servers in virtual time, with gossip that is 100 to 300 ms old. Seeded; no network.
  */
-import * as choices from '../../../src/gateway/plain_choice.js'
+import * as choices from '../../../src/gateway/plain/plain_choice.js'
 import * as healths from '../../../src/gateway/server_health.js'
 import * as messages from '../../../src/gateway/peer_messages.js'
 import * as metrics from '../../../src/metrics/types.js'
