Pace: short answers are in time, cost of the choice

In a trial over loopback, first events of 2 to 7 ms of a returned engine spread by more than twice their usual time.

--- a/src/gateway/pace/server_pace.ts
+++ b/src/gateway/pace/server_pace.ts
@@ -52,6 +52,8 @@
 /** Multiples of the usual time up to which an answer is in time, and above which it is slow: the spread of work times stays below. */
 const inTimeFactor = 1.5
 const slowFactor = 2
+/** Least usual time to an answer or a first event, in milliseconds: shorter ones vary by more than twice with the gateway's own work. */
+const leastUsualMs = 10
 /** Part of the capacity that a measured slowness leaves which is used; the rest is the margin of the measurement. */
 const slowCapacityPart = 0.5
 /** Time without an answer at any gateway after which a recovery ends, in milliseconds: nobody calls, and the server is as any other idle one. */
@@ -487,10 +489,11 @@
   }
 
   /** Returns the worst of the times as a multiple of the usual one; 1 where nothing is known to compare with. */
-  private measureSlowness (server: routing.RoutedServer, times: answerTimes.AnswerTimes, recovery: Recovery | undefined, nowMs: number): number {
+  private measureSlowness (server: routing.RoutedServer, times: answerTimes.AnswerTimes, recovery: Recovery, nowMs: number): number {
     let worst = 0
     for (const [kind, value] of answerTimes.listUsable(times)) {
-      worst = Math.max(worst, value / (this.getUsualTime(server, kind, recovery, nowMs) ?? value))
+      const leastMs = kind === 'answer' || kind === 'first_event' ? leastUsualMs : 0
+      worst = Math.max(worst, value / Math.max(leastMs, this.getUsualTime(server, kind, recovery, nowMs) ?? value))
     }
     return worst === 0 ? 1 : worst
   }
