--- a/src/gateway/availability/cold_limit.ts
+++ b/src/gateway/availability/cold_limit.ts
@@ -20,7 +20,7 @@
 /** Depth of the bucket as a part of the bound. */
 const depthPart = 0.05
 /** Least rate as a part of the bound: applies to bounds of a few requests, of which the first permit takes more than half. */
-const minimumRatePart = 0.1
+const minimumRatePart = 0.2
 /** Longest wait that is stated to a gateway, in milliseconds: a server may stop being cold at any time. */
 const maximumWaitMs = 1_000
 /** Time by which the rate can be overdrawn by requests without a permit, in milliseconds. */
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -283,22 +283,20 @@
   async renewPermit (place: Placement): Promise<Placement | undefined> {
     const { directory, permits: permitBook, system } = this.context
     const untilMs = Math.min(this.now() + maximumPermitWaitMs, this.request.deadlineMs)
-    let { permit, permitMs } = place
-    while (!permitBook.isUsable(place.server, permit, permitMs)) {
-      permitBook.giveBack(place.server, permit)
-      permit = 'none'
+    if (permitBook.isUsable(place.server, place.permit, place.permitMs)) {
+      return place
+    }
+    permitBook.giveBack(place.server, place.permit)
+    for (;;) {
       const verdict = await permitBook.take(place.server)
       if (verdict.kind === 'granted') {
-        permit = verdict.source
-        permitMs = this.now()
-        continue
+        return { ...place, permit: verdict.source, permitMs: this.now() }
       }
       if (this.reply.isGone || directory.isEvacuated(place.server) || this.now() + verdict.waitMs > untilMs) {
         return undefined
       }
       await system.clock.sleep(Math.max(1, verdict.waitMs))
     }
-    return { ...place, permit, permitMs }
   }
 
   /** Releases what was reserved at a server and not used. */
--- a/tests/gateway/permit_fleet.ts
+++ b/tests/gateway/permit_fleet.ts
@@ -1,6 +1,7 @@
 /**
  * Gateways in virtual time before servers with limits: real beliefs, gossip and permits over a simulated network, with faults.
  */
+import * as coldServers from '../../src/gateway/availability/cold_servers.js'
 import * as gossipFleets from './gossip_fleet.js'
 import * as host from '../../src/host/types.js'
 import * as issuerChoices from '../../src/gateway/issuer_choice.js'
@@ -27,6 +28,9 @@
   readonly arrivals: Arrival[] = []
   readonly limitChanges: { readonly atMs: number, readonly perSecond: number | undefined }[] = []
   bornMs = 1
+  /** Until when it is cold, and the entries that it has written. */
+  coldUntilMs = 0
+  writes = 0
 
   constructor (readonly id: string, readonly zone: string, private readonly clock: host.Clock) {}
 
@@ -38,6 +42,11 @@
     return { id: this.id, service: 'desk', address: '127.0.0.1:1', zone: this.zone, slots: 8, state: 'ready', bornMs: this.bornMs }
   }
 
+  /** The entry in the store, which says how long the server stays cold. */
+  get storedEntry (): routing.RoutedServer {
+    return { ...this.entry, writes: this.writes, coldLeftMs: Math.max(0, this.coldUntilMs - this.clock.monotonicMs()) }
+  }
+
   nameLimit (perSecond: number | undefined): void {
     this.limitChanges.push({ atMs: this.clock.monotonicMs(), perSecond })
   }
@@ -54,6 +63,7 @@
   limits: serverLimits.ServerLimits
   permits: permits.Permits
   table: peerTables.PeerTable
+  cold: coldServers.ColdServers
   /** Whether it runs a version that neither knows limits nor issues permits. */
   isOld = false
   private choice: issuerChoices.IssuerChoice
@@ -61,12 +71,13 @@
 
   constructor (node: string, zone: string, private readonly fleet: PermitFleet) {
     super(node, zone);
-    [this.limits, this.choice, this.permits, this.table] = this.boot()
+    [this.limits, this.choice, this.permits, this.table, this.cold] = this.boot()
   }
 
   /** Starts with no memory of the past. */
   restart (): void {
-    [this.limits, this.choice, this.permits, this.table] = this.boot()
+    [this.limits, this.choice, this.permits, this.table, this.cold] = this.boot()
+    this.readEntries()
     this.isRunning = true
     this.fleet.updateMembers()
   }
@@ -76,11 +87,19 @@
     super.setOthers(others)
   }
 
-  private boot (): [serverLimits.ServerLimits, issuerChoices.IssuerChoice, permits.Permits, peerTables.PeerTable] {
+  /** Reads the entries of all servers from the store. */
+  readEntries (): void {
+    for (const server of this.fleet.servers) {
+      this.cold.recordEntry(server.storedEntry, this.fleet.clock.monotonicMs())
+    }
+  }
+
+  private boot (): [serverLimits.ServerLimits, issuerChoices.IssuerChoice, permits.Permits, peerTables.PeerTable, coldServers.ColdServers] {
     this.boots += 1
     const { node, zone, fleet, boots } = this
     const { clock } = fleet.system
-    const limits = new serverLimits.ServerLimits(fleet.system.log)
+    const cold = new coldServers.ColdServers(() => fleet.coldProfile, fleet.system.log)
+    const limits = new serverLimits.ServerLimits(fleet.system.log, cold)
     const local = new class extends peerTables.LocalGateway {
       override readonly node = node
       override readonly zone = zone
@@ -117,12 +136,14 @@
         })
       }
     }()
-    return [limits, choice, new permits.Permits(node, limits, choice, channel, fleet.system), table]
+    return [limits, choice, new permits.Permits(node, limits, choice, channel, fleet.system), table, cold]
   }
 }
 
 export class PermitFleet extends gossipFleets.GossipFleet<SimulatedGateway> {
   readonly servers: LimitedServer[] = []
+  /** What the service's servers take while they are cold; undefined if they never are. */
+  coldProfile: ReturnType<coldServers.ColdProfileSource>
   /** Longest time that a request waited until it was sent or refused. */
   longestDecisionMs = 0
   /** Time that a server takes for an answer, in milliseconds. */
@@ -134,6 +155,16 @@
     return server
   }
 
+  /** Starts a new process of a server, which is cold for a time; `knows` tells which gateways see its entry at once. */
+  startCold (server: LimitedServer, forMs: number, knows: (gateway: SimulatedGateway) => boolean = () => true): void {
+    server.bornMs += 1
+    server.writes = 0
+    server.coldUntilMs = this.clock.monotonicMs() + forMs
+    for (const gateway of this.gateways.filter(knows)) {
+      gateway.readEntries()
+    }
+  }
+
   addGateway (zone: string): SimulatedGateway {
     return this.addNode(new SimulatedGateway(`gateway-${this.gateways.length + 1}`, zone, this))
   }
