--- a/tests/gateway/availability.test.ts
+++ b/tests/gateway/availability.test.ts
@@ -100,7 +100,7 @@
     log = new recordedLogs.RecordedLog()
     const system = { ...nodeSystems.createSilentSystem(), clock, log }
     cold = new coldServers.ColdServers(() => ({ coldMs: 3_000, limit }), log)
-    directory = new directories.Directory(new documents.PlatformDocuments(), system, () => {}, cold)
+    directory = new directories.Directory(new documents.PlatformDocuments(), system, () => {}, () => {}, cold)
     directory.put(item('servers/p', entry('a'), 1))
     directory.put(item('servers/s', entry('b'), 2))
     directory.updated()
@@ -124,7 +124,7 @@
   // Guards against a gateway that starts, or has lost the store, and serves from another gateway's copy without its evacuations.
   test.it('is taken over with the replica of another gateway, in any order of the keys, and ends with it', () => {
     const system = { ...nodeSystems.createSilentSystem(), clock, log }
-    const other = new directories.Directory(new documents.PlatformDocuments(), system, () => {}, cold)
+    const other = new directories.Directory(new documents.PlatformDocuments(), system, () => {}, () => {}, cold)
     const replica = new replicas.StoreReplica({} as never, '', system, other, 900)
     const items = [item('servers/s', entry('b'), 2), item('op/evacuate/b', {}, 3), item('servers/p', entry('a'), 1)]
     replica.accept({ revision: 3, items })
