--- a/tools/prove.ts
+++ b/tools/prove.ts
@@ -7,6 +7,7 @@
 import * as path from 'node:path'
 import * as testRunner from 'node:test'
 import * as url from 'node:url'
+import * as knownReds from './known_red.js'
 import * as proofPage from './proof_page.js'
 import * as proofTable from './proof_table.js'
 
@@ -88,12 +89,6 @@
   return stdout.split('\n').filter(line => line !== '')
 }
 
-/** An entry of the file begins with `- ` and the full name of a test in backquotes. */
-function readKnownRed (): ReadonlySet<string> {
-  const text = fs.existsSync('KNOWN-RED.txt') ? fs.readFileSync('KNOWN-RED.txt', 'utf8') : ''
-  return new Set([...text.matchAll(/^- `([^`]+)`/gm)].map(match => match[1] as string))
-}
-
 function judge (point: proofTable.Point, evidence: Evidence): { state: string, detail: string } {
   const found = point.tests.map(test => evidence.results.filter(result => isOf(result, test)))
   const all = found.flat()
@@ -127,7 +122,7 @@
   const totals = new Map<string, number>()
   const results = await runTests([...files], totals)
   const modelLines = process.argv.includes('--faults') ? undefined : runModelCheck()
-  const evidence = { results, modelLines, knownRed: readKnownRed() }
+  const evidence = { results, modelLines, knownRed: knownReds.readKnownRed() }
   let isGood = true
   console.log()
   for (const [index, point] of proofTable.points.entries()) {
