Bound the memory, descriptors and time that callers' bodies, heads and connections take

Cause: each connection could make the gateway hold a whole body, whatever its head said, and V8 frees the buffers of bodies only after 64 MB. What the head decides is refused before the body is read. A message of another gateway is read under an account of its own.

--- a/src/contracts/diagnostics.ts
+++ b/src/contracts/diagnostics.ts
@@ -54,6 +54,7 @@
   servers_limited: row('load', 503, 'All servers of "{0}" are at the limits of requests a second that they state.'),
   share_exceeded: row('load', 429, 'The workspace "{0}" uses more than its share of the servers, which are full; the wait of {1} ms is kept for others.'),
   memory_exhausted: row('load', 503, 'Server "{0}" has no memory for the request within its deadline.'),
+  caller_memory_full: row('load', 503, 'The memory for bodies of callers is in use.'),
   entry_overloaded: row('load', 503, 'This entry VM is overloaded.'),
 
   // Failures.
--- a/src/gateway/allowance_limiter.ts
+++ b/src/gateway/allowance_limiter.ts
@@ -162,12 +162,8 @@
       return { kind: 'admitted' }
     }
     const bucket = this.refill(workspace, nowMs)
-    // A request above the burst is admitted from a full bucket and leaves a debt.
-    const needed = units <= workspace.burst * smallRequestPart
-      ? units - workspace.burst * smallRequestDebtPart
-      : Math.min(units, workspace.burst)
-    if (bucket.level < needed) {
-      const missing = needed - bucket.level
+    const missing = findMissing(bucket, units)
+    if (missing > 0) {
       return { kind: 'refused', retryAfterMs: Math.ceil(missing / workspace.rate * 1000) }
     }
     bucket.level -= units
@@ -175,6 +171,15 @@
     return { kind: 'admitted' }
   }
 
+  /** Returns when the workspace may retry a request that `charge` would refuse now, otherwise `undefined`. */
+  getRetryMs (workspace: routing.RoutedWorkspace, units: number, nowMs: number): number | undefined {
+    if (workspace.rate <= 0) {
+      return undefined
+    }
+    const missing = findMissing(this.refill(workspace, nowMs), units)
+    return missing > 0 ? Math.ceil(missing / workspace.rate * 1000) : undefined
+  }
+
   /** Refunds the charge of a request that never ran. */
   refund (workspace: string, units: number): void {
     const bucket = this.buckets.get(workspace)
@@ -284,3 +289,12 @@
     return unresponsive
   }
 }
+
+/** Returns how many units a bucket lacks for a request. */
+function findMissing ({ level, workspace }: Bucket, units: number): number {
+  // A request above the burst is admitted from a full bucket and leaves a debt.
+  const needed = units <= workspace.burst * smallRequestPart
+    ? units - workspace.burst * smallRequestDebtPart
+    : Math.min(units, workspace.burst)
+  return needed - level
+}
--- a/src/gateway/answer_delivery.ts
+++ b/src/gateway/answer_delivery.ts
@@ -5,7 +5,7 @@
 import type * as net from 'node:net'
 
 /** Why the gateway closed a connection. `destroyed`: at once, most often because of a broken answer; `other`: Node.js ended it. */
-export type CloseReason = 'last_answer' | 'idle' | 'unreadable' | 'too_many_waiting' | 'destroyed' | 'exit' | 'other'
+export type CloseReason = 'last_answer' | 'idle' | 'too_many_connections' | 'unreadable' | 'too_many_waiting' | 'destroyed' | 'exit' | 'other'
 
 /** Which side closed a connection first; an error of the connection counts as the caller's. */
 export type Closing =
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -5,8 +5,10 @@
  * no further request is handled. The gateway then closes its sending side behind the last answer, and reads and discards what the caller still
  * sends: closing a socket with unread bytes would reset the connection, and the answer with it.
  */
+import type * as buffer from 'node:buffer'
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as bodyIntakes from './caller_memory/body_intake.js'
 import * as deliveries from './answer_delivery.js'
 import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
@@ -32,6 +34,7 @@
 interface CallerExchange {
   readonly request: http.IncomingMessage
   readonly response: http.ServerResponse
+  readonly body: bodyIntakes.BodyIntake
   /** On the monotonic clock. */
   readonly readMs: number
 }
@@ -41,7 +44,7 @@
 
 /** Receives the requests of callers. */
 export abstract class RequestListener {
-  abstract received (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery): void
+  abstract received (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery, body: bodyIntakes.BodyIntake): void
   /** A request that was read and is not handled, because no answer could reach its caller; `ageMs` is the time since it was read. */
   abstract dropped (request: http.IncomingMessage, reason: DropReason, ageMs: number): void
 }
@@ -50,6 +53,7 @@
   private readonly waiting: CallerExchange[] = []
   private current: CallerExchange | undefined
   private requestCount = 0
+  private lastEndMs: number
   private isClosing = false
   /** Why the connection closes once what was taken is answered, if it does; nothing more is taken then. */
   private idleCloseReason: deliveries.CloseReason | undefined
@@ -62,8 +66,10 @@
     private readonly socket: net.Socket,
     private readonly listener: RequestListener,
     private readonly clock: host.Clock,
-    private readonly log: host.Log
+    private readonly log: host.Log,
+    private readonly intake: bodyIntakes.IntakeOptions
   ) {
+    this.lastEndMs = clock.monotonicMs()
     // Node's server ends a connection so after its last answer, and destroys it with what lies unread.
     socket.destroySoon = () => this.close('last_answer')
     // Ahead of Node's own listeners, which close the other side.
@@ -80,9 +86,32 @@
     return this.current !== undefined || this.waiting.length > 0
   }
 
+  /** Whether the connection has been used for a request. */
+  get isUsed (): boolean {
+    return this.requestCount > 0
+  }
+
+  /** Since when the caller has kept the connection without a request, on the monotonic clock; `undefined` with one. */
+  get idleSinceMs (): number | undefined {
+    return this.isBusy || this.isClosing ? undefined : this.lastEndMs
+  }
+
+  /** The body that the caller still sends, if no answer has been begun. */
+  get openBody (): bodyIntakes.BodyIntake | undefined {
+    const { current } = this
+    return current === undefined || current.response.headersSent || current.body.openSinceMs === undefined ? undefined : current.body
+  }
+
+  /** Closes a connection without a request at once, because its descriptor is needed. */
+  closeForConnection (): void {
+    this.isClosing = true
+    this.recordClosing({ closedBy: 'gateway', closeReason: 'too_many_connections' })
+    this.socket.destroy()
+  }
+
   /** Takes a request from the parser. It is handled in its turn, and unless its caller has left. */
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
-    const exchange = { request, response, readMs: this.clock.monotonicMs() }
+    const exchange = { request, response, body: new bodyIntakes.BodyIntake(request, this.intake), readMs: this.clock.monotonicMs() }
     this.requestCount += 1
     if (this.waiting.length >= maximumWaiting) {
       this.idleCloseReason ??= 'too_many_waiting'
@@ -174,6 +203,7 @@
     this.log.info('request not readable', { reason, status: isAnswered ? status : undefined })
     if (broken !== undefined) {
       this.waiting.length = 0
+      broken.body.discard()
       this.begin(broken)
       broken.response.writeHead(status, { 'Content-Length': '0', Connection: 'close' }).end()
       this.close('unreadable')
@@ -208,10 +238,11 @@
     const delivery = this.begin(next)
     const status = requestHeads.refuseInvalidHead(next.request, next.response)
     if (status !== undefined) {
+      next.body.discard()
       this.log.info('request not readable', { reason: 'invalid head', status })
       return
     }
-    this.listener.received(next.request, next.response, delivery)
+    this.listener.received(next.request, next.response, delivery, next.body)
   }
 
   private begin (exchange: CallerExchange): deliveries.AnswerDelivery {
@@ -228,6 +259,7 @@
       delivery.settle()
       this.current = undefined
       this.delivery = undefined
+      this.lastEndMs = this.clock.monotonicMs()
       if (this.isClosing) {
         this.endSending()
       } else if (this.idleCloseReason !== undefined && this.waiting.length === 0) {
@@ -256,12 +288,15 @@
     }
   }
 
-  private drop ({ request, readMs }: CallerExchange, reason: DropReason): void {
+  private drop ({ request, body, readMs }: CallerExchange, reason: DropReason): void {
     this.listener.dropped(request, reason, this.clock.monotonicMs() - readMs)
-    request.resume()
+    body.discard()
   }
 
   private endSending (): void {
+    // What still comes is not parsed any more: the parser would make an object of every chunk.
+    this.socket.removeAllListeners('data')
+    this.socket.on('data', (piece: buffer.Buffer) => bodyIntakes.recordRead(this.intake, piece.length))
     this.socket.end(() => {
       if (!this.socket.destroyed) {
         this.stopLinger = this.clock.after(lingerMs, () => this.socket.destroy())
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,9 @@
 import type * as deliveries from './answer_delivery.js'
 import * as peerTables from './peer_table.js'
 import * as choices from './plain_choice.js'
+import * as callerAccounts from './caller_memory/account.js'
+import * as callerBounds from './caller_memory/bounds.js'
+import type * as bodyIntakes from './caller_memory/body_intake.js'
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
 import * as blockedParts from './blocked_parts.js'
@@ -17,6 +20,7 @@
 import * as fleets from './engine_fleet.js'
 import * as guards from './prompt_guard.js'
 import * as handlers from './request_handler.js'
+import * as garbage from '../host/garbage_collector.js'
 import * as healths from './server_health.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
@@ -45,6 +49,8 @@
 /** How often the queue of generations is checked, in addition to the checks when capacity becomes free. */
 const queueCheckPeriodMs = 20
 const gaugePeriodMs = 1_000
+/** How often what callers hold is checked. */
+const memoryCheckPeriodMs = 100
 /** How often credit for retries is issued, in milliseconds. */
 const creditPeriodMs = 250
 /** How long a draining gateway accepts connections after it reports not ready: two failed probes and the balancer's reaction time. */
@@ -64,6 +70,7 @@
   private readonly meter = new meters.PrometheusMeter()
   private readonly handler: handlers.RequestHandler
   private readonly ingress: ingresses.Ingress
+  private readonly callerMemory: callerAccounts.CallerMemory
   private readonly readiness: ingresses.ReadinessListener
   private readonly metricsServer: http.Server
   private readonly peerTable: peerTables.PeerTable
@@ -132,9 +139,12 @@
       routing: { table: undefined }
     }
     this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, endMs => this.mayBegin(endMs))
-    this.ingress = new ingresses.Ingress(this.createRequestListener(), system.clock, system.log)
-    this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady)
-    this.metricsServer = http.createServer((_request, response) => {
+    const connectionLimits = callerBounds.createConnectionLimits(options.callers)
+    this.callerMemory = new callerAccounts.CallerMemory(callerBounds.createAccountLimits(options.callers))
+    this.ingress = new ingresses.Ingress(this.createRequestListener(), system.clock, system.log, this.createIntakeOptions(), connectionLimits.callers)
+    this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady, connectionLimits.probes)
+    this.metricsServer = http.createServer((request, response) => {
+      response.setHeaders(new Map(Object.entries(httpListeners.closeBehindBody(request))))
       this.meter.render().then(text => response.end(text), (error: unknown) => {
         system.log.warn('metrics not rendered', { reason: String(error) })
         response.destroy()
@@ -154,7 +164,7 @@
     const observer = new replicas.CompositeObserver([follower, directory, this.members, this.stageCoordinator, blocked], system.log)
     this.storeReplica = new replicas.StoreReplica(store, allKeysPrefix, system, observer, options.timing.watchHoldMs)
     this.peerTable = new peerTables.PeerTable(this.createParty(), system.clock, system.log)
-    this.peers = new peerExchanges.PeerExchange(this.peerTable, options.zone, this.storeReplica, system, order => permitBook.decide(order), order => trials.decide(order))
+    this.peers = new peerExchanges.PeerExchange(this.peerTable, options.zone, this.storeReplica, system, order => permitBook.decide(order), order => trials.decide(order), connectionLimits.peers)
   }
 
   private get isReady (): boolean {
@@ -167,13 +177,14 @@
     await this.readiness.start(options.readiness)
     await this.peers.start(options.peers)
     if (options.metrics !== undefined) {
-      await httpListeners.listen(this.metricsServer, options.metrics)
+      await httpListeners.listen(this.metricsServer, options.metrics, callerBounds.createConnectionLimits(options.callers).probes)
     }
     // Last, so that no caller is accepted by a process that cannot start.
     await this.ingress.start(options.ingress)
     this.storeReplica.start()
     this.members.start()
     this.stageCoordinator.start()
+    this.stops.push(system.clock.every(memoryCheckPeriodMs, () => this.checkCallerMemory()))
     this.stops.push(system.clock.every(gaugePeriodMs, () => this.setGauges()))
     this.stops.push(system.clock.every(creditPeriodMs, () => {
       this.stalls.tick(system.clock.monotonicMs(), creditPeriodMs)
@@ -252,8 +263,8 @@
   private createRequestListener (): callerConnections.RequestListener {
     const gateway = this
     return new class extends callerConnections.RequestListener {
-      override received (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery): void {
-        gateway.handler.handle(request, response, delivery).catch((error: unknown) => {
+      override received (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery, body: bodyIntakes.BodyIntake): void {
+        gateway.handler.handle(request, response, delivery, body).catch((error: unknown) => {
           gateway.system.log.error('request not handled', { error: String(error) })
           response.destroy()
         })
@@ -265,6 +276,36 @@
     }()
   }
 
+  private createIntakeOptions (): bodyIntakes.IntakeOptions {
+    const { options, system } = this
+    return {
+      clock: system.clock,
+      account: this.callerMemory,
+      stallMs: options.callers.bodyStallMs,
+      collect: () => this.collectPieces(),
+      ended: (_request, reason, bytes) => {
+        this.meter.count('gateway_bodies_ended_total', { reason })
+        system.log.info('body ended for lack of memory', { reason, bytes, ...this.callerMemory.describe() })
+      }
+    }
+  }
+
+  /** Collects the pieces that bodies came in, once what was read of them is no longer on the stack. */
+  private collectPieces (): void {
+    setImmediate(() => {
+      this.meter.count('gateway_collections_total', { kind: 'minor' })
+      garbage.collectGarbage('minor')
+    })
+  }
+
+  private checkCallerMemory (): void {
+    if (this.callerMemory.needsCollection) {
+      this.meter.count('gateway_collections_total', { kind: 'major' })
+      garbage.collectGarbage('major')
+    }
+    this.callerMemory.check(this.system.clock.monotonicMs())
+  }
+
   private createSendListener (): connectionPools.SendListener {
     const gateway = this
     return new class extends connectionPools.SendListener {
@@ -441,6 +482,15 @@
     }
     this.meter.gauge('gateway_stall_ms', {}, this.stalls.getLongestMs(nowMs))
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
+    this.ingress.reportBound()
+    this.meter.gauge('gateway_connections', { state: 'open' }, this.ingress.connections)
+    this.meter.gauge('gateway_connections', { state: 'closed_for_others' }, this.ingress.closedForOthers)
+    this.meter.gauge('gateway_connections', { state: 'refused' }, this.ingress.refusedConnections)
+    const held = this.callerMemory.describe()
+    for (const kind of ['large', 'small', 'uncollected'] as const) {
+      this.meter.gauge('gateway_caller_bytes', { kind }, held[kind])
+    }
+    this.meter.gauge('gateway_bodies_waiting', {}, held.waiting)
     this.meter.gauge('gateway_in_flight', {}, this.handler.inFlight)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
     const { suspect, blocked } = this.evidence.count(nowMs)
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -8,9 +8,12 @@
 import * as http from 'node:http'
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
+import * as accounts from './caller_memory/account.js'
+import * as bodyIntakes from './caller_memory/body_intake.js'
+import * as callerBounds from './caller_memory/bounds.js'
 import * as peerTables from './peer_table.js'
-import * as byteCollectors from './byte_collector.js'
 import * as eventLoop from '../host/event_loop.js'
+import * as garbage from '../host/garbage_collector.js'
 import * as host from '../host/types.js'
 import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
@@ -28,6 +31,11 @@
 const replicaTimeoutMs = 1_000
 /** Time-out of an order for permits or a trial, in milliseconds: callers wait for it. */
 const orderTimeoutMs = 80
+/** Limit on a message of another gateway, and how long it may take: the other one has given up by then. Answers are longer. */
+const maximumRequestBytes = 4_194_304
+const requestTimeoutMs = 2_000
+/** How often what others hold is checked, in milliseconds. */
+const memoryCheckPeriodMs = 100
 /** Limit on the text of an error in the log, in characters. */
 const loggedErrorLength = 200
 /** Header that tells whether the caller is in the same zone, which selects the compression of the answer. */
@@ -40,7 +48,10 @@
     errorListener: (message, data) => this.system.log.warn('message of another gateway not accepted', { reason: message, error: String(data).slice(0, loggedErrorLength) })
   })
 
+  private readonly account = new accounts.CallerMemory(callerBounds.createPeerAccountLimits())
+  private readonly neverGone = new AbortController().signal
   private stopTick: host.Stop | undefined
+  private stopCheck: host.Stop | undefined
 
   constructor (
     private readonly table: peerTables.PeerTable,
@@ -48,7 +59,8 @@
     private readonly replica: replicas.StoreReplica,
     private readonly system: host.System,
     decidePermits: (order: messages.PermitOrder) => messages.PermitGrant,
-    decideTrial: (order: messages.TrialOrder) => messages.TrialGrant
+    decideTrial: (order: messages.TrialOrder) => messages.TrialGrant,
+    private readonly maximumConnections = Infinity
   ) {
     super()
     this.rpc.addMethod('peer.exchange', message => {
@@ -68,12 +80,14 @@
   }
 
   async start (address: identities.Address): Promise<void> {
-    await httpListeners.listen(this.server, address)
+    await httpListeners.listen(this.server, address, this.maximumConnections)
+    this.stopCheck = this.system.clock.every(memoryCheckPeriodMs, () => this.account.check(this.system.clock.monotonicMs()))
     this.tick()
   }
 
   async close (): Promise<void> {
     this.stopTick?.()
+    this.stopCheck?.()
     this.server.close()
     this.server.closeAllConnections()
     await this.agent.destroy()
@@ -178,15 +192,21 @@
   }
 
   private async serve (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const body = new byteCollectors.ByteCollector()
-    for await (const chunk of request) {
-      body.add(chunk as buffer.Buffer)
-      if (body.length > messages.maximumMessageBytes) {
-        response.writeHead(413, { connection: 'close' }).end()
-        return
-      }
+    const { clock, log } = this.system
+    const intake = new bodyIntakes.BodyIntake(request, {
+      clock,
+      account: this.account,
+      stallMs: requestTimeoutMs,
+      collect: () => garbage.collectGarbage('minor'),
+      ended: (_request, reason, bytes) => log.info('message of another gateway ended for lack of memory', { reason, bytes })
+    })
+    const body = await intake.read(maximumRequestBytes, requestTimeoutMs, this.neverGone)
+    if (body.isLeft()) {
+      response.writeHead(413, { connection: 'close' }).end()
+      return
     }
-    const message = messages.decode(body.view(), request.headers['content-encoding'])
+    const message = messages.decode(body.unsafeCoerce() ?? buffer.Buffer.alloc(0), request.headers['content-encoding'])
+    intake.release()
     const encoded = messages.encode(await this.rpc.receive(message as jsonRpc.JSONRPCRequest), request.headers[sameZoneHeader] === '1')
     response.sendDate = false
     response.writeHead(200, { ...encoded.headers, 'content-length': encoded.body.length }).end(encoded.body)
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -4,7 +4,7 @@
 import type * as http from 'node:http'
 import type * as deliveries from './answer_delivery.js'
 import * as allowances from './allowance_limiter.js'
-import * as bodies from './body_reader.js'
+import type * as bodyIntakes from './caller_memory/body_intake.js'
 import type * as callerConnections from './caller_connection.js'
 import * as firstAttemptEstimates from './first_attempt_estimate.js'
 import * as contexts from './context.js'
@@ -86,7 +86,9 @@
     system.log.info('request dropped', { request: id, reason, verdict: 'not_run', ageMs: Math.round(ageMs) })
   }
 
-  async handle (request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery): Promise<void> {
+  async handle (
+    request: http.IncomingMessage, response: http.ServerResponse, delivery: deliveries.AnswerDelivery, body: bodyIntakes.BodyIntake
+  ): Promise<void> {
     const { dialect, system } = this.context
     const arrivedMs = this.now()
     const arrival = dialect.readArrival(request.method ?? 'GET', request.url ?? '/', request.rawHeaders)
@@ -95,13 +97,14 @@
     this.active.set(reply, active)
     let end: exchanges.ExchangeEnd
     try {
-      end = await this.serve(request, active, reply)
+      end = await this.serve(body, active, reply)
     } catch (error) {
       system.log.error('request failed by a defect', { request: arrival.id, error: error instanceof Error ? error.stack : String(error) })
       const status = reply.fail(failures.createFailure('may_have_run', 'internal', ['see the log']))
       end = { outcome: 'failed', status, reason: 'internal' }
     } finally {
       this.active.delete(reply)
+      body.release()
     }
     const elapsedMs = this.now() - arrivedMs
     const delivered = await reply.delivered
@@ -139,12 +142,18 @@
   }
 
   private async serve (
-    request: http.IncomingMessage, active: ActiveRequest, reply: replies.CallerReply
+    intake: bodyIntakes.BodyIntake, active: ActiveRequest, reply: replies.CallerReply
   ): Promise<exchanges.ExchangeEnd> {
     const { arrival, arrivedMs } = active
-    const limits = this.context.routing.table?.document.limits
     const callerTimeoutMs = arrival.callerTimeoutMs ?? defaultTimeoutMs
-    const body = await bodies.readBody(request, limits?.bodyBytes ?? Infinity, callerTimeoutMs, this.context.system.clock, reply.gone)
+    const refused = intake.isLongAndOpen ? this.checkHead(arrival, intake.announcedBytes) : undefined
+    if (refused !== undefined) {
+      intake.discard()
+      this.context.meter.count('gateway_bodies_unread_total', { reason: refused.code })
+      return this.refuse(reply, refused)
+    }
+    const limits = this.context.routing.table?.document.limits
+    const body = await intake.read(limits?.bodyBytes ?? Infinity, callerTimeoutMs, reply.gone)
     if (body.isLeft()) {
       return this.refuse(reply, body.extract() as failures.Failure)
     }
@@ -191,7 +200,44 @@
     return end
   }
 
+  /** Returns the failure of a request that its head alone decides, so that its body need not be read. Charges nothing. */
+  private checkHead (arrival: types.Arrival, announcedBytes: number | undefined): failures.Failure | undefined {
+    const { table } = this.context.routing
+    if (table === undefined) {
+      return failures.createFailure('not_run', 'not_ready', [], notReadyRetryMs)
+    }
+    const { bodyBytes } = table.document.limits
+    if (announcedBytes !== undefined && announcedBytes > bodyBytes) {
+      return failures.createFailure('not_run', 'body_too_large', [bodyBytes])
+    }
+    const selected = this.select(table, arrival)
+    if (selected.isLeft()) {
+      return selected.extract() as failures.Failure
+    }
+    const { workspace, units } = selected.unsafeCoerce()
+    const retryAfterMs = workspace === undefined ? undefined : this.context.allowance.getRetryMs(workspace, units, this.now())
+    return retryAfterMs === undefined ? undefined : this.createAllowanceFailure(arrival, workspace as routing.RoutedWorkspace, units, retryAfterMs)
+  }
+
   private admit (table: tables.RoutingTable, arrival: types.Arrival): failures.Result<Admission> {
+    return this.select(table, arrival).chain(admission => {
+      const { workspace, units } = admission
+      const verdict = workspace === undefined ? undefined : this.context.allowance.charge(workspace, units, this.now())
+      return workspace !== undefined && verdict?.kind === 'refused'
+        ? failures.fail(this.createAllowanceFailure(arrival, workspace, units, verdict.retryAfterMs))
+        : failures.succeed(admission)
+    })
+  }
+
+  private createAllowanceFailure (
+    arrival: types.Arrival, workspace: routing.RoutedWorkspace, units: number, retryAfterMs: number
+  ): failures.Failure {
+    this.context.system.log.info('allowance exhausted', { request: arrival.id, workspace: workspace.name, units, rate: workspace.rate, retryAfterMs })
+    return failures.createFailure('not_run', 'allowance_exhausted', [workspace.name], retryAfterMs)
+  }
+
+  /** Finds what applies to a request by its head. */
+  private select (table: tables.RoutingTable, arrival: types.Arrival): failures.Result<Admission> {
     const { document } = table
     let headBytes = arrival.path.length
     for (const part of arrival.rawHeaders) {
@@ -213,15 +259,6 @@
       return failures.fail(failures.createFailure('not_run', arrival.keyHash === undefined ? 'key_missing' : 'key_unknown'))
     }
     const units = workspace === undefined ? 0 : allowances.AllowanceLimiter.measure(workspace, countTokens(arrival))
-    if (workspace !== undefined) {
-      const verdict = this.context.allowance.charge(workspace, units, this.now())
-      if (verdict.kind === 'refused') {
-        this.context.system.log.info('allowance exhausted', {
-          request: arrival.id, workspace: workspace.name, units, rate: workspace.rate, retryAfterMs: verdict.retryAfterMs
-        })
-        return failures.fail(failures.createFailure('not_run', 'allowance_exhausted', [workspace.name], verdict.retryAfterMs))
-      }
-    }
     return failures.succeed({ route, service, workspace, units })
   }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -5,6 +5,8 @@
 import * as identities from '../contracts/identity.js'
 
 const milliseconds = z.number().nonnegative()
+/** Memory of a VM whose settings do not name it. */
+const defaultVmBytes = 536_870_912
 
 export const GatewaySettings = z.object({
   node: z.string().min(1),
@@ -41,6 +43,19 @@
     /** Units in addition to that fraction. */
     slack: z.number().nonnegative()
   }),
+  /** What callers may make this process hold. */
+  callers: z.object({
+    /** Memory of the VM, in bytes. */
+    vmBytes: z.number().positive().default(defaultVmBytes),
+    /** Part of what the VM has beyond the process itself that is for callers. */
+    memoryPart: z.number().positive().max(1).default(0.35),
+    /** Descriptors that the process may open. */
+    descriptors: z.number().positive().default(Infinity),
+    /** A body of which nothing comes for so long is ended. */
+    bodyStallMs: milliseconds.default(15_000),
+    /** Least rate of a large body while others wait for memory, in bytes a second: 4 MB take a minute at it. */
+    leastBodyRate: z.number().nonnegative().default(65_536)
+  }).default({ vmBytes: defaultVmBytes, memoryPart: 0.35, descriptors: Infinity, bodyStallMs: 15_000, leastBodyRate: 65_536 }),
   retries: z.object({
     /** Retries to servers for each request. */
     ratio: z.number().nonnegative(),
--- /dev/null
+++ b/src/host/garbage_collector.ts
@@ -0,0 +1,29 @@
+/**
+ * Collects garbage when the program knows that buffers are waiting to be freed. V8 itself starts a collection for buffers when they have grown
+ * by 64 MB, which is more than a small VM has.
+ */
+import * as v8 from 'node:v8'
+import * as vm from 'node:vm'
+
+/** `minor`: young objects only, such as the pieces of a body, in about a millisecond. */
+export type CollectionKind = 'minor' | 'major'
+
+let collect: ((options: { readonly type: CollectionKind }) => void) | undefined
+
+export function collectGarbage (kind: CollectionKind): void {
+  if (collect === undefined) {
+    v8.setFlagsFromString('--expose-gc')
+    collect = vm.runInNewContext('gc') as typeof collect
+  }
+  collect?.({ type: kind })
+}
+
+/** Keeps a process with little memory small, at the price of more frequent collections and slower WebAssembly. To be called at the start. */
+export function limitMemory (): void {
+  // Keeps the young generation at its first size, 1 MiB for each half, instead of doubling it up to 16 MiB.
+  v8.setFlagsFromString('--semi-space-growth-factor=1')
+  // Growth of the old generation between two full collections, in percent of what survived the first.
+  v8.setFlagsFromString('--heap-growing-percent=50')
+  // V8 takes 30 MB for a moment when it optimises the HTTP client's parser, which is WebAssembly.
+  v8.setFlagsFromString('--liftoff-only')
+}
