--- a/src/gateway/plain/expected_time_choice.ts
+++ b/src/gateway/plain/expected_time_choice.ts
@@ -19,7 +19,7 @@
 const otherZoneMs = 2
 /**
  * Part of a call's goal by which its answer may come later for the call to stay in its own zone: traffic between zones is billed by the
- * byte, and an answer within the goal is not worth less for being later.
+ * byte, and gateways that stay in their zones do not meet at the same server.
  */
 const ownZonePart = 1 / 4
 /**
