Log line where a gateway may not learn of an evacuation in time

Cause: bounds.evac_ms was decoded without use; a gateway that hears neither the store nor another gateway cannot keep the bound. Change: one line when that begins and one when it ends, where the settings state the bound.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -85,6 +85,7 @@
   private isDraining = false
   private isCheckingQueue = false
   private isExpediting = false
+  private isIsolated = false
   /** Until when all requests are accepted, and when those accepted later must have ended. */
   private acceptsAllUntilMs = Infinity
   private lastEndMs = Infinity
@@ -199,11 +200,11 @@
         system.log.info('store snapshot not fetched from seed', { seed, reason: String(error) })
       })
     }
-    const { faults = [], region, regions = {}, evacuationMs } = options.availability ?? {}
+    const { faults = [], region, regions = {} } = options.availability ?? {}
     if (faults.length > 0) {
       system.log.warn('settings ignored', { faults: faults.join('; ') })
     }
-    if (evacuationMs !== undefined && Object.keys(regions).length > 0) {
+    if (Object.keys(regions).length > 0) {
       system.log.info('zones and regions', { region, zones: Object.entries(regions).map(pair => pair.join('=')).join(',') })
     }
     system.log.info('started', { boot: this.boot, zone: options.zone, ingress: options.ingress.port })
@@ -479,9 +480,20 @@
     return this.storeReplica.isCurrent(this.system.clock.monotonicMs()) ? this.members.getShare(this.storeReplica.revision) : 0
   }
 
+  /** Logs when this gateway may not learn of an evacuation in time: neither the store nor another gateway has been heard for the bound. */
+  private checkIsolation (storeAgeMs: number): void {
+    const boundMs = this.options.availability?.evacuationMs
+    const isIsolated = boundMs !== undefined && storeAgeMs > boundMs && this.peerTable.listSeen(boundMs).length === 0
+    if (isIsolated !== this.isIsolated) {
+      this.isIsolated = isIsolated
+      this.system.log.warn(isIsolated ? 'evacuations may be unknown' : 'evacuations are known again', { boundMs, ageMs: Math.round(storeAgeMs) })
+    }
+  }
+
   private setGauges (): void {
     const nowMs = this.system.clock.monotonicMs()
     const ageMs = this.storeReplica.getAgeMs(nowMs)
+    this.checkIsolation(ageMs)
     this.meter.gauge('gateway_store_age_ms', {}, Number.isFinite(ageMs) ? ageMs : -1)
     for (const { name } of this.context.routing.table?.document.services ?? []) {
       this.meter.gauge('gateway_retry_credit', { service: name }, this.context.retries.describe(name).credit)
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -52,8 +52,8 @@
     /** Requests that a cold server may get in any one second, as a factor on its rate and in addition. */
     coldOver: z.number().nonnegative(),
     coldSlack: z.number().nonnegative(),
-    /** Time after the store's acknowledgement of an evacuation from which no request may reach a server of the zone. */
-    evacuationMs: milliseconds,
+    /** Time after the store's acknowledgement of an evacuation from which no request may reach a server of the zone; absent if it is not stated. */
+    evacuationMs: milliseconds.optional(),
     /** Region of this gateway's zone; absent if it is not known. */
     region: z.string().optional(),
     /** Region of each zone that the settings state. */
