--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -89,6 +89,11 @@
     return this.context.queueing.services.has(this.request.service.name)
   }
 
+  /** 0 is the most urgent; ranks of one service compare at all gateways. */
+  private get rank (): number {
+    return this.request.priority
+  }
+
   /** Tokens that count against the workspace's limit. */
   private get chargedTokens (): number {
     return this.sizes.promptTokens + this.sizes.maximumOutputTokens
@@ -182,7 +187,7 @@
       this.reply.gone.addEventListener('abort', leave, { once: true })
       rooms.add({
         id: this.request.serial,
-        priority: this.request.priority,
+        priority: this.rank,
         expectedOutputTokens: this.expectedOutput,
         sinceMs: this.request.firstAttemptMs,
         ...plan ?? this.planQueueing(),
@@ -268,7 +273,7 @@
     return queueing.deferral.shouldDefer({
       id: this.request.arrival.id,
       service: this.request.service.name,
-      rank: this.request.priority,
+      rank: this.rank,
       countPlaces: tokens => this.countPlaces(tokens)
     }, queueing.gossipPeriodMs, this.now())
   }
@@ -311,31 +316,33 @@
   /** Returns the expected time until there is memory for the request behind others at this gateway, and the memory that becomes free in a millisecond, in tokens. */
   private forecast (aheadTokens: number): { readonly waitMs: number, readonly rate: number } | undefined {
     const { demand, forecast } = this.context.queueing
-    const { priority, service: { name } } = this.request
+    const { rank } = this
+    const { name } = this.request.service
     const nowMs = this.now()
     const rate = forecast.getRate(name, () => this.listRooms().reduce((sum, { usedTokens }) => sum + usedTokens, 0), nowMs)
     if (rate === undefined) {
       return undefined
     }
-    const urgentTokens = demand.getElsewhere(name, priority - 1, nowMs).tokens
-    const equalTokens = demand.getElsewhere(name, priority, nowMs).tokens - urgentTokens
+    const urgentTokens = demand.getElsewhere(name, rank - 1, nowMs).tokens
+    const equalTokens = demand.getElsewhere(name, rank, nowMs).tokens - urgentTokens
     return { waitMs: forecast.estimateWaitMs(this.committedTokens, { ownTokens: aheadTokens, urgentTokens, equalTokens }, rate), rate }
   }
 
   /** Returns when the caller is to come back, by the memory that is expected to become free. */
   private scheduleReturn (): number {
     const { capacityQueue, meter, queueing } = this.context
-    const { priority, service: { name } } = this.request
+    const { rank } = this
+    const { name } = this.request.service
     let aheadTokens = 0
-    for (const { claim, priority: other } of capacityQueue.listClaimants()) {
-      aheadTokens += claim.service === name && other <= priority ? claim.memoryTokens : 0
+    for (const { claim, priority } of capacityQueue.listClaimants()) {
+      aheadTokens += claim.service === name && priority <= rank ? claim.memoryTokens : 0
     }
     const expected = this.forecast(aheadTokens)
     const gateways = queueing.otherGateways + 1
     const retryAfterMs = queueing.returns.schedule({
       service: name,
-      rank: priority,
-      waitMs: expected?.waitMs ?? capacityRetryMs,
+      rank,
+      waitMs: expected?.waitMs ?? Infinity,
       intervalMs: expected === undefined ? 0 : this.committedTokens * gateways / expected.rate,
       remainingMs: this.remainingMs()
     }, this.now())
@@ -352,10 +359,11 @@
       return {}
     }
     const { demand, shares } = this.context.queueing
-    const { priority, service: { name }, workspace } = this.request
-    const elsewhere = demand.getElsewhere(name, priority, this.now())
+    const { rank } = this
+    const { service: { name }, workspace } = this.request
+    const elsewhere = demand.getElsewhere(name, rank, this.now())
     return {
-      rank: priority,
+      rank,
       isRefusedEarly: this.isRefusedEarly,
       retryAfterMs,
       waitingElsewhere: elsewhere.count,
--- a/src/gateway/queueing/capacity_queue.ts
+++ b/src/gateway/queueing/capacity_queue.ts
@@ -50,6 +50,15 @@
 
 type Claimant = Waiter & { readonly claim: Claim }
 
+/** The requests of a workspace within a group, in order. */
+interface WorkspaceLine {
+  /** What the workspace was given lately, with its requests before `next`. */
+  use: number
+  /** Index of the next request. */
+  next: number
+  readonly waiters: Claimant[]
+}
+
 export class CapacityQueue {
   private readonly waiters = new Map<string, Waiter>()
 
@@ -96,7 +105,9 @@
     for (const waiter of [...this.waiters.values()].sort(compareWaiters)) {
       if (isClaimant(waiter)) {
         const { service } = waiter.claim
-        claimants.set(service, [...claimants.get(service) ?? [], waiter])
+        const found = claimants.get(service) ?? []
+        claimants.set(service, found)
+        found.push(waiter)
       } else {
         this.serve(waiter, nowMs)
       }
@@ -127,7 +138,7 @@
 
   /** Orders requests of one priority: next comes the workspace that was given the smallest part of its limit, with what precedes in this order. */
   private interleave (group: readonly Claimant[], nowMs: number): readonly Claimant[] {
-    const lines = new Map<string, { use: number, next: number, readonly waiters: Claimant[] }>()
+    const lines = new Map<string, WorkspaceLine>()
     for (const waiter of group) {
       const { workspace } = waiter.claim
       const line = lines.get(workspace) ?? { use: this.shares?.getUse(workspace, nowMs) ?? 0, next: 0, waiters: [] }
@@ -139,7 +150,7 @@
     }
     const ordered: Claimant[] = []
     while (ordered.length < group.length) {
-      let best: { use: number, next: number, readonly waiters: Claimant[] } | undefined
+      let best: WorkspaceLine | undefined
       let bestWaiter: Claimant | undefined
       for (const line of lines.values()) {
         const waiter = line.waiters[line.next]
--- a/src/gateway/queueing/capacity_returns.ts
+++ b/src/gateway/queueing/capacity_returns.ts
@@ -17,7 +17,7 @@
   readonly service: string
   /** 0 is the most urgent. */
   readonly rank: number
-  /** Time until memory is expected to be free for it, in milliseconds. */
+  /** Time until memory is expected to be free for it, in milliseconds; infinite if that is not known. */
   readonly waitMs: number
   /** Time in which this gateway's share of the memory that becomes free is enough for the request, in milliseconds. */
   readonly intervalMs: number
@@ -36,7 +36,8 @@
     const honouredMs = Math.max(0, remainingMs * honouredPart)
     const turns = this.turns.get(service) ?? new Map<number, number>()
     this.turns.set(service, turns)
-    let turnMs = nowMs + waitMs
+    // The turns of the gateways lie between each other; without the draw the first ones would coincide.
+    let turnMs = nowMs + waitMs + this.random.nextUnit() * intervalMs
     for (const [other, lastMs] of turns) {
       if (lastMs <= nowMs) {
         turns.delete(other)
--- a/src/gateway/queueing/placement_deferral.ts
+++ b/src/gateway/queueing/placement_deferral.ts
@@ -3,13 +3,14 @@
  *
  * Pattern: memory becomes free at a moment when a more urgent request waits at a gateway that does not know of it yet, while a less urgent
  * one waits here. The memory is left for as long as the other gateway needs to learn of it. If it is still free then, the news is stale
- * or the memory is of no use to the other, and this gateway uses it: memory is idle for at most one age of the gossip.
+ * or the memory is of no use to the other, and this gateway uses it. The other learns of the memory by the next message, which travels as long
+ * as the news did: memory is idle for at most a period and the age of the news.
  */
 import * as host from '../../host/types.js'
 import type * as metrics from '../../metrics/types.js'
 import type * as waitingDemands from './waiting_demand.js'
 
-/** Upper bound of a deferral, in milliseconds: a fifth of the shortest wait that callers grant, and a quarter of the validity of the gossip. */
+/** Upper bound of a deferral, in milliseconds: a quarter of the least time after which callers leave, and of the validity of the gossip. */
 const maximumDeferralMs = 500
 /** Least time between two log lines, in milliseconds. */
 const logPauseMs = 1_000
@@ -49,7 +50,7 @@
     }
     const known = this.deferrals.get(key)
     if (known === undefined || nowMs - known.lastMs > maximumDeferralMs) {
-      const untilMs = nowMs + Math.min(maximumDeferralMs, Math.max(periodMs, demand.newsMs))
+      const untilMs = nowMs + Math.min(maximumDeferralMs, periodMs + Math.max(periodMs, demand.newsMs))
       this.deferrals.set(key, { untilMs, lastMs: nowMs, isExpired: false })
       this.report('begun', candidate, demand, places, nowMs)
       return true
--- a/tests/gateway/queueing/queueing_fleet.test.ts
+++ b/tests/gateway/queueing/queueing_fleet.test.ts
@@ -120,6 +120,18 @@
     assert.ok((parts['d'] as number) > 0.25, JSON.stringify(parts))
   })
 
+  // Guards against a workspace that is shut out for long by a wrong total of another gateway, or owed more than it asked for.
+  test.it('are back within a minute after an absurd total, and save up nothing by refunds', () => {
+    const [{ shares }] = new fleets.QueueingFleet(1, 1, 1, names.map(createWorkspace)).gateways as [fleets.SimulatedGateway]
+    shares.recordTold('a', 1e300, 0)
+    shares.recordTold('a', NaN, 0)
+    shares.recordTold('b', -1e300, 0)
+    shares.recordTold('unknown', 1, 0)
+    assert.ok(shares.getUse('a', 0) > 5 && shares.getUse('a', 60_000) < 0.1, String(shares.getUse('a', 60_000)))
+    assert.deepEqual(['b', 'unknown'].map(name => shares.getUse(name, 0)), [0, 0])
+    assert.ok(shares.measure('a', requestTokens) > 0)
+  })
+
   test.it('use everything when they are alone', () => {
     const parts = share({ d: 40 })
     assert.ok((parts['d'] as number) > 0.47, JSON.stringify(parts))
