Servers of a zone whose evacuation ends return at the pace of their answers

Cause: the pace did not learn of the end of an evacuation, after which all servers of a zone are empty or cold. Change: the directory reports them like servers that have started.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -51,8 +51,8 @@
     private readonly documents: types.StoredDocuments,
     private readonly system: host.System,
     private readonly onRemoved: (server: routing.RoutedServer) => void,
-    /** Called for a server, or a process of a server, that was not known before. */
-    private readonly onStarted: (server: routing.RoutedServer) => void = () => {},
+    /** Called for a server, or a process of a server, that was not known before, and for those of a zone whose evacuation ends. */
+    private readonly onReturned: (server: routing.RoutedServer, reason: 'start' | 'evacuation') => void = () => {},
     private readonly cold?: coldServers.ColdServers
   ) {
     super()
@@ -102,7 +102,7 @@
       })
     }
     if (known === undefined || known.bornMs !== server.bornMs) {
-      this.onStarted(server)
+      this.onReturned(server, 'start')
     }
   }
 
@@ -281,6 +281,7 @@
     for (const server of this.servers.values()) {
       if (server.zone === zone) {
         this.cold?.recordEvacuationEnd(server.id, nowMs)
+        this.onReturned(server, 'evacuation')
       }
     }
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -153,7 +153,7 @@
       permitBook.forget(server.id)
       this.cold.forget(server.id)
       pace.forget(server.id)
-    }, server => pace.recordReturn(server, 'start', system.clock.monotonicMs()), this.cold)
+    }, (server, reason) => pace.recordReturn(server, reason, system.clock.monotonicMs()), this.cold)
     const queueing = new queueings.Queueing(system, this.meter)
     this.context = {
       system,
