Count servers' answers in the account, and read bodies in tiny chunks one after the other

Cause: every call buffered up to 4 MB of its answer, for as long as its caller did not read; the parser calls back for every chunk, so that a hundred bodies in chunks of one byte kept all others waiting for a minute. Change: an answer above 64 KB takes its memory from the account and pauses its server while there is none; an unread one is cut after 15 s, only while others wait. A body in tiny chunks waits for its turn after each read.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -12,6 +12,7 @@
 import * as deliveries from './answer_delivery.js'
 import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
+import * as replies from './caller_reply.js'
 import * as requestHeads from '../host/request_head.js'
 
 /** How long the caller may take to close its side: a round trip and a lost packet. */
@@ -144,6 +145,10 @@
 
   /** Closes the connection if the caller has sent nothing when its idle time-out has expired. */
   expireIdle (): void {
+    if (this.current?.response.writableEnded === true) {
+      this.expireUnread()
+      return
+    }
     const { bytesRead } = this.socket
     eventLoop.afterSocketReads(() => {
       if (this.socket.bytesRead === bytesRead && !this.isBusy) {
@@ -152,6 +157,16 @@
     })
   }
 
+  /** Cuts an answer of which the caller has taken nothing for a time, if others wait for its memory. */
+  private expireUnread (): void {
+    if (!this.intake.account.isScarce(this.clock.monotonicMs())) {
+      this.socket.setTimeout(replies.unreadAnswerMs)
+      return
+    }
+    this.log.warn('unread answer cut for lack of memory', { unwrittenBytes: this.current?.response.writableLength })
+    this.socket.destroy()
+  }
+
   /** Answers what the parser cannot read. An error of the connection itself ends it. */
   refuse (error: NodeJS.ErrnoException): void {
     if (this.isClosing) {
--- a/src/gateway/caller_memory/account.ts
+++ b/src/gateway/caller_memory/account.ts
@@ -40,6 +40,11 @@
 /** Unfinished bodies up to this size are not ended for the sake of others: the ordinary small request. */
 const neverEndedBytes = 4_096
 
+/** How long a look of an answer for memory counts as waiting; it looks more often. */
+const answerWaitValidMs = 200
+/** Time between collections that free nothing. */
+const repeatCollectionMs = 1_000
+
 interface Grant {
   readonly bytes: number
   readonly sinceMs: number
@@ -71,6 +76,12 @@
   private smallBytes = 0
   /** Bytes of buffers that are no longer used and not collected yet. */
   private uncollectedBytes = 0
+  /** Uncollected bytes at the last collection, and when it was. */
+  private triedBytes = 0
+  private triedMs = -Infinity
+  /** What an answer has waited for last, and when. */
+  private answerWaitBytes = 0
+  private answerWaitMs = -Infinity
   /** Bytes read since the last collection; Node.js reads each piece into a buffer of its own. */
   private transientBytes = 0
 
@@ -81,11 +92,34 @@
     return { large: this.largeBytes, small: this.smallBytes, uncollected: this.uncollectedBytes, waiting: this.waiting.size }
   }
 
-  /** Whether collecting garbage would let a body go on that waits. */
-  get needsCollection (): boolean {
+  /** Whether something waits for memory. */
+  isScarce (nowMs: number): boolean {
+    return this.waiting.size > 0 || nowMs - this.answerWaitMs < answerWaitValidMs
+  }
+
+  /**
+   * Whether collecting garbage may let something go on that waits. Buffers that a collection did not free are still in use, so it is not
+   * repeated at once.
+   */
+  needsCollection (nowMs: number): boolean {
+    if (!this.isScarce(nowMs) || this.uncollectedBytes === 0 || (this.uncollectedBytes === this.triedBytes && nowMs - this.triedMs < repeatCollectionMs)) {
+      return false
+    }
     const [first] = this.waiting
-    const bytes = first?.wait?.bytes ?? 0
-    return first !== undefined && this.uncollectedBytes > 0 && this.largeBytes - this.uncollectedBytes + bytes <= this.limits.largeBytes
+    const bytes = first?.wait?.bytes ?? this.answerWaitBytes
+    return this.largeBytes - this.uncollectedBytes + bytes <= this.limits.largeBytes
+  }
+
+  /** Records that garbage is being collected. */
+  recordCollection (nowMs: number): void {
+    this.triedBytes = this.uncollectedBytes
+    this.triedMs = nowMs
+  }
+
+  /** Records that an answer waits for bytes. */
+  recordAnswerWait (bytes: number, nowMs: number): void {
+    this.answerWaitBytes = bytes
+    this.answerWaitMs = nowMs
   }
 
   /** Records bytes that have been read. Returns whether the pieces that they came in are to be collected now. */
--- a/src/gateway/caller_memory/body_intake.ts
+++ b/src/gateway/caller_memory/body_intake.ts
@@ -8,6 +8,7 @@
 import * as buffer from 'node:buffer'
 import * as http from 'node:http'
 import * as accounts from './account.js'
+import * as chunkTurns from './chunk_turns.js'
 import * as byteCollectors from '../byte_collector.js'
 import * as eventLoop from '../../host/event_loop.js'
 import * as failures from '../../contracts/failure.js'
@@ -28,6 +29,7 @@
   readonly account: accounts.CallerMemory
   /** A body of which nothing comes for so long is ended, in milliseconds. */
   readonly stallMs: number
+  readonly turns: chunkTurns.ChunkTurns
   /** Called when the pieces that bodies came in are to be collected. */
   readonly collect: () => void
   /** Called when the account ends a body. */
@@ -39,7 +41,12 @@
   private readonly small = new byteCollectors.ByteCollector()
   private large: buffer.Buffer | undefined
   private limitBytes = Infinity
-  private isHeld = false
+  /** Whether it waits for memory or for its turn in the account, so that its socket is not read. */
+  private needsMemory = false
+  /** Set while it waits for its turn among bodies in tiny chunks. */
+  private stopTurn: host.Stop | undefined
+  private chunks = 0
+  private chunkBytes = 0
   /** Whether the bytes that still come are dropped. */
   private isDiscarding = false
   private isWhole = false
@@ -130,11 +137,19 @@
     })
   }
 
+  private get isHeld (): boolean {
+    return this.needsMemory || this.stopTurn !== undefined
+  }
+
   /** Drops what has come and what still comes. */
   discard (): void {
+    const wasHeld = this.isHeld
     this.isDiscarding = true
     this.release()
-    this.resume()
+    this.needsMemory = false
+    this.stopTurn?.()
+    this.stopTurn = undefined
+    this.resume(wasHeld)
   }
 
   /** Gives the memory back: the request has ended. */
@@ -148,7 +163,7 @@
 
   override granted (): void {
     this.allocate()
-    this.resume()
+    this.stopNeedingMemory()
   }
 
   override ended (reason: accounts.EndReason): void {
@@ -169,6 +184,7 @@
     if (this.isDiscarding) {
       return
     }
+    this.lookAtChunks(chunk.length)
     this.lastProgressMs = this.options.clock.monotonicMs()
     const bytes = this.lease.bytes + chunk.length
     if (bytes > this.limitBytes) {
@@ -198,7 +214,7 @@
     const { account, clock } = this.options
     if (account.request(this.lease, this.expectedBytes, clock.monotonicMs())) {
       this.allocate()
-      this.resume()
+      this.stopNeedingMemory()
     } else {
       this.hold()
     }
@@ -224,13 +240,37 @@
   }
 
   private hold (): void {
-    this.isHeld = true
+    this.needsMemory = true
     this.request.socket.pause()
   }
 
-  private resume (): void {
-    if (this.isHeld) {
-      this.isHeld = false
+  private stopNeedingMemory (): void {
+    const wasHeld = this.isHeld
+    this.needsMemory = false
+    this.resume(wasHeld)
+  }
+
+  /** Lets a body that comes in tiny chunks wait for its turn; what has been read from the socket still comes. */
+  private lookAtChunks (bytes: number): void {
+    this.chunks += 1
+    this.chunkBytes += bytes
+    if (this.chunks < chunkTurns.lookedAtChunks) {
+      return
+    }
+    if (this.stopTurn === undefined && chunkTurns.areTiny(this.chunks, this.chunkBytes)) {
+      this.request.socket.pause()
+      this.stopTurn = this.options.turns.wait(() => {
+        this.stopTurn = undefined
+        this.resume(true)
+      })
+    }
+    this.chunks = 0
+    this.chunkBytes = 0
+  }
+
+  /** Reads on after a hold, if nothing holds the body any more. */
+  private resume (wasHeld: boolean): void {
+    if (wasHeld && !this.isHeld) {
       this.lastProgressMs = this.options.clock.monotonicMs()
       if (!this.request.socket.destroyed) {
         this.request.socket.resume()
--- a/src/gateway/caller_reply.ts
+++ b/src/gateway/caller_reply.ts
@@ -18,6 +18,10 @@
 /** Limit on an answer that is held back, equal to the default limit on a caller's body. */
 const maximumHeldBytes = 4_194_304
 
+/** Answers longer than this are looked at when their callers take nothing of them for a time, in milliseconds. */
+const smallAnswerBytes = 65_536
+export const unreadAnswerMs = 15_000
+
 const noContentStatus = 204
 const notModifiedStatus = 304
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -173,6 +177,9 @@
     const length = hasLength(headers) || !hasBody ? [] : ['Content-Length', String(body.length)]
     this.response.writeHead(status, this.addConnectionHeader([...headers, ...length]))
     this.isDone = true
+    if (body.length > smallAnswerBytes) {
+      this.response.socket?.setTimeout(unreadAnswerMs)
+    }
     this.response.end(body)
   }
 
--- a/src/gateway/connection_pool.ts
+++ b/src/gateway/connection_pool.ts
@@ -3,7 +3,7 @@
  */
 import type * as buffer from 'node:buffer'
 import * as net from 'node:net'
-import * as byteCollectors from './byte_collector.js'
+import * as answerMemories from './caller_memory/answer_memory.js'
 import * as connections from './connection.js'
 import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
@@ -64,7 +64,8 @@
     private readonly dialect: types.Dialect,
     private readonly listener: SendListener,
     /** Returns the number of connections that a server accepts from all gateways together, if it is known. */
-    private readonly getMaximumConnections: (server: routing.RoutedServer) => number | undefined
+    private readonly getMaximumConnections: (server: routing.RoutedServer) => number | undefined,
+    private readonly memory?: answerMemories.AnswerMemory
   ) {}
 
   /** Sets the number of gateways that share the connections of each server. */
@@ -100,7 +101,11 @@
     return new Promise(resolve => {
       const limitBytes = request.requestId === undefined ? maximumOwnAnswerBytes : maximumAnswerBytes
       const stops: host.Stop[] = []
-      const observer = new BufferingObserver(limitBytes, () => activeSend.abort(), outcome => {
+      const body = new answerMemories.AnswerBuffer(limitBytes, request.requestId === undefined ? undefined : this.memory, {
+        pause: () => activeSend.pause(),
+        resume: () => activeSend.resume()
+      })
+      const observer = new BufferingObserver(limitBytes, body, () => activeSend.abort(), outcome => {
         for (const stop of stops) {
           stop()
         }
@@ -245,11 +250,11 @@
 class BufferingObserver extends connections.AnswerObserver {
   private status = 0
   private rawHeaders: readonly string[] = []
-  private readonly bytes = new byteCollectors.ByteCollector()
   isSettled = false
 
   constructor (
     private readonly limitBytes: number,
+    private readonly bytes: answerMemories.AnswerBuffer,
     private readonly abort: () => void,
     private readonly resolve: (outcome: CallOutcome) => void
   ) {
@@ -259,6 +264,9 @@
   settle (outcome: CallOutcome): void {
     if (!this.isSettled) {
       this.isSettled = true
+      if (outcome.kind !== 'answered') {
+        this.bytes.clear()
+      }
       this.resolve(outcome)
     }
   }
@@ -272,16 +280,18 @@
     if (this.isSettled) {
       return
     }
-    this.bytes.add(chunk)
-    if (this.bytes.length > this.limitBytes) {
-      this.bytes.clear()
+    if (this.bytes.length + chunk.length > this.limitBytes) {
       this.settle({ kind: 'lost', reason: `the answer is longer than ${this.limitBytes} bytes` })
       this.abort()
+      return
     }
+    this.bytes.add(chunk)
   }
 
   override ended (): void {
-    this.settle({ kind: 'answered', status: this.status, rawHeaders: this.rawHeaders, body: this.bytes.view() })
+    if (!this.isSettled) {
+      this.bytes.finish(body => this.settle({ kind: 'answered', status: this.status, rawHeaders: this.rawHeaders, body }))
+    }
   }
 
   override failed (failure: connections.TransportFailure): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import * as choices from './plain_choice.js'
 import * as callerAccounts from './caller_memory/account.js'
 import * as callerBounds from './caller_memory/bounds.js'
+import * as chunkTurns from './caller_memory/chunk_turns.js'
 import type * as bodyIntakes from './caller_memory/body_intake.js'
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
@@ -100,8 +101,11 @@
     this.boot = system.random.nextId()
     this.stalls = new stallMonitors.StallMonitor(system.log)
     const health = new healths.ServerHealth()
+    const connectionLimits = callerBounds.createConnectionLimits(options.callers)
+    this.callerMemory = new callerAccounts.CallerMemory(callerBounds.createAccountLimits(options.callers))
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
-      ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections)
+      ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections,
+      { account: this.callerMemory, clock: system.clock })
     const limits = new serverLimits.ServerLimits(system.log)
     this.issuers = new issuerChoices.IssuerChoice(options, node => this.peerTable.isResponsive(node))
     const permitBook = new permits.Permits(options.node, limits, this.issuers, this.createPermitChannel(), system)
@@ -139,8 +143,6 @@
       routing: { table: undefined }
     }
     this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, endMs => this.mayBegin(endMs))
-    const connectionLimits = callerBounds.createConnectionLimits(options.callers)
-    this.callerMemory = new callerAccounts.CallerMemory(callerBounds.createAccountLimits(options.callers))
     this.ingress = new ingresses.Ingress(this.createRequestListener(), system.clock, system.log, this.createIntakeOptions(), connectionLimits.callers)
     this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady, connectionLimits.probes)
     this.metricsServer = http.createServer((request, response) => {
@@ -282,6 +284,7 @@
       clock: system.clock,
       account: this.callerMemory,
       stallMs: options.callers.bodyStallMs,
+      turns: new chunkTurns.ChunkTurns(system.clock),
       collect: () => this.collectPieces(),
       ended: (_request, reason, bytes) => {
         this.meter.count('gateway_bodies_ended_total', { reason })
@@ -299,11 +302,13 @@
   }
 
   private checkCallerMemory (): void {
-    if (this.callerMemory.needsCollection) {
+    const nowMs = this.system.clock.monotonicMs()
+    if (this.callerMemory.needsCollection(nowMs)) {
+      this.callerMemory.recordCollection(nowMs)
       this.meter.count('gateway_collections_total', { kind: 'major' })
       garbage.collectGarbage('major')
     }
-    this.callerMemory.check(this.system.clock.monotonicMs())
+    this.callerMemory.check(nowMs)
   }
 
   private createSendListener (): connectionPools.SendListener {
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -10,6 +10,7 @@
 import * as undici from 'undici'
 import * as accounts from './caller_memory/account.js'
 import * as bodyIntakes from './caller_memory/body_intake.js'
+import * as chunkTurns from './caller_memory/chunk_turns.js'
 import * as callerBounds from './caller_memory/bounds.js'
 import * as peerTables from './peer_table.js'
 import * as eventLoop from '../host/event_loop.js'
@@ -49,6 +50,7 @@
   })
 
   private readonly account = new accounts.CallerMemory(callerBounds.createPeerAccountLimits())
+  private readonly turns: chunkTurns.ChunkTurns
   private readonly neverGone = new AbortController().signal
   private stopTick: host.Stop | undefined
   private stopCheck: host.Stop | undefined
@@ -63,6 +65,7 @@
     private readonly maximumConnections = Infinity
   ) {
     super()
+    this.turns = new chunkTurns.ChunkTurns(system.clock)
     this.rpc.addMethod('peer.exchange', message => {
       const news = messages.GossipMessage.parse(message)
       this.receive(news)
@@ -197,6 +200,7 @@
       clock,
       account: this.account,
       stallMs: requestTimeoutMs,
+      turns: this.turns,
       collect: () => garbage.collectGarbage('minor'),
       ended: (_request, reason, bytes) => log.info('message of another gateway ended for lack of memory', { reason, bytes })
     })
--- a/tests/gateway/caller_memory/account.test.ts
+++ b/tests/gateway/caller_memory/account.test.ts
@@ -49,7 +49,7 @@
       account.request(second.lease, 8_000, 0)
       account.close(first.lease, true, 0)
       assert.equal(second.owner.grants, 0)
-      assert.equal(account.needsCollection, true)
+      assert.equal(account.needsCollection(0), true)
       account.recordCollected(8_000, 0)
       assert.equal(second.owner.grants, 1)
       assert.equal(account.describe().uncollected, 0)
