--- a/tools/code_advice.ts
+++ b/tools/code_advice.ts
@@ -34,7 +34,7 @@
   servers_limited: 'The servers state how many requests a second they take: `server limit in force` and `servers at their limits` in the log. Ask their owners why.',
   share_exceeded: 'The workspace sends more than its share while the servers are full: it is refused first. Nothing to do, unless its allowance is too small.',
   memory_exhausted: 'Too little memory for decoding: add decode servers.',
-  caller_memory_full: 'Callers send more large bodies at once than the VM has memory for: `gateway_caller_bytes`, `limits.caller_memory_part`.',
+  caller_memory_full: 'Callers send more large bodies at once than the VM has memory for: larger VMs, or `limits.caller_memory_part`.',
   entry_overloaded: 'Too few entries, or requests that do not end: `limits.requestsInFlight`.',
   retries_exhausted: 'Servers fail or refuse more requests than the shared budget allows to send again: `sent` and `stream ended` lines name them.',
   no_server: 'No agent that serves it answers: `mulberryflow status`, `mulberryflow server list`.',
