--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import * as choices from './plain/server_choice.js'
 import * as callerAccounts from './caller_memory/account.js'
 import * as callerBounds from './caller_memory/bounds.js'
+import * as chunkTurns from './caller_memory/chunk_turns.js'
 import type * as bodyIntakes from './caller_memory/body_intake.js'
 import * as connectionPools from './connection_pool.js'
 import * as contexts from './context.js'
@@ -126,9 +127,12 @@
         pace.recordReturn(server, 'pause', untilMs, nowMs)
       }
     })
+    const connectionLimits = callerBounds.createConnectionLimits(options.callers)
+    this.callerMemory = new callerAccounts.CallerMemory(callerBounds.createAccountLimits(options.callers))
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
       ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections,
-      server => this.context.directory.isEvacuated(server) ? 'the zone is evacuated' : undefined)
+      server => this.context.directory.isEvacuated(server) ? 'the zone is evacuated' : undefined,
+      { account: this.callerMemory, clock: system.clock })
     const { availability } = options
     this.cold = new coldServers.ColdServers(this.createColdProfiles(availability === undefined
       ? strictTolerance
@@ -181,8 +185,6 @@
       routing: { table: undefined }
     }
     this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, endMs => this.mayBegin(endMs))
-    const connectionLimits = callerBounds.createConnectionLimits(options.callers)
-    this.callerMemory = new callerAccounts.CallerMemory(callerBounds.createAccountLimits(options.callers))
     this.ingress = new ingresses.Ingress(this.createRequestListener(), system.clock, system.log, this.createIntakeOptions(), connectionLimits.callers)
     this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady, connectionLimits.probes)
     this.metricsServer = http.createServer((request, response) => {
@@ -332,6 +334,7 @@
       clock: system.clock,
       account: this.callerMemory,
       stallMs: options.callers.bodyStallMs,
+      turns: new chunkTurns.ChunkTurns(system.clock),
       collect: () => this.collectPieces(),
       ended: (_request, reason, bytes) => {
         this.meter.count('gateway_bodies_ended_total', { reason })
@@ -349,11 +352,13 @@
   }
 
   private checkCallerMemory (): void {
-    if (this.callerMemory.needsCollection) {
+    const nowMs = this.system.clock.monotonicMs()
+    if (this.callerMemory.needsCollection(nowMs)) {
+      this.callerMemory.recordCollection(nowMs)
       this.meter.count('gateway_collections_total', { kind: 'major' })
       garbage.collectGarbage('major')
     }
-    this.callerMemory.check(this.system.clock.monotonicMs())
+    this.callerMemory.check(nowMs)
   }
 
   private createSendListener (): connectionPools.SendListener {
