One place tells which services are ranked

Cause: two modules decided from the routes which services are ordered by urgency. Change: the queueing asks the ranks of the routing table; a route without weight does not count. Measured: the tests of both pass.

--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -94,7 +94,7 @@
 
   /** Whether requests for the service are ordered by urgency and workspace over all gateways. */
   private get isContested (): boolean {
-    return this.context.queueing.services.has(this.request.service.name)
+    return this.request.urgency !== undefined
   }
 
   /** 0 is the most urgent; ranks of one service compare at all gateways. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -199,7 +199,7 @@
       this.ingress.setLimits(table.document.limits)
       this.context.retries.setServices(table.document.services.map(({ name }) => name))
       this.context.allowance.setWorkspaces(table.document.workspaces ?? [], system.clock.monotonicMs())
-      queueing.setDocument(table.document)
+      queueing.setTable(table)
     })
     this.stageCoordinator = new stageCoordinators.StageCoordinator(this.context, store, service => fleet.getOffered(service, system.clock.monotonicMs()))
     this.members = new members.Members(store, system, options, this.boot,
@@ -635,11 +635,10 @@
     this.meter.gauge('gateway_stall_ms', {}, this.stalls.getLongestMs(nowMs))
     this.meter.gauge('gateway_waiting', {}, this.context.capacityQueue.length)
     const { demand, services, shares } = this.context.queueing
-    const contested = services.list()
-    for (const service of contested) {
+    for (const service of services) {
       this.meter.gauge('gateway_waiting_elsewhere', { service }, demand.getElsewhere(service, Infinity, nowMs).count)
     }
-    for (const [workspace, use] of contested.length > 0 ? shares.list(nowMs) : []) {
+    for (const [workspace, use] of services.length > 0 ? shares.list(nowMs) : []) {
       this.meter.gauge('gateway_workspace_use', { workspace }, use)
     }
     this.ingress.reportBound()
--- a/src/gateway/queueing/queueing.ts
+++ b/src/gateway/queueing/queueing.ts
@@ -3,17 +3,17 @@
  */
 import * as capacityForecasts from './capacity_forecast.js'
 import * as capacityReturns from './capacity_returns.js'
-import * as contestedServices from './contested_services.js'
 import * as fairShares from './fair_shares.js'
 import * as host from '../../host/types.js'
 import type * as metrics from '../../metrics/types.js'
 import * as placementDeferrals from './placement_deferral.js'
 import * as prefillAdmissions from './prefill_admission.js'
-import * as routing from '../../contracts/routing.js'
+import type * as tables from '../routing_table.js'
 import * as waitingDemands from './waiting_demand.js'
 
 export class Queueing {
-  readonly services = new contestedServices.ContestedServices()
+  /** Services for which requests are ordered by urgency and workspace over all gateways. */
+  services: readonly string[] = []
   readonly shares = new fairShares.FairShares()
   readonly forecast = new capacityForecasts.CapacityForecast()
   readonly prefills = new prefillAdmissions.PrefillAdmission()
@@ -30,11 +30,11 @@
     this.returns = new capacityReturns.CapacityReturns(system.random)
   }
 
-  setDocument (document: routing.RoutingDocument): void {
-    const before = this.services.list().join(',')
-    this.services.setDocument(document)
+  setTable ({ document, urgencies }: tables.RoutingTable): void {
+    const before = this.services.join(',')
+    this.services = urgencies.list()
     this.shares.setWorkspaces(document.workspaces ?? [], this.system.clock.monotonicMs())
-    const after = this.services.list().join(',')
+    const after = this.services.join(',')
     if (before !== after) {
       this.system.log.info('services ordered by urgency', { services: after, before, version: document.version })
     }
--- a/src/gateway/urgency/urgency_ranks.ts
+++ b/src/gateway/urgency/urgency_ranks.ts
@@ -39,6 +39,11 @@
     }
   }
 
+  /** Names of the ranked services. */
+  list (): readonly string[] {
+    return [...this.services.keys()]
+  }
+
   isRanked (service: string): boolean {
     return this.services.has(service)
   }
@@ -53,7 +58,7 @@
 function listGoals (document: routing.RoutingDocument, service: routing.RoutedService): ReadonlyMap<number, number> {
   const goals = new Map<number, number>()
   for (const route of document.routes) {
-    if (route.kind === 'stream' && service.engine !== undefined && route.targets.some(target => target.service === service.name)) {
+    if (route.kind === 'stream' && service.engine !== undefined && route.targets.some(target => target.service === service.name && target.weight > 0)) {
       goals.set(route.priority, Math.max(route.goalMs, goals.get(route.priority) ?? 0))
     }
   }
--- a/tests/gateway/queueing/refusals.test.ts
+++ b/tests/gateway/queueing/refusals.test.ts
@@ -6,10 +6,10 @@
 import * as capacityForecasts from '../../../src/gateway/queueing/capacity_forecast.js'
 import * as capacityQueues from '../../../src/gateway/queueing/capacity_queue.js'
 import * as capacityReturns from '../../../src/gateway/queueing/capacity_returns.js'
-import * as contestedServices from '../../../src/gateway/queueing/contested_services.js'
 import * as prefillAdmissions from '../../../src/gateway/queueing/prefill_admission.js'
 import * as routing from '../../../src/contracts/routing.js'
 import * as seededRandom from '../../../src/host/seeded_random.js'
+import * as urgencyRanks from '../../../src/gateway/urgency/urgency_ranks.js'
 
 test.describe('Callers refused for lack of decode memory', () => {
   const refused: capacityReturns.RefusedRequest = { service: 's', rank: 3, waitMs: 400, intervalMs: 250, remainingMs: 12_000 }
@@ -105,7 +105,6 @@
   const engine: routing.EngineProfile = { slots: 12, memoryTokens: 31_321, handleMs: 500, switchMs: 6_000, maximumHoldMs: 2_000 }
 
   function isContested (priorities: readonly number[], more: Partial<routing.Route> = {}, hasEngine = true): boolean {
-    const services = new contestedServices.ContestedServices()
     const routes = priorities.map(priority => ({
       name: 'r',
       host: 'h',
@@ -121,8 +120,7 @@
       ...more
     }))
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-    services.setDocument({ version: 1, routes, services: [{ name: 's', maximumConnections: 1, engine: hasEngine ? engine : undefined }], limits })
-    return services.has('s')
+    return new urgencyRanks.UrgencyRanks({ version: 1, routes, services: [{ name: 's', maximumConnections: 1, engine: hasEngine ? engine : undefined }], limits }).isRanked('s')
   }
 
   // Guards against earlier deployments that are served in another way than before.
