--- a/tests/gateway/plain_services.test.ts
+++ b/tests/gateway/plain_services.test.ts
@@ -38,15 +38,15 @@
 }
 
 test.describe('Plain services whose servers report their slowness', () => {
-  const tipwell: fleets.Load = { gateways: 28, servers: 5, perSecond: 138, workMs: 71.4, goalMs: 341, hasSlowPhases: false }
-  const ekran: fleets.Load = { gateways: 23, servers: 4, perSecond: 103, workMs: 42.9, goalMs: 220, hasSlowPhases: true }
+  const crowdedServers: fleets.Load = { gateways: 28, servers: 5, perSecond: 138, workMs: 71.4, goalMs: 341, hasSlowPhases: false }
+  const sharedVms: fleets.Load = { gateways: 23, servers: 4, perSecond: 103, workMs: 42.9, goalMs: 220, hasSlowPhases: true }
   // `gain`: least increase of the part of calls in time, about half of what was measured; `otherZones`: most calls to other zones.
   const cases: readonly (readonly [string, fleets.Load, gain: number, otherZones: number])[] = [
-    ['on VMs that are fast', tipwell, -0.01, 0.15],
-    ['on VMs that are slow for a while, with little capacity to spare', { ...tipwell, hasSlowPhases: true }, 0.06, 0.35],
-    ['on VMs that are slow for a while', ekran, 0.005, 0.2],
-    ['with a server that is slow and claims to be empty and fast', { ...tipwell, hasFalseClaims: true }, 0.02, 0.2],
-    ['with a server that loses a part of its calls', { ...ekran, lostPart: 0.3 }, 0.02, 0.4]
+    ['on VMs that are fast', crowdedServers, -0.01, 0.15],
+    ['on VMs that are slow for a while, with little capacity to spare', { ...crowdedServers, hasSlowPhases: true }, 0.06, 0.35],
+    ['on VMs that are slow for a while', sharedVms, 0.005, 0.2],
+    ['with a server that is slow and claims to be empty and fast', { ...crowdedServers, hasFalseClaims: true }, 0.02, 0.2],
+    ['with a server that loses a part of its calls', { ...sharedVms, lostPart: 0.3 }, 0.02, 0.4]
   ]
   for (const [name, load, gain, otherZones] of cases) {
     test.it(`answer more calls in time than by the choice by load, and keep most in their zone, ${name}`, context => {
