--- a/src/gateway/caller_memory/bounds.ts
+++ b/src/gateway/caller_memory/bounds.ts
@@ -25,9 +25,12 @@
 
 /** Descriptors that a gateway without connections has open, measured 30. */
 const processDescriptors = 32
-/** Parts of the other descriptors: for callers, with as many for the servers that their requests are sent to, and for the inner listeners. */
-const callersPart = 0.4
-const peersPart = 0.12
+/**
+ * Parts of the other descriptors: for callers, with as many for the servers that their requests are sent to, and for the inner listeners. With
+ * 1,024 descriptors other gateways have 198, two for each of the 75 that a zone has with 300 gateways.
+ */
+const callersPart = 0.35
+const peersPart = 0.2
 const probesPart = 0.04
 const leastProbes = 4
 /** Memory of a connection without a request, with its parser and its objects: 100 KB measured on 300 connections. */
@@ -48,7 +51,8 @@
 }
 
 export function createConnectionLimits ({ descriptors, memoryPart, vmBytes }: settings.GatewaySettings['callers']): ConnectionLimits {
-  const usable = Math.max(0, descriptors - processDescriptors)
+  // Fewer than the process itself has open cannot be meant.
+  const usable = descriptors > processDescriptors ? descriptors - processDescriptors : Infinity
   const inMemory = Math.max(leastConnections, Math.floor((vmBytes - processBytes) * memoryPart / connectionBytes))
   return {
     callers: Math.max(1, Math.min(inMemory, Math.floor(usable * callersPart))),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -197,7 +197,7 @@
         system.log.info('store snapshot not fetched from seed', { seed, reason: String(error) })
       })
     }
-    system.log.info('started', { boot: this.boot, zone: options.zone, ingress: options.ingress.port })
+    system.log.info('started', { largeBytes: this.callerMemory.limits.largeBytes, maximumConnections: callerBounds.createConnectionLimits(options.callers).callers, boot: this.boot, zone: options.zone, ingress: options.ingress.port })
   }
 
   /** Drains: reports not ready, waits until the balancer has noticed, then finishes the requests in flight within the grace period. */
