--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -247,7 +247,7 @@
     if (Object.keys(regions).length > 0) {
       system.log.info('zones and regions', { region, zones: Object.entries(regions).map(pair => pair.join('=')).join(',') })
     }
-    system.log.info('started', { boot: this.boot, zone: options.zone, ingress: options.ingress.port })
+    system.log.info('started', { largeBytes: this.callerMemory.limits.largeBytes, maximumConnections: callerBounds.createConnectionLimits(options.callers).callers, boot: this.boot, zone: options.zone, ingress: options.ingress.port })
   }
 
   /** Drains: reports not ready, waits until the balancer has noticed, then finishes the requests in flight within the grace period. */
