The pace of recovering servers is on for services with cold servers; more services on request

Cause: with it Ekran's returned servers were used less, and more calls were late. Change: the setting mulberryflow.pace is cold by default, all or off.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,8 +116,10 @@
   ) {
     this.boot = system.random.nextId()
     this.stalls = new stallMonitors.StallMonitor(system.log)
-    const activation = new paceActivations.PaceActivation(options.isPaceEnabled, [
-      new paceActivations.ConfiguredServices(() => this.context.routing.table),
+    const activation = new paceActivations.PaceActivation(options.pace, [
+      new paceActivations.ColdServices(() => this.context.routing.table)
+    ], [
+      new paceActivations.RankedServices(() => this.context.routing.table),
       new paceActivations.SlownessReports(service => this.loads.isActive(this.context.directory.listReady(service), system.clock.monotonicMs()))
     ])
     const pace = new paces.ServerPace(this.createKnownServers(), service => activation.isPaced(service), system.random, system.log, this.meter)
--- a/src/gateway/pace/pace_activation.ts
+++ b/src/gateway/pace/pace_activation.ts
@@ -1,6 +1,7 @@
 /**
  * Tells for which services recovering servers are paced: those whose configuration, or whose servers' answers, call for it.
  */
+import type * as settings from '../settings.js'
 import type * as tables from '../routing_table.js'
 
 /** One reason to pace the servers of a service. */
@@ -8,15 +9,25 @@
   abstract callsForPace (service: string): boolean
 }
 
-/** Services with generations on routes of different priorities, and services whose servers state a rate that they take while they are cold. */
-export class ConfiguredServices extends PaceSource {
+/** Services whose configuration states a rate that their servers take while they are cold. */
+export class ColdServices extends PaceSource {
   constructor (private readonly getTable: () => tables.RoutingTable | undefined) {
     super()
   }
 
   override callsForPace (service: string): boolean {
-    const table = this.getTable()
-    return table !== undefined && (table.urgencies.isRanked(service) || table.getService(service)?.cold !== undefined)
+    return this.getTable()?.getService(service)?.cold !== undefined
+  }
+}
+
+/** Services with generations on routes of different priorities. */
+export class RankedServices extends PaceSource {
+  constructor (private readonly getTable: () => tables.RoutingTable | undefined) {
+    super()
+  }
+
+  override callsForPace (service: string): boolean {
+    return this.getTable()?.urgencies.isRanked(service) === true
   }
 }
 
@@ -32,9 +43,13 @@
 }
 
 export class PaceActivation {
-  constructor (private readonly isEnabled: boolean, private readonly sources: readonly PaceSource[]) {}
+  /** `sources` are asked unless the pace is off, `furtherSources` where it is on for all. */
+  constructor (
+    private readonly scope: settings.PaceScope, private readonly sources: readonly PaceSource[], private readonly furtherSources: readonly PaceSource[]
+  ) {}
 
   isPaced (service: string): boolean {
-    return this.isEnabled && this.sources.some(source => source.callsForPace(service))
+    const callsForPace = (source: PaceSource): boolean => source.callsForPace(service)
+    return this.scope !== 'off' && (this.sources.some(callsForPace) || (this.scope === 'all' && this.furtherSources.some(callsForPace)))
   }
 }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -8,6 +8,13 @@
 /** Memory of a VM whose settings do not name it. */
 const defaultVmBytes = 536_870_912
 
+/**
+ * Services whose recovering servers are paced: none; those whose configuration states what cold servers take; or also those whose routes have
+ * different priorities or whose servers report how long work takes.
+ */
+export const PaceScope = z.enum(['off', 'cold', 'all'])
+export type PaceScope = z.infer<typeof PaceScope>
+
 export const GatewaySettings = z.object({
   node: z.string().min(1),
   zone: z.string().min(1),
@@ -64,7 +71,7 @@
     slack: z.number().nonnegative()
   }),
   /** Whether servers that start or return while traffic runs get their share of the load step by step, where the service calls for it. */
-  isPaceEnabled: z.boolean().default(true),
+  pace: PaceScope.default('cold'),
   availability: z.object({
     /** Requests that a cold server may get in any one second, as a factor on its rate and in addition. */
     coldOver: z.number().nonnegative(),
