Reservations at cold servers, and the pace of recovering servers only where it is asked for

Cause: on the shifted site generations at cold servers had no reservation, so that prompts were read in vain, and returned servers were used less than they could. Change: a generation reserves memory at a cold server, too, which counts against its limit; mulberryflow.pace is off by default.

--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -132,14 +132,15 @@
         }
         continue
       }
-      if (permit !== 'none') {
-        // A reservation would use up a second request of the limit.
+      if (permit !== 'none' && !this.context.permits.isCold(server)) {
+        // A reservation would use up a second request of the limit. Cold servers take more than that, and a prompt is not to be read in vain.
         return { place: { server, reservation: undefined, permit, permitMs: this.now() } }
       }
       const reserved = await this.reserveAt(server)
       if (reserved.kind === 'taken') {
         return { place: { server, reservation: reserved.reservation, permit, permitMs: this.now() } }
       }
+      this.context.permits.giveBack(server, permit)
       refused += 1
       this.context.fleet.releaseDecode(this.request.serial)
       if (this.reply.isGone || refused >= maximumReservationRefusals) {
@@ -158,7 +159,6 @@
       ...this.describeContention(retryAfterMs),
       service: this.request.service.name,
       neededTokens: this.committedTokens,
-      rank: this.request.urgency?.rank,
       headroomServers: this.request.urgency === undefined ? undefined : this.headroomServers,
       refusals: refused,
       waiting: this.context.capacityQueue.length,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -71,7 +71,7 @@
     slack: z.number().nonnegative()
   }),
   /** Whether servers that start or return while traffic runs get their share of the load step by step, where the service calls for it. */
-  pace: PaceScope.default('cold'),
+  pace: PaceScope.default('off'),
   availability: z.object({
     /** Requests that a cold server may get in any one second, as a factor on its rate and in addition. */
     coldOver: z.number().nonnegative(),
