The memory of a gossip message that cannot be read is given back

Cause: a message that is too long, too slow or not readable kept its share of the account of the gossip listener for ever, so that such messages could shut out other gateways. Change: the share is released on every way out.

--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -204,13 +204,18 @@
       collect: () => garbage.collectGarbage('minor'),
       ended: (_request, reason, bytes) => log.info('message of another gateway ended for lack of memory', { reason, bytes })
     })
-    const body = await intake.read(maximumRequestBytes, requestTimeoutMs, this.neverGone)
-    if (body.isLeft()) {
-      response.writeHead(413, { connection: 'close' }).end()
-      return
+    let message: unknown
+    try {
+      const body = await intake.read(maximumRequestBytes, requestTimeoutMs, this.neverGone)
+      if (body.isLeft()) {
+        response.writeHead(413, { connection: 'close' }).end()
+        return
+      }
+      message = messages.decode(body.unsafeCoerce() ?? buffer.Buffer.alloc(0), request.headers['content-encoding'])
+    } finally {
+      // Also for a message that cannot be read: its memory would be counted for as long as the process lives.
+      intake.release()
     }
-    const message = messages.decode(body.unsafeCoerce() ?? buffer.Buffer.alloc(0), request.headers['content-encoding'])
-    intake.release()
     const encoded = messages.encode(await this.rpc.receive(message as jsonRpc.JSONRPCRequest), request.headers[sameZoneHeader] === '1')
     response.sendDate = false
     response.writeHead(200, { ...encoded.headers, 'content-length': encoded.body.length }).end(encoded.body)
