Decode servers are chosen by memory and measured speed where servers are uneven

Cause: the choice went by free memory alone. On Ekran one engine in four needs more than twice the time for a token; it got nearly as many streams as the others, which lasted longer there, so that more of them were open when gateways ended. Change: the time between events is measured on each stream, summed over the gateways by gossip, and free memory counts divided by the slowness relative to the median. Active where servers of the service report how long work takes.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -20,6 +20,7 @@
 import type * as capacityQueues from './queueing/capacity_queue.js'
 import type * as queueings from './queueing/queueing.js'
 import type * as serverLimits from './server_limits.js'
+import type * as serverLoads from './plain/server_loads.js'
 import type * as settings from './settings.js'
 import type * as tables from './routing_table.js'
 import type * as types from './types.js'
@@ -39,6 +40,7 @@
   readonly directory: directories.Directory
   readonly regions: allowedRegions.RegionMap
   readonly serverChoice: choices.ServerChoice
+  readonly loads: serverLoads.ServerLoads
   readonly fleet: fleets.EngineFleet
   readonly headroom: headrooms.MemoryHeadroom
   readonly outputs: outputs.OutputEstimate
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -5,6 +5,7 @@
  * make the final decision by granting or refusing a reservation. Performs no input or output.
  */
 import * as capacityParts from './pace/capacity_parts.js'
+import * as eventIntervals from './decode_speed/event_intervals.js'
 import * as healths from './server_health.js'
 import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
@@ -37,6 +38,18 @@
 /** Upper bound of the jitter, as a fraction of an engine: some two requests. */
 const maximumJitter = 0.8
 
+/** Time for which the slowness of a service's servers is not computed again, in milliseconds: one period of gossip. */
+const slownessValidMs = 100
+/**
+ * Times between events are gossiped for a part of each second only, in milliseconds: they change slowly, and 30 servers take 800 bytes of a
+ * message. What a gateway told counts until it tells again, for this long at most.
+ */
+const intervalPeriodMs = 1_000
+const intervalWindowMs = 200
+const intervalExpiryMs = 20_000
+/** Slowness from which a server is reported as slow. */
+const notableSlowness = 1.5
+
 /** Load that one gateway has committed to one engine. */
 export interface CommittedLoad {
   /** Requests in decode, or about to start. */
@@ -61,6 +74,8 @@
   readonly switching: string[]
   /** Arrivals at ranked services; absent where there are none, and from gateways that do not know them. */
   readonly arrivals?: Readonly<Record<string, arrivals.ArrivalRate[]>> | undefined
+  /** Times between events, by server; absent where they are not measured, and from gateways that do not know them. */
+  readonly intervals?: Readonly<Record<string, eventIntervals.IntervalSum>> | undefined
 }
 
 /** Exponentially decaying sums over completed answers. */
@@ -105,6 +120,8 @@
   readonly offered: Readonly<Record<string, splits.OfferedLoad>>
   readonly switching: ReadonlySet<string>
   readonly arrivals: Readonly<Record<string, arrivals.ArrivalRate[]>>
+  readonly intervals: Readonly<Record<string, eventIntervals.IntervalSum>>
+  readonly intervalsMs: number
 }
 
 export class EngineFleet {
@@ -118,6 +135,9 @@
   private readonly ownLoad = new Map<string, CommittedLoad>()
   private readonly loadMeters = new Map<string, splits.LoadMeter>()
   private readonly arrivalMeters = new Map<string, arrivals.ArrivalMeter>()
+  private readonly intervals = new eventIntervals.EventIntervals()
+  /** Slowness of the servers, by service. */
+  private readonly slowness = new Map<string, { readonly servers: ReadonlyMap<string, number>, readonly atMs: number }>()
   private switching: ReadonlySet<string> = new Set()
   /** Servers observed to be changing their stage, whoever ordered it. */
   private readonly observedSwitching = new Map<string, ObservedSwitch>()
@@ -193,12 +213,15 @@
 
   /** Replaces the state of another gateway, or the aggregate of all gateways of another zone. */
   updatePeer (peer: string, state: PeerEngines, nowMs: number): void {
+    const { intervals = {}, intervalsMs = -Infinity } = this.peers.get(peer) ?? {}
     this.peers.set(peer, {
       lastSeenMs: nowMs,
       bookings: new Map(Object.entries(state.bookings)),
       offered: state.offered,
       switching: new Set(state.switching),
-      arrivals: state.arrivals ?? {}
+      arrivals: state.arrivals ?? {},
+      intervals: state.intervals ?? intervals,
+      intervalsMs: state.intervals === undefined ? intervalsMs : nowMs
     })
   }
 
@@ -216,6 +239,54 @@
     meter.record(level, tokens, nowMs)
   }
 
+  /** Records that a stream of a decode server took a time for a number of events, in milliseconds. */
+  recordEvents (server: string, events: number, elapsedMs: number, nowMs: number): void {
+    this.intervals.record(server, events, elapsedMs, nowMs)
+  }
+
+  /** Returns the time between events at the decode servers of a service relative to the usual one; empty where it is not measured. */
+  getSlowness (servers: readonly routing.RoutedServer[], nowMs: number): ReadonlyMap<string, number> {
+    const service = servers[0]?.service ?? ''
+    const known = this.slowness.get(service)
+    if (known !== undefined && nowMs - known.atMs <= slownessValidMs) {
+      return known.servers
+    }
+    const decodeServers = new Set(servers.filter(({ stage }) => stage === 'decode').map(({ id }) => id))
+    const estimated = eventIntervals.estimateSlowness(this.sumIntervals(decodeServers, nowMs))
+    this.slowness.set(service, { servers: estimated, atMs: nowMs })
+    return estimated
+  }
+
+  /** Returns how many servers of each service with measured servers are slow. */
+  countSlow (): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>()
+    for (const [service, { servers }] of this.slowness) {
+      if (servers.size > 0) {
+        counts.set(service, [...servers.values()].filter(slowness => slowness >= notableSlowness).length)
+      }
+    }
+    return counts
+  }
+
+  private sumIntervals (servers: ReadonlySet<string>, nowMs: number): ReadonlyMap<string, eventIntervals.IntervalSum> {
+    const sums = new Map<string, eventIntervals.IntervalSum>()
+    const add = (told: Readonly<Record<string, eventIntervals.IntervalSum>>): void => {
+      for (const [server, [events, elapsedMs]] of Object.entries(told)) {
+        if (servers.has(server)) {
+          const [sumEvents, sumMs] = sums.get(server) ?? [0, 0]
+          sums.set(server, [sumEvents + events, sumMs + elapsedMs])
+        }
+      }
+    }
+    add(this.intervals.list(nowMs) ?? {})
+    for (const peer of this.peers.values()) {
+      if (nowMs - peer.lastSeenMs <= peerExpiryMs && nowMs - peer.intervalsMs <= intervalExpiryMs) {
+        add(peer.intervals)
+      }
+    }
+    return sums
+  }
+
   /** Arrival rates of a service at all gateways, by level of urgency. */
   getArrivals (service: string, nowMs: number): arrivals.LeveledArrivals {
     let sum: arrivals.LeveledArrivals = this.arrivalMeters.get(service)?.read(nowMs) ?? []
@@ -279,6 +350,7 @@
     this.refusals.delete(server)
     this.observedSwitching.delete(server)
     this.rates.delete(server)
+    this.intervals.forget(server)
   }
 
   /** Returns the engine state of this gateway. */
@@ -289,7 +361,11 @@
         bookings[server] = booking
       }
     }
-    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs), arrivals: this.listArrivals(nowMs) }
+    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs), arrivals: this.listArrivals(nowMs), intervals: this.listIntervals(nowMs) }
+  }
+
+  private listIntervals (nowMs: number): Record<string, eventIntervals.IntervalSum> | undefined {
+    return isIntervalTurn(nowMs) ? this.intervals.list(nowMs) : undefined
   }
 
   private listSwitching (nowMs: number): string[] {
@@ -311,6 +387,8 @@
     const offered: Record<string, splits.OfferedLoad> = { ...own.offered }
     const switching = new Set(own.switching)
     const rates: Record<string, arrivals.ArrivalRate[]> = { ...own.arrivals }
+    let intervals = this.listIntervals(nowMs)
+    const tellsIntervals = isIntervalTurn(nowMs)
     for (const name of names) {
       const peer = this.peers.get(name)
       if (peer === undefined || nowMs - peer.lastSeenMs > peerExpiryMs) {
@@ -328,8 +406,11 @@
       for (const [service, told] of Object.entries(peer.arrivals)) {
         rates[service] = arrivals.addArrivals(rates[service] ?? [], told)
       }
+      if (tellsIntervals && nowMs - peer.intervalsMs <= intervalExpiryMs) {
+        intervals = eventIntervals.addIntervals(intervals ?? {}, peer.intervals)
+      }
     }
-    return { bookings, offered, switching: [...switching], arrivals: Object.keys(rates).length === 0 ? undefined : rates }
+    return { bookings, offered, switching: [...switching], arrivals: Object.keys(rates).length === 0 ? undefined : rates, intervals }
   }
 
   /**
@@ -341,6 +422,7 @@
     { headroom = noHeadroom, mayExceedPace = false }: PlacementTerms = {}
   ): routing.RoutedServer[] {
     const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
+    const slowness = this.getSlowness(servers, nowMs)
     for (const server of servers) {
       if (server.stage !== 'decode' || !this.isUsable(server, nowMs)) {
         continue
@@ -355,7 +437,9 @@
         continue
       }
       const preference = server.zone === this.zone ? ownZonePreference : 0
-      ranked.push({ server, free: free / memoryTokens + preference - this.health.getFailureRate(server.id, nowMs) + this.drawJitter() })
+      // A stream holds its memory for longer at a slow server, whose free memory is worth so much less.
+      const usable = free / memoryTokens / (slowness.get(server.id) ?? 1)
+      ranked.push({ server, free: usable + preference - this.health.getFailureRate(server.id, nowMs) + this.drawJitter() })
     }
     ranked.sort((a, b) => b.free - a.free)
     return ranked.map(({ server }) => server)
@@ -466,6 +550,10 @@
   }
 }
 
+function isIntervalTurn (nowMs: number): boolean {
+  return nowMs % intervalPeriodMs < intervalWindowMs
+}
+
 function addCommittedLoads (a: CommittedLoad, b: CommittedLoad): CommittedLoad {
   return { runs: a.runs + b.runs, tokens: a.tokens + b.tokens, unread: a.unread + b.unread }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -176,6 +176,7 @@
       directory,
       regions: new allowedRegions.RegionMap(availability?.regions ?? {}),
       serverChoice,
+      loads: this.loads,
       fleet,
       headroom: new headrooms.MemoryHeadroom(),
       outputs: new outputs.OutputEstimate(),
@@ -656,6 +657,9 @@
     this.meter.gauge('gateway_evacuated_zones', {}, this.context.directory.evacuatedCount)
     this.meter.gauge('gateway_cold_servers', {}, this.cold.count(nowMs))
     this.meter.gauge('gateway_slow_servers', {}, this.loads.countSlow(nowMs))
+    for (const [service, count] of this.context.fleet.countSlow()) {
+      this.meter.gauge('gateway_slow_engines', { service }, count)
+    }
     this.meter.gauge('gateway_timed_services', {}, this.context.serverChoice.timedCount)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
     this.meter.gauge('gateway_recovering_servers', {}, this.context.pace.count(nowMs))
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -14,6 +14,7 @@
 import * as routing from '../contracts/routing.js'
 import * as relays from './stream_relay.js'
 import * as stageChecks from './stage_check.js'
+import * as streamProgress from './decode_speed/stream_progress.js'
 import * as types from './types.js'
 
 const maximumPlacements = 3
@@ -227,6 +228,7 @@
       limitPerSecond: this.context.limits.getLimit(place.server, this.now()),
       permit: place.permit === 'none' ? undefined : place.permit,
       passedOver: this.placements.passedOverCount,
+      slowness: this.getSlowness(place.server),
       firstEventMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs - this.request.arrivedMs),
       elapsedMs: Math.round(this.now() - this.request.arrivedMs)
     })
@@ -304,7 +306,7 @@
           if (cache !== undefined) {
             this.recordPaceTime(place.server, sentMs, { first_event: (relay.firstByteMs ?? sentMs) - sentMs })
           }
-        })
+        }, new streamProgress.StreamProgress((events, elapsedMs) => this.recordSpeed(place.server, events, elapsedMs)))
       const stopWatching = this.context.guard.watch({ ...this.admission.prompt, isTrial: this.admission.isTrial, stop: reason => relay.stop(reason) })
       const leave = (): void => relay.stop(`cancelled: ${String(this.reply.gone.reason)}`)
       const getSilentMs = (): number => relay.isPaused ? 0 : this.now() - relay.lastProgressMs
@@ -341,6 +343,21 @@
     this.admission.endTrial()
   }
 
+  /** Records the speed of a decode server, where servers report how long work takes: those differ from each other. */
+  private recordSpeed (server: routing.RoutedServer, events: number, elapsedMs: number): void {
+    const { directory, fleet, loads } = this.context
+    const nowMs = this.now()
+    if (loads.isActive(directory.listReady(this.request.service.name), nowMs)) {
+      fleet.recordEvents(server.id, events, elapsedMs, nowMs)
+    }
+  }
+
+  /** Returns the time between events at a server relative to the usual one; undefined where it is not measured. */
+  private getSlowness (server: routing.RoutedServer): number | undefined {
+    const slowness = this.context.fleet.getSlowness(this.listReady(), this.now()).get(server.id)
+    return slowness === undefined ? undefined : Number(slowness.toFixed(2))
+  }
+
   private recordPaceTime (server: routing.RoutedServer, sentMs: number, times: answerTimes.AnswerTimes): void {
     this.context.pace.recordAnswer(server, { sentMs, times }, this.now())
   }
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -80,6 +80,11 @@
    * level of urgency; absent where there are none, and from gateways that do not know them.
    */
   arrivals: collections.dictionary(collections.list(z.tuple([z.number().nonnegative(), z.number().nonnegative()]))).optional(),
+  /**
+   * Number of events and the time between them in milliseconds, by decode server, as decaying sums; absent where they are not measured, and from
+   * gateways that do not know them.
+   */
+  intervals: collections.dictionary(z.tuple([z.number().nonnegative(), z.number().nonnegative()])).optional(),
   /** Evidence on parts of prompts that may end servers; absent where there is none, and from gateways that do not know it. */
   parts: collections.dictionary(PartStatement).optional(),
   /** Requests that wait for decode memory, by service; absent where none wait, and from gateways that do not know it. */
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -5,6 +5,7 @@
 import * as byteCollectors from './byte_collector.js'
 import * as connections from './connection.js'
 import * as splitters from './event_splitter.js'
+import type * as streamProgress from './decode_speed/stream_progress.js'
 import * as replies from './caller_reply.js'
 import * as types from './types.js'
 
@@ -56,7 +57,8 @@
     private readonly now: () => number,
     private readonly settle: (end: RelayEnd) => void,
     /** Called once the server has begun to answer beyond doubt. */
-    private readonly begin: () => void
+    private readonly begin: () => void,
+    private readonly progress?: streamProgress.StreamProgress
   ) {
     super()
     this.lastProgressMs = now()
@@ -128,11 +130,13 @@
     }
     if (this.splitter.eventCount > events) {
       this.lastProgressMs = this.now()
+      this.progress?.advance(this.splitter.eventCount, this.lastProgressMs)
       this.recordEvents(begunEvents)
     }
     const bytes = this.isResumable ? whole : chunk
     if (bytes.length > 0 && !this.reply.write(bytes)) {
       this.isPaused = true
+      this.progress?.interrupt()
       this.activeSend?.pause()
       this.reply.whenDrained(() => {
         this.isPaused = false
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -77,6 +77,7 @@
   gateway_recovery_ms: createMetric('histogram', [], 'Time from the return of a server until it carries its share of the load, in milliseconds.'),
   gateway_pace_falls_total: createMetric('counter', [], 'Reductions of the pace of recovering servers by this gateway.'),
   gateway_timed_services: createMetric('gauge', [], 'Plain services whose servers are chosen by expected time, because they report their slowness.'),
+  gateway_slow_engines: createMetric('gauge', ['service'], 'Decode servers of a service that need more than one and a half times the usual time for an event.'),
   gateway_slow_servers: createMetric('gauge', [], 'Servers whose latest report says that work takes longer than usual by a tenth or more.'),
   gateway_load_reports_ignored_total: createMetric('counter', [], 'Answers with figures of load or slowness that are ignored.'),
   gateway_plain_choices_total: createMetric('counter', ['zone'], 'Servers chosen by expected time, by whether they are in the zone of the gateway (own, other).'),
