--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -29,6 +29,8 @@
   readonly json: unknown
   /** For people. */
   readonly text: string
+  /** Absent: done. */
+  readonly exitCode?: number
 }
 
 export interface Context {
--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -13,7 +13,7 @@
   forbidden: { code: 4, meaning: 'The credential is not known, or may not do this.' },
   stale: { code: 5, meaning: 'Others have changed the section meanwhile.' },
   unknown: { code: 6, meaning: 'What was named does not exist.' },
-  unavailable: { code: 7, meaning: 'The administration API cannot be reached, or cannot work now; nothing was changed.' },
+  unavailable: { code: 7, meaning: 'The administration API or a gateway cannot be reached, or cannot work now; nothing was changed.' },
   uncertain: { code: 8, meaning: 'The outcome is unknown; the same command with the same --operation settles it.' },
   settings: { code: 9, meaning: 'The settings file is not valid.' }
 } as const satisfies Record<string, exitCodeContracts.ExitCode>
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -85,7 +85,7 @@
       Left: failure => this.printFailure(failure, isJson, describeUncertainty(command, client)),
       Right: output => {
         this.terminal.write(isJson ? JSON.stringify(output.json, undefined, 2) : output.text)
-        return exitCodes.exitCodes.done.code
+        return output.exitCode ?? exitCodes.exitCodes.done.code
       }
     })
   }
--- a/src/cli/table.ts
+++ b/src/cli/table.ts
@@ -5,6 +5,7 @@
 import * as commands from './command.js'
 import * as completions from './commands/completion.js'
 import * as configs from './commands/config.js'
+import * as explains from './commands/explain.js'
 import * as keys from './commands/key.js'
 import * as models from './commands/model.js'
 import * as servers from './commands/server.js'
@@ -26,6 +27,7 @@
   ...configs.configCommands,
   ...statuses.statusCommands,
   ...timelines.timelineCommands,
+  ...explains.explainCommands,
   ...settings.settingsCommands,
   completions.createCompletionCommand(() => table)
 ]
--- a/src/contracts/diagnostics.ts
+++ b/src/contracts/diagnostics.ts
@@ -97,6 +97,11 @@
   version_missing: row('operator', 428, 'Say which version of section "{0}" is replaced: If-Match with its version, or "0" if it does not exist.'),
   version_stale: row('operator', 409, 'Section "{0}" is at version {1}; the change was made against version {2}.'),
   command_invalid: row('operator', 400, 'The command line is not valid: {0}.'),
+  explanation_off: row('operator', 403, 'The gateway explains nothing: its setting "explain" is off.'),
+  explanation_invalid: row('operator', 400, 'The request cannot be explained: {0}.'),
+  host_ambiguous: row('operator', 400, 'Routes of several hosts fit the path {0}; name one of {1}.'),
+  workspace_unknown: row('operator', 404, 'There is no workspace "{0}".'),
+  gateway_unreachable: row('failure', 503, 'The gateway at {0} does not answer: {1}.'),
   settings_invalid: row('operator', 422, '{0}: at "{1}": expected {2}, found {3}.'),
   settings_unreadable: row('operator', 422, 'The settings file "{0}" cannot be read: {1}.')
 } as const satisfies Record<string, Diagnostic>
--- a/src/gateway/allowance_limiter.ts
+++ b/src/gateway/allowance_limiter.ts
@@ -183,6 +183,30 @@
     return missing > 0 ? Math.ceil(missing / workspace.rate * 1000) : undefined
   }
 
+  /** Returns what `getRetryMs` would, without a change of state, for an explanation. */
+  observeRetryMs (workspace: routing.RoutedWorkspace, units: number, nowMs: number): number | undefined {
+    if (workspace.rate <= 0) {
+      return undefined
+    }
+    const missing = findMissing({ workspace, level: this.observeLevel(workspace, nowMs) }, units)
+    return missing > 0 ? Math.ceil(missing / workspace.rate * 1000) : undefined
+  }
+
+  /** Returns the units that a workspace has left, without a change of state. */
+  observeLevel (workspace: routing.RoutedWorkspace, nowMs: number): number {
+    const bucket = this.buckets.get(workspace.name)
+    if (bucket === undefined) {
+      return 0
+    }
+    let { level } = bucket
+    for (const source of this.zoneTotals.values()) {
+      const rate = source.rates.get(workspace.name)
+      const units = rate === undefined ? undefined : getExtrapolatedUnits(source, rate, nowMs, this.unresponsiveAfterMs * extrapolationDelayPart)
+      level = units === undefined ? level : Math.min(this.getDepth(bucket.workspace), level - (units - (source.extrapolated.get(workspace.name) ?? 0)))
+    }
+    return this.refillLevel(level, workspace, nowMs - bucket.updatedMs, nowMs)
+  }
+
   /** Refunds the charge of a request that never ran. */
   refund (workspace: string, units: number): void {
     const bucket = this.buckets.get(workspace)
@@ -212,12 +236,11 @@
 
   /** Charges the extrapolated usage of a zone since its last aggregate, if that is at least `minimumAgeMs` old. */
   private extrapolate (source: ZoneTotals, nowMs: number, minimumAgeMs: number): void {
-    const extrapolatedMs = Math.min(maximumExtrapolationMs, nowMs - source.lastSeenMs)
-    if (extrapolatedMs < minimumAgeMs) {
-      return
-    }
     for (const [workspace, rate] of source.rates) {
-      const units = Math.max(0, rate * extrapolatedMs)
+      const units = getExtrapolatedUnits(source, rate, nowMs, minimumAgeMs)
+      if (units === undefined) {
+        return
+      }
       this.debit(workspace, units - (source.extrapolated.get(workspace) ?? 0))
       source.extrapolated.set(workspace, units)
     }
@@ -259,15 +282,19 @@
     for (const source of this.zoneTotals.values()) {
       this.extrapolate(source, nowMs, this.unresponsiveAfterMs * extrapolationDelayPart)
     }
-    const elapsedMs = Math.max(0, nowMs - found.updatedMs)
+    found.level = this.refillLevel(found.level, workspace, nowMs - found.updatedMs, nowMs)
     found.updatedMs = nowMs
+    return found
+  }
+
+  /** Returns the level of a bucket after a time, in units. */
+  private refillLevel (level: number, workspace: routing.RoutedWorkspace, elapsedMs: number, nowMs: number): number {
     const gateways = this.peerLastSeenMs.size + 1
     const responsivePart = (gateways - this.countUnresponsive(nowMs)) / gateways
     const excess = Math.min(maximumPartitionPart, partitionPart * this.getToleratedExcess(workspace) / this.getWindowUnits(workspace))
     const ratePart = Math.min(1, responsivePart * (1 + excess))
     // The saved-up units are divided, too: the other side of a partition holds the same balance.
-    found.level = Math.min(this.getDepth(workspace) * responsivePart, found.level + elapsedMs / 1000 * workspace.rate * ratePart)
-    return found
+    return Math.min(this.getDepth(workspace) * responsivePart, level + Math.max(0, elapsedMs) / 1000 * workspace.rate * ratePart)
   }
 
   /** Returns the bucket's depth: the most units that a workspace can save up. */
@@ -294,8 +321,14 @@
   }
 }
 
+/** Returns the units that a zone is taken to have admitted since its last aggregate; undefined if that is younger than `minimumAgeMs`. */
+function getExtrapolatedUnits ({ lastSeenMs }: ZoneTotals, rate: number, nowMs: number, minimumAgeMs: number): number | undefined {
+  const extrapolatedMs = Math.min(maximumExtrapolationMs, nowMs - lastSeenMs)
+  return extrapolatedMs < minimumAgeMs ? undefined : Math.max(0, rate * extrapolatedMs)
+}
+
 /** Returns how many units a bucket lacks for a request. */
-function findMissing ({ level, workspace }: Bucket, units: number): number {
+function findMissing ({ level, workspace }: Pick<Bucket, 'level' | 'workspace'>, units: number): number {
   // A request above the burst is admitted from a full bucket and leaves a debt.
   const needed = units <= workspace.burst * smallRequestPart
     ? units - workspace.burst * smallRequestDebtPart
--- a/src/gateway/availability/cold_limit.ts
+++ b/src/gateway/availability/cold_limit.ts
@@ -90,6 +90,12 @@
     return this.level >= 1 ? 0 : Math.min(maximumWaitMs, Math.ceil((1 - this.level) * 1000 / limit.perSecond))
   }
 
+  /** Returns what `getWaitMs` would, without a change of state; a permit that lapses meanwhile is not foreseen. */
+  observeWaitMs ({ perSecond, depth }: ColdLimit, nowMs: number): number {
+    const level = Math.min(Math.max(1, depth), this.level + Math.max(0, nowMs - this.updatedMs) * perSecond / 1000)
+    return level >= 1 ? 0 : Math.min(maximumWaitMs, Math.ceil((1 - level) * 1000 / perSecond))
+  }
+
   private refill ({ perSecond, depth }: ColdLimit, nowMs: number): void {
     const capacity = Math.max(1, depth)
     const refilled = this.level + Math.max(0, nowMs - this.updatedMs) * perSecond / 1000
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -9,6 +9,7 @@
 import type * as fleets from './engine_fleet.js'
 import type * as permits from './permits.js'
 import * as promptPrefills from './prompt_prefill.js'
+import type * as queueings from './queueing/queueing.js'
 import * as replies from './caller_reply.js'
 import * as routing from '../contracts/routing.js'
 import * as types from './types.js'
@@ -24,7 +25,7 @@
 /** How long a late caller waits for capacity, in parts of the time after which it gives up without an event. */
 const lateWaitPart = 0.85
 /** Retry time without capacity: roughly how long the runs of a full server take. */
-const capacityRetryMs = 3_000
+export const capacityRetryMs = 3_000
 /** Longest wait for a permit of a cold server once the prompt has been read, in milliseconds: what was read is kept for half a second by default. */
 const maximumPermitWaitMs = 400
 /** Memory that is committed for a run's output, in parts of the expected length: in a burst the peaks of runs coincide. */
@@ -35,9 +36,19 @@
 /** Number of servers with the fewest runs among which a trial's is drawn: trials of other gateways must not meet there. */
 const trialServerChoices = 3
 /** Time before the end of a request's wait from which it may go to a recovering server beyond that server's pace, in milliseconds: two checks of the queue. */
-const paceWaitMarginMs = 50
+export const paceWaitMarginMs = 50
+
+/** Times that decide how long a generation may wait for capacity, on the monotonic clock or as a duration, in milliseconds. */
+export interface WaitTimes {
+  readonly arrivedMs: number
+  readonly firstAttemptMs: number
+  readonly goalMs: number
+  /** Time without an event after which the caller gives up. */
+  readonly patienceMs: number
+  readonly remainingMs: number
+}
 
-type Queueing = Pick<capacityQueues.Waiter, 'latestMs' | 'isLate'>
+export type Queueing = Pick<capacityQueues.Waiter, 'latestMs' | 'isLate'>
 
 /** A decode server with what has been reserved there. */
 export interface Placement {
@@ -107,11 +118,6 @@
     return this.sizes.promptTokens + this.sizes.maximumOutputTokens
   }
 
-  /** When the first event is due to meet the latency goal. */
-  private get goalDeadlineMs (): number {
-    return this.request.firstAttemptMs + this.request.route.goalMs
-  }
-
   /**
    * Reserves capacity at a decode server, at once or as soon as there is some while the caller can still be served in time. A trial
    * goes to the server with the fewest runs, which gets no other work until the trial's answer has begun.
@@ -231,12 +237,9 @@
 
   /** Returns until when the request may be queued. A retry that is late in any case is not refused again while its caller still waits for the first event. */
   private planQueueing (): Queueing {
-    const { arrivedMs } = this.request
-    const startMarginMs = firstEventDelayMs + this.estimatePrefillMs()
-    const inTimeMs = this.goalDeadlineMs - startMarginMs
-    return inTimeMs > arrivedMs || this.request.firstAttemptMs === arrivedMs
-      ? { latestMs: inTimeMs, isLate: false }
-      : { latestMs: arrivedMs + Math.min(this.patienceMs, this.remainingMs()) * lateWaitPart - startMarginMs, isLate: true }
+    const { arrivedMs, firstAttemptMs, route: { goalMs } } = this.request
+    const prefillMs = this.estimatePrefillMs()
+    return planWait({ arrivedMs, firstAttemptMs, goalMs, patienceMs: this.patienceMs, remainingMs: this.remainingMs() }, prefillMs)
   }
 
   /** Commits the load to the best server with capacity, unless the request is to let others go first; `plan` is for contested services. */
@@ -289,11 +292,7 @@
 
   /** Returns how many requests that need so many tokens fit into the free memory. */
   private countPlaces (tokens: number): number {
-    let places = 0
-    for (const { freeTokens, freeSlots } of this.listRooms()) {
-      places += Math.max(0, Math.min(freeSlots, Math.floor(freeTokens / tokens)))
-    }
-    return places
+    return countPlaces(this.listRooms(), tokens)
   }
 
   private listRooms (): readonly fleets.DecodeRoom[] {
@@ -324,7 +323,7 @@
 
   /** Returns the expected time until there is memory for the request behind others at this gateway, and the memory that becomes free in a millisecond, in tokens. */
   private forecast (aheadTokens: number): { readonly waitMs: number, readonly rate: number } | undefined {
-    const { demand, forecast } = this.context.queueing
+    const { forecast } = this.context.queueing
     const { rank } = this
     const { name } = this.request.service
     const nowMs = this.now()
@@ -332,9 +331,7 @@
     if (rate === undefined) {
       return undefined
     }
-    const urgentTokens = demand.getElsewhere(name, rank - 1, nowMs).tokens
-    const equalTokens = demand.getElsewhere(name, rank, nowMs).tokens - urgentTokens
-    return { waitMs: forecast.estimateWaitMs(this.committedTokens, { ownTokens: aheadTokens, urgentTokens, equalTokens }, rate), rate }
+    return { waitMs: forecastWait(this.context.queueing, name, rank, { neededTokens: this.committedTokens, aheadTokens }, rate, nowMs), rate }
   }
 
   /** Returns when the caller is to come back, by the memory that is expected to become free. */
@@ -408,12 +405,10 @@
   /** Returns the memory to be left free for more urgent generations, by server. */
   private selectHeadroom (servers: readonly routing.RoutedServer[]): ReadonlyMap<string, number> | undefined {
     const { urgency, service } = this.request
-    if (urgency === undefined || urgency.level === 0) {
+    const selected = selectHeadroom(this.context, service.name, urgency, servers, this.now())
+    if (urgency === undefined || selected === undefined) {
       return undefined
     }
-    const rates = this.context.fleet.getArrivals(service.name, this.now())
-    const decodeServers = servers.filter(({ stage }) => stage === 'decode').map(({ id }) => id)
-    const selected = this.context.headroom.select(decodeServers, urgency.level, rates, urgency.urgentGoalMs)
     this.context.meter.gauge('gateway_headroom_servers', { service: service.name, level: String(urgency.level) }, selected.size)
     this.headroomServers = selected.size
     return selected
@@ -520,6 +515,55 @@
 
   /** Returns the memory for the prompt and a part of the expected output, in tokens of whole blocks. */
   private countBlockTokens (outputPart: number): number {
-    return Math.ceil((this.sizes.promptTokens + this.expectedOutput * outputPart) / promptPrefills.blockTokens + 1) * promptPrefills.blockTokens
+    return countBlockTokens(this.sizes.promptTokens, this.expectedOutput, outputPart)
+  }
+}
+
+function countBlockTokens (promptTokens: number, expectedOutput: number, outputPart: number): number {
+  return Math.ceil((promptTokens + expectedOutput * outputPart) / promptPrefills.blockTokens + 1) * promptPrefills.blockTokens
+}
+
+/** Returns the memory that a gateway commits for a run when it picks a server, in tokens. */
+export function countCommittedTokens (promptTokens: number, expectedOutput: number): number {
+  return countBlockTokens(promptTokens, expectedOutput, committedOutputPart)
+}
+
+/** Returns how many requests that need so many tokens fit into the free memory. */
+export function countPlaces (rooms: readonly fleets.DecodeRoom[], tokens: number): number {
+  let places = 0
+  for (const { freeTokens, freeSlots } of rooms) {
+    places += Math.max(0, Math.min(freeSlots, Math.floor(freeTokens / tokens)))
+  }
+  return places
+}
+
+/** Returns the expected time until there is memory for a request behind others, in milliseconds, where `rate` tokens become free in a millisecond. */
+export function forecastWait (
+  { demand, forecast }: Pick<queueings.Queueing, 'demand' | 'forecast'>, service: string, rank: number,
+  { neededTokens, aheadTokens }: { readonly neededTokens: number, readonly aheadTokens: number }, rate: number, nowMs: number
+): number {
+  const urgentTokens = demand.getElsewhere(service, rank - 1, nowMs).tokens
+  const equalTokens = demand.getElsewhere(service, rank, nowMs).tokens - urgentTokens
+  return forecast.estimateWaitMs(neededTokens, { ownTokens: aheadTokens, urgentTokens, equalTokens }, rate)
+}
+
+/** Returns until when a request may be queued, with the estimated time of its prefill in milliseconds. */
+export function planWait ({ arrivedMs, firstAttemptMs, goalMs, patienceMs, remainingMs }: WaitTimes, prefillMs: number): Queueing {
+  const startMarginMs = firstEventDelayMs + prefillMs
+  const inTimeMs = firstAttemptMs + goalMs - startMarginMs
+  return inTimeMs > arrivedMs || firstAttemptMs === arrivedMs
+    ? { latestMs: inTimeMs, isLate: false }
+    : { latestMs: arrivedMs + Math.min(patienceMs, remainingMs) * lateWaitPart - startMarginMs, isLate: true }
+}
+
+/** Returns the memory that a generation leaves free for more urgent ones, by server; undefined if there are none. */
+export function selectHeadroom (
+  { fleet, headroom }: Pick<contexts.GatewayContext, 'fleet' | 'headroom'>, service: string, urgency: exchanges.AdmittedRequest['urgency'],
+  servers: readonly routing.RoutedServer[], nowMs: number
+): ReadonlyMap<string, number> | undefined {
+  if (urgency === undefined || urgency.level === 0) {
+    return undefined
   }
+  const decodeServers = servers.filter(({ stage }) => stage === 'decode').map(({ id }) => id)
+  return headroom.select(decodeServers, urgency.level, fleet.getArrivals(service, nowMs), urgency.urgentGoalMs)
 }
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -28,6 +28,17 @@
   readonly untilMs: number
 }
 
+/**
+ * Why a listed server gets no new work: its entry says that it drains; the operator has evacuated its zone; another process answered at its
+ * address; it asked for a back-off, or announced that it is leaving.
+ */
+export type ServerObstacle = 'draining' | 'evacuated' | 'misdirected' | 'backing_off' | 'leaving'
+
+export interface InspectedServer {
+  readonly server: routing.RoutedServer
+  readonly obstacle: ServerObstacle | undefined
+}
+
 interface ExpiredServer {
   readonly server: routing.RoutedServer
   readonly untilMs: number
@@ -158,6 +169,19 @@
     return list.filter(server => this.isAvailable(server, nowMs))
   }
 
+  /** Returns each known server of a service with what keeps it from new work, if anything does. Changes nothing. */
+  inspect (service: string): readonly InspectedServer[] {
+    const nowMs = this.system.clock.monotonicMs()
+    const expired = [...this.expiredServers.values()].filter(({ untilMs }) => untilMs > nowMs)
+    const inspected: InspectedServer[] = []
+    for (const server of [...this.servers.values(), ...expired.map(({ server }) => server)]) {
+      if (server.service === service) {
+        inspected.push({ server, obstacle: server.state === 'ready' ? this.findObstacle(server, nowMs) : 'draining' })
+      }
+    }
+    return inspected
+  }
+
   /** Tells whether a server has requested a back-off that is still running. */
   isBackingOff (id: string, nowMs: number): boolean {
     return (this.backOffs.get(id) ?? 0) > nowMs
@@ -170,12 +194,16 @@
 
   /** Milliseconds until the first back-off among the servers of a service ends, if any is running. */
   getBackOffMs (service: string): number | undefined {
+    removePast(this.backOffs, this.system.clock.monotonicMs())
+    return this.observeBackOffMs(service)
+  }
+
+  /** Returns what `getBackOffMs` would, without a change of state. */
+  observeBackOffMs (service: string): number | undefined {
     const nowMs = this.system.clock.monotonicMs()
     let leastMs: number | undefined
     for (const [id, untilMs] of this.backOffs) {
-      if (untilMs <= nowMs) {
-        this.backOffs.delete(id)
-      } else if (this.servers.get(id)?.service === service) {
+      if (untilMs > nowMs && this.servers.get(id)?.service === service) {
         leastMs = Math.min(leastMs ?? Infinity, untilMs - nowMs)
       }
     }
@@ -243,7 +271,20 @@
 
   /** Tells whether a server that the store lists as ready may get new work, judging by its own answers. */
   private isAvailable (server: routing.RoutedServer, nowMs: number): boolean {
-    return !this.isEvacuated(server) && (this.misdirected.get(server.id) ?? 0) <= nowMs && !this.isBackingOff(server.id, nowMs) && !this.isLeaving(server, nowMs)
+    return this.findObstacle(server, nowMs) === undefined
+  }
+
+  private findObstacle (server: routing.RoutedServer, nowMs: number): ServerObstacle | undefined {
+    if (this.isEvacuated(server)) {
+      return 'evacuated'
+    }
+    if ((this.misdirected.get(server.id) ?? 0) > nowMs) {
+      return 'misdirected'
+    }
+    if (this.isBackingOff(server.id, nowMs)) {
+      return 'backing_off'
+    }
+    return this.isLeaving(server, nowMs) ? 'leaving' : undefined
   }
 
   private isLeaving (server: routing.RoutedServer, nowMs: number): boolean {
@@ -332,6 +373,14 @@
   }
 }
 
+function removePast (times: Map<string, number>, nowMs: number): void {
+  for (const [id, untilMs] of times) {
+    if (untilMs <= nowMs) {
+      times.delete(id)
+    }
+  }
+}
+
 function removeOutdated (items: Map<string, { readonly untilMs: number }>, nowMs: number): void {
   for (const [id, { untilMs }] of items) {
     if (untilMs <= nowMs) {
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -54,6 +54,48 @@
   readonly freeSlots: number
 }
 
+/**
+ * Why an engine is not considered: its stage or state, a change of its stage, a pause after failures, its refusal of work a moment ago, its pace,
+ * a lack of slots or memory, or that it was tried before.
+ */
+export type EngineObstacle =
+  'other_stage' | 'not_ready' | 'switching' | 'paused' | 'refused_lately' | 'paced' | 'no_slot' | 'no_memory' | 'tried'
+
+/** What a decode server offers a run, in tokens and slots; recovering servers offer a part. */
+export interface OfferedRoom {
+  readonly runs: number
+  readonly usedTokens: number
+  readonly memoryTokens: number
+  readonly slots: number
+  /** Less what is kept for growth and for more urgent runs. */
+  readonly freeTokens: number
+  readonly headroomTokens: number | undefined
+  readonly part: number
+  readonly isHeld: boolean
+}
+
+/** A decode server as the choice rates it: the higher a rating, the better; an obstacle rules it out. */
+export interface InspectedDecode {
+  readonly server: routing.RoutedServer
+  readonly room: OfferedRoom
+  readonly rating: number | EngineObstacle
+}
+
+/** The estimated end of a prefill, and what counts in addition, in milliseconds. */
+export interface PrefillTime {
+  readonly readyMs: number
+  readonly distanceMs: number
+}
+
+export interface InspectedPrefill {
+  readonly server: routing.RoutedServer
+  readonly time: PrefillTime
+  /** What counts in addition for a recovering server, in milliseconds. */
+  readonly paceMs: number
+  readonly unreadTokens: number
+  readonly obstacle: EngineObstacle | undefined
+}
+
 /** Engine state that another gateway reports. */
 export interface PeerEngines {
   readonly bookings: Readonly<Record<string, CommittedLoad>>
@@ -338,39 +380,96 @@
    */
   rankDecode (
     servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number,
-    { headroom = noHeadroom, mayExceedPace = false }: PlacementTerms = {}
+    terms: PlacementTerms = {}
   ): routing.RoutedServer[] {
     const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
     for (const server of servers) {
       if (server.stage !== 'decode' || !this.isUsable(server, nowMs)) {
         continue
       }
-      const { runs, tokens: used } = this.getLoad(server.id, nowMs)
-      const kept = headroom.get(server.id)
-      const isHeld = !mayExceedPace && this.parts.isHeld(server, nowMs)
-      const part = mayExceedPace || runs === 0 ? 1 : this.parts.getPart(server, nowMs)
-      const memoryTokens = profile.memoryTokens * part
-      const free = memoryTokens * (1 - memoryHeadroomPart) - used - (kept ?? 0)
-      if (isHeld || runs + (kept === undefined ? 0 : 1) >= Math.max(1, profile.slots * part) || free < tokens) {
-        continue
+      const rating = this.rateDecode(server, this.measureRoom(server, profile, nowMs, terms, this.parts), tokens, nowMs)
+      if (typeof rating === 'number') {
+        ranked.push({ server, free: rating + this.drawJitter() })
       }
-      const preference = server.zone === this.zone ? ownZonePreference : 0
-      ranked.push({ server, free: free / memoryTokens + preference - this.health.getFailureRate(server.id, nowMs) + this.drawJitter() })
     }
     ranked.sort((a, b) => b.free - a.free)
     return ranked.map(({ server }) => server)
   }
 
-  /** Returns the room at each usable decode server. */
-  listDecodeRooms (servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, nowMs: number): DecodeRoom[] {
-    const rooms: DecodeRoom[] = []
-    for (const server of servers) {
-      if (server.stage === 'decode' && this.isUsable(server, nowMs)) {
-        const { runs, tokens } = this.getLoad(server.id, nowMs)
-        rooms.push({ usedTokens: tokens, freeTokens: profile.memoryTokens * (1 - memoryHeadroomPart) - tokens, freeSlots: profile.slots - runs })
+  /** Returns how `rankDecode` would rate each server, without the random jitter. Changes nothing. */
+  inspectDecode (
+    servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, tokens: number, nowMs: number,
+    terms: PlacementTerms = {}
+  ): readonly InspectedDecode[] {
+    const parts = this.parts.observe()
+    return servers.map(server => {
+      const room = this.measureRoom(server, profile, nowMs, terms, parts)
+      const obstacle = server.stage === 'decode' ? this.findObstacle(server, nowMs) : 'other_stage'
+      return { server, room, rating: obstacle ?? this.rateDecode(server, room, tokens, nowMs) }
+    })
+  }
+
+  /** Upper bound of the random jitter, as a fraction of an engine. */
+  getJitter (): number {
+    return Math.min(maximumJitter, jitterPerGateway * this.otherGateways)
+  }
+
+  /** Age of the oldest message of another gateway that counts for a server's load, in milliseconds; undefined if there is none. */
+  getLoadAgeMs (server: string, nowMs: number): number | undefined {
+    let oldestMs: number | undefined
+    for (const { lastSeenMs, bookings } of this.peers.values()) {
+      if (nowMs - lastSeenMs <= peerExpiryMs && bookings.has(server)) {
+        oldestMs = Math.max(oldestMs ?? 0, nowMs - lastSeenMs)
       }
     }
-    return rooms
+    return oldestMs
+  }
+
+  private measureRoom (
+    server: routing.RoutedServer, profile: routing.EngineProfile, nowMs: number,
+    { headroom = noHeadroom, mayExceedPace = false }: PlacementTerms, parts: capacityParts.CapacityParts
+  ): OfferedRoom {
+    const { runs, tokens: usedTokens } = this.getLoad(server.id, nowMs)
+    const headroomTokens = headroom.get(server.id)
+    const isHeld = !mayExceedPace && parts.isHeld(server, nowMs)
+    const part = mayExceedPace || runs === 0 ? 1 : parts.getPart(server, nowMs)
+    const memoryTokens = profile.memoryTokens * part
+    const freeTokens = memoryTokens * (1 - memoryHeadroomPart) - usedTokens - (headroomTokens ?? 0)
+    return { runs, usedTokens, memoryTokens, slots: Math.max(1, profile.slots * part), freeTokens, headroomTokens, part, isHeld }
+  }
+
+  /** Rates a usable decode server for a run that needs so many tokens. */
+  private rateDecode (
+    server: routing.RoutedServer, { runs, memoryTokens, slots, freeTokens, headroomTokens, isHeld }: OfferedRoom, tokens: number, nowMs: number
+  ): number | EngineObstacle {
+    if (isHeld) {
+      return 'paced'
+    }
+    if (runs + (headroomTokens === undefined ? 0 : 1) >= slots) {
+      return 'no_slot'
+    }
+    if (freeTokens < tokens) {
+      return 'no_memory'
+    }
+    const preference = server.zone === this.zone ? ownZonePreference : 0
+    return freeTokens / memoryTokens + preference - this.health.getFailureRate(server.id, nowMs)
+  }
+
+  /** Returns the room at each usable decode server. */
+  listDecodeRooms (servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, nowMs: number): DecodeRoom[] {
+    const usable = servers.filter(server => server.stage === 'decode' && this.isUsable(server, nowMs))
+    return usable.map(server => this.getDecodeRoom(server, profile, nowMs))
+  }
+
+  /** Returns what `listDecodeRooms` would, without a change of state. */
+  observeDecodeRooms (servers: readonly routing.RoutedServer[], profile: routing.EngineProfile, nowMs: number): DecodeRoom[] {
+    const usable = servers.filter(server => server.stage === 'decode' && this.findObstacle(server, nowMs) === undefined)
+    return usable.map(server => this.getDecodeRoom(server, profile, nowMs))
+  }
+
+  private getDecodeRoom (server: routing.RoutedServer, profile: routing.EngineProfile, nowMs: number): DecodeRoom {
+    const { runs, tokens } = this.getLoad(server.id, nowMs)
+    return { usedTokens: tokens, freeTokens: profile.memoryTokens * (1 - memoryHeadroomPart) - tokens, freeSlots: profile.slots - runs }
   }
 
   /** Returns the engine expected to finish a prefill first, and the estimated time until then in milliseconds. */
@@ -385,9 +484,8 @@
       if (server.stage !== 'prefill' || excluded.has(server.id) || !this.isUsable(server, nowMs)) {
         continue
       }
-      const readyMs = this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id, nowMs))
-      const distanceMs = decodeZone === undefined || server.zone === decodeZone ? 0 : crossZonePenaltyMs
-      const penaltyMs = distanceMs + this.drawJitter() * readyMs + this.estimatePacePenaltyMs(server, readyMs, nowMs)
+      const { readyMs, distanceMs } = this.ratePrefill(server, tokens, nowMs, decodeZone)
+      const penaltyMs = distanceMs + this.drawJitter() * readyMs + this.estimatePacePenaltyMs(server, readyMs, nowMs, this.parts)
       if (readyMs + penaltyMs < bestMs + bestPenaltyMs) {
         best = server
         bestMs = readyMs
@@ -397,6 +495,27 @@
     return best === undefined ? undefined : { server: best, readyMs: bestMs }
   }
 
+  /** Returns how `choosePrefill` would rate each server, without the random jitter, a part of up to `getJitter` of the time. Changes nothing. */
+  inspectPrefill (
+    servers: readonly routing.RoutedServer[], tokens: number, excluded: ReadonlySet<string>, nowMs: number,
+    decodeZone: string | undefined
+  ): readonly InspectedPrefill[] {
+    const parts = this.parts.observe()
+    return servers.map(server => {
+      const time = this.ratePrefill(server, tokens, nowMs, decodeZone)
+      const obstacle = server.stage !== 'prefill' ? 'other_stage' : excluded.has(server.id) ? 'tried' : this.findObstacle(server, nowMs)
+      const paceMs = this.estimatePacePenaltyMs(server, time.readyMs, nowMs, parts)
+      return { server, time, paceMs, unreadTokens: this.getPendingPromptTokens(server.id, nowMs), obstacle }
+    })
+  }
+
+  private ratePrefill (server: routing.RoutedServer, tokens: number, nowMs: number, decodeZone: string | undefined): PrefillTime {
+    return {
+      readyMs: this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id, nowMs)),
+      distanceMs: decodeZone === undefined || server.zone === decodeZone ? 0 : crossZonePenaltyMs
+    }
+  }
+
   /** Estimated time until a server has prefilled a prompt that is sent to it now, in milliseconds. */
   estimatePrefillMs (server: string, tokens: number, nowMs: number): number {
     return (this.getPendingPromptTokens(server, nowMs) + tokens) / (this.rates.get(server) ?? assumedPrefillTokensPerMs)
@@ -425,32 +544,57 @@
    * Extra time by which a prefill at a recovering server counts as later: what it would take at the part of the speed that the server may use.
    * A server without a prompt may have one, if this gateway is to send it.
    */
-  private estimatePacePenaltyMs (server: routing.RoutedServer, readyMs: number, nowMs: number): number {
-    const isFree = this.getPendingPromptTokens(server.id, nowMs) === 0 && !this.parts.isHeld(server, nowMs)
-    return isFree ? 0 : readyMs / this.parts.getPart(server, nowMs) - readyMs
+  private estimatePacePenaltyMs (server: routing.RoutedServer, readyMs: number, nowMs: number, parts: capacityParts.CapacityParts): number {
+    const isFree = this.getPendingPromptTokens(server.id, nowMs) === 0 && !parts.isHeld(server, nowMs)
+    return isFree ? 0 : readyMs / parts.getPart(server, nowMs) - readyMs
   }
 
   private drawJitter (): number {
-    return this.random.nextUnit() * Math.min(maximumJitter, jitterPerGateway * this.otherGateways)
+    return this.random.nextUnit() * this.getJitter()
   }
 
   private isUsable (server: routing.RoutedServer, nowMs: number): boolean {
-    if (server.state !== 'ready' || this.switching.has(server.id) || this.health.isPaused(server.id, nowMs) ||
-      (this.refusals.get(server.id) ?? 0) > nowMs) {
+    const own = this.findOwnObstacle(server, nowMs)
+    if (own !== undefined) {
       return false
     }
     const observed = this.observedSwitching.get(server.id)
     if (observed !== undefined && observed.from !== server.stage) {
       this.observedSwitching.delete(server.id)
-    } else if (observed !== undefined && observed.untilMs > nowMs) {
-      return false
+    }
+    return !this.isSwitching(server, nowMs)
+  }
+
+  /** Returns why a server gets no work of its stage. Changes nothing. */
+  private findObstacle (server: routing.RoutedServer, nowMs: number): EngineObstacle | undefined {
+    return this.findOwnObstacle(server, nowMs) ?? (this.isSwitching(server, nowMs) ? 'switching' : undefined)
+  }
+
+  private findOwnObstacle (server: routing.RoutedServer, nowMs: number): EngineObstacle | undefined {
+    if (server.state !== 'ready') {
+      return 'not_ready'
+    }
+    if (this.switching.has(server.id)) {
+      return 'switching'
+    }
+    if (this.health.isPaused(server.id, nowMs)) {
+      return 'paused'
+    }
+    return (this.refusals.get(server.id) ?? 0) > nowMs ? 'refused_lately' : undefined
+  }
+
+  /** Tells whether a change of the server's stage has been observed, here or at another gateway, and is not complete. */
+  private isSwitching (server: routing.RoutedServer, nowMs: number): boolean {
+    const observed = this.observedSwitching.get(server.id)
+    if (observed !== undefined && observed.from === server.stage && observed.untilMs > nowMs) {
+      return true
     }
     for (const peer of this.peers.values()) {
       if (nowMs - peer.lastSeenMs <= peerExpiryMs && peer.switching.has(server.id)) {
-        return false
+        return true
       }
     }
-    return true
+    return false
   }
 
   private getPace (service: string): DecodePace {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,8 @@
 import * as eventLoop from '../host/event_loop.js'
 import * as stageCoordinators from './stage_coordinator.js'
 import * as fleets from './engine_fleet.js'
+import * as explainers from './explanation/explainer.js'
+import * as explanationListeners from './explanation/explanation_listener.js'
 import * as guards from './prompt_guard.js'
 import * as handlers from './request_handler.js'
 import * as headrooms from './urgency/memory_headroom.js'
@@ -189,7 +191,12 @@
     this.handler = new handlers.RequestHandler(this.context, () => !this.isDraining, endMs => this.mayBegin(endMs))
     this.ingress = new ingresses.Ingress(this.createRequestListener(), system.clock, system.log, this.createIntakeOptions(), connectionLimits.callers)
     this.readiness = new ingresses.ReadinessListener(dialect.readinessPath, () => this.isReady, connectionLimits.probes)
+    const explainer = options.explain === 'on' ? new explainers.Explainer(this.context, this.createView()) : undefined
     this.metricsServer = http.createServer((request, response) => {
+      if (explanationListeners.isExplanation(request)) {
+        explanationListeners.answerExplanation(request, response, explainer, system.log)
+        return
+      }
       response.setHeaders(new Map(Object.entries(httpListeners.closeBehindBody(request))))
       this.meter.render().then(text => response.end(text), (error: unknown) => {
         system.log.warn('metrics not rendered', { reason: String(error) })
@@ -243,6 +250,9 @@
       })
     }
     const { faults = [], region, regions = {} } = options.availability ?? {}
+    if (options.explain === 'on') {
+      system.log.info('explanations are answered', { host: options.metrics?.host, port: options.metrics?.port })
+    }
     if (faults.length > 0) {
       system.log.warn('settings ignored', { faults: faults.join('; ') })
     }
@@ -300,6 +310,23 @@
     return this.system.clock.monotonicMs() < this.acceptsAllUntilMs || endMs <= this.lastEndMs
   }
 
+  private createView (): explainers.GatewayView {
+    const gateway = this
+    return new class extends explainers.GatewayView {
+      override getStoreAgeMs (): number {
+        return gateway.storeReplica.getAgeMs(gateway.system.clock.monotonicMs())
+      }
+
+      override countGateways (): { readonly other: number, readonly heard: number } {
+        return { other: gateway.context.queueing.otherGateways, heard: gateway.peerTable.listSeen(peerPresenceMs).length }
+      }
+
+      override mayBegin (endMs: number): boolean {
+        return gateway.mayBegin(endMs)
+      }
+    }()
+  }
+
   /** Closes everything at once. */
   async close (): Promise<void> {
     for (const stop of this.stops) {
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -19,8 +19,6 @@
 const maximumPlacements = 3
 /** How long a server is excluded that refuses a run despite its reservation: it is changing its stage. */
 const stageChangeExclusionMs = 1_500
-/** Expected output without an estimate from the caller, in parts of its stated bound. */
-const expectedOutputPart = 0.5
 
 /** Least time without an event after which callers leave a stream. */
 const minimumPatienceMs = 2_000
@@ -111,10 +109,7 @@
   }
 
   private estimateOutput (): number {
-    const { maximumOutputTokens, hintedOutputTokens } = this.sizes
-    return hintedOutputTokens === undefined
-      ? maximumOutputTokens * expectedOutputPart
-      : this.context.outputs.estimate(this.request.service.name, hintedOutputTokens, maximumOutputTokens)
+    return this.context.outputs.expect(this.request.service.name, this.sizes)
   }
 
   private recordOfferedLoad (): void {
--- a/src/gateway/output_estimate.ts
+++ b/src/gateway/output_estimate.ts
@@ -5,7 +5,10 @@
  * very short one too short. A regression between the logarithms of estimate and length learns the correction. Without it, memory
  * committed by the callers' own figures runs out at one engine while another one is idle.
  */
+import type * as types from './types.js'
 
+/** Expected output without an estimate from the caller, in parts of its stated bound. */
+const expectedOutputPart = 0.5
 /** Factor by which the weight of earlier pairs decays with each further one: some two hundred pairs have influence. */
 const decayFactor = 0.995
 /** Weight of the prior, in pairs. */
@@ -51,6 +54,13 @@
     this.services.set(service, sums)
   }
 
+  /** Returns the expected output of a request in tokens; without an estimate of its caller, a part of the bound that it states. */
+  expect (service: string, { maximumOutputTokens, hintedOutputTokens }: Pick<types.GenerationSizes, 'maximumOutputTokens' | 'hintedOutputTokens'>): number {
+    return hintedOutputTokens === undefined
+      ? maximumOutputTokens * expectedOutputPart
+      : this.estimate(service, hintedOutputTokens, maximumOutputTokens)
+  }
+
   /** Returns the expected output in tokens, at most `maximumTokens`, the upper bound that the caller states. */
   estimate (service: string, hintedTokens: number, maximumTokens: number): number {
     const sums = this.services.get(service)
--- a/src/gateway/pace/capacity_parts.ts
+++ b/src/gateway/pace/capacity_parts.ts
@@ -10,6 +10,8 @@
   abstract isHeld (server: routing.RoutedServer, nowMs: number): boolean
   /** Records that this gateway gives a server a request. */
   abstract recordStart (server: string): void
+  /** Returns the parts as they are, for an explanation: reading them changes nothing and draws no random number. */
+  abstract observe (): CapacityParts
 }
 
 /** The whole capacity of each server. */
@@ -23,4 +25,8 @@
   }
 
   override recordStart (): void {}
+
+  override observe (): CapacityParts {
+    return this
+  }
 }
--- a/src/gateway/pace/server_pace.ts
+++ b/src/gateway/pace/server_pace.ts
@@ -118,11 +118,19 @@
   end: { readonly atMs: number, readonly isFull: boolean } | undefined
 }
 
+/** Finds the recovery of a server that is in progress. */
+type RecoveryFinder = (id: string, nowMs: number) => Recovery | undefined
+
 interface ServiceTraffic {
   readonly rate: startTurns.StartRate
   answeredMs: number
 }
 
+interface ObservedPart {
+  readonly part: number
+  readonly isHeld: boolean
+}
+
 export class ServerPace extends capacityParts.CapacityParts {
   private readonly recoveries = new Map<string, Recovery>()
   private readonly usualTimes = new answerTimes.UsualTimes()
@@ -173,6 +181,25 @@
     return part < 1 && this.hasUsedTurn(recovery, part, nowMs)
   }
 
+  override observe (): capacityParts.CapacityParts {
+    const observe = (server: routing.RoutedServer, nowMs: number): ObservedPart => this.observePart(server, nowMs)
+    return new class extends capacityParts.CapacityParts {
+      override getPart (server: routing.RoutedServer, nowMs: number): number {
+        return observe(server, nowMs).part
+      }
+
+      override isHeld (server: routing.RoutedServer, nowMs: number): boolean {
+        return observe(server, nowMs).isHeld
+      }
+
+      override recordStart (): void {}
+
+      override observe (): capacityParts.CapacityParts {
+        return this
+      }
+    }()
+  }
+
   override recordStart (id: string): void {
     const server = this.servers.find(id)
     if (server !== undefined && this.isPaced(server.service)) {
@@ -443,6 +470,28 @@
   }
 
   /** Returns the recovery of a server that is under way, after ending one that has lasted too long or is not used. */
+  /** Returns what `getPart` and `isHeld` would, without a change of state. */
+  private observePart (server: routing.RoutedServer, nowMs: number): ObservedPart {
+    const find: RecoveryFinder = (id, atMs) => this.observeCurrent(id, atMs)
+    const recovery = find(server.id, nowMs)
+    if (recovery === undefined) {
+      return { part: 1, isHeld: false }
+    }
+    const part = this.getRelativePart(recovery, nowMs, find)
+    if (part < 1 && recovery.turns.isKnownUsedUp(this.getTurnMs(recovery, nowMs, find), nowMs)) {
+      return { part: Math.min(part, heldPart), isHeld: true }
+    }
+    return { part: server.stage === undefined && recovery.turns.isUnused ? 1 : part, isHeld: false }
+  }
+
+  private observeCurrent (id: string, nowMs: number): Recovery | undefined {
+    const recovery = this.recoveries.get(id)
+    return recovery === undefined || recovery.end !== undefined || nowMs - recovery.returnedMs > longestRecoveryMs ||
+      nowMs - recovery.answeredMs > unusedEndMs
+      ? undefined
+      : recovery
+  }
+
   private findCurrent (id: string, nowMs: number): Recovery | undefined {
     const recovery = this.recoveries.get(id)
     if (recovery === undefined) {
@@ -460,11 +509,11 @@
   }
 
   /** Part relative to the server of the service with the largest one: where all have returned, they share the load as usual. */
-  private getRelativePart (recovery: Recovery, nowMs: number): number {
+  private getRelativePart (recovery: Recovery, nowMs: number, find: RecoveryFinder = (id, atMs) => this.findCurrent(id, atMs)): number {
     let largest = recovery.part
     for (const server of this.servers.listUsable(recovery.server.service, nowMs)) {
       if (server.stage === recovery.server.stage) {
-        const part = this.findCurrent(server.id, nowMs)?.part
+        const part = find(server.id, nowMs)?.part
         if (part === undefined) {
           return recovery.part
         }
@@ -480,11 +529,11 @@
     return turns.isUsedUp(runs, this.gateways, this.getTraffic(server).rate.read(nowMs), this.getTurnMs(recovery, nowMs), nowMs)
   }
 
-  private getTurnMs ({ server, recentTimes: { answer: recentMs } }: Recovery, nowMs: number): number {
+  private getTurnMs ({ server, recentTimes: { answer: recentMs } }: Recovery, nowMs: number, find?: RecoveryFinder): number {
     if (server.stage !== undefined) {
       return engineTurnMs
     }
-    const usualMs = this.getUsualTime(server, 'answer', undefined, nowMs) ?? engineTurnMs
+    const usualMs = this.getUsualTime(server, 'answer', undefined, nowMs, find) ?? engineTurnMs
     return Math.min(engineTurnMs, Math.max(shortestTurnMs, usualMs, recentMs ?? 0))
   }
 
@@ -499,9 +548,12 @@
   }
 
   /** Usual time of a server: the peers' or its own before, whichever is longer; otherwise the least time of the recovery. */
-  private getUsualTime (server: routing.RoutedServer, kind: answerTimes.TimeKind, recovery: Recovery | undefined, nowMs: number): number | undefined {
+  private getUsualTime (
+    server: routing.RoutedServer, kind: answerTimes.TimeKind, recovery: Recovery | undefined, nowMs: number,
+    find: RecoveryFinder = (id, atMs) => this.findCurrent(id, atMs)
+  ): number | undefined {
     const peers = this.servers.listUsable(server.service, nowMs)
-      .filter(peer => peer.id !== server.id && this.findCurrent(peer.id, nowMs) === undefined)
+      .filter(peer => peer.id !== server.id && find(peer.id, nowMs) === undefined)
     const peerMs = this.usualTimes.getPeerMedian(peers, kind)
     const ownMs = this.usualTimes.get(server.id, kind)
     if (peerMs !== undefined && ownMs !== undefined) {
--- a/src/gateway/pace/start_turns.ts
+++ b/src/gateway/pace/start_turns.ts
@@ -50,6 +50,11 @@
     this.starts += 1
   }
 
+  /** Whether this gateway has given the server its part in the current turn; a turn that has not been drawn yet counts as free. */
+  isKnownUsedUp (turnMs: number, nowMs: number): boolean {
+    return nowMs - this.startedMs < turnMs && this.starts >= this.allowed
+  }
+
   /**
    * Returns whether this gateway has given the server its part of `runs` requests, which all gateways may give it in a turn. `perMs` is
    * the rate at which this gateway starts requests of the service; the others are taken to start as many.
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -155,6 +155,26 @@
     return limit === undefined || account === undefined ? 0 : this.getKnownWaitMs(server, account, limit) ?? 0
   }
 
+  /** Returns what `getWaitMs` would, without a change of state, for an explanation. */
+  observeWaitMs (server: routing.RoutedServer): number {
+    const nowMs = this.now()
+    const limit = this.limits.getLimit(server, nowMs)
+    const account = this.accounts.get(server.id)
+    if (limit === undefined || account === undefined) {
+      return 0
+    }
+    const knownMs = this.getIssuedWaitMs(server, account, nowMs)
+    if (knownMs !== 'share') {
+      return knownMs ?? 0
+    }
+    const cold = this.getColdShare(server)
+    if (cold !== undefined) {
+      return account.coldShare?.observeWaitMs(cold, nowMs) ?? 0
+    }
+    const { level, ratePerMs } = this.computeShare(account.share, limit, nowMs)
+    return Math.max(0, (1 - level) / ratePerMs)
+  }
+
   /** Returns the servers of which a permit may be had now, as far as this gateway knows. */
   selectAvailable (servers: readonly routing.RoutedServer[]): readonly routing.RoutedServer[] {
     return this.accounts.size === 0 ? servers : servers.filter(server => this.getWaitMs(server) === 0)
@@ -240,14 +260,9 @@
   /** Returns the time until this gateway has a permit, in milliseconds; undefined if the issuer must be asked. */
   private getKnownWaitMs (server: routing.RoutedServer, account: Account, limit: number): number | undefined {
     const nowMs = this.now()
-    if (account.held > 0 && account.heldUntilMs > nowMs) {
-      return 0
-    }
-    if (nowMs < account.emptyUntilMs) {
-      return account.emptyUntilMs - nowMs
-    }
-    if (nowMs >= account.silentUntilMs || this.choice.choose(server) !== account.issuer) {
-      return undefined
+    const issuedMs = this.getIssuedWaitMs(server, account, nowMs)
+    if (issuedMs !== 'share') {
+      return issuedMs
     }
     const cold = this.getColdShare(server)
     if (cold === undefined) {
@@ -257,6 +272,17 @@
     return account.coldShare.getWaitMs(cold, nowMs)
   }
 
+  /** Returns the time until the issuer may grant a permit, in milliseconds; undefined if it must be asked, `share` if it does not answer. */
+  private getIssuedWaitMs (server: routing.RoutedServer, account: Account, nowMs: number): number | 'share' | undefined {
+    if (account.held > 0 && account.heldUntilMs > nowMs) {
+      return 0
+    }
+    if (nowMs < account.emptyUntilMs) {
+      return account.emptyUntilMs - nowMs
+    }
+    return nowMs >= account.silentUntilMs || this.choice.choose(server) !== account.issuer ? undefined : 'share'
+  }
+
   /** Returns this gateway's even share of the limit of a cold server. */
   private getColdShare (server: routing.RoutedServer): coldLimits.ColdLimit | undefined {
     const cold = this.getCold(server)
@@ -289,12 +315,15 @@
   /** Refills this gateway's even share of a limit; returns the time until it holds a permit, in milliseconds. */
   private refillShare (account: Account, limit: number): number {
     const nowMs = this.now()
+    const { level, ratePerMs } = this.computeShare(account.share, limit, nowMs)
+    account.share = { level, updatedMs: nowMs }
+    return Math.max(0, (1 - level) / ratePerMs)
+  }
+
+  private computeShare (share: Share | undefined, limit: number, nowMs: number): { readonly level: number, readonly ratePerMs: number } {
     const ratePerMs = Math.max(limit, Number.EPSILON) / this.choice.gatewayCount / 1000
-    const share = account.share ?? { level: 0, updatedMs: nowMs }
-    share.level = Math.min(1, share.level + (nowMs - share.updatedMs) * ratePerMs)
-    share.updatedMs = nowMs
-    account.share = share
-    return Math.max(0, (1 - share.level) / ratePerMs)
+    const { level, updatedMs } = share ?? { level: 0, updatedMs: nowMs }
+    return { level: Math.min(1, level + (nowMs - updatedMs) * ratePerMs), ratePerMs }
   }
 
   /** Starts an order unless one is in progress. Never rejects. */
--- a/src/gateway/plain/expected_time_choice.ts
+++ b/src/gateway/plain/expected_time_choice.ts
@@ -70,7 +70,24 @@
   | { readonly kind: 'late', readonly estimate: Estimate, readonly retryAfterMs: number }
   | { readonly kind: 'none' }
 
-interface Candidate {
+/** A call that no server can answer before its deadline: the nearest server, the wait, and this gateway's share of the calls a second. */
+interface LateCall {
+  readonly estimate: Estimate
+  readonly waitMs: number
+  readonly perSecond: number
+}
+
+/** The candidates of a call, and those among which its server is drawn. */
+export interface RankedCandidates {
+  readonly candidates: readonly Candidate[]
+  readonly eligible: readonly Candidate[]
+  readonly late: LateCall | undefined
+}
+
+/** Stands for services without an answer yet. */
+const unknownWorkTime = new workTimes.WorkTime()
+
+export interface Candidate {
   readonly estimate: Estimate
   /** Expected time with the cost of failures, in milliseconds. */
   readonly costMs: number
@@ -97,14 +114,29 @@
 
   /** Chooses among the servers that are not excluded; a paused one only if there is no other. */
   choose (call: PlainCall, nowMs: number): TimedVerdict {
-    const listed = call.servers.filter(({ id }) => !call.excluded.has(id))
-    const unpaused = listed.filter(({ id }) => !this.health.isPaused(id, nowMs))
-    const candidates = this.rate(unpaused.length > 0 ? unpaused : listed, call, nowMs)
-    const picked = this.pick(candidates, call.goalMs)
+    const { eligible, late } = this.rank(call, nowMs)
+    const picked = this.spread(eligible)
     if (picked === undefined) {
       return { kind: 'none' }
     }
-    return this.checkDeadline(candidates, call, nowMs) ?? { kind: 'chosen', estimate: picked.estimate }
+    if (late === undefined) {
+      return { kind: 'chosen', estimate: picked.estimate }
+    }
+    const { estimate, waitMs, perSecond } = late
+    return { kind: 'late', estimate, retryAfterMs: this.returns.schedule(estimate.server.service, waitMs, perSecond, nowMs) }
+  }
+
+  /** Returns the candidates of a call with their costs, and whether none can answer in time. With `parts` that are observed, nothing changes. */
+  rank (call: PlainCall, nowMs: number, parts = this.parts): RankedCandidates {
+    const listed = call.servers.filter(({ id }) => !call.excluded.has(id))
+    const unpaused = listed.filter(({ id }) => !this.health.isPaused(id, nowMs))
+    const candidates = this.rate(unpaused.length > 0 ? unpaused : listed, call, nowMs, parts)
+    return { candidates, eligible: this.selectNear(candidates, call.goalMs), late: this.checkDeadline(candidates, call, nowMs, parts) }
+  }
+
+  /** Returns when the caller of a late call would be told to come back, without giving out a time. */
+  observeReturnMs ({ estimate, waitMs, perSecond }: LateCall, nowMs: number): number {
+    return this.returns.observe(estimate.server.service, waitMs, perSecond, nowMs)
   }
 
   /** Records an answer: updates the usual work time of the service, and what the server's answers take against what was expected. */
@@ -131,45 +163,51 @@
   }
 
   /** Returns the expected time of a call at a server. */
-  estimate (server: routing.RoutedServer, nowMs: number): Estimate {
-    const slots = this.getSlots(server, nowMs)
+  estimate (server: routing.RoutedServer, nowMs: number, parts = this.parts): Estimate {
+    const slots = getSlots(server, parts, nowMs)
     const state = this.loads.read(server.id, server.slots, nowMs)
     const excess = state.queue.ahead + 1 - slots
     // Expected positive part of the excess, whose standard error is that of the queue.
     const waiting = (excess + Math.hypot(excess, queueUncertainty)) / 2
-    const usualMs = this.getWorkTime(server.service).getMs() * (1 + waiting / slots)
+    const usualMs = this.readWorkTime(server.service).getMs() * (1 + waiting / slots)
     const distanceMs = server.zone === this.zone ? 0 : otherZoneMs
     return { ...state, server, answerMs: distanceMs + usualMs * state.slowness * state.measured, usualMs, distanceMs }
   }
 
-  private rate (servers: readonly routing.RoutedServer[], { isRepeatable, goalMs }: PlainCall, nowMs: number): Candidate[] {
+  private rate (
+    servers: readonly routing.RoutedServer[], { isRepeatable, goalMs }: PlainCall, nowMs: number, parts: capacityParts.CapacityParts
+  ): Candidate[] {
     const rates = servers.map(({ id }) => this.health.getFailureRate(id, nowMs))
     // Some requests fail on every server.
     const leastRate = Math.min(...rates)
     const lossMs = goalMs * (isRepeatable ? repeatGoals : lossGoals)
     return servers.map((server, index) => {
-      const estimate = this.estimate(server, nowMs)
+      const estimate = this.estimate(server, nowMs, parts)
       return { estimate, costMs: estimate.answerMs + lossMs * ((rates[index] ?? 0) - leastRate) }
     })
   }
 
-  private pick (candidates: readonly Candidate[], goalMs: number): Candidate | undefined {
+  /** Returns the candidates in the own zone if one of them costs little more than the best, otherwise all. */
+  private selectNear (candidates: readonly Candidate[], goalMs: number): readonly Candidate[] {
     const near = candidates.filter(({ estimate }) => estimate.server.zone === this.zone)
     const leastMs = Math.min(...candidates.map(({ costMs }) => costMs))
     const isNearGood = near.some(({ costMs }) => costMs <= leastMs + goalMs * ownZonePart)
-    return this.spread(isNearGood ? near : candidates)
+    return isNearGood ? near : candidates
+  }
+
+  /** Scale of the deviations that a candidate's cost is drawn with, in milliseconds. */
+  getScaleMs ({ estimate: { server } }: Candidate): number {
+    const unknown = Math.min(maximumUnknown, unknownPerGateway * this.otherGateways)
+    return this.readWorkTime(server.service).getMs() / server.slots * Math.max(unknown, Number.EPSILON)
   }
 
   /** Draws a candidate; the less likely the more it costs, in terms of the calls that other gateways may have sent meanwhile. */
   private spread (candidates: readonly Candidate[]): Candidate | undefined {
-    const unknown = Math.min(maximumUnknown, unknownPerGateway * this.otherGateways)
     let best: Candidate | undefined
     let bestMs = Infinity
     for (const candidate of candidates) {
-      const { server } = candidate.estimate
-      const scaleMs = this.getWorkTime(server.service).getMs() / server.slots * Math.max(unknown, Number.EPSILON)
       // The least of values with these deviations is drawn with weights that fall exponentially with the cost (Gumbel distribution).
-      const deviationMs = scaleMs * Math.log(-Math.log(Math.max(Number.EPSILON, this.random.nextUnit())))
+      const deviationMs = this.getScaleMs(candidate) * Math.log(-Math.log(Math.max(Number.EPSILON, this.random.nextUnit())))
       if (candidate.costMs + deviationMs < bestMs) {
         best = candidate
         bestMs = candidate.costMs + deviationMs
@@ -179,13 +217,13 @@
   }
 
   /** Returns the refusal of a call that may run only once if all servers are full and none can answer before its deadline. */
-  private checkDeadline (candidates: readonly Candidate[], call: PlainCall, nowMs: number): TimedVerdict | undefined {
+  private checkDeadline (candidates: readonly Candidate[], call: PlainCall, nowMs: number, parts: capacityParts.CapacityParts): LateCall | undefined {
     let nearest: Estimate | undefined
     let perSecond = 0
     for (const { estimate } of candidates) {
       const { server, answerMs, queue, slowness, measured } = estimate
-      const slots = this.getSlots(server, nowMs)
-      const work = this.getWorkTime(server.service)
+      const slots = getSlots(server, parts, nowMs)
+      const work = this.readWorkTime(server.service)
       if (call.isRepeatable || call.excluded.size > 0 || answerMs <= call.remainingMs || queue.ahead < slots || work.count < leastAnswersToRefuse) {
         return undefined
       }
@@ -196,12 +234,11 @@
       return undefined
     }
     const waitMs = Math.max(minimumRetryMs, nearest.answerMs - call.goalMs)
-    const share = perSecond / (this.otherGateways + 1)
-    return { kind: 'late', estimate: nearest, retryAfterMs: this.returns.schedule(nearest.server.service, waitMs, share, nowMs) }
+    return { estimate: nearest, waitMs, perSecond: perSecond / (this.otherGateways + 1) }
   }
 
-  private getSlots (server: routing.RoutedServer, nowMs: number): number {
-    return server.slots * Math.min(1, Math.max(leastPart, this.parts.getPart(server, nowMs)))
+  private readWorkTime (service: string): workTimes.WorkTime {
+    return this.workTimes.get(service) ?? unknownWorkTime
   }
 
   private getWorkTime (service: string): workTimes.WorkTime {
@@ -214,3 +251,7 @@
     return created
   }
 }
+
+function getSlots (server: routing.RoutedServer, parts: capacityParts.CapacityParts, nowMs: number): number {
+  return server.slots * Math.min(1, Math.max(leastPart, parts.getPart(server, nowMs)))
+}
--- a/src/gateway/plain/plain_choice.ts
+++ b/src/gateway/plain/plain_choice.ts
@@ -7,6 +7,7 @@
 import * as capacityParts from '../pace/capacity_parts.js'
 import * as healths from '../server_health.js'
 import * as routing from '../../contracts/routing.js'
+import type * as serverLoads from './server_loads.js'
 import * as types from '../types.js'
 
 /**
@@ -21,6 +22,11 @@
 /** Age after which a reported load is ignored. */
 const maximumReportAgeMs = 500
 
+export interface RatedServer {
+  readonly server: routing.RoutedServer
+  readonly score: number
+}
+
 interface Load {
   inFlight: number
   reported: types.ReportedLoad | undefined
@@ -55,33 +61,39 @@
   choose (
     servers: readonly routing.RoutedServer[], excluded: ReadonlySet<string>, isRepeatable: boolean, nowMs: number, tieBreaker: number
   ): routing.RoutedServer | undefined {
+    return pickServer(this.rate(servers, excluded, isRepeatable, nowMs), tieBreaker)
+  }
+
+  /** Returns the scores of the servers that are not excluded; the lowest is the best. With `parts` that are observed, nothing changes. */
+  rate (
+    servers: readonly routing.RoutedServer[], excluded: ReadonlySet<string>, isRepeatable: boolean, nowMs: number, parts = this.parts
+  ): readonly RatedServer[] {
     const candidates = servers.filter(({ id }) => !excluded.has(id))
     const rates = candidates.map(({ id }) => this.health.getFailureRate(id, nowMs))
     const leastRate = Math.min(...rates)
     const weight = isRepeatable ? delayWeight : lossWeight
-    let best: routing.RoutedServer | undefined
-    let bestScore = Infinity
-    for (const [index, server] of candidates.entries()) {
+    return candidates.map((server, index) => {
       const failurePenalty = weight * ((rates[index] ?? 0) - leastRate)
-      const score = this.score(server, nowMs) + failurePenalty + tieBreaker * 1e-3 * (server.id < (best?.id ?? '') ? 1 : -1)
-      if (score < bestScore) {
-        best = server
-        bestScore = score
-      }
+      return { server, score: this.score(server, nowMs, parts) + failurePenalty }
+    })
+  }
+
+  /** Returns the calls that count as running at a server, and the age of the report that was used. */
+  getQueue (server: string, nowMs: number): serverLoads.QueueState {
+    const load = this.loads.get(server)
+    const inFlight = load?.inFlight ?? 0
+    if (load?.reported === undefined || nowMs - load.reportedMs >= maximumReportAgeMs) {
+      return { ahead: inFlight, reportAgeMs: undefined }
     }
-    return best
+    return { ahead: Math.max(inFlight, load.reported.running + load.reported.waiting), reportAgeMs: nowMs - load.reportedMs }
   }
 
-  private score (server: routing.RoutedServer, nowMs: number): number {
-    const load = this.loads.get(server.id)
-    const reported = load?.reported !== undefined && nowMs - load.reportedMs < maximumReportAgeMs
-      ? load.reported.running + load.reported.waiting
-      : 0
-    const busy = Math.max(load?.inFlight ?? 0, reported)
+  private score (server: routing.RoutedServer, nowMs: number, parts: capacityParts.CapacityParts): number {
+    const { ahead: busy } = this.getQueue(server.id, nowMs)
     const answerMs = this.health.getAnswerMs(server.id) ?? 0
     const pausePenalty = this.health.isPaused(server.id, nowMs) ? 1_000 : 0
     const zonePenalty = server.zone === this.zone ? 0 : otherZonePenalty
-    return (busy + 0.5) / (server.slots * this.parts.getPart(server, nowMs)) * (1 + answerMs / 100) + zonePenalty + pausePenalty
+    return (busy + 0.5) / (server.slots * parts.getPart(server, nowMs)) * (1 + answerMs / 100) + zonePenalty + pausePenalty
   }
 
   private getLoad (server: string): Load {
@@ -94,3 +106,17 @@
     return created
   }
 }
+
+/** Returns the server with the lowest score; `tieBreaker`, from 0 to 1, decides between scores that hardly differ. */
+export function pickServer (rated: readonly RatedServer[], tieBreaker: number): routing.RoutedServer | undefined {
+  let best: routing.RoutedServer | undefined
+  let bestScore = Infinity
+  for (const { server, score: rating } of rated) {
+    const score = rating + tieBreaker * 1e-3 * (server.id < (best?.id ?? '') ? 1 : -1)
+    if (score < bestScore) {
+      best = server
+      bestScore = score
+    }
+  }
+  return best
+}
--- a/src/gateway/plain/server_choice.ts
+++ b/src/gateway/plain/server_choice.ts
@@ -23,6 +23,17 @@
 
 export type ServerVerdict = ChosenServer | Exclude<timedChoices.TimedVerdict, { readonly kind: 'chosen' }>
 
+/** How the server of a call would be chosen: by load, the lowest score first, or drawn by the expected time. */
+export type InspectedChoice =
+  | { readonly by: 'load', readonly rated: readonly plainChoices.RatedServer[] }
+  | {
+    readonly by: 'expected_time'
+    readonly ranked: timedChoices.RankedCandidates
+    readonly getScaleMs: (candidate: timedChoices.Candidate) => number
+    /** When the caller of a call that is late at each server would be told to come back, in milliseconds. */
+    readonly lateReturnMs: number | undefined
+  }
+
 /** How a call at a server ended, as far as the choice of servers is concerned. */
 export interface CallEnd {
   readonly startedMs: number
@@ -44,7 +55,7 @@
     private readonly loads: serverLoads.ServerLoads,
     random: host.Random,
     private readonly log: host.Log,
-    parts: capacityParts.CapacityParts = new capacityParts.FullCapacity()
+    private readonly parts: capacityParts.CapacityParts = new capacityParts.FullCapacity()
   ) {
     this.byLoad = new plainChoices.PlainChoice(zone, health, parts)
     this.byTime = new timedChoices.ExpectedTimeChoice(zone, health, loads, random, parts)
@@ -69,6 +80,27 @@
     return server === undefined ? { kind: 'none' } : { kind: 'chosen', server, estimate: undefined }
   }
 
+  /** Returns how the server of a call would be chosen now. Changes nothing and draws no random number. */
+  inspect (call: timedChoices.PlainCall, nowMs: number): InspectedChoice {
+    const parts = this.parts.observe()
+    const service = call.servers[0]?.service
+    if (service !== undefined && this.isTimed(service, this.loads.isActive(call.servers, nowMs), nowMs)) {
+      const ranked = this.byTime.rank(call, nowMs, parts)
+      return {
+        by: 'expected_time',
+        ranked,
+        getScaleMs: candidate => this.byTime.getScaleMs(candidate),
+        lateReturnMs: ranked.late === undefined ? undefined : this.byTime.observeReturnMs(ranked.late, nowMs)
+      }
+    }
+    return { by: 'load', rated: this.byLoad.rate(call.servers, call.excluded, call.isRepeatable, nowMs, parts) }
+  }
+
+  /** Returns the calls ahead at a server as the choice by load counts them. */
+  getQueue (server: string, nowMs: number): serverLoads.QueueState {
+    return this.byLoad.getQueue(server, nowMs)
+  }
+
   isInOwnZone (server: routing.RoutedServer): boolean {
     return server.zone === this.zone
   }
@@ -107,15 +139,21 @@
       return false
     }
     const before = this.timedServices.get(service)
-    if (this.loads.isActive(servers, nowMs)) {
+    const isActive = this.loads.isActive(servers, nowMs)
+    const isTimed = this.isTimed(service, isActive, nowMs)
+    if (isActive) {
       this.timedServices.set(service, nowMs)
-    } else if (before !== undefined && nowMs - before > holdMs) {
+    } else if (!isTimed) {
       this.timedServices.delete(service)
     }
-    const isTimed = this.timedServices.has(service)
     if (isTimed !== (before !== undefined)) {
       this.log.info('choice of plain servers changed', { service, by: isTimed ? 'expected_time' : 'load', servers: servers.length })
     }
     return isTimed
   }
+
+  private isTimed (service: string, isActive: boolean, nowMs: number): boolean {
+    const before = this.timedServices.get(service)
+    return isActive || (before !== undefined && nowMs - before <= holdMs)
+  }
 }
--- a/src/gateway/plain_exchange.ts
+++ b/src/gateway/plain_exchange.ts
@@ -18,11 +18,11 @@
 /** Part of the remaining time after which a repeatable call is retried at another server. */
 const retryTimeoutPart = 0.45
 /** Least time in which another server can still answer. */
-const minimumSendMs = 8
+export const minimumSendMs = 8
 /** Time reserved for returning the answer to the caller. */
-const returnMarginMs = 15
+export const returnMarginMs = 15
 /** Retry time without a server: roughly how long the recovery of servers takes to be detected. */
-const noServerRetryMs = 500
+export const noServerRetryMs = 500
 
 type Answered = connectionPools.CallOutcome & { readonly kind: 'answered' }
 
--- a/src/gateway/prompt_admission.ts
+++ b/src/gateway/prompt_admission.ts
@@ -12,10 +12,10 @@
 /** Longest time between two attempts to take a trial, in milliseconds, if the evidence does not change. */
 const trialRetryMs = 100
 /** Retry time of a request whose prompt is under suspicion, in milliseconds: a few trials have ended by then. */
-const suspectRetryMs = 1_000
+export const suspectRetryMs = 1_000
 
 /** How long a suspected prompt waits for the trials of other requests, in parts of the route's latency goal. */
-const suspectWaitPart = 0.5
+export const suspectWaitPart = 0.5
 
 export type PromptAdmissionResult = { readonly isTrial: boolean } | { readonly failure: failures.Failure }
 
--- a/src/gateway/prompt_prefill.ts
+++ b/src/gateway/prompt_prefill.ts
@@ -34,7 +34,7 @@
   | { readonly retry: string }
 
 /** Returns the sizes that a caller stated, or one block each. */
-export function getSizes (arrival: types.Arrival): types.GenerationSizes {
+export function getSizes (arrival: Pick<types.Arrival, 'sizes'>): types.GenerationSizes {
   return arrival.sizes ?? { promptTokens: blockTokens, maximumOutputTokens: blockTokens, hintedOutputTokens: undefined }
 }
 
--- a/src/gateway/queueing/capacity_forecast.ts
+++ b/src/gateway/queueing/capacity_forecast.ts
@@ -48,6 +48,14 @@
     return used.tokens > 0 ? used.tokens / holdMs : undefined
   }
 
+  /** Returns what `getRate` would, without a change of state. */
+  observeRate (service: string, sumUsed: () => number, nowMs: number): number | undefined {
+    const holdMs = this.holds.get(service)
+    const usage = this.usage.get(service)
+    const tokens = holdMs === undefined ? 0 : usage === undefined || nowMs - usage.atMs > usageValidMs ? sumUsed() : usage.tokens
+    return holdMs === undefined || tokens <= 0 ? undefined : tokens / holdMs
+  }
+
   /** Returns the time until a request that needs so many tokens gets them, in milliseconds, at a rate of tokens in a millisecond. */
   estimateWaitMs (neededTokens: number, ahead: DemandAhead, rate: number): number {
     return (ahead.ownTokens + ahead.urgentTokens + ahead.equalTokens * equalRankPart + neededTokens) / rate
--- a/src/gateway/queueing/capacity_returns.ts
+++ b/src/gateway/queueing/capacity_returns.ts
@@ -25,12 +25,38 @@
   readonly remainingMs: number
 }
 
+/** Range of the times after which a caller may be told to come back, in milliseconds. */
+export interface ReturnRange {
+  readonly earliestMs: number
+  readonly latestMs: number
+}
+
 export class CapacityReturns {
   /** Latest turn given out, by service and rank, on the monotonic clock, in milliseconds. */
   private readonly turns = new Map<string, Map<number, number>>()
 
   constructor (private readonly random: host.Random) {}
 
+  /** Returns the range of the times that `schedule` would draw from, without giving out a turn. */
+  observe ({ service, rank, waitMs, intervalMs, remainingMs }: RefusedRequest, nowMs: number): ReturnRange {
+    const honouredMs = Math.max(0, remainingMs * honouredPart)
+    let earliestMs = waitMs
+    let latestMs = waitMs + intervalMs
+    for (const [other, lastMs] of this.turns.get(service) ?? []) {
+      if (lastMs > nowMs && other <= rank) {
+        earliestMs = Math.max(earliestMs, lastMs - nowMs + intervalMs)
+        latestMs = Math.max(latestMs, lastMs - nowMs + intervalMs)
+      }
+    }
+    const spreadMs = Math.floor(honouredMs * earliestSpreadPart)
+    if (!(earliestMs <= honouredMs)) {
+      return { earliestMs: spreadMs, latestMs: Math.floor(honouredMs) }
+    }
+    return latestMs <= honouredMs
+      ? { earliestMs: Math.floor(earliestMs), latestMs: Math.floor(latestMs) }
+      : { earliestMs: Math.floor(Math.min(earliestMs, spreadMs)), latestMs: Math.floor(honouredMs) }
+  }
+
   /** Returns the time after which the caller is to come back, in milliseconds. */
   schedule ({ service, rank, waitMs, intervalMs, remainingMs }: RefusedRequest, nowMs: number): number {
     const honouredMs = Math.max(0, remainingMs * honouredPart)
--- a/src/gateway/queueing/placement_deferral.ts
+++ b/src/gateway/queueing/placement_deferral.ts
@@ -66,6 +66,17 @@
     return false
   }
 
+  /** Returns what `shouldDefer` would, without a change of state. */
+  observe ({ service, rank, countPlaces }: Candidate, nowMs: number): boolean {
+    const demand = this.demand.getMoreUrgent(service, rank, nowMs)
+    const places = demand.count === 0 ? 0 : countPlaces(demand.tokens / demand.count)
+    if (places === 0 || places > demand.count) {
+      return false
+    }
+    const known = this.deferrals.get(`${rank} ${service}`)
+    return known === undefined || nowMs - known.lastMs > maximumDeferralMs || nowMs < known.untilMs
+  }
+
   private report (outcome: string, { id, service, rank }: Candidate, demand: waitingDemands.Demand, places: number, nowMs: number): void {
     this.meter.count('gateway_deferrals_total', { outcome })
     if (nowMs - this.loggedMs >= logPauseMs) {
--- a/src/gateway/queueing/return_schedule.ts
+++ b/src/gateway/queueing/return_schedule.ts
@@ -14,9 +14,18 @@
 
   /** Returns the time after which the next caller of a service is to come back, in milliseconds; `waitMs` is the time until a permit may be had. */
   schedule (service: string, waitMs: number, perSecond: number, nowMs: number): number {
-    const intervalMs = 1000 / Math.max(perSecond, Number.EPSILON)
-    const returnMs = Math.min(nowMs + latestReturnMs, Math.max(nowMs + waitMs, (this.lastReturns.get(service) ?? -Infinity) + intervalMs))
+    const returnMs = this.getNextMs(service, waitMs, perSecond, nowMs)
     this.lastReturns.set(service, returnMs)
     return Math.ceil(returnMs - nowMs)
   }
+
+  /** Returns what `schedule` would, without giving out a time. */
+  observe (service: string, waitMs: number, perSecond: number, nowMs: number): number {
+    return Math.ceil(this.getNextMs(service, waitMs, perSecond, nowMs) - nowMs)
+  }
+
+  private getNextMs (service: string, waitMs: number, perSecond: number, nowMs: number): number {
+    const intervalMs = 1000 / Math.max(perSecond, Number.EPSILON)
+    return Math.min(nowMs + latestReturnMs, Math.max(nowMs + waitMs, (this.lastReturns.get(service) ?? -Infinity) + intervalMs))
+  }
 }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -19,13 +19,13 @@
 import * as types from './types.js'
 
 /** Retry time while the gateway has no configuration, or a route no service. */
-const notReadyRetryMs = 1_000
+export const notReadyRetryMs = 1_000
 /** Retry time while this gateway shuts down; another gateway accepts the request at once. */
-const shutdownRetryMs = 50
+export const shutdownRetryMs = 50
 /** Time-out of a request that states none. */
-const defaultTimeoutMs = 60_000
+export const defaultTimeoutMs = 60_000
 /** How long before the route's time-out the final answer is sent. */
-const timeoutMarginMs = 20
+export const timeoutMarginMs = 20
 
 /** The configuration that applies to an admitted request, and its cost in the workspace's unit. */
 interface Admission {
--- a/src/gateway/routing_table.ts
+++ b/src/gateway/routing_table.ts
@@ -53,6 +53,11 @@
     return undefined
   }
 
+  /** Hosts of the routes. */
+  listHosts (): readonly string[] {
+    return [...this.hosts.keys()]
+  }
+
   findWorkspace (keyHash: string): routing.RoutedWorkspace | undefined {
     return this.workspacesByKey.get(keyHash)
   }
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -91,6 +91,17 @@
     return Math.max(own, failures / (sends + assumedSuccesses))
   }
 
+  /** Age of the oldest report of another gateway that counts for a server's failure rate, in milliseconds; undefined if there is none. */
+  getReportAgeMs (server: string, nowMs: number): number | undefined {
+    let oldestMs: number | undefined
+    for (const { outcomes, receivedMs } of this.peerReports.values()) {
+      if (nowMs - receivedMs <= reportExpiryMs && outcomes[server] !== undefined) {
+        oldestMs = Math.max(oldestMs ?? 0, nowMs - receivedMs)
+      }
+    }
+    return oldestMs
+  }
+
   /** Replaces the outcomes of another gateway, or of all gateways of another zone. */
   updatePeer (peer: string, outcomes: Readonly<Record<string, Outcomes>>, atMs: number): void {
     this.peerReports.set(peer, { outcomes, receivedMs: atMs })
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -67,6 +67,11 @@
     return this.cold?.getLimit(server, nowMs)
   }
 
+  /** Time until a server is no longer cold, in milliseconds; undefined if it is not cold. */
+  getColdLeftMs (server: string, nowMs: number): number | undefined {
+    return this.getColdLimit(server, nowMs) === undefined ? undefined : this.cold?.getLeftMs(server, nowMs)
+  }
+
   /** Requests a second by the latest statement of a server, whichever of its processes made it. */
   getStatedLimit (server: string): number | undefined {
     return this.statements.get(server)?.perSecond
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -15,6 +15,8 @@
 export const PaceScope = z.enum(['off', 'cold', 'all'])
 export type PaceScope = z.infer<typeof PaceScope>
 
+export const Explain = z.enum(['off', 'on'])
+
 export const GatewaySettings = z.object({
   node: z.string().min(1),
   zone: z.string().min(1),
@@ -72,6 +74,8 @@
   }),
   /** Whether servers that start or return while traffic runs get their share of the load step by step, where the service calls for it. */
   pace: PaceScope.default('off'),
+  /** Whether the inner listener explains where a request would go. It has no authentication. */
+  explain: Explain.default('off'),
   availability: z.object({
     /** Requests that a cold server may get in any one second, as a factor on its rate and in addition. */
     coldOver: z.number().nonnegative(),
--- a/src/gateway/urgency/arrival_meter.ts
+++ b/src/gateway/urgency/arrival_meter.ts
@@ -32,13 +32,17 @@
 
   /** Returns the rates by level; empty if nothing has arrived lately. */
   read (nowMs: number): ArrivalRate[] {
-    this.decay(nowMs)
-    const isQuiet = this.rates.every(([generations]) => generations < minimumPerSecond)
-    return isQuiet ? [] : this.rates.map(([generations, tokens]) => [Number(generations.toFixed(3)), Math.round(tokens)])
+    const factor = this.getDecayFactor(nowMs)
+    const isQuiet = this.rates.every(([generations]) => generations * factor < minimumPerSecond)
+    return isQuiet ? [] : this.rates.map(([generations, tokens]) => [Number((generations * factor).toFixed(3)), Math.round(tokens * factor)])
+  }
+
+  private getDecayFactor (nowMs: number): number {
+    return Number.isFinite(this.updatedMs) ? Math.exp(-Math.max(0, nowMs - this.updatedMs) / averagingMs) : 1
   }
 
   private decay (nowMs: number): void {
-    const factor = Number.isFinite(this.updatedMs) ? Math.exp(-Math.max(0, nowMs - this.updatedMs) / averagingMs) : 1
+    const factor = this.getDecayFactor(nowMs)
     for (const rate of this.rates) {
       rate[0] *= factor
       rate[1] *= factor
--- a/tools/code_advice.ts
+++ b/tools/code_advice.ts
@@ -71,6 +71,11 @@
   version_missing: 'Name the version that is replaced.',
   version_stale: 'Read again, and make the change anew.',
   command_invalid: 'Nothing; see `--help`.',
+  explanation_off: 'Set `mulberryflow.explain` to `on` at the gateway, if its inner listener is reachable by operators only.',
+  explanation_invalid: 'Nothing; the message names the mistake.',
+  host_ambiguous: 'Name the host with `--host`.',
+  workspace_unknown: 'Name a workspace of the configuration in force; compare versions.',
+  gateway_unreachable: 'Process, address and port of the gateway\'s inner listener.',
   settings_invalid: 'Mend the settings file.',
   settings_unreadable: 'Path, rights or YAML of the settings file.'
 }
