--- a/src/gateway/explanation/probabilities.ts
+++ b/src/gateway/explanation/probabilities.ts
@@ -4,8 +4,11 @@
  * Computed from the distributions, without drawing a random number. Performs no input or output.
  */
 
-/** Points at which a distribution is evaluated; the error of a probability is below a thousandth. */
+/** Points at which a distribution is evaluated, at most and at least. */
 const samples = 500
+const leastSamples = 25
+/** Bound on the evaluations of one choice, which grow with the square of the candidates: callers' requests wait meanwhile. */
+const maximumEvaluations = 500_000
 
 /** The distribution of a candidate's cost. */
 export abstract class Cost {
@@ -47,18 +50,29 @@
 
 /** Returns for each cost the probability that it is the least. The distributions must be continuous. */
 export function computeLeast (costs: readonly Cost[]): readonly number[] {
-  return costs.map(cost => {
+  const points = Math.max(leastSamples, Math.min(samples, Math.floor(maximumEvaluations / costs.length ** 2)))
+  const sums = costs.map(cost => {
     let sum = 0
-    for (let sample = 0; sample < samples; sample += 1) {
-      const value = cost.getQuantile((sample + 0.5) / samples)
-      let product = 1
-      for (const other of costs) {
-        product *= other === cost ? 1 : other.getSurvival(value)
-      }
-      sum += product
+    for (let point = 0; point < points; point += 1) {
+      sum += computeOthersAbove(costs, cost, cost.getQuantile((point + 0.5) / points))
     }
-    return sum / samples
+    return sum
   })
+  // With few points the sum of the probabilities is not exactly 1: 0.99 to 0.64 with 300 candidates.
+  const total = sums.reduce((sum, value) => sum + value, 0)
+  return sums.map(sum => total > 0 ? sum / total : 0)
+}
+
+/** Returns the probability that all other costs are above a value. */
+function computeOthersAbove (costs: readonly Cost[], cost: Cost, value: number): number {
+  let product = 1
+  for (const other of costs) {
+    product *= other === cost ? 1 : other.getSurvival(value)
+    if (product === 0) {
+      return 0
+    }
+  }
+  return product
 }
 
 /** Returns 1 for the first of the least costs and 0 for the others: nothing is drawn. */
