explain: less time in the choices that it shares

Change: no object for each prefill rating, one look-up less for each engine, one pass less over plain servers. The decisions and draws are the same. 15 tests of the command, 4 of the readings and the tests of placement, plain services, decisions, gateway, contested service and stage change pass.

--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -484,8 +484,8 @@
       if (server.stage !== 'prefill' || excluded.has(server.id) || !this.isUsable(server, nowMs)) {
         continue
       }
-      const { readyMs, distanceMs } = this.ratePrefill(server, tokens, nowMs, decodeZone)
-      const penaltyMs = distanceMs + this.drawJitter() * readyMs + this.estimatePacePenaltyMs(server, readyMs, nowMs, this.parts)
+      const readyMs = this.estimateReadyMs(server, tokens, nowMs)
+      const penaltyMs = getDistanceMs(server, decodeZone) + this.drawJitter() * readyMs + this.estimatePacePenaltyMs(server, readyMs, nowMs, this.parts)
       if (readyMs + penaltyMs < bestMs + bestPenaltyMs) {
         best = server
         bestMs = readyMs
@@ -502,18 +502,15 @@
   ): readonly InspectedPrefill[] {
     const parts = this.parts.observe()
     return servers.map(server => {
-      const time = this.ratePrefill(server, tokens, nowMs, decodeZone)
+      const time = { readyMs: this.estimateReadyMs(server, tokens, nowMs), distanceMs: getDistanceMs(server, decodeZone) }
       const obstacle = server.stage !== 'prefill' ? 'other_stage' : excluded.has(server.id) ? 'tried' : this.findObstacle(server, nowMs)
       const paceMs = this.estimatePacePenaltyMs(server, time.readyMs, nowMs, parts)
       return { server, time, paceMs, unreadTokens: this.getPendingPromptTokens(server.id, nowMs), obstacle }
     })
   }
 
-  private ratePrefill (server: routing.RoutedServer, tokens: number, nowMs: number, decodeZone: string | undefined): PrefillTime {
-    return {
-      readyMs: this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id, nowMs)),
-      distanceMs: decodeZone === undefined || server.zone === decodeZone ? 0 : crossZonePenaltyMs
-    }
+  private estimateReadyMs (server: routing.RoutedServer, tokens: number, nowMs: number): number {
+    return this.estimatePrefillMs(server.id, tokens, nowMs) * (1 + this.health.getFailureRate(server.id, nowMs))
   }
 
   /** Estimated time until a server has prefilled a prompt that is sent to it now, in milliseconds. */
@@ -557,11 +554,18 @@
     if (this.findOwnObstacle(server, nowMs) !== undefined) {
       return false
     }
-    const isSwitching = this.isSwitching(server, nowMs)
-    if (this.observedSwitching.size > 0 && this.observedSwitching.get(server.id)?.from !== server.stage) {
+    if (this.observedSwitching.size > 0) {
+      this.endObservedSwitch(server)
+    }
+    return !this.isSwitching(server, nowMs)
+  }
+
+  /** Forgets an observed change of a server's stage that the server list shows as complete. */
+  private endObservedSwitch (server: routing.RoutedServer): void {
+    const observed = this.observedSwitching.get(server.id)
+    if (observed !== undefined && observed.from !== server.stage) {
       this.observedSwitching.delete(server.id)
     }
-    return !isSwitching
   }
 
   /** Returns why a server gets no work of its stage. Changes nothing. */
@@ -609,6 +613,10 @@
   }
 }
 
+function getDistanceMs (server: routing.RoutedServer, decodeZone: string | undefined): number {
+  return decodeZone === undefined || server.zone === decodeZone ? 0 : crossZonePenaltyMs
+}
+
 function addCommittedLoads (a: CommittedLoad, b: CommittedLoad): CommittedLoad {
   return { runs: a.runs + b.runs, tokens: a.tokens + b.tokens, unread: a.unread + b.unread }
 }
--- a/src/gateway/plain/plain_choice.ts
+++ b/src/gateway/plain/plain_choice.ts
@@ -74,7 +74,10 @@
     const rates = candidates.map(({ id }) => this.health.getFailureRate(id, nowMs))
     const leastRate = Math.min(...rates)
     const weight = isRepeatable ? delayWeight : lossWeight
-    const scores = candidates.map((server, index) => this.score(server, nowMs, parts) + weight * ((rates[index] ?? 0) - leastRate))
+    const scores: number[] = []
+    for (const server of candidates) {
+      scores.push(this.score(server, nowMs, parts) + weight * ((rates[scores.length] ?? 0) - leastRate))
+    }
     return { candidates, scores }
   }
 
@@ -116,12 +119,14 @@
 export function pickServer (candidates: readonly routing.RoutedServer[], scores: readonly number[], tieBreaker: number): routing.RoutedServer | undefined {
   let best: routing.RoutedServer | undefined
   let bestScore = Infinity
-  for (const [index, server] of candidates.entries()) {
+  let index = 0
+  for (const server of candidates) {
     const score = (scores[index] ?? Infinity) + tieBreaker * 1e-3 * (server.id < (best?.id ?? '') ? 1 : -1)
     if (score < bestScore) {
       best = server
       bestScore = score
     }
+    index += 1
   }
   return best
 }
