Unusable figures in the settings of callers' memory give a log line

Cause: a negative or enormous figure was silently replaced or taken as it was, and one that is not a number kept the gateway from starting.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -246,6 +246,9 @@
     if (faults.length > 0) {
       system.log.warn('settings ignored', { faults: faults.join('; ') })
     }
+    for (const fault of options.callers.faults ?? []) {
+      system.log.warn('setting ignored', { fault })
+    }
     if (Object.keys(regions).length > 0) {
       system.log.info('zones and regions', { region, zones: Object.entries(regions).map(pair => pair.join('=')).join(',') })
     }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -61,7 +61,9 @@
     /** A body of which nothing comes for so long is ended. */
     bodyStallMs: milliseconds.default(15_000),
     /** Least rate of a large body while others wait for memory, in bytes a second: 4 MB take a minute at it. */
-    leastBodyRate: z.number().nonnegative().default(65_536)
+    leastBodyRate: z.number().nonnegative().default(65_536),
+    /** Settings that are out of range and were replaced by their defaults, for the log. */
+    faults: z.array(z.string()).optional()
   }).default({ vmBytes: defaultVmBytes, memoryPart: 0.35, descriptors: Infinity, bodyStallMs: 15_000, leastBodyRate: 65_536 }),
   retries: z.object({
     /** Retries to servers for each request. */
