--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -21,6 +21,12 @@
 /** Requests that may wait for the answer to one before them on the same connection. */
 const maximumWaiting = 32
 
+/** Memory of a request's objects, and of each line of its head beside the text, estimated from the sizes of V8's strings and arrays. */
+const requestBytes = 8_192
+const lineBytes = 128
+/** Lines above which a head counts although no request is before it; its memory is several times its text then. */
+const uncountedLines = 128
+
 const lateHeadCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const headOverflowCode = 'HPE_HEADER_OVERFLOW'
 const callerEndCode = 'HPE_INVALID_EOF_STATE'
@@ -38,6 +44,8 @@
   readonly body: bodyIntakes.BodyIntake
   /** On the monotonic clock. */
   readonly readMs: number
+  /** Bytes of the head in the account. */
+  headBytes: number
 }
 
 /** Why a request that was read is not handled. */
@@ -112,19 +120,41 @@
 
   /** Takes a request from the parser. It is handled in its turn, and unless its caller has left. */
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
-    const exchange = { request, response, body: new bodyIntakes.BodyIntake(request, this.intake), readMs: this.clock.monotonicMs() }
+    const exchange = { request, response, body: new bodyIntakes.BodyIntake(request, this.intake), readMs: this.clock.monotonicMs(), headBytes: 0 }
     this.requestCount += 1
-    if (this.waiting.length >= maximumWaiting) {
+    const headBytes = this.estimateHead(request)
+    const isClosing = this.isClosing || this.idleCloseReason !== undefined
+    if (isClosing || this.waiting.length >= maximumWaiting || !this.intake.account.takeHead(headBytes)) {
       this.idleCloseReason ??= 'too_many_waiting'
-    }
-    if (this.isClosing || this.idleCloseReason !== undefined) {
       this.drop(exchange, 'connection_closing')
+      // Node.js keeps the response, and with it the request, until the connection ends.
+      request.rawHeaders.length = 0
+      request.headers = {}
+      if (!this.isBusy) {
+        this.close(this.idleCloseReason)
+      } else if (!isClosing) {
+        this.stopParsing()
+      }
       return
     }
+    exchange.headBytes = headBytes
     this.waiting.push(exchange)
     eventLoop.afterSocketReads(() => this.handleNext())
   }
 
+  /** Returns the bytes of a head that count: none of an ordinary one without a request before it. */
+  private estimateHead ({ rawHeaders, url = '' }: http.IncomingMessage): number {
+    const lines = rawHeaders.length / 2
+    if (!this.isBusy && lines <= uncountedLines) {
+      return 0
+    }
+    let bytes = requestBytes + lines * lineBytes + url.length
+    for (const text of rawHeaders) {
+      bytes += text.length
+    }
+    return bytes
+  }
+
   /** Closes the connection behind the answer in progress. */
   close (reason: deliveries.CloseReason): void {
     if (this.isClosing) {
@@ -272,6 +302,7 @@
         this.recordClosing({ closedBy: 'gateway', closeReason: 'destroyed' })
       }
       delivery.settle()
+      this.giveBackHead(exchange)
       this.current = undefined
       this.delivery = undefined
       this.lastEndMs = this.clock.monotonicMs()
@@ -303,15 +334,39 @@
     }
   }
 
-  private drop ({ request, body, readMs }: CallerExchange, reason: DropReason): void {
+  private drop (exchange: CallerExchange, reason: DropReason): void {
+    const { request, body, readMs } = exchange
     this.listener.dropped(request, reason, this.clock.monotonicMs() - readMs)
+    this.giveBackHead(exchange)
     body.discard()
   }
 
-  private endSending (): void {
-    // What still comes is not parsed any more: the parser would make an object of every chunk.
+  private giveBackHead (exchange: CallerExchange): void {
+    this.intake.account.giveBackHead(exchange.headBytes)
+    exchange.headBytes = 0
+  }
+
+  /** From now on what still comes is not parsed any more: the parser would make an object of every chunk and request. */
+  private discardInput (): void {
     this.socket.removeAllListeners('data')
     this.socket.on('data', (piece: buffer.Buffer) => bodyIntakes.recordRead(this.intake, piece.length))
+  }
+
+  /**
+   * Handles nothing more of what the caller sends. One read may hold some thousand requests, so that those behind the first in it are skipped, too:
+   * the parser's own listener, which Node.js does not document, would keep a response for each until the connection ends.
+   */
+  private stopParsing (): void {
+    const { parser } = this.socket as { readonly parser?: { onIncoming?: () => number } | null }
+    if (parser !== undefined && parser !== null) {
+      parser.onIncoming = () => 0
+    }
+    // Behind the parser's callback.
+    process.nextTick(() => this.discardInput())
+  }
+
+  private endSending (): void {
+    this.discardInput()
     this.socket.end(() => {
       if (!this.socket.destroyed) {
         this.stopLinger = this.clock.after(lingerMs, () => this.socket.destroy())
--- a/src/gateway/caller_memory/account.ts
+++ b/src/gateway/caller_memory/account.ts
@@ -84,14 +84,16 @@
   /** What an answer has waited for last, and when. */
   private answerWaitBytes = 0
   private answerWaitMs = -Infinity
+  /** Bytes of heads that count: those that wait behind another request, and those of many lines. */
+  private headBytes = 0
   /** Bytes read since the last collection; Node.js reads each piece into a buffer of its own. */
   private transientBytes = 0
 
   constructor (readonly limits: AccountLimits) {}
 
-  /** Bytes held for large bodies and answers, for small bodies, and not collected yet; and how many wait. */
-  describe (): { readonly large: number, readonly small: number, readonly uncollected: number, readonly waiting: number } {
-    return { large: this.largeBytes, small: this.smallBytes, uncollected: this.uncollectedBytes, waiting: this.waiting.size }
+  /** Bytes held for large bodies and answers, for small bodies, for heads, and not collected yet; and how many wait. */
+  describe (): { readonly large: number, readonly small: number, readonly heads: number, readonly uncollected: number, readonly waiting: number } {
+    return { heads: this.headBytes, large: this.largeBytes, small: this.smallBytes, uncollected: this.uncollectedBytes, waiting: this.waiting.size }
   }
 
   /** Whether something waits for memory. */
@@ -197,6 +199,19 @@
     this.serveWaiting(nowMs)
   }
 
+  /** Takes bytes for a request's head, unless heads hold as much as small bodies may hold. */
+  takeHead (bytes: number): boolean {
+    if (bytes > 0 && this.headBytes + bytes > this.limits.smallBytes) {
+      return false
+    }
+    this.headBytes += bytes
+    return true
+  }
+
+  giveBackHead (bytes: number): void {
+    this.headBytes -= bytes
+  }
+
   /** Takes bytes for an answer if they fit, ahead of bodies that wait: an answer that is delivered frees memory. */
   takeAnswer (bytes: number): boolean {
     if (!this.fits(bytes)) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -653,7 +653,7 @@
     this.meter.gauge('gateway_connections', { state: 'closed_for_others' }, this.ingress.closedForOthers)
     this.meter.gauge('gateway_connections', { state: 'refused' }, this.ingress.refusedConnections)
     const held = this.callerMemory.describe()
-    for (const kind of ['large', 'small', 'uncollected'] as const) {
+    for (const kind of ['large', 'small', 'heads', 'uncollected'] as const) {
       this.meter.gauge('gateway_caller_bytes', { kind }, held[kind])
     }
     this.meter.gauge('gateway_bodies_waiting', {}, held.waiting)
