--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -136,7 +136,7 @@
     const pool = new connectionPools.ConnectionPool(system.clock, dialect, this.createSendListener(),
       ({ service }) => this.context.routing.table?.getService(service)?.maximumConnections,
       server => this.context.directory.isEvacuated(server) ? 'the zone is evacuated' : undefined,
-      { account: this.callerMemory, clock: system.clock })
+      { account: this.callerMemory, clock: system.clock, collect: () => this.collectPieces() })
     const { availability } = options
     this.cold = new coldServers.ColdServers(this.createColdProfiles(availability === undefined
       ? strictTolerance
@@ -257,6 +257,9 @@
     if (faults.length > 0) {
       system.log.warn('settings ignored', { faults: faults.join('; ') })
     }
+    for (const fault of options.callers.faults ?? []) {
+      system.log.warn('setting ignored', { fault })
+    }
     if (Object.keys(regions).length > 0) {
       system.log.info('zones and regions', { region, zones: Object.entries(regions).map(pair => pair.join('=')).join(',') })
     }
@@ -373,20 +376,22 @@
     }
   }
 
-  /** Collects the pieces that bodies came in, once what was read of them is no longer on the stack. */
+  /**
+   * Collects the pieces that bodies came in, at once: one turn of the event loop reads up to 2 MB of each socket, up to 106 MB measured with 100
+   * callers on a busy machine, and nothing of it would be collected before the end of the turn.
+   */
   private collectPieces (): void {
-    setImmediate(() => {
-      this.meter.count('gateway_collections_total', { kind: 'minor' })
-      garbage.collectGarbage('minor')
-    })
+    this.meter.count('gateway_collections_total', { kind: 'minor' })
+    garbage.collectGarbage('minor')
   }
 
   private checkCallerMemory (): void {
     const nowMs = this.system.clock.monotonicMs()
-    if (this.callerMemory.needsCollection(nowMs)) {
-      this.callerMemory.recordCollection(nowMs)
-      this.meter.count('gateway_collections_total', { kind: 'major' })
-      garbage.collectGarbage('major')
+    const kind = this.callerMemory.selectCollection(nowMs)
+    if (kind !== undefined) {
+      this.callerMemory.recordCollection(kind, nowMs)
+      this.meter.count('gateway_collections_total', { kind })
+      garbage.collectGarbage(kind)
     }
     this.callerMemory.check(nowMs)
   }
@@ -676,7 +681,7 @@
     this.meter.gauge('gateway_connections', { state: 'closed_for_others' }, this.ingress.closedForOthers)
     this.meter.gauge('gateway_connections', { state: 'refused' }, this.ingress.refusedConnections)
     const held = this.callerMemory.describe()
-    for (const kind of ['large', 'small', 'uncollected'] as const) {
+    for (const kind of ['large', 'small', 'heads', 'uncollected'] as const) {
       this.meter.gauge('gateway_caller_bytes', { kind }, held[kind])
     }
     this.meter.gauge('gateway_bodies_waiting', {}, held.waiting)
