--- a/tests/gateway/caller_memory/account.test.ts
+++ b/tests/gateway/caller_memory/account.test.ts
@@ -132,6 +132,6 @@
     account.recordCollected(500, 3_000)
     assert.equal(account.takeAnswer(10_000), true)
     account.giveBackAnswer(10_000, false, 3_000)
-    assert.deepEqual(account.describe(), { large: 0, small: 0, uncollected: 0, waiting: 0 })
+    assert.deepEqual(account.describe(), { heads: 0, large: 0, small: 0, uncollected: 0, waiting: 0 })
   })
 })
