A sound part that is blocked no longer hides the ends of the part that ended servers with it

Cause: a blocked part accounts for the ends that it shares with another one, whichever of the two is to blame. A sound part (shared2 in the trace) that was in flight at two of three ends of the deadly part was blocked with it, and accounted for these two; the third alone does not block, so prompts with the deadly part and without the sound one were sent as trials again. Also, a run named the process of its server as of its placement: where the server was restarted during the prefill, its end was taken for that of the earlier process, for which another blocked part accounted. Change: a part that answers have begun on accounts for no end of a part without answers. A run names the process that is listed when it is sent.

--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -326,11 +326,15 @@
       unexplained.some(({ companions }) => companions.every(part => prompt.includes(part) || (this.records.get(part)?.ends.size ?? 0) === 0))
   }
 
-  /** Returns the ends of a part for which no blocked part, other than those of the prompt, accounts. */
+  /**
+   * Returns the ends of a part for which no blocked part, other than those of the prompt, accounts. A part that answers have begun on
+   * accounts for no end of one without answers: it may be blocked because it was in flight with that one, which would then be tried
+   * again and again in prompts without it.
+   */
   private listUnexplained (record: PartRecord, prompt: readonly string[]): readonly ServerEnd[] {
     const unexplained = new Map(record.ends)
     for (const [part, other] of this.records) {
-      if (other === record || !other.isBlocked || prompt.includes(part)) {
+      if (other === record || !other.isBlocked || prompt.includes(part) || (hasAnswers(other) && !hasAnswers(record))) {
         continue
       }
       for (const server of other.ends.keys()) {
@@ -371,8 +375,12 @@
   }
 }
 
-function isSuspicious ({ ends, wasGood, answers }: PartRecord): boolean {
-  return ends.size >= (wasGood || answers.size > 0 ? suspiciousEndsOfGoodPart : suspiciousEnds)
+function isSuspicious (record: PartRecord): boolean {
+  return record.ends.size >= (hasAnswers(record) ? suspiciousEndsOfGoodPart : suspiciousEnds)
+}
+
+function hasAnswers ({ wasGood, answers }: PartRecord): boolean {
+  return wasGood || answers.size > 0
 }
 
 /** Tells which of two statements on one end is kept; the order by workspace and parts makes it the same one at all gateways. */
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -186,6 +186,12 @@
     return this.servers.get(id)
   }
 
+  /** Returns the latest entry of a server that was selected earlier, unless it has moved: its process may have been restarted since. */
+  findCurrent (server: routing.RoutedServer): routing.RoutedServer {
+    const listed = this.servers.get(server.id)
+    return listed?.address === server.address ? listed : server
+  }
+
   listAll (): readonly routing.RoutedServer[] {
     return [...this.servers.values()]
   }
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -164,6 +164,8 @@
       this.placements.release(place)
       return this.refuse(this.weakenVerdict(this.createBudgetFailure()), place.server.id)
     }
+    // The end of a process that has been restarted since the placement must not count as an end of the one before it.
+    place = { ...place, server: this.context.directory.findCurrent(place.server) }
     this.recordSend(this.sends, 'run')
     const end = await this.stream(place, prefill.cache)
     fleet.releaseDecode(this.request.serial)
--- a/tests/gateway/crash_evidence.test.ts
+++ b/tests/gateway/crash_evidence.test.ts
@@ -60,6 +60,20 @@
       assert.equal(evidence.judge(['x'], 'w', 11).kind, 'clear')
     })
 
+    // Guards against trials without end: a sound part that is blocked for ends in common accounted for those of the deadly part.
+    test.it('blocks a part although a sound one that it was in flight with is blocked too', () => {
+      const evidence = createEvidence()
+      evidence.recordAnswer(['x'], 'w', 0)
+      evidence.recordEnd('s1', ['x', 'd'], 'w', single, 10)
+      evidence.recordEnd('s2', ['y', 'd'], 'w', trial, 20)
+      evidence.recordEnd('s3', ['x', 'd'], 'w', trial, 30)
+      assert.equal(evidence.judge(['z', 'd'], 'w', 31).kind, 'blocked')
+      assert.equal(evidence.judge(['x', 'z'], 'w', 31).kind, 'suspect')
+      evidence.recordAnswer(['x', 'z'], 'w', 40)
+      assert.equal(evidence.judge(['x'], 'w', 41).kind, 'clear')
+      assert.equal(evidence.judge(['z', 'd'], 'w', 41).kind, 'blocked')
+    })
+
     // Guards against a block of the part that all prompts have, where two deadly ones were at all ends of it before it got an answer.
     test.it('tries a part that is at the ends of two others, and clears it', () => {
       const evidence = createEvidence()
