--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -18,6 +18,8 @@
 }
 
 export const Limits = z.strictObject({
+  memoryMb: count(1_024, 'Memory of this process, from which the bounds on what callers may hold follow (MB)'),
+  descriptors: count(8_192, 'Descriptors of this process, from which the bounds on connections follow'),
   bodyBytes: bytes(2_097_152, 'Largest body of a request or an answer'),
   headerBytes: bytes(16_384, 'All headers of a request'),
   headerCount: count(64, 'Headers of a request'),
