An entry bounds what callers make it hold

Cause: bodies were kept as the chunks they came in, up to bodyBytes for every connection; a chunk of one byte took several hundred bytes. Behind a refusal the rest of a body was parsed for as long as it came. Connections had no bound, and a connection kept all requests behind one without an answer.

Change: bodies are read through the gateway's body intake, in an account that follows from limits.memoryMb; what the head decides is refused without a body above 64 KiB; behind an answer that closes a connection the rest is read past the parser for a second; connections are bounded by memory and descriptors; 32 requests may wait on a connection; answers above 64 KiB that nobody reads are cut, the oldest first.

--- /dev/null
+++ b/src/entry/caller_connections.ts
@@ -0,0 +1,214 @@
+/**
+ * The connections of callers: how many may be open, and how many requests may wait on each.
+ */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import type * as bodyIntakes from '../gateway/caller_memory/body_intake.js'
+import * as callerMemories from './caller_memory.js'
+import * as host from '../host/types.js'
+import * as metrics from '../metrics/types.js'
+
+/** Requests that may wait for the answer to one before them on the same connection. */
+const maximumWaiting = 32
+/** Requests that one read may bring beyond those; each takes some 3 KB until its connection ends. */
+const maximumIgnored = 32
+/** How long the caller may take to close its side behind the last answer: a round trip and a lost packet. */
+const lingerMs = 1_000
+/** Connections beyond the bound that may be open while those that make room for them are closing. */
+const closingPart = 0.25
+
+type Handler = (request: http.IncomingMessage, response: http.ServerResponse) => void
+
+/** One connection; its requests are handled one after the other, and none behind an answer that closes it. */
+export class CallerConnection {
+  private readonly waiting: { readonly request: http.IncomingMessage, readonly response: http.ServerResponse }[] = []
+  private current: http.ServerResponse | undefined
+  private body: bodyIntakes.BodyIntake | undefined
+  private ignored = 0
+  /** Bytes that had been read when the last request ended. */
+  private bytesRead = 0
+  private isEnding = false
+  idleSinceMs: number
+
+  constructor (
+    private readonly socket: net.Socket,
+    private readonly memory: callerMemories.CallerMemory,
+    private readonly clock: host.Clock,
+    private readonly handle: Handler
+  ) {
+    this.idleSinceMs = clock.monotonicMs()
+    // Node.js would destroy the socket behind the last answer, and reset the connection if the caller still sends.
+    socket.destroySoon = () => this.end()
+    socket.once('close', () => this.waiting.splice(0))
+  }
+
+  /** Whether no request is open. */
+  get isIdle (): boolean {
+    return this.current === undefined
+  }
+
+  /** Whether no request is open and nothing of a further one has been read. */
+  get isUnused (): boolean {
+    return this.isIdle && this.socket.bytesRead === this.bytesRead
+  }
+
+  /** The body that the caller still sends, if no answer has been begun. */
+  get openBody (): bodyIntakes.BodyIntake | undefined {
+    return this.current?.headersSent === false && this.body?.openSinceMs !== undefined ? this.body : undefined
+  }
+
+  /** Takes a request from the parser. */
+  receive (request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (this.waiting.length >= maximumWaiting) {
+      this.ignore()
+      return
+    }
+    const body = this.memory.open(request, response)
+    if (this.current === undefined) {
+      this.begin(request, response, body)
+    } else {
+      this.waiting.push({ request, response })
+    }
+  }
+
+  destroy (): void {
+    this.socket.destroy()
+  }
+
+  private begin (request: http.IncomingMessage, response: http.ServerResponse, body: bodyIntakes.BodyIntake): void {
+    this.current = response
+    this.body = body
+    response.once('close', () => {
+      this.current = undefined
+      this.body = undefined
+      this.bytesRead = this.socket.bytesRead
+      this.idleSinceMs = this.clock.monotonicMs()
+      this.handleNext()
+    })
+    this.handle(request, response)
+  }
+
+  private handleNext (): void {
+    const next = this.waiting.shift()
+    if (next === undefined) {
+      if (this.ignored > 0) {
+        this.end()
+      }
+      return
+    }
+    if (this.socket.writable && !this.isEnding) {
+      this.begin(next.request, next.response, this.memory.open(next.request, next.response))
+    }
+  }
+
+  /** Reads no further requests; the connection closes behind the answers to those that were taken. */
+  private ignore (): void {
+    this.ignored += 1
+    if (this.ignored === 1) {
+      this.stopParsing()
+      this.socket.pause()
+    } else if (this.ignored > maximumIgnored) {
+      this.socket.destroy()
+    }
+  }
+
+  /** Drops what is read from now on; the parser would make an object of every chunk and every request. */
+  private stopParsing (): void {
+    this.socket.removeAllListeners('data')
+    this.socket.on('data', (piece: Buffer) => this.memory.recordDropped(piece.length))
+  }
+
+  /** Closes the sending side, and the connection when the caller has closed its own or has had time to. */
+  private end (): void {
+    if (this.isEnding || this.socket.destroyed) {
+      return
+    }
+    this.isEnding = true
+    this.stopParsing()
+    this.socket.resume()
+    this.socket.end()
+    const stopLinger = this.clock.after(lingerMs, () => this.socket.destroy())
+    this.socket.once('close', stopLinger)
+  }
+}
+
+/** Keeps the connections of a server within a bound. */
+export class CallerConnections {
+  private readonly open = new Map<net.Socket, CallerConnection>()
+
+  constructor (
+    private readonly maximum: number,
+    private readonly memory: callerMemories.CallerMemory,
+    private readonly clock: host.Clock,
+    private readonly meter: metrics.Meter,
+    private readonly handle: Handler
+  ) {}
+
+  /** Adds a connection, and closes it or another one if there are too many. */
+  add (socket: net.Socket): void {
+    if (this.open.size >= this.maximum && !this.makeRoom()) {
+      this.meter.count('caller_connections_closed_total', { reason: 'refused' })
+      socket.destroy()
+      return
+    }
+    this.open.set(socket, new CallerConnection(socket, this.memory, this.clock, this.handle))
+    socket.once('close', () => this.open.delete(socket))
+  }
+
+  receive (request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.open.get(request.socket)?.receive(request, response)
+  }
+
+  /** Closes the connections without a request. */
+  closeUnused (): void {
+    for (const connection of this.open.values()) {
+      if (connection.isUnused) {
+        connection.destroy()
+      }
+    }
+  }
+
+  closeAll (): void {
+    for (const connection of this.open.values()) {
+      connection.destroy()
+    }
+  }
+
+  /**
+   * Closes the connection that has had no open request for longest, otherwise ends the body of which nothing has come for longest. Returns
+   * whether a further connection may be open.
+   */
+  private makeRoom (): boolean {
+    const idle = this.findIdle()
+    if (idle !== undefined) {
+      this.meter.count('caller_connections_closed_total', { reason: 'idle' })
+      idle.destroy()
+      return true
+    }
+    if (this.open.size >= this.maximum * (1 + closingPart)) {
+      return false
+    }
+    this.findSlowestBody()?.endForConnection()
+    return true
+  }
+
+  private findIdle (): CallerConnection | undefined {
+    let found: CallerConnection | undefined
+    for (const connection of this.open.values()) {
+      if (connection.isIdle && connection.idleSinceMs < (found?.idleSinceMs ?? Infinity)) {
+        found = connection
+      }
+    }
+    return found
+  }
+
+  private findSlowestBody (): bodyIntakes.BodyIntake | undefined {
+    let found: bodyIntakes.BodyIntake | undefined
+    for (const { openBody } of this.open.values()) {
+      if (openBody !== undefined && (openBody.openSinceMs ?? Infinity) < (found?.openSinceMs ?? Infinity)) {
+        found = openBody
+      }
+    }
+    return found
+  }
+}
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -1,66 +1,43 @@
 /**
  * The HTTP server for callers, with the limits that apply before a request reaches the listener.
  */
+import * as callerConnections from './caller_connections.js'
+import * as callerMemories from './caller_memory.js'
 import * as diagnosticTable from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
 import * as http from 'node:http'
+import * as memoryBounds from '../host/memory_bounds.js'
 import type * as net from 'node:net'
 import * as replies from './reply.js'
 import * as requestHeads from '../host/request_head.js'
 import * as settings from '../contracts/settings.js'
 import * as stream from 'node:stream'
+import * as types from './types.js'
 
 /** Period of the check for connections whose headers arrive too slowly, in milliseconds. */
 const checkPeriodMs = 1000
 
-/** A caller's connection: its latest response, and the bytes that it had read when that response was sent. */
-interface CallerConnection {
-  response: http.ServerResponse | undefined
-  bytesRead: number
-}
-
 class CallerServer extends http.Server {
-  private readonly connected = new Map<net.Socket, CallerConnection>()
+  private readonly connected: callerConnections.CallerConnections
 
-  constructor (private readonly listener: http.RequestListener, options: http.ServerOptions) {
+  constructor (private readonly listener: http.RequestListener, options: http.ServerOptions, memory: callerMemories.CallerMemory, context: types.EntryContext) {
     super({ ...options, ...requestHeads.uncheckedHead })
-    this.on('connection', (socket: net.Socket) => {
-      this.connected.set(socket, { response: undefined, bytesRead: 0 })
-      socket.on('close', () => this.connected.delete(socket))
-    })
-    requestHeads.onRequest(this, (request, response) => this.handleInTurn(request, response))
+    const { callers } = memoryBounds.createConnectionBounds(context.limits)
+    this.connected = new callerConnections.CallerConnections(
+      callers, memory, context.system.clock, context.meter, (request, response) => this.handle(request, response))
+    this.on('connection', (socket: net.Socket) => this.connected.add(socket))
+    requestHeads.onRequest(this, (request, response) => this.connected.receive(request, response))
   }
 
   /** Closes the connections without a request. Node.js would also destroy those whose answer has ended and is still to be written. */
   override closeIdleConnections (): void {
-    for (const [socket, { response, bytesRead }] of this.connected) {
-      if (response?.closed !== false && socket.bytesRead === bytesRead) {
-        socket.destroy()
-      }
-    }
+    this.connected.closeUnused()
   }
 
-  /** Handles the requests of a connection one after the other, and none behind an answer that closes it: that one would run without an answer. */
-  private handleInTurn (request: http.IncomingMessage, response: http.ServerResponse): void {
-    const { socket } = request
-    const connection = this.connected.get(socket)
-    if (connection === undefined) {
-      return
-    }
-    const { response: before } = connection
-    connection.response = response
-    response.once('close', () => {
-      connection.bytesRead = socket.bytesRead
-    })
-    if (before === undefined || before.closed) {
-      this.handle(request, response)
-      return
-    }
-    before.once('close', () => {
-      if (socket.writable) {
-        this.handle(request, response)
-      }
-    })
+  /** Closes all connections, those that only wait for their callers to close included. */
+  override closeAllConnections (): void {
+    super.closeAllConnections()
+    this.connected.closeAll()
   }
 
   private handle (request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -72,8 +49,9 @@
 
 /** Creates the server, not listening yet. Requests that cannot be parsed get the common error body too. */
 export function createCallerServer (
-  listener: http.RequestListener, limits: settings.Limits, timing: settings.Timing
+  listener: http.RequestListener, memory: callerMemories.CallerMemory, context: types.EntryContext
 ): http.Server {
+  const { limits, timing } = context
   const server = new CallerServer(listener, {
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.bodyTimeoutMs,
@@ -81,7 +59,7 @@
     keepAliveTimeout: timing.idleMs,
     connectionsCheckingInterval: checkPeriodMs,
     insecureHTTPParser: false
-  })
+  }, memory, context)
   // Node would silently drop headers beyond this count; the listener rejects the request instead.
   server.maxHeadersCount = 0
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuse(error, socket, limits))
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -3,6 +3,7 @@
  */
 import * as attempts from './attempts.js'
 import * as authenticators from './authenticator.js'
+import * as callerMemories from './caller_memory.js'
 import * as callerServers from './caller_server.js'
 import * as requestHandlers from './request_handler.js'
 import * as calls from './calls.js'
@@ -44,12 +45,13 @@
     super()
     const authenticator = new authenticators.Authenticator(context.configuration)
     const generator = new generations.Generations(context, new generationRunners.GenerationRunner(dependencies))
+    const memory = new callerMemories.CallerMemory(context)
     this.exchanges = new exchanges.Exchanges(context, authenticator)
     this.listener = new requestHandlers.RequestHandler(
-      context, this, this.exchanges, authenticator, generator, new calls.Calls(dependencies)
+      context, this, this.exchanges, memory, authenticator, generator, new calls.Calls(dependencies)
     ).createListener()
-    this.server = callerServers.createCallerServer(this.listener, context.limits, context.timing)
-    this.stops.push(context.links.observe(dependencies.attempts), context.links.observe(dependencies.servers))
+    this.server = callerServers.createCallerServer(this.listener, memory, context)
+    this.stops.push(() => memory.stop(), context.links.observe(dependencies.attempts), context.links.observe(dependencies.servers))
   }
 
   /** Whether the load balancer may send requests. */
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -3,6 +3,8 @@
  * shutdown waits for the last one.
  */
 import * as authenticators from './authenticator.js'
+import type * as bodyIntakes from '../gateway/caller_memory/body_intake.js'
+import * as callerMemories from './caller_memory.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
 import * as http from 'node:http'
@@ -24,13 +26,15 @@
 
   constructor (
     context: types.EntryContext,
+    memory: callerMemories.CallerMemory,
     readonly request: http.IncomingMessage,
-    readonly response: http.ServerResponse
+    readonly response: http.ServerResponse,
+    readonly body: bodyIntakes.BodyIntake
   ) {
     const { limits, system } = context
     this.id = system.random.nextId()
     this.receivedAtMs = system.clock.monotonicMs()
-    this.reply = new replies.Reply(response, limits, system.clock, () => this.abort(createStalledFailure(limits)))
+    this.reply = new replies.Reply(response, limits, system.clock, memory, () => this.abort(createStalledFailure(limits)))
     this.stopTimer = system.clock.after(limits.requestTimeoutMs, () => this.abort(createTimeoutFailure(limits)))
     response.once('close', () => this.handleClose())
   }
--- a/src/entry/reply.ts
+++ b/src/entry/reply.ts
@@ -1,6 +1,7 @@
 /**
  * The response to one caller. A caller that does not read what was sent is disconnected.
  */
+import * as callerMemories from './caller_memory.js'
 import * as diagnosticTable from '../contracts/diagnostics.js'
 import * as failures from '../contracts/failure.js'
 import * as host from '../host/types.js'
@@ -11,7 +12,7 @@
 
 /** Failures after which the rest of the request stays unread, so that the connection cannot be reused. */
 const closingCodes: ReadonlySet<diagnosticTable.DiagnosticCode> = new Set([
-  'body_too_large', 'body_too_slow', 'headers_invalid'
+  'body_too_large', 'body_too_slow', 'caller_memory_full', 'headers_invalid'
 ] as const)
 
 export class Reply {
@@ -23,6 +24,7 @@
     private readonly response: http.ServerResponse,
     private readonly limits: settings.Limits,
     private readonly clock: host.Clock,
+    private readonly memory: callerMemories.CallerMemory,
     private readonly onStalled: () => void
   ) {
     response.on('drain', () => this.clearStallTimer())
@@ -47,8 +49,10 @@
     if (this.response.headersSent || this.response.destroyed) {
       return
     }
-    this.response.writeHead(status, { ...headers, 'content-length': Buffer.byteLength(body) })
+    const bytes = Buffer.byteLength(body)
+    this.response.writeHead(status, { ...headers, 'content-length': bytes })
     this.response.end(body)
+    this.memory.addAnswer(this.response, bytes)
     this.watchForStall()
   }
 
--- a/src/entry/request_handler.ts
+++ b/src/entry/request_handler.ts
@@ -4,7 +4,7 @@
  */
 import * as buffer from 'node:buffer'
 import * as authenticators from './authenticator.js'
-import * as bodies from './bodies.js'
+import * as callerMemories from './caller_memory.js'
 import * as calls from './calls.js'
 import * as completionsApi from './completions_api.js'
 import * as exchanges from './exchanges.js'
@@ -29,6 +29,8 @@
   readonly res: http.ServerResponse
 }
 
+const none = buffer.Buffer.alloc(0)
+
 type Handler = (exchange: exchanges.Exchange) => Promise<failures.Result<void>>
 
 export class RequestHandler {
@@ -36,6 +38,7 @@
     private readonly context: types.EntryContext,
     private readonly gate: Gate,
     private readonly exchanges: exchanges.Exchanges,
+    private readonly memory: callerMemories.CallerMemory,
     private readonly authenticator: authenticators.Authenticator,
     private readonly generations: generations.Generations,
     private readonly calls: calls.Calls
@@ -61,7 +64,8 @@
   }
 
   private async run (request: http.IncomingMessage, response: http.ServerResponse, serve: Handler): Promise<void> {
-    const exchange = new exchanges.Exchange(this.context, request, response)
+    const body = this.memory.open(request, response)
+    const exchange = new exchanges.Exchange(this.context, this.memory, request, response, body)
     exchange.reply.setHeader('x-request-id', exchange.id)
     const refusal = this.checkStart(request)
     this.exchanges.add(exchange)
@@ -69,7 +73,10 @@
       exchange.reply.setHeader('connection', 'close')
     }
     const result = refusal === undefined ? await this.tryServe(exchange, serve) : failures.fail<void>(refusal)
-    result.ifLeft(failure => exchange.reply.sendFailure(failure))
+    result.ifLeft(failure => {
+      leaveUnread(exchange)
+      exchange.reply.sendFailure(failure)
+    })
     this.report(exchange, result)
     this.exchanges.remove(exchange)
   }
@@ -103,6 +110,7 @@
 
   private async listModels (exchange: exchanges.Exchange): Promise<failures.Result<void>> {
     const names = this.authenticate(exchange).map(({ workspace }) => this.generations.listModels(workspace))
+    leaveUnread(exchange)
     return names.map(list => exchange.reply.sendJson(200, completionsApi.createModelList(list)))
   }
 
@@ -144,9 +152,12 @@
 
   /** Reads the body. Rejects a body that contains the caller's key, which would reach a backend server. */
   private async readBody (exchange: exchanges.Exchange): Promise<failures.Result<buffer.Buffer>> {
-    const { limits, system } = this.context
-    const body = await bodies.readBody(exchange.request, limits, system.clock)
-    return body.chain(bytes => exchange.caller?.isKeyIn(bytes) === true
+    const { limits } = this.context
+    const body = await exchange.body.read(limits.bodyBytes, limits.bodyTimeoutMs, exchange.signal)
+    if (body.isLeft() && exchange.signal.aborted) {
+      return failures.fail(failures.withVerdict(exchange.signal.reason as failures.Failure, 'not_run'))
+    }
+    return body.chain((bytes = none) => exchange.caller?.isKeyIn(bytes) === true
       ? failures.fail(failures.createFailure('not_run', 'body_invalid', ['it contains the caller\'s key']))
       : failures.succeed(bytes))
   }
@@ -165,6 +176,14 @@
   }
 }
 
+/** Drops a body that the request does not need; a long one is not waited for, and the connection closes behind the answer. */
+function leaveUnread ({ body, reply }: exchanges.Exchange): void {
+  if (body.isLongAndOpen) {
+    reply.setHeader('connection', 'close')
+  }
+  body.discard()
+}
+
 type End = 'answered' | 'refused' | 'failed' | 'abandoned'
 
 const endKinds = {
--- a/src/metrics/catalog.ts
+++ b/src/metrics/catalog.ts
@@ -22,6 +22,9 @@
   // Entries.
   requests_total: createMetric('counter', ['workspace', 'end'], 'Requests of callers by end: answered, refused (did not run), failed, abandoned (the caller left), cut (a gateway closed the connection before the answer had left).'),
   request_failures_total: createMetric('counter', ['code'], 'Requests that were refused or failed, by code.'),
+  caller_bodies_ended_total: createMetric('counter', ['reason'], 'Bodies of callers that an entry ended for lack of memory.'),
+  caller_answers_cut_total: createMetric('counter', [], 'Answers that callers did not read and that an entry cut for lack of memory.'),
+  caller_connections_closed_total: createMetric('counter', ['reason'], 'Connections of callers beyond the bound: idle ones closed for others, and new ones refused.'),
   retries_total: createMetric('counter', ['reason'], 'Further attempts of generations, by the code of the failure before.'),
   time_to_first_token_ms: createMetric('histogram', ['model'], 'Time from the arrival of a request to its first text, in milliseconds.'),
   time_between_tokens_ms: createMetric('histogram', ['model'], 'Time between two texts of a stream, in milliseconds.'),
