Inner listeners bound connections, bodies and messages without a session

Cause: the listeners for administration, probes and links kept any number of connections; those for probes and links read the body of a request that takes none for as long as it came, which kept the thread from callers; a link read messages of 16 MB before the other end had proved the credential.

Change: each of these listeners has a bound from limits.descriptors and closes the oldest connection beyond it (for links only connections without a session count), closes a connection behind a request with a body, and a link ends a connection that sends more than 64 KiB before its session is open.

--- a/src/administration/listener.ts
+++ b/src/administration/listener.ts
@@ -6,9 +6,15 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as applications from './application.js'
+import * as httpListeners from '../daemon/http_listener.js'
 import * as identities from '../contracts/identity.js'
+import * as memoryBounds from '../host/memory_bounds.js'
 
 export interface ListenerLimits {
+  /** Memory of this process, in megabytes. */
+  readonly memoryMb: number
+  /** Descriptors of this process. */
+  readonly descriptors: number
   /** All headers of a request, in bytes. */
   readonly headerBytes: number
   /** Headers of a request. */
@@ -24,7 +30,7 @@
   private readonly server: http.Server
 
   constructor (private readonly options: applications.ApplicationOptions, limits: ListenerLimits) {
-    const handler = h3.toNodeHandler(applications.createApplication(options))
+    const handler = httpListeners.closingBehindBodies(h3.toNodeHandler(applications.createApplication(options)) as http.RequestListener)
     this.server = http.createServer({
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.bodyTimeoutMs,
@@ -32,6 +38,7 @@
       connectionsCheckingInterval: Math.max(100, limits.bodyTimeoutMs / 10)
     }, handler)
     this.server.maxHeadersCount = limits.headerCount
+    httpListeners.boundConnections(this.server, memoryBounds.createConnectionBounds(limits).operators)
   }
 
   /** Listens and returns the port, which is chosen if the address has port 0. */
--- a/src/daemon/agent_process.ts
+++ b/src/daemon/agent_process.ts
@@ -7,6 +7,7 @@
 import * as daemonProcesses from './daemon_process.js'
 import * as httpListeners from './http_listener.js'
 import * as identities from '../contracts/identity.js'
+import * as memoryBounds from '../host/memory_bounds.js'
 import * as listeners from '../links/listener.js'
 import * as peers from '../configuration/peers.js'
 import * as probeApplications from '../administration/probe_application.js'
@@ -30,9 +31,9 @@
     const source = new AgentStatus(agent, replica, () => this.isDraining)
     const handlers = { ...base.createHandlers(source), ...replica.handlers, ...agent.handlers }
     const observer = new sessionObservers.SessionObservers([agent, replica.sessionObserver])
-    this.control = new listeners.Listener(base.linkContext, handlers, observer)
+    this.control = new listeners.Listener(base.linkContext, handlers, observer, memoryBounds.createConnectionBounds(options.limits).unproven)
     const probes = new AgentProbes(base, source)
-    this.health = http.createServer(h3.toNodeHandler(probeApplications.createProbeApplication(probes)))
+    this.health = http.createServer(httpListeners.closingBehindBodies(h3.toNodeHandler(probeApplications.createProbeApplication(probes)) as http.RequestListener))
   }
 
   override async start (): Promise<void> {
@@ -42,7 +43,7 @@
     replica.start()
     await this.agent.start()
     await this.control.listen(options.control)
-    await httpListeners.listen(this.health, options.health)
+    await httpListeners.listen(this.health, options.health, memoryBounds.createConnectionBounds(options.limits).operators)
     base.ring.record({ kind: 'process.started' })
     base.system.log.info('agent started', { control: identities.formatAddress(options.control) })
   }
--- a/src/daemon/entry_process.ts
+++ b/src/daemon/entry_process.ts
@@ -17,6 +17,7 @@
 import * as listeners from '../links/listener.js'
 import * as machineDirectories from '../machines/directory.js'
 import * as machineLists from '../host/http_machine_list.js'
+import * as memoryBounds from '../host/memory_bounds.js'
 import * as policies from '../entry/policy.js'
 import * as peers from '../configuration/peers.js'
 import * as probeApplications from '../administration/probe_application.js'
@@ -39,7 +40,7 @@
     const { base, replica, keepers, options } = parts
     const source = new EntryStatus(parts, entry)
     const handlers = { ...base.createHandlers(source), ...replica.handlers, ...keepers.createHandlers() }
-    this.control = new listeners.Listener(base.linkContext, handlers, replica.sessionObserver)
+    this.control = new listeners.Listener(base.linkContext, handlers, replica.sessionObserver, memoryBounds.createConnectionBounds(options.limits).unproven)
     this.administration = new administrationListeners.AdministrationListener(
       createApplicationOptions(parts, entry, source), options.limits)
   }
--- a/src/daemon/http_listener.ts
+++ b/src/daemon/http_listener.ts
@@ -12,8 +12,18 @@
   return coding !== undefined || Number(length ?? 0) > 0 ? { Connection: 'close' } : {}
 }
 
+/** Returns a listener that closes the connection behind the answer to a request with a body. */
+export function closingBehindBodies (listener: http.RequestListener): http.RequestListener {
+  return (request, response) => {
+    if (closeBehindBody(request).Connection !== undefined) {
+      response.shouldKeepAlive = false
+    }
+    listener(request, response)
+  }
+}
+
 /** Closes the connection on which the last request came longest ago whenever more than `maximum` are open. */
-function boundConnections (server: http.Server, maximum: number): void {
+export function boundConnections (server: http.Server, maximum: number): void {
   const sockets = new Set<net.Socket>()
   server.on('connection', (socket: net.Socket) => {
     sockets.add(socket)
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -15,17 +15,24 @@
 import * as sessions from './sessions.js'
 import * as types from './types.js'
 
+/** Bytes that may come before a session is open: its opening is a message below 2 KB. */
+const maximumUnprovenBytes = 65_536
+const standardUnproven = 256
+
 /** Accepts sessions on one address. */
 export class Listener {
   private readonly sessions: sessions.Sessions
   private readonly sockets: ws.WebSocketServer
   private readonly server: http.Server
   private readonly rpc = new jsonrpc.JSONRPCServer<sessions.ListenerSession>()
+  /** Connections on which no session has been opened, oldest first. */
+  private readonly unproven = new Set<net.Socket>()
 
   constructor (
     private readonly context: linkContexts.LinkContext,
     handlers: types.Handlers,
-    private readonly observer: types.SessionObserver
+    private readonly observer: types.SessionObserver,
+    private readonly maximumUnproven = standardUnproven
   ) {
     this.sessions = new sessions.Sessions(context.system.clock, context.timing.sessionLeaseMs, observer)
     this.server = createServer(context.security)
@@ -35,6 +42,7 @@
     this.sockets.on('connection', (socket, request) => this.accept(socket, request.socket))
     // The HTTP server's errors are emitted here too; `listen` reports them.
     this.sockets.on('error', () => {})
+    this.server.on(context.security === undefined ? 'connection' : 'secureConnection', (socket: net.Socket) => this.addUnproven(socket))
     this.addMethods(handlers)
   }
 
@@ -57,6 +65,30 @@
     this.server.close()
   }
 
+  /** Bounds what a connection may send, and how many there may be, before the other end has proved the credential. */
+  private addUnproven (transport: net.Socket): void {
+    const { unproven } = this
+    unproven.add(transport)
+    transport.on('close', () => unproven.delete(transport))
+    const [oldest] = unproven
+    if (unproven.size > this.maximumUnproven && oldest !== undefined) {
+      unproven.delete(oldest)
+      oldest.destroy()
+    }
+  }
+
+  /** Ends a connection that sends too much before its session is open. */
+  private watchUnproven (transport: net.Socket): void {
+    const look = (): void => {
+      if (!this.unproven.has(transport)) {
+        transport.off('data', look)
+      } else if (transport.bytesRead > maximumUnprovenBytes) {
+        transport.destroy()
+      }
+    }
+    transport.on('data', look)
+  }
+
   private addMethods (handlers: types.Handlers): void {
     this.rpc.mapErrorToJSONRPCErrorResponse = (id, error) => createErrorResponse(id, error)
     for (const name of Object.keys(handlers) as protocol.MethodName[]) {
@@ -95,6 +127,9 @@
       requested: request => {
         if (request.method === 'session.open') {
           session = this.openSession(connection, request, challenge)
+          if (session !== undefined) {
+            this.unproven.delete(transport)
+          }
           return
         }
         this.answer(connection, request, session)
@@ -117,6 +152,7 @@
       closed: () => session?.detach(connection)
     })
     connection.batchWrites(transport)
+    this.watchUnproven(transport)
     connection.notify('session.challenge', { challenge })
     system.clock.after(timing.connectTimeoutMs, () => {
       if (session === undefined) {
@@ -211,6 +247,7 @@
   }, refuseRequest)
 }
 
+/** Closes the connection: a body that nobody reads could come without end. */
 function refuseRequest (_: http.IncomingMessage, response: http.ServerResponse): void {
-  response.writeHead(426).end()
+  response.writeHead(426, { Connection: 'close' }).end()
 }
--- a/tests/administration/fixture.ts
+++ b/tests/administration/fixture.ts
@@ -65,7 +65,7 @@
     probes,
     isReady: () => replica.isReady,
     bodyBytes
-  }, { headerBytes: 8_192, headerCount: 64, bodyTimeoutMs })
+  }, { memoryMb: 1024, descriptors: 8192, headerBytes: 8_192, headerCount: 64, bodyTimeoutMs })
   const port = await listener.listen({ host: '127.0.0.1', port: 0 })
   const url = `http://127.0.0.1:${port}`
   return {
