Requests that wait on a connection that is cut give their memory back

Cause: the response of a request that still waits for its turn never closes when its connection does, so its body stayed in the account, and with it the connection and all that one read had brought. Also, one turn of the event loop may read many connections, each with hundreds of requests that live until the turn has closed what was cut.

Change: the bodies of waiting requests are discarded when their connection closes; when one connection brings too many requests, the others are read one turn later.

--- a/src/entry/caller_connections.ts
+++ b/src/entry/caller_connections.ts
@@ -5,6 +5,7 @@
 import type * as net from 'node:net'
 import type * as bodyIntakes from '../gateway/caller_memory/body_intake.js'
 import * as callerMemories from './caller_memory.js'
+import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
 import * as metrics from '../metrics/types.js'
 
@@ -19,9 +20,15 @@
 
 type Handler = (request: http.IncomingMessage, response: http.ServerResponse) => void
 
+interface CallerExchange {
+  readonly request: http.IncomingMessage
+  readonly response: http.ServerResponse
+  readonly body: bodyIntakes.BodyIntake
+}
+
 /** One connection; its requests are handled one after the other, and none behind an answer that closes it. */
 export class CallerConnection {
-  private readonly waiting: { readonly request: http.IncomingMessage, readonly response: http.ServerResponse }[] = []
+  private readonly waiting: CallerExchange[] = []
   private current: http.ServerResponse | undefined
   private body: bodyIntakes.BodyIntake | undefined
   private ignored = 0
@@ -34,12 +41,14 @@
     private readonly socket: net.Socket,
     private readonly memory: callerMemories.CallerMemory,
     private readonly clock: host.Clock,
-    private readonly handle: Handler
+    private readonly handle: Handler,
+    /** Called when the first request is ignored. */
+    private readonly overfull: () => void
   ) {
     this.idleSinceMs = clock.monotonicMs()
     // Node.js would destroy the socket behind the last answer, and reset the connection if the caller still sends.
     socket.destroySoon = () => this.end()
-    socket.once('close', () => this.waiting.splice(0))
+    socket.once('close', () => this.dropWaiting())
   }
 
   /** Whether no request is open. */
@@ -67,7 +76,7 @@
     if (this.current === undefined) {
       this.begin(request, response, body)
     } else {
-      this.waiting.push({ request, response })
+      this.waiting.push({ request, response, body })
     }
   }
 
@@ -89,15 +98,21 @@
   }
 
   private handleNext (): void {
-    const next = this.waiting.shift()
-    if (next === undefined) {
-      if (this.ignored > 0) {
-        this.end()
-      }
+    if (this.isEnding || !this.socket.writable) {
       return
     }
-    if (this.socket.writable && !this.isEnding) {
-      this.begin(next.request, next.response, this.memory.open(next.request, next.response))
+    const next = this.waiting.shift()
+    if (next !== undefined) {
+      this.begin(next.request, next.response, next.body)
+    } else if (this.ignored > 0) {
+      this.end()
+    }
+  }
+
+  /** Gives the memory of requests back that are not handled any more; their responses never close. */
+  private dropWaiting (): void {
+    for (const { body } of this.waiting.splice(0)) {
+      body.discard()
     }
   }
 
@@ -107,6 +122,7 @@
     if (this.ignored === 1) {
       this.stopParsing()
       this.socket.pause()
+      this.overfull()
     } else if (this.ignored > maximumIgnored) {
       this.socket.destroy()
     }
@@ -135,6 +151,8 @@
 /** Keeps the connections of a server within a bound. */
 export class CallerConnections {
   private readonly open = new Map<net.Socket, CallerConnection>()
+  /** Whether the connections are to be read later. */
+  private isPostponed = false
 
   constructor (
     private readonly maximum: number,
@@ -151,7 +169,7 @@
       socket.destroy()
       return
     }
-    this.open.set(socket, new CallerConnection(socket, this.memory, this.clock, this.handle))
+    this.open.set(socket, new CallerConnection(socket, this.memory, this.clock, this.handle, () => this.postponeReads()))
     socket.once('close', () => this.open.delete(socket))
   }
 
@@ -174,6 +192,27 @@
     }
   }
 
+  /**
+   * Lets the other connections be read when the event loop has closed what was cut: one read may bring hundreds of requests, which take memory
+   * until then, and many connections may be read in one turn of the loop.
+   */
+  private postponeReads (): void {
+    if (this.isPostponed) {
+      return
+    }
+    this.isPostponed = true
+    const postponed = [...this.open.keys()].filter(socket => !socket.isPaused())
+    for (const socket of postponed) {
+      socket.pause()
+    }
+    eventLoop.afterSocketReads(() => {
+      this.isPostponed = false
+      for (const socket of postponed) {
+        socket.resume()
+      }
+    })
+  }
+
   /**
    * Closes the connection that has had no open request for longest, otherwise ends the body of which nothing has come for longest. Returns
    * whether a further connection may be open.
