--- a/tests/memory/bodies.test.ts
+++ b/tests/memory/bodies.test.ts
@@ -1,3 +1,4 @@
+import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
 import * as crowds from '../../platform/tests/memory/crowd.js'
 import * as trials from './daemon_trial.js'
@@ -10,6 +11,7 @@
 const tinyLimitBytes = 524_288
 const wireBytesPerByte = 6
 const delayMs = 20_000
+const wholeBytes = 4_190_000
 const chunked = 'Transfer-Encoding: chunked'
 const targets = [
   { name: 'a plain route', path: '/bookings', key: undefined },
@@ -41,6 +43,11 @@
     await trial.setDelay(0)
   })
 
+  // Guards against a bound that refuses what the documented limits allow.
+  trials.runTrial('of 4 MB, from a single caller', async trial => {
+    assert.equal(await trial.callAsOrdinary({ text: 'a'.repeat(wholeBytes) }), 201)
+  })
+
   for (const { name, path, key } of targets) {
     // Guards against holding as many bodies as there are connections, also for callers that the head alone refuses.
     trials.runTrial(`in large chunks that stop short, to ${name}`, async trial => {
