--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import type * as deliveries from './answer_delivery.js'
 import * as peerTables from './peer_table.js'
 import * as choices from './plain/server_choice.js'
+import * as accountChecks from './caller_memory/account_check.js'
 import * as callerAccounts from './caller_memory/account.js'
 import * as callerBounds from './caller_memory/bounds.js'
 import * as chunkTurns from './caller_memory/chunk_turns.js'
@@ -386,14 +387,10 @@
   }
 
   private checkCallerMemory (): void {
-    const nowMs = this.system.clock.monotonicMs()
-    const kind = this.callerMemory.selectCollection(nowMs)
+    const kind = accountChecks.checkAccount(this.callerMemory, this.system.clock.monotonicMs())
     if (kind !== undefined) {
-      this.callerMemory.recordCollection(kind, nowMs)
       this.meter.count('gateway_collections_total', { kind })
-      garbage.collectGarbage(kind)
     }
-    this.callerMemory.check(nowMs)
   }
 
   private createSendListener (): connectionPools.SendListener {
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -8,6 +8,7 @@
 import * as http from 'node:http'
 import * as jsonRpc from 'json-rpc-2.0'
 import * as undici from 'undici'
+import * as accountChecks from './caller_memory/account_check.js'
 import * as accounts from './caller_memory/account.js'
 import * as bodyIntakes from './caller_memory/body_intake.js'
 import * as chunkTurns from './caller_memory/chunk_turns.js'
@@ -130,13 +131,7 @@
 
   /** Collects buffers of earlier messages that one waits for, and ends what waits for too long. */
   private checkMemory (): void {
-    const nowMs = this.system.clock.monotonicMs()
-    const kind = this.account.selectCollection(nowMs)
-    if (kind !== undefined) {
-      this.account.recordCollection(kind, nowMs)
-      garbage.collectGarbage(kind)
-    }
-    this.account.check(nowMs)
+    accountChecks.checkAccount(this.account, this.system.clock.monotonicMs())
   }
 
   private exchangeDue (): void {
