Review: ready answers, requests on their way, speeds by service; tests of unread answers

Cause, from the review of the merged parts: an entry cut answers that their callers were reading, closed connections with requests on their way when one read brought more than 64, and answered 408 behind a running request; skipped requests with an upgrade took the connection from the server; slowness depended on which request asked first, and with many gateways a fixed window of the gossip could miss partners for good. Change: an entry cuts only answers without progress for a second; further requests are skipped by the parser, and what cannot be parsed closes the connection behind the running answers; speeds are a class of their own with sums over all servers, told in one message of five. Measured: tests of the speed, peer table, placement, entry (connections, calls, bad input, drain), caller connections, explanation, contested service, planned stop, unreadable requests and answer delivery pass, one file at a time.

--- a/src/entry/caller_connections.ts
+++ b/src/entry/caller_connections.ts
@@ -3,16 +3,16 @@
  */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import type * as stream from 'node:stream'
 import type * as bodyIntakes from '../gateway/caller_memory/body_intake.js'
 import * as callerMemories from './caller_memory.js'
 import * as eventLoop from '../host/event_loop.js'
 import * as host from '../host/types.js'
+import * as httpParsers from '../host/http_parser.js'
 import * as metrics from '../metrics/types.js'
 
 /** Requests that may wait for the answer to one before them on the same connection. */
 const maximumWaiting = 32
-/** Requests that one read may bring beyond those; each takes some 3 KB until its connection ends. */
-const maximumIgnored = 32
 /** How long the caller may take to close its side behind the last answer: a round trip and a lost packet. */
 const lingerMs = 1_000
 /** Connections beyond the bound that may be open while those that make room for them are closing. */
@@ -31,7 +31,8 @@
   private readonly waiting: CallerExchange[] = []
   private current: http.ServerResponse | undefined
   private body: bodyIntakes.BodyIntake | undefined
-  private ignored = 0
+  /** Whether further requests are skipped. */
+  private isFull = false
   /** Bytes that had been read when the last request ended. */
   private bytesRead = 0
   private isEnding = false
@@ -42,7 +43,7 @@
     private readonly memory: callerMemories.CallerMemory,
     private readonly clock: host.Clock,
     private readonly handle: Handler,
-    /** Called when the first request is ignored. */
+    /** Called when the first request is skipped. */
     private readonly overfull: () => void
   ) {
     this.idleSinceMs = clock.monotonicMs()
@@ -69,7 +70,7 @@
   /** Takes a request from the parser. */
   receive (request: http.IncomingMessage, response: http.ServerResponse): void {
     if (this.waiting.length >= maximumWaiting) {
-      this.ignore()
+      this.skipFurther()
       return
     }
     const body = this.memory.open(request, response)
@@ -104,7 +105,7 @@
     const next = this.waiting.shift()
     if (next !== undefined) {
       this.begin(next.request, next.response, next.body)
-    } else if (this.ignored > 0) {
+    } else if (this.isFull) {
       this.end()
     }
   }
@@ -116,15 +117,26 @@
     }
   }
 
-  /** Reads no further requests; the connection closes behind the answers to those that were taken. */
-  private ignore (): void {
-    this.ignored += 1
-    if (this.ignored === 1) {
-      this.stopParsing()
+  /**
+   * Takes no further requests; the connection closes behind the answers to those that were taken. Returns false if none is open whose
+   * body has been read, so that an answer to what cannot be parsed may be sent.
+   */
+  closeBehindAnswers (): boolean {
+    if (this.current === undefined || this.openBody !== undefined) {
+      return false
+    }
+    this.skipFurther()
+    return true
+  }
+
+  private skipFurther (): void {
+    if (!this.isFull) {
+      this.isFull = true
+      httpParsers.skipRequests(this.socket)
+      // Behind the parser's callback.
+      process.nextTick(() => this.stopParsing())
       this.socket.pause()
       this.overfull()
-    } else if (this.ignored > maximumIgnored) {
-      this.socket.destroy()
     }
   }
 
@@ -177,6 +189,11 @@
     this.open.get(request.socket)?.receive(request, response)
   }
 
+  /** Closes a connection behind the answers to its requests; false if there are none to wait for. */
+  closeBehindAnswers (socket: stream.Duplex): boolean {
+    return this.open.get(socket as net.Socket)?.closeBehindAnswers() === true
+  }
+
   /** Closes the connections without a request. */
   closeUnused (): void {
     for (const connection of this.open.values()) {
--- a/src/entry/caller_memory.ts
+++ b/src/entry/caller_memory.ts
@@ -21,6 +21,8 @@
 /** A body of the default limit with the 64 KiB that one read may add. */
 const leastLargeBytes = 4_259_840
 const leastBytes = 1_048_576
+/** Time without progress after which an answer may be cut for others, in milliseconds: several lost packets in a row. */
+const leastUnreadMs = 1_000
 /** Bytes read between two minor collections, which free the pieces that bodies came in. */
 const leastTransientBytes = 2_097_152
 const mostTransientBytes = 67_108_864
@@ -39,14 +41,19 @@
   readonly meter: metrics.Meter
 }
 
+interface UnreadAnswer {
+  /** Bytes that the operating system had not taken when the caller last took some. */
+  readonly unread: number
+  readonly progressMs: number
+}
+
 export class CallerMemory {
   private readonly account: accounts.CallerMemory
   private readonly options: bodyIntakes.IntakeOptions
   private readonly intakes = new WeakMap<http.IncomingMessage, bodyIntakes.BodyIntake>()
   private readonly maximumAnswerBytes: number
-  /** Bytes of each long answer that is still to be written, oldest first. */
-  private readonly answers = new Map<http.ServerResponse, number>()
-  private answerBytes = 0
+  /** Long answers that are still to be written, oldest first. */
+  private readonly answers = new Map<http.ServerResponse, UnreadAnswer>()
   private readonly stopCheck: host.Stop
 
   constructor (private readonly context: Context) {
@@ -94,35 +101,47 @@
     bodyIntakes.recordRead(this.options, bytes)
   }
 
-  /** Counts an answer until it has been written, and cuts the oldest ones if callers leave too much unread. */
+  /** Watches an answer until it has been written. */
   addAnswer (response: http.ServerResponse, bytes: number): void {
     if (bytes <= smallAnswerBytes || response.closed) {
       return
     }
-    this.answers.set(response, bytes)
-    this.answerBytes += bytes
-    response.once('close', () => this.removeAnswer(response))
-    for (const [oldest] of this.answers) {
-      if (this.answerBytes <= this.maximumAnswerBytes || oldest === response) {
-        return
-      }
-      this.removeAnswer(oldest)
-      this.context.meter.count('caller_answers_cut_total', {}, 1)
-      this.context.system.log.info('unread answer cut for lack of memory', { bytes: this.answerBytes })
-      oldest.socket?.destroy()
-    }
+    this.answers.set(response, { unread: response.writableLength, progressMs: this.context.system.clock.monotonicMs() })
+    response.once('close', () => this.answers.delete(response))
+    this.checkAnswers()
   }
 
   stop (): void {
     this.stopCheck()
   }
 
-  private removeAnswer (response: http.ServerResponse): void {
-    this.answerBytes -= this.answers.get(response) ?? 0
-    this.answers.delete(response)
+  /** Cuts the oldest answers of which callers take nothing, if callers leave too much unread. */
+  private checkAnswers (): void {
+    const nowMs = this.context.system.clock.monotonicMs()
+    let bytes = 0
+    for (const [response, answer] of this.answers) {
+      const { writableLength: unread } = response
+      if (unread < answer.unread) {
+        this.answers.set(response, { unread, progressMs: nowMs })
+      }
+      bytes += unread
+    }
+    for (const [response, { unread, progressMs }] of this.answers) {
+      if (bytes <= this.maximumAnswerBytes) {
+        return
+      }
+      if (nowMs - progressMs >= leastUnreadMs) {
+        bytes -= unread
+        this.answers.delete(response)
+        this.context.meter.count('caller_answers_cut_total', {}, 1)
+        this.context.system.log.info('unread answer cut for lack of memory', { unread, sinceMs: Math.round(nowMs - progressMs) })
+        response.socket?.destroy()
+      }
+    }
   }
 
   private check (): void {
+    this.checkAnswers()
     accountChecks.checkAccount(this.account, this.context.system.clock.monotonicMs())
   }
 }
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -18,7 +18,7 @@
 const checkPeriodMs = 1000
 
 class CallerServer extends http.Server {
-  private readonly connected: callerConnections.CallerConnections
+  readonly connected: callerConnections.CallerConnections
 
   constructor (private readonly listener: http.RequestListener, options: http.ServerOptions, memory: callerMemories.CallerMemory, context: types.EntryContext) {
     super({ ...options, ...requestHeads.uncheckedHead })
@@ -62,7 +62,12 @@
   }, memory, context)
   // Node would silently drop headers beyond this count; the listener rejects the request instead.
   server.maxHeadersCount = 0
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuse(error, socket, limits))
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    // What cannot be parsed behind a running request must not be answered in its place: 408 would say that it has not run.
+    if (!server.connected.closeBehindAnswers(socket)) {
+      refuse(error, socket, limits)
+    }
+  })
   return server
 }
 
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -11,6 +11,7 @@
 import * as bodyIntakes from './caller_memory/body_intake.js'
 import * as deliveries from './answer_delivery.js'
 import * as eventLoop from '../host/event_loop.js'
+import * as httpParsers from '../host/http_parser.js'
 import * as host from '../host/types.js'
 import * as replies from './caller_reply.js'
 import * as requestHeads from '../host/request_head.js'
@@ -352,15 +353,9 @@
     this.socket.on('data', (piece: buffer.Buffer) => bodyIntakes.recordRead(this.intake, piece.length))
   }
 
-  /**
-   * Handles nothing more of what the caller sends. One read may hold some thousand requests, so that those behind the first in it are skipped, too:
-   * the parser's own listener, which Node.js does not document, would keep a response for each until the connection ends.
-   */
+  /** Handles nothing more of what the caller sends, nor of what has been read. */
   private stopParsing (): void {
-    const { parser } = this.socket as { readonly parser?: { onIncoming?: () => number } | null }
-    if (parser !== undefined && parser !== null) {
-      parser.onIncoming = () => 0
-    }
+    httpParsers.skipRequests(this.socket)
     // Behind the parser's callback.
     process.nextTick(() => this.discardInput())
   }
--- a/src/gateway/decode_placement.ts
+++ b/src/gateway/decode_placement.ts
@@ -38,8 +38,8 @@
 /** Time before the end of a request's wait from which it may go to a recovering server beyond that server's pace, in milliseconds: two checks of the queue. */
 const paceWaitMarginMs = 50
 /**
- * Longest wait for the pace of recovering servers, in parts of the latency goal: it costs callers little. Waiting until the request was nearly late
- * made 302 of 1,319 streams late instead of 118 while many servers returned.
+ * Longest wait for the pace of recovering servers, in parts of the latency goal: it costs callers little. A wait until the request
+ * is nearly late makes it late when servers are slower than expected.
  */
 const longestPaceWaitPart = 1 / 8
 
--- a/src/gateway/decode_speed/event_intervals.ts
+++ b/src/gateway/decode_speed/event_intervals.ts
@@ -44,9 +44,7 @@
     const found: [string, IntervalSum][] = []
     for (const server of this.servers.keys()) {
       const [events, elapsedMs] = this.read(server, nowMs)
-      if (events < leastReportedEvents) {
-        this.servers.delete(server)
-      } else {
+      if (events >= leastReportedEvents) {
         found.push([server, [Number(events.toFixed(1)), Math.round(elapsedMs)]])
       }
     }
--- a/src/gateway/engine_fleet.ts
+++ b/src/gateway/engine_fleet.ts
@@ -5,7 +5,8 @@
  * make the final decision by granting or refusing a reservation. Performs no input or output.
  */
 import * as capacityParts from './pace/capacity_parts.js'
-import * as eventIntervals from './decode_speed/event_intervals.js'
+import * as decodeSpeeds from './decode_speed/decode_speeds.js'
+import type * as eventIntervals from './decode_speed/event_intervals.js'
 import * as healths from './server_health.js'
 import * as host from '../host/types.js'
 import * as routing from '../contracts/routing.js'
@@ -38,18 +39,6 @@
 /** Upper bound of the jitter, as a fraction of an engine: some two requests. */
 const maximumJitter = 0.8
 
-/** Time for which the slowness of a service's servers is not computed again, in milliseconds: one period of gossip. */
-const slownessValidMs = 100
-/**
- * Times between events are gossiped for a part of each second only, in milliseconds: they change slowly, and 30 servers take 800 bytes of a
- * message. What a gateway told counts until it tells again, for this long at most.
- */
-const intervalPeriodMs = 1_000
-const intervalWindowMs = 200
-const intervalExpiryMs = 20_000
-/** Slowness from which a server is reported as slow. */
-const notableSlowness = 1.5
-
 /** Load that one gateway has committed to one engine. */
 export interface CommittedLoad {
   /** Requests in decode, or about to start. */
@@ -163,11 +152,10 @@
   readonly offered: Readonly<Record<string, splits.OfferedLoad>>
   readonly switching: ReadonlySet<string>
   readonly arrivals: Readonly<Record<string, arrivals.ArrivalRate[]>>
-  readonly intervals: Readonly<Record<string, eventIntervals.IntervalSum>>
-  readonly intervalsMs: number
 }
 
 export class EngineFleet {
+  readonly speeds: decodeSpeeds.DecodeSpeeds
   private readonly decodes = new Map<string, Decode>()
   private readonly paces = new Map<string, DecodePace>()
   private readonly prefills = new Map<string, Prefill>()
@@ -178,9 +166,6 @@
   private readonly ownLoad = new Map<string, CommittedLoad>()
   private readonly loadMeters = new Map<string, splits.LoadMeter>()
   private readonly arrivalMeters = new Map<string, arrivals.ArrivalMeter>()
-  private readonly intervals = new eventIntervals.EventIntervals()
-  /** Slowness of the servers, by service. */
-  private readonly slowness = new Map<string, { readonly servers: ReadonlyMap<string, number>, readonly atMs: number }>()
   private switching: ReadonlySet<string> = new Set()
   /** Servers observed to be changing their stage, whoever ordered it. */
   private readonly observedSwitching = new Map<string, ObservedSwitch>()
@@ -191,7 +176,9 @@
     private readonly health: healths.ServerHealth,
     private readonly random: host.Random,
     private readonly parts: capacityParts.CapacityParts = new capacityParts.FullCapacity()
-  ) {}
+  ) {
+    this.speeds = new decodeSpeeds.DecodeSpeeds(random)
+  }
 
   bookDecode (run: string, server: string, tokens: number): void {
     if (this.decodes.get(run)?.server !== server) {
@@ -252,19 +239,18 @@
   /** Drops the state received under a name. */
   forgetPeer (peer: string): void {
     this.peers.delete(peer)
+    this.speeds.forgetPeer(peer)
   }
 
   /** Replaces the state of another gateway, or the aggregate of all gateways of another zone. */
   updatePeer (peer: string, state: PeerEngines, nowMs: number): void {
-    const { intervals = {}, intervalsMs = -Infinity } = this.peers.get(peer) ?? {}
+    this.speeds.updatePeer(peer, state.intervals, nowMs)
     this.peers.set(peer, {
       lastSeenMs: nowMs,
       bookings: new Map(Object.entries(state.bookings)),
       offered: state.offered,
       switching: new Set(state.switching),
-      arrivals: state.arrivals ?? {},
-      intervals: state.intervals ?? intervals,
-      intervalsMs: state.intervals === undefined ? intervalsMs : nowMs
+      arrivals: state.arrivals ?? {}
     })
   }
 
@@ -282,61 +268,6 @@
     meter.record(level, tokens, nowMs)
   }
 
-  /** Records that a stream of a decode server took a time for a number of events, in milliseconds. */
-  recordEvents (server: string, events: number, elapsedMs: number, nowMs: number): void {
-    this.intervals.record(server, events, elapsedMs, nowMs)
-  }
-
-  /** Returns the time between events at the decode servers of a service relative to the usual one; empty where it is not measured. */
-  getSlowness (servers: readonly routing.RoutedServer[], nowMs: number): ReadonlyMap<string, number> {
-    const service = servers[0]?.service ?? ''
-    const found = this.readSlowness(servers, nowMs)
-    if (found !== this.slowness.get(service)?.servers) {
-      this.slowness.set(service, { servers: found, atMs: nowMs })
-    }
-    return found
-  }
-
-  /** Returns what `getSlowness` would, without a change of state. */
-  private readSlowness (servers: readonly routing.RoutedServer[], nowMs: number): ReadonlyMap<string, number> {
-    const known = this.slowness.get(servers[0]?.service ?? '')
-    if (known !== undefined && nowMs - known.atMs <= slownessValidMs) {
-      return known.servers
-    }
-    const decodeServers = new Set(servers.filter(({ stage }) => stage === 'decode').map(({ id }) => id))
-    return eventIntervals.estimateSlowness(this.sumIntervals(decodeServers, nowMs))
-  }
-
-  /** Returns how many servers of each service with measured servers are slow. */
-  countSlow (): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>()
-    for (const [service, { servers }] of this.slowness) {
-      if (servers.size > 0) {
-        counts.set(service, [...servers.values()].filter(slowness => slowness >= notableSlowness).length)
-      }
-    }
-    return counts
-  }
-
-  private sumIntervals (servers: ReadonlySet<string>, nowMs: number): ReadonlyMap<string, eventIntervals.IntervalSum> {
-    const sums = new Map<string, eventIntervals.IntervalSum>()
-    const add = (told: Readonly<Record<string, eventIntervals.IntervalSum>>): void => {
-      for (const [server, [events, elapsedMs]] of Object.entries(told)) {
-        if (servers.has(server)) {
-          const [sumEvents, sumMs] = sums.get(server) ?? [0, 0]
-          sums.set(server, [sumEvents + events, sumMs + elapsedMs])
-        }
-      }
-    }
-    add(this.intervals.list(nowMs) ?? {})
-    for (const peer of this.peers.values()) {
-      if (nowMs - peer.lastSeenMs <= peerExpiryMs && nowMs - peer.intervalsMs <= intervalExpiryMs) {
-        add(peer.intervals)
-      }
-    }
-    return sums
-  }
-
   /** Arrival rates of a service at all gateways, by level of urgency. */
   getArrivals (service: string, nowMs: number): arrivals.LeveledArrivals {
     let sum: arrivals.LeveledArrivals = this.arrivalMeters.get(service)?.read(nowMs) ?? []
@@ -400,7 +331,7 @@
     this.refusals.delete(server)
     this.observedSwitching.delete(server)
     this.rates.delete(server)
-    this.intervals.forget(server)
+    this.speeds.forgetServer(server)
   }
 
   /** Returns the engine state of this gateway. */
@@ -411,11 +342,7 @@
         bookings[server] = booking
       }
     }
-    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs), arrivals: this.listArrivals(nowMs), intervals: this.listIntervals(nowMs) }
-  }
-
-  private listIntervals (nowMs: number): Record<string, eventIntervals.IntervalSum> | undefined {
-    return isIntervalTurn(nowMs) ? this.intervals.list(nowMs) : undefined
+    return { bookings, offered: this.listOffered(nowMs), switching: this.listSwitching(nowMs), arrivals: this.listArrivals(nowMs), intervals: this.speeds.describe(nowMs) }
   }
 
   private listSwitching (nowMs: number): string[] {
@@ -437,8 +364,6 @@
     const offered: Record<string, splits.OfferedLoad> = { ...own.offered }
     const switching = new Set(own.switching)
     const rates: Record<string, arrivals.ArrivalRate[]> = { ...own.arrivals }
-    let intervals = this.listIntervals(nowMs)
-    const tellsIntervals = isIntervalTurn(nowMs)
     for (const name of names) {
       const peer = this.peers.get(name)
       if (peer === undefined || nowMs - peer.lastSeenMs > peerExpiryMs) {
@@ -456,11 +381,8 @@
       for (const [service, told] of Object.entries(peer.arrivals)) {
         rates[service] = arrivals.addArrivals(rates[service] ?? [], told)
       }
-      if (tellsIntervals && nowMs - peer.intervalsMs <= intervalExpiryMs) {
-        intervals = eventIntervals.addIntervals(intervals ?? {}, peer.intervals)
-      }
     }
-    return { bookings, offered, switching: [...switching], arrivals: Object.keys(rates).length === 0 ? undefined : rates, intervals }
+    return { bookings, offered, switching: [...switching], arrivals: Object.keys(rates).length === 0 ? undefined : rates, intervals: this.speeds.aggregate(names, nowMs) }
   }
 
   /**
@@ -472,7 +394,7 @@
     terms: PlacementTerms = {}
   ): routing.RoutedServer[] {
     const ranked: { readonly server: routing.RoutedServer, readonly free: number }[] = []
-    const slowness = this.getSlowness(servers, nowMs)
+    const slowness = this.speeds.getSlowness(servers, nowMs)
     for (const server of servers) {
       if (server.stage !== 'decode' || !this.isUsable(server, nowMs)) {
         continue
@@ -492,7 +414,7 @@
     terms: PlacementTerms = {}
   ): readonly InspectedDecode[] {
     const parts = this.parts.observe()
-    const slowness = this.readSlowness(servers, nowMs)
+    const slowness = this.speeds.observeSlowness(servers, nowMs)
     return servers.map(server => {
       const rooms: OfferedRoom[] = []
       const rating = this.rateDecode(server, profile, tokens, nowMs, terms, parts, slowness, room => rooms.push(room))
@@ -707,10 +629,6 @@
   }
 }
 
-function isIntervalTurn (nowMs: number): boolean {
-  return nowMs % intervalPeriodMs < intervalWindowMs
-}
-
 function getDistanceMs (server: routing.RoutedServer, decodeZone: string | undefined): number {
   return decodeZone === undefined || server.zone === decodeZone ? 0 : crossZonePenaltyMs
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -378,8 +378,8 @@
   }
 
   /**
-   * Collects the pieces that bodies came in, at once: one turn of the event loop reads up to 2 MB of each socket, up to 106 MB measured with 100
-   * callers on a busy machine, and nothing of it would be collected before the end of the turn.
+   * Collects the pieces that bodies came in, at once: one turn of the event loop reads up to 2 MB of each socket, and nothing of it would be
+   * collected before the end of the turn.
    */
   private collectPieces (): void {
     this.meter.count('gateway_collections_total', { kind: 'minor' })
@@ -686,8 +686,10 @@
     this.meter.gauge('gateway_evacuated_zones', {}, this.context.directory.evacuatedCount)
     this.meter.gauge('gateway_cold_servers', {}, this.cold.count(nowMs))
     this.meter.gauge('gateway_slow_servers', {}, this.loads.countSlow(nowMs))
-    for (const [service, count] of this.context.fleet.countSlow()) {
-      this.meter.gauge('gateway_slow_engines', { service }, count)
+    for (const { engine, name } of this.context.routing.table?.document.services ?? []) {
+      if (engine !== undefined) {
+        this.meter.gauge('gateway_slow_engines', { service: name }, this.context.fleet.speeds.countSlow(this.context.directory.listReady(name), nowMs))
+      }
     }
     this.meter.gauge('gateway_timed_services', {}, this.context.serverChoice.timedCount)
     this.meter.gauge('gateway_server_limits', {}, this.context.limits.count)
--- a/src/gateway/generation_exchange.ts
+++ b/src/gateway/generation_exchange.ts
@@ -345,13 +345,13 @@
     const { directory, fleet, loads } = this.context
     const nowMs = this.now()
     if (loads.isActive(directory.listReady(this.request.service.name), nowMs)) {
-      fleet.recordEvents(server.id, events, elapsedMs, nowMs)
+      fleet.speeds.record(server.id, events, elapsedMs, nowMs)
     }
   }
 
   /** Returns the time between events at a server relative to the usual one; undefined where it is not measured. */
   private getSlowness (server: routing.RoutedServer): number | undefined {
-    const slowness = this.context.fleet.getSlowness(this.listReady(), this.now()).get(server.id)
+    const slowness = this.context.fleet.speeds.getSlowness(this.listReady(), this.now()).get(server.id)
     return slowness === undefined ? undefined : Number(slowness.toFixed(2))
   }
 
--- a/src/gateway/pace/server_pace.ts
+++ b/src/gateway/pace/server_pace.ts
@@ -469,7 +469,6 @@
     })
   }
 
-  /** Returns the recovery of a server that is under way, after ending one that has lasted too long or is not used. */
   /** Returns what `getPart` and `isHeld` would, without a change of state. */
   private observePart (server: routing.RoutedServer, nowMs: number): ObservedPart {
     const find: RecoveryFinder = (id, atMs) => this.observeCurrent(id, atMs)
@@ -492,6 +491,7 @@
       : recovery
   }
 
+  /** Returns the recovery of a server that is under way, after ending one that has lasted too long or is not used. */
   private findCurrent (id: string, nowMs: number): Recovery | undefined {
     const recovery = this.recoveries.get(id)
     if (recovery === undefined) {
