--- a/tests/entry/connections.test.ts
+++ b/tests/entry/connections.test.ts
@@ -96,3 +96,53 @@
     assert.equal(world.listStarts('service').length, 1)
   })
 })
+
+test.describe('requests behind a running one', { timeout: 60_000 }, () => {
+  let fixture: fixtures.Fixture
+  let caller: rawCallers.RawCaller
+  test.beforeEach(async () => {
+    fixture = await fixtures.Fixture.create()
+    caller = new rawCallers.RawCaller(fixture.port)
+    await caller.connected()
+    fixture.world.setScript('service', () => {})
+    caller.write(writeRequest('/bookings', 'a'))
+    await fixture.waitUntil(() => fixture.world.listStarts('service').length === 1)
+  })
+  test.afterEach(async () => {
+    await caller.close()
+    fixture.close()
+  })
+
+  async function answer (): Promise<void> {
+    const { world } = fixture
+    const [received] = world.listStarts('service')
+    world.setScript('service', (agent, { attempt }) => {
+      agent.emit(attempt, { kind: 'started', offset: 0 })
+      agent.emit(attempt, fakes.createAnswered(1, 'booked'))
+    })
+    received?.agent.emit(received.start.attempt, { kind: 'started', offset: 0 })
+    received?.agent.emit(received.start.attempt, fakes.createAnswered(1, 'booked'))
+    await caller.ended()
+  }
+
+  // Guards against a refusal as not run that the caller takes for the answer to the request that runs.
+  test.it('that cannot be parsed do not get their refusal in its place', async () => {
+    caller.write('no request\r\n\r\n')
+    await timers.setTimeout(settleMs)
+    assert.equal(caller.received, '')
+    await answer()
+    assert.match(caller.received, /^HTTP\/1.1 200 [^]*booked$/)
+    assert.equal(caller.end, 'orderly')
+  })
+
+  // Guards against a connection that is cut with requests on their way because one read brought too many.
+  test.it('do not cut it when there are too many', async () => {
+    const { world } = fixture
+    caller.write(writeRequest('/bookings', 'b').repeat(200))
+    await timers.setTimeout(settleMs)
+    await answer()
+    assert.equal(caller.received.split('booked').length - 1, 33)
+    assert.equal(caller.end, 'orderly')
+    assert.equal(world.listStarts('service').length, 33)
+  })
+})
