Fleets of tests use ports that outgoing connections do not take

Cause: a port that had just been found free was taken by an outgoing connection before its process listened (EADDRINUSE at an entry). Change: ports are drawn below the range of outgoing connections.

--- a/tools/wait.ts
+++ b/tools/wait.ts
@@ -1,6 +1,7 @@
 /**
  * Waiting for other processes.
  */
+import * as crypto from 'node:crypto'
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as undici from 'undici'
@@ -27,15 +28,27 @@
   }
 }
 
-/** Returns a port that is free now on the address. */
-export function findFreePort (host: string): Promise<number> {
-  return new Promise((resolve, reject) => {
+/** Ports below those that outgoing connections get by default: one of these takes a port between the choice and the start of its process. */
+const lowestPort = 10_000
+const highestPort = 32_767
+const portTries = 100
+
+/** Returns a port that is free now on the address, and that no outgoing connection takes meanwhile. */
+export async function findFreePort (host: string): Promise<number> {
+  for (let tries = 0; tries < portTries; tries += 1) {
+    const port = crypto.randomInt(lowestPort, highestPort + 1)
+    if (await isFree(host, port)) {
+      return port
+    }
+  }
+  throw new Error(`no port from ${lowestPort} to ${highestPort} is free on ${host}`)
+}
+
+function isFree (host: string, port: number): Promise<boolean> {
+  return new Promise(resolve => {
     const server = net.createServer()
-    server.once('error', reject)
-    server.listen(0, host, () => {
-      const { port } = server.address() as net.AddressInfo
-      server.close(() => resolve(port))
-    })
+    server.once('error', () => resolve(false))
+    server.listen(port, host, () => server.close(() => resolve(true)))
   })
 }
 
